--- /dev/null
+++ b/drill/src/settings.rs
@@ -0,0 +1,232 @@
+//! The settings object of a launch, in the library's terms. Keys that are not used are skipped.
+
+use maplethread::{
+    Class, Discovery, Effect, Group, Kind, Limits, LoadReport, Micros, Place, Prices, Rules,
+    SeatedWhen, Settings,
+};
+use serde_json::Value;
+
+use crate::wire::{WireError, micros};
+
+/// Which of an instance's numbers carry room.
+#[derive(Clone, Copy)]
+pub(crate) struct Reports {
+    /// Lists do.
+    pub(crate) view: bool,
+    /// Load reports do.
+    pub(crate) room: bool,
+}
+
+/// A part of the settings, found by a path such as `domain.ack`.
+#[derive(Clone, Copy)]
+struct At<'a>(&'a Value);
+
+impl<'a> At<'a> {
+    fn find(self, path: &str) -> Option<&'a Value> {
+        path.split('.')
+            .try_fold(self.0, |value, key| value.get(key))
+            .filter(|v| !v.is_null())
+    }
+
+    fn need<T>(
+        self,
+        path: &str,
+        expected: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, WireError> {
+        self.find(path)
+            .and_then(read)
+            .ok_or_else(|| WireError::new("LAUNCH", path, expected.into()))
+    }
+
+    fn number(self, path: &str) -> Result<f64, WireError> {
+        self.need(path, "a number", Value::as_f64)
+    }
+
+    fn number_or(self, path: &str, absent: f64) -> Result<f64, WireError> {
+        self.find(path).map_or(Ok(absent), |_| self.number(path))
+    }
+
+    fn time(self, path: &str) -> Result<Micros, WireError> {
+        self.number(path).map(micros)
+    }
+
+    fn whole(self, path: &str) -> Result<u32, WireError> {
+        self.need(path, "a small whole number", |v| {
+            v.as_u64().and_then(|n| u32::try_from(n).ok())
+        })
+    }
+
+    fn bool(self, path: &str) -> Result<bool, WireError> {
+        self.need(path, "true or false", Value::as_bool)
+    }
+
+    fn text(self, path: &str) -> Result<&'a str, WireError> {
+        self.need(path, "text", Value::as_str)
+    }
+
+    fn array(self, path: &str) -> Result<&'a [Value], WireError> {
+        self.need(path, "an array", |v| v.as_array().map(Vec::as_slice))
+    }
+
+    /// The `index`th of a list that has one value for each class or kind.
+    fn nth(self, path: &str, index: usize) -> Result<f64, WireError> {
+        let value = self.array(path)?.get(index).and_then(Value::as_f64);
+        value
+            .ok_or_else(|| WireError::new("LAUNCH", path, "a number for each class or kind".into()))
+    }
+}
+
+pub(crate) fn decode(info: &Value) -> Result<(Settings, Reports), WireError> {
+    let at = At(info);
+    let report = report(at)?;
+    let settings = Settings {
+        placers: at.whole("peersTotal")?,
+        zone: at.whole("zone")?,
+        classes: (0..at.array("classes")?.len())
+            .map(|i| class(at, i))
+            .collect::<Result<_, _>>()?,
+        kinds: (0..at.array("domain.kindCores")?.len())
+            .map(|i| kind(at, i))
+            .collect::<Result<_, _>>()?,
+        discovery: match at.text("registryMode")? {
+            "push" => Discovery::Push,
+            "ask" => Discovery::Ask,
+            _ => {
+                return Err(WireError::new(
+                    "LAUNCH",
+                    "registryMode",
+                    "push or ask".into(),
+                ));
+            }
+        },
+        seated: match at.text("domain.ack")? {
+            "accepted" => SeatedWhen::Accepted,
+            "running" => SeatedWhen::Running,
+            _ => {
+                return Err(WireError::new(
+                    "LAUNCH",
+                    "domain.ack",
+                    "accepted or running".into(),
+                ));
+            }
+        },
+        admit_cores: at.number("domain.admitCores")?,
+        admit_memory: at.number("domain.admitMemory")?,
+        view: at.bool("domain.listsFree")?,
+        report,
+        limits: Limits {
+            max_attempts: at.whole("allowed.maxAttempts")?,
+            cancel: at.bool("allowed.mayCancel")?,
+            probes: at.bool("allowed.probes")?,
+            peers: at.bool("allowed.peers")?,
+            come_back: match at.bool("allowed.retryAfter")? {
+                true => Some(at.time("allowed.maxRetryAfterMs")?),
+                false => None,
+            },
+        },
+        rules: Rules {
+            ask_within: at.time("invariants.askWithinMs")?,
+            cold_from: at.number("invariants.coldFrom")?,
+            cold_for: at.time("invariants.coldMs")?,
+            fall_multiple: at.number("invariants.fallMultiple")?,
+            fall_window: at.time("invariants.tipAfterMs")?,
+            fresh_offers: at.number_or("domain.freshOffers", 0.0)?,
+        },
+        prices: Prices {
+            refused: at.number_or("domain.noPrice", 0.0)?,
+            cross_zone: at.number_or("fees.crossZone", 0.0)?,
+            fleet: at.number_or("fees.fleet", 0.0)?,
+            moves: at.number_or("fees.moves", 0.0)?,
+        },
+    };
+    let reports = Reports {
+        view: settings.view,
+        room: report != LoadReport::Silent,
+    };
+    Ok((settings, reports))
+}
+
+fn report(at: At) -> Result<LoadReport, WireError> {
+    let fields = at.array("reporting.fields")?;
+    let both = ["x0", "x1"]
+        .iter()
+        .all(|name| fields.iter().any(|f| f.as_str() == Some(name)));
+    if at.text("reporting.how")? == "silent" || !both {
+        return Ok(LoadReport::Silent);
+    }
+    match at.text("domain.freeBy")? {
+        "asked" => Ok(LoadReport::Unasked),
+        "used" => Ok(LoadReport::Unused),
+        _ => Err(WireError::new(
+            "LAUNCH",
+            "domain.freeBy",
+            "asked or used".into(),
+        )),
+    }
+}
+
+fn class(at: At, index: usize) -> Result<Class, WireError> {
+    let own = At(&at.array("classes")?[index]);
+    let effect = match own.text("effect")? {
+        "pure" => Effect::Safe,
+        "side_effect" => Effect::Unsafe,
+        "token" => Effect::Keyed {
+            group: match own.text("group")? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => {
+                    return Err(WireError::new(
+                        "LAUNCH",
+                        "classes.group",
+                        "all, zone or cell".into(),
+                    ));
+                }
+            },
+            window: own.time("windowMs")?,
+        },
+        _ => {
+            return Err(WireError::new(
+                "LAUNCH",
+                "classes.effect",
+                "pure, token or side_effect".into(),
+            ));
+        }
+    };
+    let over = at
+        .array("domain.spreadOver")?
+        .get(index)
+        .and_then(Value::as_str);
+    let place = match over {
+        Some("silent") => None,
+        Some("machine") => Some(Place::Machine),
+        Some("cell") => Some(Place::Cell),
+        Some("zone") => Some(Place::Zone),
+        _ => {
+            return Err(WireError::new(
+                "LAUNCH",
+                "domain.spreadOver",
+                "a place for each class".into(),
+            ));
+        }
+    };
+    let most = at.nth("domain.spreadMost", index)?;
+    let kind = at.nth("domain.kindByClass", index)?;
+    Ok(Class {
+        effect,
+        aim: own.time("aimMs")?,
+        worth: own.number("worth")?,
+        start_bonus_s: at.nth("domain.startBonusS", index)?,
+        priority: at.nth("domain.classPriority", index)? as u32,
+        kind: (kind >= 0.0).then_some(kind as usize),
+        spread: place.map(|place| (place, most as u32)),
+    })
+}
+
+fn kind(at: At, index: usize) -> Result<Kind, WireError> {
+    Ok(Kind {
+        cores: at.nth("domain.kindCores", index)?,
+        memory: at.nth("domain.memoryByKind", index)?,
+    })
+}
--- /dev/null
+++ b/drill/src/wire.rs
@@ -0,0 +1,444 @@
+//! The lines of the wire, both ways.
+
+use std::fmt;
+
+use maplethread::{
+    Action, Ending, Event, Listing, MachineState, Micros, Note, Room, Scope, ServiceId, Settings,
+    Task, TaskId, Why,
+};
+use serde_json::{Value, json};
+
+use crate::settings::{self, Reports};
+use crate::{Adapter, Hosts};
+
+/// What was wrong with a line.
+#[derive(Debug)]
+pub(crate) struct WireError {
+    message: String,
+    field: String,
+    expected: String,
+}
+
+impl WireError {
+    pub(crate) fn new(message: &str, field: &str, expected: String) -> Self {
+        WireError {
+            message: message.to_owned(),
+            field: field.to_owned(),
+            expected,
+        }
+    }
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "message {}, field {}: expected {}",
+            self.message, self.field, self.expected
+        )
+    }
+}
+
+/// A line, decoded.
+pub(crate) enum Incoming {
+    Turn {
+        now: Micros,
+        batch: u64,
+    },
+    EndOfBatch,
+    Launch {
+        who: u32,
+        seed: u64,
+        settings: Box<Settings>,
+    },
+    Killed {
+        who: u32,
+    },
+    Roster {
+        id: u64,
+        rows: Vec<Row>,
+    },
+    Event {
+        who: u32,
+        event: Event,
+    },
+}
+
+/// An entry of a roster, before any instance has numbered its host.
+pub(crate) struct Row {
+    host: String,
+    zone: u32,
+    cell: u32,
+    kind: usize,
+    state: MachineState,
+    started: Option<Micros>,
+    unasked: Room,
+}
+
+/// The values of one array, by position, with names for the error text.
+pub(crate) struct Values<'a> {
+    message: &'a str,
+    values: &'a [Value],
+}
+
+impl<'a> Values<'a> {
+    pub(crate) fn error(&self, field: &str, expected: &str) -> WireError {
+        WireError::new(self.message, field, expected.to_owned())
+    }
+
+    fn get(&self, at: usize) -> Option<&'a Value> {
+        self.values.get(at).filter(|v| !v.is_null())
+    }
+
+    fn whole(&self, at: usize, field: &str) -> Result<u64, WireError> {
+        self.get(at)
+            .and_then(Value::as_u64)
+            .ok_or_else(|| self.error(field, "a whole number"))
+    }
+
+    fn small(&self, at: usize, field: &str) -> Result<u32, WireError> {
+        u32::try_from(self.whole(at, field)?).map_err(|_| self.error(field, "a number below 2^32"))
+    }
+
+    /// As `whole`, with 0 for an absent value.
+    fn whole_or_zero(&self, at: usize, field: &str) -> Result<u64, WireError> {
+        self.get(at).map_or(Ok(0), |_| self.whole(at, field))
+    }
+
+    fn number(&self, at: usize, field: &str) -> Result<f64, WireError> {
+        self.get(at)
+            .and_then(Value::as_f64)
+            .ok_or_else(|| self.error(field, "a number"))
+    }
+
+    fn time(&self, at: usize, field: &str) -> Result<Micros, WireError> {
+        Ok(micros(self.number(at, field)?))
+    }
+
+    fn time_or_none(&self, at: usize, field: &str) -> Result<Option<Micros>, WireError> {
+        self.get(at).map(|_| self.time(at, field)).transpose()
+    }
+
+    fn number_or_zero(&self, at: usize, field: &str) -> Result<f64, WireError> {
+        self.get(at).map_or(Ok(0.0), |_| self.number(at, field))
+    }
+
+    fn text(&self, at: usize, field: &str) -> Result<&'a str, WireError> {
+        self.get(at)
+            .and_then(Value::as_str)
+            .ok_or_else(|| self.error(field, "text"))
+    }
+
+    fn array(&self, at: usize, field: &str) -> Result<&'a [Value], WireError> {
+        let array = self.get(at).and_then(Value::as_array);
+        array
+            .map(Vec::as_slice)
+            .ok_or_else(|| self.error(field, "an array"))
+    }
+
+    fn bool(&self, at: usize, field: &str) -> Result<bool, WireError> {
+        self.get(at)
+            .and_then(Value::as_bool)
+            .ok_or_else(|| self.error(field, "true or false"))
+    }
+
+    fn task_id(&self, at: usize) -> Result<TaskId, WireError> {
+        Ok(TaskId(u64::from(self.small(at, "ticket")?)))
+    }
+}
+
+/// Milliseconds to microseconds.
+pub(crate) fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round().max(0.0) as Micros
+}
+
+fn ms(span: Micros) -> f64 {
+    span as f64 / 1000.0
+}
+
+pub(crate) fn decode(value: &Value, adapter: &mut Adapter) -> Result<Incoming, WireError> {
+    let line = value
+        .as_array()
+        .ok_or_else(|| WireError::new("-", "-", "an array".into()))?;
+    let Some(name) = line.first().and_then(Value::as_str) else {
+        return Err(WireError::new("-", "name", "a message name".into()));
+    };
+    let v = Values {
+        message: name,
+        values: &line[1..],
+    };
+    let who = |v: &Values| v.small(0, "who");
+    Ok(match name {
+        "TURN" => Incoming::Turn {
+            now: v.time(0, "clock")?,
+            batch: v.whole(1, "batch")?,
+        },
+        "EOB" => Incoming::EndOfBatch,
+        "LAUNCH" => {
+            let info = v.get(2).ok_or_else(|| v.error("bootInfo", "an object"))?;
+            let (settings, reports) = settings::decode(info)?;
+            let who = who(&v)?;
+            adapter.reports.insert(who, reports);
+            Incoming::Launch {
+                who,
+                seed: v.whole(1, "initSeed")?,
+                settings: Box::new(settings),
+            }
+        }
+        "KILLED" => Incoming::Killed { who: who(&v)? },
+        "ROSTER" => {
+            let rows = v
+                .array(1, "rows")?
+                .iter()
+                .map(row)
+                .collect::<Result<_, _>>()?;
+            Incoming::Roster {
+                id: v.whole(0, "rosterId")?,
+                rows,
+            }
+        }
+        "ROSTER_CHANGE" | "REQUEST" | "RUNNING" | "SEATED" | "INTERIM" | "FINISHED" | "HANGUP"
+        | "TIMER" | "CHECK_RESULT" | "NOTE_FROM" => {
+            let who = who(&v)?;
+            Incoming::Event {
+                who,
+                event: event(name, who, &v, adapter)?,
+            }
+        }
+        _ => return Err(WireError::new(name, "name", "a known message".into())),
+    })
+}
+
+fn event(name: &str, who: u32, v: &Values, adapter: &mut Adapter) -> Result<Event, WireError> {
+    Ok(match name {
+        "ROSTER_CHANGE" => {
+            let scope = match v.text(1, "scope")? {
+                "update" => Scope::Changes,
+                "replace" => Scope::Full,
+                "restored" => Scope::Restored,
+                "unavailable" => return Ok(Event::ListUnavailable),
+                _ => return Err(v.error("scope", "update, replace, restored or unavailable")),
+            };
+            let number = v.whole(3, "rosterId")?;
+            let view = adapter.reports(who)?.view;
+            let (rosters, instance) = adapter.rosters_and_instance(who)?;
+            let rows = rosters
+                .get(&number)
+                .ok_or_else(|| v.error("rosterId", "a roster sent before"))?;
+            let machines = rows
+                .iter()
+                .map(|row| listing(row, view, &mut instance.hosts))
+                .collect();
+            Event::Listed { scope, machines }
+        }
+        "REQUEST" => Event::Asked(task(v, [1, 2, 4, 5, 6, 8, 9, 10])?),
+        "RUNNING" => {
+            let task = task(v, [1, 10, 9, 11, 7, 4, 5, 3])?;
+            Event::Running {
+                task,
+                machine: adapter.instance(who)?.hosts.id(v.text(2, "host")?),
+            }
+        }
+        "SEATED" => Event::Seated {
+            task: v.task_id(1)?,
+            attempt: v.small(4, "leg")?,
+        },
+        "INTERIM" => {
+            let x = v.number_or_zero(5, "x")?;
+            let note = match v.whole(4, "kind")? {
+                1 => Note::Started,
+                2 => Note::CoresUsed(x),
+                3 => Note::MemoryUsed(x),
+                4 => Note::Served(x),
+                5 => Note::MachineMemory(x),
+                _ => return Err(v.error("kind", "1 to 5")),
+            };
+            Event::Noted {
+                task: v.task_id(1)?,
+                attempt: v.small(2, "leg")?,
+                note,
+            }
+        }
+        "FINISHED" => Event::Ended {
+            task: v.task_id(1)?,
+            attempt: v.small(6, "leg")?,
+            ending: ending(v.whole(5, "ending")?)
+                .ok_or_else(|| v.error("ending", "an outcome code"))?,
+            why: match v.whole_or_zero(7, "note")? {
+                1 => Some(Why::Cores),
+                2 => Some(Why::Memory),
+                3 => Some(Why::Line),
+                4 => Some(Why::NotHere),
+                5 => Some(Why::Evicted),
+                6 => Some(Why::PushedOut),
+                7 => Some(Why::SentAway),
+                _ => None,
+            },
+            closed: v.bool(4, "noMore")?,
+            load: adapter.reports(who)?.room(v, v.get(8))?,
+        },
+        "HANGUP" => Event::HungUp(v.task_id(1)?),
+        "TIMER" => Event::Woken(v.whole(1, "label")?),
+        "CHECK_RESULT" => Event::Probed {
+            machine: adapter.instance(who)?.hosts.id(v.text(3, "host")?),
+            ok: ending(v.whole(1, "ending")?) == Some(Ending::Done),
+            load: adapter.reports(who)?.room(v, v.get(4))?,
+        },
+        _ => {
+            let hex = v.text(2, "octets")?;
+            let bytes = unhex(hex).ok_or_else(|| v.error("octets", "pairs of hex digits"))?;
+            Event::Told {
+                from: v.small(1, "sender")?,
+                bytes,
+            }
+        }
+    })
+}
+
+fn ending(code: u64) -> Option<Ending> {
+    Some(match code {
+        0 => Ending::Done,
+        13 => Ending::Error,
+        8 => Ending::Refused,
+        4 => Ending::TimedOut,
+        14 => Ending::Unreachable,
+        10 => Ending::Reset,
+        1 => Ending::Cancelled,
+        9 => Ending::NotSent,
+        _ => return None,
+    })
+}
+
+/// A task, from the positions of its ticket, marks, cores, life, deadline, service, memory and class.
+fn task(v: &Values, at: [usize; 8]) -> Result<Task, WireError> {
+    let marks = v.whole_or_zero(at[1], "marks")?;
+    let life = v.time_or_none(at[3], "lifeMs")?;
+    Ok(Task {
+        id: v.task_id(at[0])?,
+        service: ServiceId(v.whole_or_zero(at[5], "app")?),
+        class: v.whole(at[7], "lane")? as usize,
+        asks: Room {
+            cores: v.number(at[2], "cpuAsk")?,
+            memory: v.number(at[6], "memNeeded")?,
+        },
+        life: life.filter(|_| marks & 1 != 0),
+        give_up_at: v.time(at[4], "giveUpAtMs")?,
+        again: marks & 16 != 0,
+    })
+}
+
+fn row(value: &Value) -> Result<Row, WireError> {
+    let values = value.as_array().map(Vec::as_slice);
+    let values = values.ok_or_else(|| WireError::new("ROSTER", "rows", "arrays".into()))?;
+    let v = Values {
+        message: "ROSTER",
+        values,
+    };
+    Ok(Row {
+        host: v.text(0, "host")?.to_owned(),
+        zone: v.small(1, "zone")?,
+        kind: v.whole_or_zero(2, "familyType")? as usize,
+        cell: v.small(3, "block")?,
+        state: match v.text(4, "state")? {
+            "Running" => MachineState::Ready,
+            "Stopping" => MachineState::Draining,
+            "Deleted" => MachineState::Gone,
+            _ => return Err(v.error("state", "Running, Stopping or Deleted")),
+        },
+        started: v.time_or_none(7, "startTimeMs")?.filter(|&at| at > 0),
+        unasked: Room {
+            cores: v.number_or_zero(8, "unaskedCores")?,
+            memory: v.number_or_zero(5, "openMemory")?,
+        },
+    })
+}
+
+fn listing(row: &Row, view: bool, hosts: &mut Hosts) -> Listing {
+    Listing {
+        machine: hosts.id(&row.host),
+        zone: row.zone,
+        cell: row.cell,
+        kind: row.kind,
+        state: row.state,
+        started: row.started,
+        unasked: view.then_some(row.unasked),
+    }
+}
+
+impl Reports {
+    /// Both room values of a load report, if it holds both.
+    fn room(&self, v: &Values, load: Option<&Value>) -> Result<Option<Room>, WireError> {
+        let Some(load) = load.filter(|_| self.room) else {
+            return Ok(None);
+        };
+        let load = load
+            .as_object()
+            .ok_or_else(|| v.error("load", "an object"))?;
+        let value = |name: &str| load.get(name).and_then(Value::as_f64);
+        Ok(value("x0")
+            .zip(value("x1"))
+            .map(|(cores, memory)| Room { cores, memory }))
+    }
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> = text
+        .chars()
+        .map(|c| c.to_digit(16).map(|d| d as u8))
+        .collect();
+    let digits = digits.filter(|d| d.len() % 2 == 0)?;
+    Some(
+        digits
+            .chunks(2)
+            .map(|pair| pair[0] << 4 | pair[1])
+            .collect(),
+    )
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+pub(crate) fn encode(out: &mut String, who: u32, action: &Action, hosts: &Hosts) {
+    let name = |machine| hosts.name(machine).unwrap_or_default();
+    let line = match action {
+        Action::Offer {
+            task,
+            machine,
+            time_out,
+        } => {
+            json!(["CLAIM_ROOM", who, task.0, name(*machine), ms(*time_out)])
+        }
+        Action::Cancel { task, attempt } => json!(["CANCEL", who, task.0, attempt]),
+        Action::Refuse { task, come_back } => {
+            json!(["NOT_NOW", who, task.0, come_back.map_or(0.0, ms)])
+        }
+        Action::Fail(task) => json!(["DROP_REQUEST", who, task.0]),
+        Action::Move(task) => json!(["RELOCATE", who, task.0]),
+        Action::Wake { after, label } => json!(["REMIND", who, ms(*after), label]),
+        Action::Probe(machine) => json!(["TEST", who, name(*machine)]),
+        Action::CloseIdle(machine) => json!(["CLOSE_IDLE", who, name(*machine)]),
+        Action::Tell {
+            to: Some(to),
+            bytes,
+        } => json!(["PUBLISH", who, to, hex(bytes)]),
+        Action::Tell { to: None, bytes } => json!(["PUBLISH", who, "*", hex(bytes)]),
+        Action::Listen(active) => json!(["LISTEN", who, active]),
+        Action::Lookup => json!(["LOOKUP", who]),
+        Action::Log(text) => json!(["PRINT", who, text]),
+    };
+    push_line(out, &line);
+}
+
+pub(crate) fn encode_fault(out: &mut String, who: u32, text: &str) {
+    push_line(out, &json!(["BROKEN", who, text]));
+}
+
+pub(crate) fn encode_done(out: &mut String, batch: u64) {
+    push_line(out, &json!(["DONE", batch]));
+}
+
+fn push_line(out: &mut String, line: &Value) {
+    out.push_str(&line.to_string());
+    out.push('\n');
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,466 @@
+//! What goes into a [`Placer`](crate::Placer) and what comes out: settings, events, actions.
+//!
+//! Times are microseconds on the caller's clock, which may start anywhere and never runs back.
+
+/// A point in time, or a span, in microseconds.
+pub type Micros = u64;
+
+/// A machine, numbered by the caller. The number means nothing and is kept for the placer's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MachineId(pub u32);
+
+/// One placing of a task. A task that comes again has a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId(pub u64);
+
+/// The service that a task belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId(pub u64);
+
+/// What a second start of a task would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// No harm.
+    Safe,
+    /// Dropped by the machines of `group` that remember the first, for `window` from its send.
+    Keyed {
+        /// Where repeats are recognised.
+        group: Group,
+        /// How long they are.
+        window: Micros,
+    },
+    /// Harm: it must never be started twice.
+    Unsafe,
+}
+
+/// A set of machines that recognise one another's keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every machine.
+    All,
+    /// The machines of one zone.
+    Zone,
+    /// The machines of one cell.
+    Cell,
+}
+
+/// A place over which a service's tasks are to be spread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// One machine.
+    Machine,
+    /// One cell: a small group of machines, such as a rack.
+    Cell,
+    /// One zone.
+    Zone,
+}
+
+/// A class of tasks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// What a second start does.
+    pub effect: Effect,
+    /// A start within this time earns all it can.
+    pub aim: Micros,
+    /// Worth of a second of service at mean size.
+    pub worth: f64,
+    /// Seconds of service that a timely start is worth.
+    pub start_bonus_s: f64,
+    /// Tasks of higher priority push out those of lower.
+    pub priority: u32,
+    /// The only machine kind that takes it, if any.
+    pub kind: Option<usize>,
+    /// The most tasks of a service that this placer may have in one such place.
+    pub spread: Option<(Place, u32)>,
+}
+
+/// A kind of machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kind {
+    /// Its cores.
+    pub cores: f64,
+    /// Its memory.
+    pub memory: f64,
+}
+
+/// How news of the machines is had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// It comes unasked.
+    Push,
+    /// Only after [`Action::Listen`] or [`Action::Lookup`].
+    Ask,
+}
+
+/// When [`Event::Seated`] comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SeatedWhen {
+    /// Once the machine has accepted; [`Note::Started`] tells of the start.
+    Accepted,
+    /// Once the task runs.
+    Running,
+}
+
+/// What the machines say of their load in answers or probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadReport {
+    /// Nothing that a placer could use.
+    Silent,
+    /// Cores and memory that nobody asked for.
+    Unasked,
+    /// Cores and memory that are not in use.
+    Unused,
+}
+
+/// What the caller can do for the placer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Attempts for one placing.
+    pub max_attempts: u32,
+    /// [`Action::Cancel`] is understood.
+    pub cancel: bool,
+    /// [`Action::Probe`] is understood.
+    pub probes: bool,
+    /// [`Action::Tell`] is understood.
+    pub peers: bool,
+    /// Owners hear the advice in [`Action::Refuse`], up to this long.
+    pub come_back: Option<Micros>,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// In [`Discovery::Ask`] mode, silence towards discovery for this long counts as being told.
+    pub ask_within: Micros,
+    /// The least share of its pace that a machine has right after its start.
+    pub cold_from: f64,
+    /// A machine is warm after this.
+    pub cold_for: Micros,
+    /// A cold machine falls over when sent this many times what it can do...
+    pub fall_multiple: f64,
+    /// ...for this long.
+    pub fall_window: Micros,
+    /// Offers within `fall_window`, from all placers, that a cold machine always bears.
+    pub fresh_offers: f64,
+}
+
+/// Prices, each in shares of the whole worth.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// One refused offer for every task.
+    pub refused: f64,
+    /// Every task running in another zone than its placer's.
+    pub cross_zone: f64,
+    /// As many machines in use as there are, beyond those needed.
+    pub fleet: f64,
+    /// One move for every task.
+    pub moves: f64,
+}
+
+/// All that a placer is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many placers share the machines.
+    pub placers: u32,
+    /// The zone of this placer.
+    pub zone: u32,
+    /// Classes of tasks.
+    pub classes: Vec<Class>,
+    /// Kinds of machine.
+    pub kinds: Vec<Kind>,
+    /// How news of the machines is had.
+    pub discovery: Discovery,
+    /// When a task counts as seated.
+    pub seated: SeatedWhen,
+    /// A machine accepts while asks stay within this multiple of its cores.
+    pub admit_cores: f64,
+    /// The same for memory.
+    pub admit_memory: f64,
+    /// Listings tell what nobody asked for.
+    pub view: bool,
+    /// What load reports tell.
+    pub report: LoadReport,
+    /// What the caller can do.
+    pub limits: Limits,
+    /// Figures of the rules.
+    pub rules: Rules,
+    /// Prices.
+    pub prices: Prices,
+}
+
+/// Cores and memory, asked for or free.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Cores.
+    pub cores: f64,
+    /// Memory, in the unit of [`Kind::memory`].
+    pub memory: f64,
+}
+
+/// What discovery says of a machine's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// It takes tasks.
+    Ready,
+    /// It finishes its work and is to get nothing new.
+    Draining,
+    /// It was removed.
+    Gone,
+}
+
+/// One line of a list of machines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listing {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its zone.
+    pub zone: u32,
+    /// Its cell; unique over all zones.
+    pub cell: u32,
+    /// Its kind, an index into [`Settings::kinds`].
+    pub kind: usize,
+    /// Its state.
+    pub state: MachineState,
+    /// When it last started, if that was not long ago.
+    pub started: Option<Micros>,
+    /// What nobody had asked for, some time ago. Below zero where more was accepted.
+    pub unasked: Option<Room>,
+}
+
+/// How far a list reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Only what changed.
+    Changes,
+    /// All machines; those not in it are gone.
+    Full,
+    /// All machines as this placer last knew them before its restart; may be old.
+    Restored,
+}
+
+/// A task as its owner describes it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Task {
+    /// This placing of it.
+    pub id: TaskId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its class, an index into [`Settings::classes`].
+    pub class: usize,
+    /// What it asks for.
+    pub asks: Room,
+    /// How long it should still run, roughly.
+    pub life: Option<Micros>,
+    /// When its owner gives up.
+    pub give_up_at: Micros,
+    /// It came again after a refusal, failure, move or loss.
+    pub again: bool,
+}
+
+/// News of an attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// The task runs.
+    Started,
+    /// Cores that it uses.
+    CoresUsed(f64),
+    /// Memory that it uses.
+    MemoryUsed(f64),
+    /// The share of full service that it gets.
+    Served(f64),
+    /// The share of its machine's memory that is in use.
+    MachineMemory(f64),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The task came to its end.
+    Done,
+    /// The machine answered with an error; the task may have run.
+    Error,
+    /// Turned down, or handed back before it ran.
+    Refused,
+    /// No answer in time; the task may run.
+    TimedOut,
+    /// No connection; it never ran.
+    Unreachable,
+    /// The connection or the machine was lost, or the task was evicted, pushed out or sent away.
+    Reset,
+    /// Called off; before it was seated it may have run.
+    Cancelled,
+    /// It was never sent.
+    NotSent,
+}
+
+/// Why an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Too few cores.
+    Cores,
+    /// Too little memory.
+    Memory,
+    /// Too many offers wait.
+    Line,
+    /// Wrong kind, draining, too late, or a copy stands there.
+    NotHere,
+    /// Evicted for memory.
+    Evicted,
+    /// Pushed out by a higher priority.
+    PushedOut,
+    /// Sent away by a draining machine.
+    SentAway,
+}
+
+/// What a placer sees.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News of the machines.
+    Listed {
+        /// How far it reaches.
+        scope: Scope,
+        /// The machines.
+        machines: Vec<Listing>,
+    },
+    /// A call to discovery failed, or the subscription broke.
+    ListUnavailable,
+    /// A task to place.
+    Asked(Task),
+    /// A task that runs already and is this placer's from now on, as attempt 0.
+    Running {
+        /// The task.
+        task: Task,
+        /// Where it runs.
+        machine: MachineId,
+    },
+    /// The task is placed.
+    Seated {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// News of an attempt.
+    Noted {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// The news.
+        note: Note,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// How.
+        ending: Ending,
+        /// Why, if told.
+        why: Option<Why>,
+        /// The placing is over.
+        closed: bool,
+        /// The machine's report, if one came.
+        load: Option<Room>,
+    },
+    /// Nobody wants the task any more.
+    HungUp(TaskId),
+    /// An [`Action::Wake`] fell due.
+    Woken(u64),
+    /// A probe's result.
+    Probed {
+        /// The machine.
+        machine: MachineId,
+        /// It answered.
+        ok: bool,
+        /// Its report, if one came.
+        load: Option<Room>,
+    },
+    /// A message from another placer.
+    Told {
+        /// Its number.
+        from: u32,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+}
+
+/// What a placer wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Offer the task to a machine; attempts of a task count from 0.
+    Offer {
+        /// The task.
+        task: TaskId,
+        /// The machine.
+        machine: MachineId,
+        /// How long to wait for its answer.
+        time_out: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// Final answer: not placed, and asking again does no harm.
+    Refuse {
+        /// The task.
+        task: TaskId,
+        /// Advice to wait.
+        come_back: Option<Micros>,
+    },
+    /// Final answer: not placed, and nothing is promised.
+    Fail(TaskId),
+    /// Stop a placed task, so that its owner asks again.
+    Move(TaskId),
+    /// Return [`Event::Woken`] with this label.
+    Wake {
+        /// From now.
+        after: Micros,
+        /// The label.
+        label: u64,
+    },
+    /// Ask a machine for its report.
+    Probe(MachineId),
+    /// Close idle connections to a machine.
+    CloseIdle(MachineId),
+    /// Send a message of at most 256 bytes to one placer, or to all.
+    Tell {
+        /// Its number; all without one.
+        to: Option<u32>,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// Subscribe to discovery's changes, or end that.
+    Listen(bool),
+    /// Ask discovery for the full list once.
+    Lookup,
+    /// A line for the operators.
+    Log(String),
+}
+
+/// Settings that make no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsError {
+    /// A list that must not be empty is.
+    Empty(&'static str),
+    /// A figure is not finite, or out of its range.
+    OutOfRange(&'static str),
+    /// A class names a kind that is not listed.
+    UnknownKind(usize),
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            SettingsError::Empty(what) => write!(f, "{what}: at least one is needed"),
+            SettingsError::OutOfRange(what) => write!(f, "{what}: not finite or out of range"),
+            SettingsError::UnknownKind(kind) => write!(f, "class of unlisted machine kind {kind}"),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,96 @@
+//! Placement decisions for tasks that ask for cores and memory, made by many placers that share
+//! machines but tell each other nothing.
+//!
+//! A [`Placer`] is a state machine without clock, I/O or threads. Each call of [`Placer::turn`] takes
+//! the time and what has happened, and adds what is to be done. It follows Blind GB-PANDAS
+//! (Yekkehkhany and Nagi): every (service, machine) pair has a learned start rate, and a task goes to
+//! the machine with the least workload over rate.
+//!
+//! ```
+//! use maplethread::*;
+//!
+//! let settings = Settings {
+//!     placers: 1,
+//!     zone: 0,
+//!     classes: vec![Class {
+//!         effect: Effect::Safe,
+//!         aim: 600_000,
+//!         worth: 1.0,
+//!         start_bonus_s: 10.0,
+//!         priority: 0,
+//!         kind: None,
+//!         spread: None,
+//!     }],
+//!     kinds: vec![Kind { cores: 16.0, memory: 64.0 }],
+//!     discovery: Discovery::Push,
+//!     seated: SeatedWhen::Running,
+//!     admit_cores: 1.0,
+//!     admit_memory: 1.0,
+//!     view: false,
+//!     report: LoadReport::Silent,
+//!     limits: Limits { max_attempts: 3, cancel: true, probes: false, peers: false, come_back: None },
+//!     rules: Rules {
+//!         ask_within: 10_000_000,
+//!         cold_from: 0.2,
+//!         cold_for: 15_000_000,
+//!         fall_multiple: 3.0,
+//!         fall_window: 2_000_000,
+//!         fresh_offers: 20.0,
+//!     },
+//!     prices: Prices::default(),
+//! };
+//! let mut placer = Placer::new(settings, 7)?;
+//! let machine = Listing {
+//!     machine: MachineId(0),
+//!     zone: 0,
+//!     cell: 0,
+//!     kind: 0,
+//!     state: MachineState::Ready,
+//!     started: None,
+//!     unasked: None,
+//! };
+//! let task = Task {
+//!     id: TaskId(1),
+//!     service: ServiceId(9),
+//!     class: 0,
+//!     asks: Room { cores: 1.0, memory: 2.0 },
+//!     life: None,
+//!     give_up_at: 5_000_000,
+//!     again: false,
+//! };
+//!
+//! // Announce a machine and ask for a place.
+//! let mut actions = Vec::new();
+//! let listed = Event::Listed { scope: Scope::Full, machines: vec![machine] };
+//! placer.turn(0, &[listed, Event::Asked(task)], &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Offer { machine: MachineId(0), .. })));
+//!
+//! // A reminder that the placer asked for falls due; the offer is still out, so nothing is owed yet.
+//! let label = actions.iter().find_map(|a| match a {
+//!     Action::Wake { label, .. } => Some(*label),
+//!     _ => None,
+//! });
+//! actions.clear();
+//! placer.turn(20_000, &[Event::Woken(label.expect("a deadline is watched"))], &mut actions);
+//! assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))));
+//!
+//! // The machine turns the offer down; it could be tried again, or another.
+//! let turned_down = Event::Ended {
+//!     task: TaskId(1),
+//!     attempt: 0,
+//!     ending: Ending::Refused,
+//!     why: Some(Why::Line),
+//!     closed: false,
+//!     load: None,
+//! };
+//! placer.turn(40_000, &[turned_down], &mut actions);
+//! # Ok::<(), SettingsError>(())
+//! ```
+
+#![forbid(unsafe_code)]
+
+mod control;
+mod interface;
+
+pub use control::Placer;
+pub use interface::*;
