Pool rates by locality level: whether the machine holds the program

Cause: a start where the program is not held takes several times the work, and a pair sampled seldom can't show it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,6 +16,11 @@
 const EXPLORE_C: f64 = 1.0;
 /// Machines scoring within this factor of the least are drawn at random.
 const NEAR_TIE: f64 = 1.1;
+/// A pair's mean counts as this many samples more of its class's mean at the same level: pairs are
+/// sampled seldom, and one odd start would else rule a pair for long.
+const PRIOR: f64 = 2.0;
+/// A machine keeps a program at least about this long after its last task.
+const KEPT_FOR: Micros = 8_000_000;
 /// A start is never taken to be quicker than this, so that one odd sample can't rule a mean.
 const LEAST_START: Micros = 5_000;
 /// Answers are given this long before the owner gives up, so that a late turn still meets the deadline.
@@ -60,11 +65,20 @@
     }
 }
 
+/// How near a machine is to a service's program (the paper's locality levels, 2.1): whether this
+/// placer has, or had not long ago, a task of the service there. A start elsewhere first loads it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Level {
+    Local,
+    Remote,
+}
+
 /// An attempt without an outcome.
 #[derive(Clone, Copy)]
 struct Attempt {
     task: Task,
     machine: MachineId,
+    level: Level,
     sent: Micros,
     seated: bool,
     started: bool,
@@ -161,11 +175,12 @@
     now: Micros,
     decisions: u64,
     machines: BTreeMap<MachineId, Machine>,
-    rates: BTreeMap<ServiceId, BTreeMap<MachineId, Rate>>,
+    rates: BTreeMap<(ServiceId, MachineId, Level), Rate>,
+    pools: BTreeMap<(usize, Level), Rate>,
     open: BTreeMap<TaskId, Open>,
     attempts: BTreeMap<(TaskId, u32), Attempt>,
-    /// Own attempts without an outcome, by service and machine.
-    held: BTreeMap<ServiceId, BTreeMap<MachineId, u32>>,
+    /// Own attempts without an outcome, by service and machine, and the end of the latest.
+    held: BTreeMap<ServiceId, BTreeMap<MachineId, (u32, Micros)>>,
     /// Tasks to be offered somewhere now, and those for which nothing was allowed, looked at in turn.
     waiting: VecDeque<TaskId>,
     on_hold: VecDeque<TaskId>,
@@ -185,6 +200,7 @@
             decisions: 0,
             machines: BTreeMap::new(),
             rates: BTreeMap::new(),
+            pools: BTreeMap::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -262,6 +278,7 @@
                     let attempt = Attempt {
                         task,
                         machine,
+                        level: Level::Local,
                         sent,
                         seated: true,
                         started: true,
@@ -379,17 +396,19 @@
             machine.change(self.now, task.asks, if comes { 1.0 } else { -1.0 });
         }
         let there = self.held.entry(task.service).or_default();
-        let count = there.entry(id).or_default();
+        let (count, last) = there.entry(id).or_default();
         *count = if comes {
             *count + 1
         } else {
             count.saturating_sub(1)
         };
-        if *count == 0 {
-            there.remove(&id);
-        }
-        if there.is_empty() {
-            self.held.remove(&task.service);
+        *last = self.now;
+    }
+
+    fn level(&self, id: MachineId, service: ServiceId) -> Level {
+        match self.held.get(&service).and_then(|there| there.get(&id)) {
+            Some(&(count, last)) if count > 0 || last + KEPT_FOR > self.now => Level::Local,
+            _ => Level::Remote,
         }
     }
 
@@ -404,8 +423,12 @@
         };
         attempt.started = true;
         let took = self.now - attempt.sent;
-        let service = self.rates.entry(attempt.task.service).or_default();
-        service.entry(attempt.machine).or_default().sample(took);
+        let pair = (attempt.task.service, attempt.machine, attempt.level);
+        self.rates.entry(pair).or_default().sample(took);
+        self.pools
+            .entry((attempt.task.class, attempt.level))
+            .or_default()
+            .sample(took);
         if let Some(machine) = self.machines.get_mut(&attempt.machine) {
             machine.strikes = (machine.strikes / 2.0).floor();
         }
@@ -501,10 +524,13 @@
             machine,
             time_out,
         });
+        let level = self.level(machine, open.task.service);
+        let (task, sent) = (open.task, self.now);
         let attempt = Attempt {
-            task: open.task,
+            task,
             machine,
-            sent: self.now,
+            level,
+            sent,
             seated: false,
             started: false,
         };
@@ -533,12 +559,12 @@
         let class = &self.settings.classes[task.class];
         let prompt = match self.settings.seated {
             SeatedWhen::Accepted => ACCEPT_PATIENCE.min(class.aim),
-            SeatedWhen::Running => left / 2,
+            SeatedWhen::Running if class.effect == Effect::Safe => left / 2,
+            SeatedWhen::Running => left,
         };
         match class.effect {
             Effect::Unsafe => left,
-            Effect::Keyed { window, .. } => prompt.min(window / 2),
-            Effect::Safe => prompt,
+            Effect::Keyed { .. } | Effect::Safe => prompt,
         }
         .clamp(1_000, left)
     }
@@ -638,7 +664,7 @@
         };
         let held = self.held.get(&service).into_iter().flatten();
         held.filter(|(id, _)| there(id))
-            .map(|(_, count)| count)
+            .map(|(_, (count, _))| count)
             .sum()
     }
 
@@ -682,23 +708,29 @@
     fn score(&self, id: MachineId, task: &Task, mean: f64) -> f64 {
         let machine = &self.machines[&id];
         let blind = !self.settings.view && self.settings.report != LoadReport::Unasked;
+        let others = mean * f64::from(self.settings.placers - 1);
         let workload = match machine.asked_now() {
             Some(asked) => machine.share(asked),
-            None if blind => machine.share(machine.own),
+            None if blind => machine.share(machine.own) + others,
             None => mean.max(machine.share(machine.own)),
         };
-        workload / self.rate(id, task.service)
-    }
-
-    /// The pair's rate; the service's mean elsewhere where it has no sample, or one.
-    fn rate(&self, id: MachineId, service: ServiceId) -> f64 {
-        let Some(pairs) = self.rates.get(&service) else {
-            return 1.0;
-        };
-        match pairs.get(&id) {
-            Some(rate) => rate.mean,
-            None => pairs.values().map(|r| r.mean).sum::<f64>() / pairs.len() as f64,
-        }
+        let workload = workload + machine.share(task.asks);
+        workload / self.rate(id, task)
+    }
+
+    /// The pair's rate at its present level, drawn towards its class's at that level, or one.
+    fn rate(&self, id: MachineId, task: &Task) -> f64 {
+        let level = self.level(id, task.service);
+        let pool = self
+            .pools
+            .get(&(task.class, level))
+            .map_or(1.0, |pool| pool.mean);
+        let pair = self
+            .rates
+            .get(&(task.service, id, level))
+            .copied()
+            .unwrap_or_default();
+        (pair.n * pair.mean + PRIOR * pool) / (pair.n + PRIOR)
     }
 
     /// Rule 1: the one final answer. Rule 2: a refusal promises that nothing ran or will.
