--- a/src/control.rs
+++ b/src/control.rs
@@ -21,8 +21,9 @@
 const PRIOR: f64 = 2.0;
 /// A machine keeps a program at least about this long after its last task.
 const KEPT_FOR: Micros = 8_000_000;
-/// A start is never taken to be quicker than this, so that one odd sample can't rule a mean.
-const LEAST_START: Micros = 5_000;
+/// A start is never taken to be quicker than this share of its class's aim: being quicker still earns
+/// nothing, so it must not outweigh workload (a class with a long aim would pile up on one machine).
+const QUICK_ENOUGH: f64 = 0.25;
 /// Answers are given this long before the owner gives up, so that a late turn still meets the deadline.
 const ANSWER_MARGIN: Micros = 12_000;
 /// A held task, for which no machine is allowed now, is looked at again after this.
@@ -58,9 +59,9 @@
 }
 
 impl Rate {
-    fn sample(&mut self, took: Micros) {
+    fn sample(&mut self, took: f64) {
         self.n += 1.0;
-        let inverse = 1e6 / took.max(LEAST_START) as f64;
+        let inverse = 1e6 / took;
         self.mean += (inverse - self.mean) / self.n;
     }
 }
@@ -422,7 +423,10 @@
             return;
         };
         attempt.started = true;
-        let took = self.now - attempt.sent;
+        let aim = self.settings.classes[attempt.task.class].aim as f64;
+        let took = ((self.now - attempt.sent) as f64)
+            .max(aim * QUICK_ENOUGH)
+            .max(1.0);
         let pair = (attempt.task.service, attempt.machine, attempt.level);
         self.rates.entry(pair).or_default().sample(took);
         self.pools
