Pass over machines that are likely overused, or where own tasks say they suffer

Cause: least asked share alone does not see use; local starts crowd a machine. Guards also against other programs on a machine and against heavy tasks of others; harms when all suffer alike (then it is dropped).

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,15 @@
 const FULL_FOR: Micros = 1_000_000;
 /// After a refusal because of its line or state, nothing is offered there for this long.
 const LINE_FOR: Micros = 150_000;
+/// A machine is comfortable while what its tasks are likely to use stays under this share of it.
+const COMFORT: f64 = 0.85;
+/// A task served under this share, or memory in use over the other, tells of a crowded machine...
+const SERVED_POORLY: f64 = 0.92;
+const MEMORY_TIGHT: f64 = 0.9;
+/// ...which is passed over for this long, whatever crowds it: own tasks, others', or another program.
+const CROWDED_FOR: Micros = 1_500_000;
+/// Weight of the newest note in the mean share of their asks that own tasks use.
+const USE_WEIGHT: f64 = 0.02;
 /// A failed call to discovery is repeated after this, well within any `ask_within`.
 const ASK_AGAIN: Micros = 300_000;
 /// Share of the own part of a cold machine's budget that is spent, for offers that arrive bunched.
@@ -112,9 +121,21 @@
     /// Offers there that have no answer yet.
     unanswered: u32,
     full: Option<(Room, Micros)>,
+    crowded_until: Micros,
 }
 
 impl Machine {
+    fn new(listing: Listing, size: Kind) -> Machine {
+        let (changes, sends) = (VecDeque::new(), VecDeque::new());
+        let (own, asked, full) = (Room::default(), None, None);
+        let (strikes, avoid_until, unanswered, crowded_until) = (0.0, 0, 0, 0);
+        #[rustfmt::skip]
+        let new = Machine {
+            listing, size, asked, own, changes, sends, strikes, avoid_until, unanswered, full, crowded_until,
+        };
+        new
+    }
+
     fn change(&mut self, now: Micros, asks: Room, sign: f64) {
         let change = Room {
             cores: sign * asks.cores,
@@ -148,13 +169,6 @@
         Some(since.fold(seen, |sum, &(_, change)| plus(sum, change)))
     }
 
-    /// The larger of the core and memory shares.
-    fn share(&self, room: Room) -> f64 {
-        (room.cores / self.size.cores)
-            .max(room.memory / self.size.memory)
-            .max(0.0)
-    }
-
     fn strike(&mut self, now: Micros) {
         let doublings = self.strikes.min(AVOID_DOUBLINGS);
         self.strikes = doublings + 1.0;
@@ -185,6 +199,8 @@
     /// Tasks to be offered somewhere now, and those for which nothing was allowed, looked at in turn.
     waiting: VecDeque<TaskId>,
     on_hold: VecDeque<TaskId>,
+    /// Share of what they ask for that own tasks use.
+    used: Room,
     started_up: bool,
     relisten_at: Option<Micros>,
     tick_at: Option<Micros>,
@@ -207,6 +223,10 @@
             held: BTreeMap::new(),
             waiting: VecDeque::new(),
             on_hold: VecDeque::new(),
+            used: Room {
+                cores: 1.0,
+                memory: 1.0,
+            },
             started_up: false,
             relisten_at: None,
             tick_at: None,
@@ -306,7 +326,11 @@
                 attempt,
                 note: Note::Started,
             } => self.started(*task, *attempt),
-            Event::Noted { .. } => {}
+            Event::Noted {
+                task,
+                attempt,
+                note,
+            } => self.noted((*task, *attempt), *note),
             Event::Ended {
                 task,
                 attempt,
@@ -345,21 +369,8 @@
             let Some(&size) = self.settings.kinds.get(listing.kind) else {
                 continue;
             };
-            let machine = self
-                .machines
-                .entry(listing.machine)
-                .or_insert_with(|| Machine {
-                    listing: *listing,
-                    size,
-                    asked: None,
-                    own: Room::default(),
-                    changes: VecDeque::new(),
-                    sends: VecDeque::new(),
-                    strikes: 0.0,
-                    avoid_until: 0,
-                    unanswered: 0,
-                    full: None,
-                });
+            let machine = self.machines.entry(listing.machine);
+            let machine = machine.or_insert_with(|| Machine::new(*listing, size));
             if machine.listing.started != listing.started {
                 // A new process: what was learned of the old one's health says nothing of it.
                 machine.strikes = 0.0;
@@ -413,6 +424,30 @@
         }
     }
 
+    /// What own tasks say of themselves and of their machine.
+    fn noted(&mut self, key: (TaskId, u32), note: Note) {
+        let Some(attempt) = self.attempts.get(&key) else {
+            return;
+        };
+        let asks = attempt.task.asks;
+        let crowded = match note {
+            Note::CoresUsed(x) if asks.cores > 0.0 => {
+                self.used.cores += USE_WEIGHT * (x / asks.cores - self.used.cores);
+                false
+            }
+            Note::MemoryUsed(x) if asks.memory > 0.0 => {
+                self.used.memory += USE_WEIGHT * (x / asks.memory - self.used.memory);
+                false
+            }
+            Note::Served(x) => x < SERVED_POORLY,
+            Note::MachineMemory(x) => x > MEMORY_TIGHT,
+            _ => false,
+        };
+        if let Some(machine) = self.machines.get_mut(&attempt.machine).filter(|_| crowded) {
+            machine.crowded_until = self.now + CROWDED_FOR;
+        }
+    }
+
     /// T runs from the offer to the start; failed attempts never get here and give no sample.
     fn started(&mut self, task: TaskId, attempt: u32) {
         let Some(attempt) = self
@@ -581,26 +616,27 @@
             .filter(|(_, m)| self.may_get(m, open))
             .map(|(&id, _)| id)
             .collect();
-        // Preferences, dropped where nothing is left.
-        for keep in [Self::healthy, Self::has_room] {
-            let kept: Vec<MachineId> = allowed
-                .iter()
-                .copied()
-                .filter(|id| keep(self, &self.machines[id], &open.task))
-                .collect();
-            if kept.is_empty() {
-                return None;
-            }
-            allowed = kept;
-        }
+        allowed.retain(|id| {
+            let machine = &self.machines[id];
+            self.healthy(machine) && self.has_room(machine, &open.task)
+        });
         if allowed.is_empty() {
             return None;
         }
+        let mean = self.mean_asked();
+        let calm = |id: &MachineId| {
+            let machine = &self.machines[id];
+            machine.crowded_until <= self.now
+                && self.likely_use(machine, &open.task, mean) <= COMFORT
+        };
+        let comfortable: Vec<MachineId> = allowed.iter().copied().filter(calm).collect();
+        if !comfortable.is_empty() {
+            allowed = comfortable;
+        }
         self.decisions += 1;
         if self.chance() < (self.decisions as f64).powf(-EXPLORE_C) {
             return Some(allowed[self.draw(allowed.len())]);
         }
-        let mean = self.mean_share();
         let scores: Vec<f64> = allowed
             .iter()
             .map(|id| self.score(*id, &open.task, mean))
@@ -672,7 +708,7 @@
             .sum()
     }
 
-    fn healthy(&self, machine: &Machine, _: &Task) -> bool {
+    fn healthy(&self, machine: &Machine) -> bool {
         machine.avoid_until <= self.now && (machine.strikes < 1.0 || machine.unanswered == 0)
     }
 
@@ -689,37 +725,65 @@
             && with.memory <= self.settings.admit_memory * machine.size.memory
     }
 
-    /// Mean share over the ready machines that are reported, or of own binds where none is.
-    fn mean_share(&self) -> f64 {
+    /// Mean over the ready machines that are reported, or of own binds where none is.
+    fn mean_asked(&self) -> Room {
         let ready = || {
             self.machines
                 .values()
                 .filter(|m| m.listing.state == MachineState::Ready)
         };
-        let reported: Vec<f64> = ready()
-            .filter_map(|m| Some(m.share(m.asked_now()?)))
-            .collect();
-        let shares = if reported.is_empty() {
-            ready().map(|m| m.share(m.own)).collect()
-        } else {
-            reported
+        let part = |m: &Machine, r: Room| Room {
+            cores: r.cores / m.size.cores,
+            memory: r.memory / m.size.memory,
         };
-        shares.iter().sum::<f64>() / shares.len().max(1) as f64
+        let mut parts: Vec<Room> = ready()
+            .filter_map(|m| Some(part(m, m.asked_now()?)))
+            .collect();
+        if parts.is_empty() {
+            parts = ready().map(|m| part(m, m.own)).collect();
+        }
+        let sum = parts.iter().fold(Room::default(), |sum, &p| plus(sum, p));
+        let n = parts.len().max(1) as f64;
+        Room {
+            cores: sum.cores / n,
+            memory: sum.memory / n,
+        }
     }
 
-    /// W over rate. W is the share seen, with own binds since; the mean for an unreported machine; own
-    /// binds alone where nothing is ever reported.
-    fn score(&self, id: MachineId, task: &Task, mean: f64) -> f64 {
-        let machine = &self.machines[&id];
+    /// Shares asked for: as seen, with own binds since; the mean for an unreported machine. Where nothing
+    /// is ever reported own binds, and the mean of them for each other placer.
+    fn asked_shares(&self, machine: &Machine, task: &Task, mean: Room) -> Room {
         let blind = !self.settings.view && self.settings.report != LoadReport::Unasked;
-        let others = mean * f64::from(self.settings.placers - 1);
-        let workload = match machine.asked_now() {
-            Some(asked) => machine.share(asked),
-            None if blind => machine.share(machine.own) + others,
-            None => mean.max(machine.share(machine.own)),
+        let asked = plus(machine.asked_now().unwrap_or(machine.own), task.asks);
+        let size = machine.size;
+        let shares = Room {
+            cores: asked.cores / size.cores,
+            memory: asked.memory / size.memory,
+        };
+        let times = match (machine.asked, blind) {
+            (Some(_), _) => 0.0,
+            (None, true) => f64::from(self.settings.placers - 1),
+            (None, false) => 1.0,
         };
-        let workload = workload + machine.share(task.asks);
-        workload / self.rate(id, task)
+        plus(
+            shares,
+            Room {
+                cores: times * mean.cores,
+                memory: times * mean.memory,
+            },
+        )
+    }
+
+    /// The larger share of the machine that its tasks are likely to use, with this one.
+    fn likely_use(&self, machine: &Machine, task: &Task, mean: Room) -> f64 {
+        let shares = self.asked_shares(machine, task, mean);
+        (shares.cores * self.used.cores).max(shares.memory * self.used.memory)
+    }
+
+    /// W over rate. W is the larger share asked for.
+    fn score(&self, id: MachineId, task: &Task, mean: Room) -> f64 {
+        let shares = self.asked_shares(&self.machines[&id], task, mean);
+        shares.cores.max(shares.memory).max(0.0) / self.rate(id, task)
     }
 
     /// The pair's rate at its present level, drawn towards its class's at that level, or one.
@@ -794,41 +858,42 @@
 }
 
 fn check(settings: &Settings) -> Result<(), SettingsError> {
-    let rules = &settings.rules;
-    let positive = |name, x: f64| match x.is_finite() && x > 0.0 {
-        true => Ok(()),
-        false => Err(SettingsError::OutOfRange(name)),
-    };
-    let not_negative = |name, x: f64| match x.is_finite() && x >= 0.0 {
-        true => Ok(()),
-        false => Err(SettingsError::OutOfRange(name)),
-    };
     if settings.classes.is_empty() {
         return Err(SettingsError::Empty("classes"));
     }
     if settings.kinds.is_empty() {
         return Err(SettingsError::Empty("kinds"));
     }
+    let (rules, prices) = (&settings.rules, &settings.prices);
+    let mut figures = vec![
+        ("placers", f64::from(settings.placers), 1.0),
+        ("attempts", f64::from(settings.limits.max_attempts), 1.0),
+        ("admitted cores", settings.admit_cores, f64::MIN_POSITIVE),
+        ("admitted memory", settings.admit_memory, f64::MIN_POSITIVE),
+        ("fall multiple", rules.fall_multiple, f64::MIN_POSITIVE),
+        ("cold share", rules.cold_from, 0.0),
+        ("fresh offers", rules.fresh_offers, 0.0),
+        ("price of a refusal", prices.refused, 0.0),
+        ("price of crossing zones", prices.cross_zone, 0.0),
+        ("price of machines", prices.fleet, 0.0),
+        ("price of a move", prices.moves, 0.0),
+    ];
+    for kind in &settings.kinds {
+        figures.push(("cores of a kind", kind.cores, f64::MIN_POSITIVE));
+        figures.push(("memory of a kind", kind.memory, f64::MIN_POSITIVE));
+    }
     for class in &settings.classes {
-        not_negative("worth", class.worth)?;
-        not_negative("start bonus", class.start_bonus_s)?;
+        figures.push(("worth", class.worth, 0.0));
+        figures.push(("start bonus", class.start_bonus_s, 0.0));
         if let Some(kind) = class.kind.filter(|&kind| kind >= settings.kinds.len()) {
             return Err(SettingsError::UnknownKind(kind));
         }
     }
-    for kind in &settings.kinds {
-        positive("cores of a kind", kind.cores)?;
-        positive("memory of a kind", kind.memory)?;
-    }
-    positive("placers", f64::from(settings.placers))?;
-    positive("attempts", f64::from(settings.limits.max_attempts))?;
-    positive("admitted cores", settings.admit_cores)?;
-    positive("admitted memory", settings.admit_memory)?;
-    positive("fall multiple", rules.fall_multiple)?;
-    not_negative("cold share", rules.cold_from)?;
-    not_negative("fresh offers", rules.fresh_offers)?;
-    not_negative("price of a refusal", settings.prices.refused)?;
-    not_negative("price of crossing zones", settings.prices.cross_zone)?;
-    not_negative("price of machines", settings.prices.fleet)?;
-    not_negative("price of a move", settings.prices.moves)
+    match figures
+        .iter()
+        .find(|&&(_, x, least)| !x.is_finite() || x < least)
+    {
+        Some(&(name, ..)) => Err(SettingsError::OutOfRange(name)),
+        None => Ok(()),
+    }
 }
