Working set where machines in use are priced; held tasks are looked at again

Cause: least share spreads over every machine. New tasks go to the fullest machines that hold the likely use at FLEET_FILL; the rest empty. Harms if use is learned too low.

--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings object of a launch, in the library's terms. Keys that are not used are skipped.
 
 use maplethread::{
-    Class, Discovery, Effect, Group, Kind, Limits, LoadReport, Micros, Place, Prices, Rules,
+    Class, Discovery, Effect, Group, Limits, LoadReport, Micros, Place, Prices, Room, Rules,
     SeatedWhen, Settings,
 };
 use serde_json::Value;
@@ -224,8 +224,8 @@
     })
 }
 
-fn kind(at: At, index: usize) -> Result<Kind, WireError> {
-    Ok(Kind {
+fn kind(at: At, index: usize) -> Result<Room, WireError> {
+    Ok(Room {
         cores: at.nth("domain.kindCores", index)?,
         memory: at.nth("domain.memoryByKind", index)?,
     })
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use maplethread::{
-    Action, Ending, Event, Listing, MachineState, Micros, Note, Room, Scope, ServiceId, Settings,
-    Task, TaskId, Why,
+    Action, AttemptId, End, Ending, Event, Listing, MachineState, Micros, Note, Room, Scope,
+    ServiceId, Settings, Task, TaskId, Why,
 };
 use serde_json::{Value, json};
 
@@ -142,6 +142,13 @@
             .ok_or_else(|| self.error(field, "true or false"))
     }
 
+    fn attempt(&self, at: usize) -> Result<AttemptId, WireError> {
+        Ok(AttemptId {
+            task: self.task_id(1)?,
+            number: self.small(at, "leg")?,
+        })
+    }
+
     fn task_id(&self, at: usize) -> Result<TaskId, WireError> {
         Ok(TaskId(u64::from(self.small(at, "ticket")?)))
     }
@@ -234,15 +241,9 @@
         "REQUEST" => Event::Asked(task(v, [1, 2, 4, 5, 6, 8, 9, 10])?),
         "RUNNING" => {
             let task = task(v, [1, 10, 9, 11, 7, 4, 5, 3])?;
-            Event::Running {
-                task,
-                machine: adapter.instance(who)?.hosts.id(v.text(2, "host")?),
-            }
+            Event::Running(task, adapter.instance(who)?.hosts.id(v.text(2, "host")?))
         }
-        "SEATED" => Event::Seated {
-            task: v.task_id(1)?,
-            attempt: v.small(4, "leg")?,
-        },
+        "SEATED" => Event::Seated(v.attempt(4)?),
         "INTERIM" => {
             let x = v.number_or_zero(5, "x")?;
             let note = match v.whole(4, "kind")? {
@@ -253,30 +254,27 @@
                 5 => Note::MachineMemory(x),
                 _ => return Err(v.error("kind", "1 to 5")),
             };
-            Event::Noted {
-                task: v.task_id(1)?,
-                attempt: v.small(2, "leg")?,
-                note,
-            }
+            Event::Noted(v.attempt(2)?, note)
+        }
+        "FINISHED" => {
+            let end = End {
+                ending: ending(v.whole(5, "ending")?)
+                    .ok_or_else(|| v.error("ending", "an outcome code"))?,
+                why: match v.whole_or_zero(7, "note")? {
+                    1 => Some(Why::Cores),
+                    2 => Some(Why::Memory),
+                    3 => Some(Why::Line),
+                    4 => Some(Why::NotHere),
+                    5 => Some(Why::Evicted),
+                    6 => Some(Why::PushedOut),
+                    7 => Some(Why::SentAway),
+                    _ => None,
+                },
+                closed: v.bool(4, "noMore")?,
+                load: adapter.reports(who)?.room(v, v.get(8))?,
+            };
+            Event::Ended(v.attempt(6)?, end)
         }
-        "FINISHED" => Event::Ended {
-            task: v.task_id(1)?,
-            attempt: v.small(6, "leg")?,
-            ending: ending(v.whole(5, "ending")?)
-                .ok_or_else(|| v.error("ending", "an outcome code"))?,
-            why: match v.whole_or_zero(7, "note")? {
-                1 => Some(Why::Cores),
-                2 => Some(Why::Memory),
-                3 => Some(Why::Line),
-                4 => Some(Why::NotHere),
-                5 => Some(Why::Evicted),
-                6 => Some(Why::PushedOut),
-                7 => Some(Why::SentAway),
-                _ => None,
-            },
-            closed: v.bool(4, "noMore")?,
-            load: adapter.reports(who)?.room(v, v.get(8))?,
-        },
         "HANGUP" => Event::HungUp(v.task_id(1)?),
         "TIMER" => Event::Woken(v.whole(1, "label")?),
         "CHECK_RESULT" => Event::Probed {
@@ -402,20 +400,16 @@
 pub(crate) fn encode(out: &mut String, who: u32, action: &Action, hosts: &Hosts) {
     let name = |machine| hosts.name(machine).unwrap_or_default();
     let line = match action {
-        Action::Offer {
-            task,
-            machine,
-            time_out,
-        } => {
+        Action::Offer(task, machine, time_out) => {
             json!(["CLAIM_ROOM", who, task.0, name(*machine), ms(*time_out)])
         }
-        Action::Cancel { task, attempt } => json!(["CANCEL", who, task.0, attempt]),
-        Action::Refuse { task, come_back } => {
+        Action::Cancel(id) => json!(["CANCEL", who, id.task.0, id.number]),
+        Action::Refuse(task, come_back) => {
             json!(["NOT_NOW", who, task.0, come_back.map_or(0.0, ms)])
         }
         Action::Fail(task) => json!(["DROP_REQUEST", who, task.0]),
         Action::Move(task) => json!(["RELOCATE", who, task.0]),
-        Action::Wake { after, label } => json!(["REMIND", who, ms(*after), label]),
+        Action::Wake(after, label) => json!(["REMIND", who, ms(*after), label]),
         Action::Probe(machine) => json!(["TEST", who, name(*machine)]),
         Action::CloseIdle(machine) => json!(["CLOSE_IDLE", who, name(*machine)]),
         Action::Tell {
--- a/src/control.rs
+++ b/src/control.rs
@@ -53,10 +53,14 @@
 const CROWDED_FOR: Micros = 1_500_000;
 /// Weight of the newest note in the mean share of their asks that own tasks use.
 const USE_WEIGHT: f64 = 0.02;
+/// Where machines in use are priced, so many are used that they are filled to this share.
+const FLEET_FILL: f64 = 0.7;
 /// A failed call to discovery is repeated after this, well within any `ask_within`.
 const ASK_AGAIN: Micros = 300_000;
 /// Share of the own part of a cold machine's budget that is spent, for offers that arrive bunched.
 const COLD_SHARE: f64 = 0.9;
+/// Machines that are gone and services without tasks are forgotten after this.
+const FORGET: Micros = 600_000_000;
 /// Label of the general reminder; a task's own is its number plus one.
 const TICK: u64 = 0;
 
@@ -107,13 +111,12 @@
 /// What is known of a machine.
 struct Machine {
     listing: Listing,
-    size: Kind,
+    size: Room,
     /// What all placers' tasks asked for there, and when that was so.
     asked: Option<(Room, Micros)>,
-    /// What this placer's attempts and tasks ask for.
+    /// What this placer's attempts and tasks ask for, and its latest changes.
     own: Room,
-    /// Own changes, to be added to what is seen late.
-    changes: VecDeque<(Micros, Room)>,
+    changes: VecDeque<(Micros, Room, f64)>,
     /// Sends of the last budget window.
     sends: VecDeque<Micros>,
     strikes: f64,
@@ -122,51 +125,44 @@
     unanswered: u32,
     full: Option<(Room, Micros)>,
     crowded_until: Micros,
+    touched: Micros,
 }
 
 impl Machine {
-    fn new(listing: Listing, size: Kind) -> Machine {
-        let (changes, sends) = (VecDeque::new(), VecDeque::new());
-        let (own, asked, full) = (Room::default(), None, None);
-        let (strikes, avoid_until, unanswered, crowded_until) = (0.0, 0, 0, 0);
-        #[rustfmt::skip]
-        let new = Machine {
-            listing, size, asked, own, changes, sends, strikes, avoid_until, unanswered, full, crowded_until,
-        };
-        new
+    #[rustfmt::skip]
+    fn new(listing: Listing, size: Room, touched: Micros) -> Machine {
+        Machine {
+            listing, size, touched, asked: None, own: Room::default(), changes: VecDeque::new(),
+            sends: VecDeque::new(), strikes: 0.0, avoid_until: 0, unanswered: 0, full: None, crowded_until: 0,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.listing.state == MachineState::Ready
     }
 
     fn change(&mut self, now: Micros, asks: Room, sign: f64) {
-        let change = Room {
-            cores: sign * asks.cores,
-            memory: sign * asks.memory,
-        };
-        self.own = plus(self.own, change);
-        self.changes.push_back((now, change));
-        while self
-            .changes
-            .front()
-            .is_some_and(|&(at, _)| at + 2 * VIEW_LAG < now)
-        {
-            self.changes.pop_front();
-        }
+        self.touched = now;
+        self.own = self.own.plus(asks, sign);
+        self.changes.retain(|change| change.0 + 2 * VIEW_LAG >= now);
+        self.changes.push_back((now, asks, sign));
     }
 
     fn see(&mut self, unasked: Room, as_of: Micros) {
         if self.asked.is_none_or(|(_, before)| before <= as_of) {
-            let (cores, memory) = (
-                self.size.cores - unasked.cores,
-                self.size.memory - unasked.memory,
-            );
-            self.asked = Some((Room { cores, memory }, as_of));
+            self.asked = Some((self.size.plus(unasked, -1.0), as_of));
         }
     }
 
     /// What is asked for there now: as seen, with own changes since.
     fn asked_now(&self) -> Option<Room> {
         let (seen, as_of) = self.asked?;
-        let since = self.changes.iter().filter(|&&(at, _)| at > as_of);
-        Some(since.fold(seen, |sum, &(_, change)| plus(sum, change)))
+        let since = self.changes.iter().filter(|change| change.0 > as_of);
+        Some(since.fold(seen, |sum, &(_, asks, sign)| sum.plus(asks, sign)))
+    }
+
+    fn known(&self) -> Room {
+        self.asked_now().unwrap_or(self.own)
     }
 
     fn strike(&mut self, now: Micros) {
@@ -176,13 +172,6 @@
     }
 }
 
-fn plus(a: Room, b: Room) -> Room {
-    Room {
-        cores: a.cores + b.cores,
-        memory: a.memory + b.memory,
-    }
-}
-
 /// Decides for one placer. Nothing is shared between placers.
 pub struct Placer {
     settings: Settings,
@@ -193,8 +182,8 @@
     rates: BTreeMap<(ServiceId, MachineId, Level), Rate>,
     pools: BTreeMap<(usize, Level), Rate>,
     open: BTreeMap<TaskId, Open>,
-    attempts: BTreeMap<(TaskId, u32), Attempt>,
-    /// Own attempts without an outcome, by service and machine, and the end of the latest.
+    attempts: BTreeMap<AttemptId, Attempt>,
+    /// Own attempts without an outcome, by service and machine, and the latest change.
     held: BTreeMap<ServiceId, BTreeMap<MachineId, (u32, Micros)>>,
     /// Tasks to be offered somewhere now, and those for which nothing was allowed, looked at in turn.
     waiting: VecDeque<TaskId>,
@@ -223,10 +212,7 @@
             held: BTreeMap::new(),
             waiting: VecDeque::new(),
             on_hold: VecDeque::new(),
-            used: Room {
-                cores: 1.0,
-                memory: 1.0,
-            },
+            used: Room::new(1.0, 1.0),
             started_up: false,
             relisten_at: None,
             tick_at: None,
@@ -236,13 +222,11 @@
     /// Takes in what has happened by `now` and adds to `actions` what is to be done.
     pub fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if !self.started_up {
-            self.started_up = true;
-            // Rule 3: where discovery must be asked, it is from the first turn on.
-            if self.settings.discovery == Discovery::Ask {
-                actions.push(Action::Listen(true));
-            }
+        // Rule 3: where discovery must be asked, it is from the first turn on.
+        if !self.started_up && self.settings.discovery == Discovery::Ask {
+            actions.push(Action::Listen(true));
         }
+        self.started_up = true;
         for event in events {
             self.take(event, actions);
         }
@@ -263,153 +247,144 @@
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Listed { scope, machines } => self.listed(*scope, machines),
-            Event::ListUnavailable => {
-                if self.settings.discovery == Discovery::Ask && self.relisten_at.is_none() {
-                    self.relisten_at = Some(self.now + ASK_AGAIN);
-                }
+            Event::ListUnavailable if self.settings.discovery == Discovery::Ask => {
+                self.relisten_at = self.relisten_at.or(Some(self.now + ASK_AGAIN));
+            }
+            Event::Asked(task) if task.class >= self.settings.classes.len() => {
+                actions.push(Action::Refuse(task.id, None));
             }
             Event::Asked(task) => {
-                if task.class >= self.settings.classes.len() {
-                    actions.push(Action::Refuse {
-                        task: task.id,
-                        come_back: None,
-                    });
-                    return;
-                }
-                let open = Open {
+                let (attempts, out, may_run) = (0, false, None);
+                self.open.entry(task.id).or_insert(Open {
                     task: *task,
-                    attempts: 0,
-                    out: false,
-                    may_run: None,
-                };
-                if self.open.insert(task.id, open).is_none() {
-                    let last = task.give_up_at.saturating_sub(ANSWER_MARGIN);
-                    let after = last.saturating_sub(self.now);
-                    actions.push(Action::Wake {
-                        after,
-                        label: task.id.0 + 1,
-                    });
-                }
+                    attempts,
+                    out,
+                    may_run,
+                });
+                let last = task.give_up_at.saturating_sub(ANSWER_MARGIN);
+                actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
                 self.waiting.push_back(task.id);
             }
-            Event::Running { task, machine } => {
-                if task.class < self.settings.classes.len() {
-                    let sent = self.now;
-                    let (task, machine) = (*task, *machine);
-                    let attempt = Attempt {
-                        task,
-                        machine,
-                        level: Level::Local,
-                        sent,
-                        seated: true,
-                        started: true,
-                    };
-                    if self.attempts.insert((task.id, 0), attempt).is_none() {
-                        self.bind(machine, &task, true);
-                    }
-                }
+            Event::Running(task, machine) if task.class < self.settings.classes.len() => {
+                self.bind(
+                    AttemptId {
+                        task: task.id,
+                        number: 0,
+                    },
+                    *task,
+                    *machine,
+                    true,
+                );
             }
-            Event::Seated { task, attempt } => {
-                self.open.remove(task);
-                if let Some(attempt) = self.attempts.get_mut(&(*task, *attempt)) {
+            Event::Seated(id) => {
+                self.open.remove(&id.task);
+                if let Some(attempt) = self.attempts.get_mut(id) {
                     attempt.seated = true;
                     if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                         machine.unanswered = machine.unanswered.saturating_sub(1);
                     }
                 }
                 if self.settings.seated == SeatedWhen::Running {
-                    self.started(*task, *attempt);
+                    self.started(id);
                 }
             }
-            Event::Noted {
-                task,
-                attempt,
-                note: Note::Started,
-            } => self.started(*task, *attempt),
-            Event::Noted {
-                task,
-                attempt,
-                note,
-            } => self.noted((*task, *attempt), *note),
-            Event::Ended {
-                task,
-                attempt,
-                ending,
-                why,
-                closed,
-                load,
-            } => {
-                self.ended((*task, *attempt), *ending, *why, *closed, *load, actions);
-            }
+            Event::Noted(id, Note::Started) => self.started(id),
+            Event::Noted(id, note) => self.noted(id, *note),
+            Event::Ended(id, end) => self.ended(*id, *end, actions),
             Event::HungUp(task) => drop(self.open.remove(task)),
             Event::Woken(TICK) => self.tick_at = None,
             Event::Woken(label) => {
                 let id = TaskId(label - 1);
-                let due = |o: &&Open| o.task.give_up_at <= self.now + ANSWER_MARGIN;
-                if self.open.get(&id).filter(due).is_some() {
+                if self.open.get(&id).is_some_and(|o| self.too_late(&o.task)) {
                     self.answer(id, actions);
                 }
             }
             Event::Probed { machine, load, .. } => self.report(*machine, *load),
-            Event::Told { .. } => {}
+            Event::Told { .. } | Event::ListUnavailable | Event::Running(..) => {}
         }
     }
 
+    fn too_late(&self, task: &Task) -> bool {
+        task.give_up_at <= self.now + ANSWER_MARGIN
+    }
+
     /// Rule 3: news of drains and removals acts at once; a machine absent from a full list is gone.
     fn listed(&mut self, scope: Scope, listings: &[Listing]) {
         if scope != Scope::Changes {
-            let named: BTreeSet<MachineId> = listings.iter().map(|l| l.machine).collect();
-            for (id, machine) in &mut self.machines {
-                if !named.contains(id) {
-                    machine.listing.state = MachineState::Gone;
-                }
-            }
+            self.machines
+                .values_mut()
+                .for_each(|m| m.listing.state = MachineState::Gone);
         }
         for listing in listings {
             let Some(&size) = self.settings.kinds.get(listing.kind) else {
                 continue;
             };
             let machine = self.machines.entry(listing.machine);
-            let machine = machine.or_insert_with(|| Machine::new(*listing, size));
+            let machine = machine.or_insert_with(|| Machine::new(*listing, size, self.now));
             if machine.listing.started != listing.started {
                 // A new process: what was learned of the old one's health says nothing of it.
-                machine.strikes = 0.0;
-                machine.avoid_until = 0;
-                machine.full = None;
+                (machine.strikes, machine.avoid_until, machine.full) = (0.0, 0, None);
             }
-            machine.listing = *listing;
+            (machine.listing, machine.touched) = (*listing, self.now);
             if let (true, Some(unasked)) = (self.settings.view, listing.unasked) {
                 machine.see(unasked, self.now.saturating_sub(VIEW_LAG));
             }
         }
-        // Tasks that ran before the list named their machines.
-        for machine in self.machines.values_mut() {
-            machine.own = Room::default();
-        }
+        let fresh = |at: Micros| at + FORGET > self.now;
+        self.machines
+            .retain(|_, m| m.listing.state != MachineState::Gone || fresh(m.touched));
+        self.held
+            .retain(|_, there| there.values().any(|&(count, at)| count > 0 || fresh(at)));
+        let held = &self.held;
+        self.rates
+            .retain(|(service, ..), _| held.contains_key(service));
+        // Tasks may run where no list had named the machine yet.
+        self.machines
+            .values_mut()
+            .for_each(|m| m.own = Room::default());
         for attempt in self.attempts.values() {
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
-                machine.own = plus(machine.own, attempt.task.asks);
+                machine.own = machine.own.plus(attempt.task.asks, 1.0);
             }
         }
     }
 
     fn report(&mut self, machine: MachineId, load: Option<Room>) {
-        if let (LoadReport::Unasked, Some(load)) = (self.settings.report, load) {
-            let as_of = self.now.saturating_sub(REPORT_LAG);
-            if let Some(machine) = self.machines.get_mut(&machine) {
-                machine.see(load, as_of);
-            }
+        if let (LoadReport::Unasked, Some(load)) = (self.settings.report, load)
+            && let Some(machine) = self.machines.get_mut(&machine)
+        {
+            machine.see(load, self.now.saturating_sub(REPORT_LAG));
+        }
+    }
+
+    /// Counts an attempt in: an offer, or a task that runs already.
+    fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, runs: bool) {
+        let level = self.level(machine, task.service);
+        let (sent, seated, started) = (self.now, runs, runs);
+        let attempt = Attempt {
+            task,
+            machine,
+            level,
+            sent,
+            seated,
+            started,
+        };
+        if self.attempts.insert(id, attempt).is_none() {
+            self.count(machine, &task, 1.0);
         }
     }
 
-    /// Counts an attempt in, or out once it has its outcome.
-    fn bind(&mut self, id: MachineId, task: &Task, comes: bool) {
+    fn count(&mut self, id: MachineId, task: &Task, sign: f64) {
         if let Some(machine) = self.machines.get_mut(&id) {
-            machine.change(self.now, task.asks, if comes { 1.0 } else { -1.0 });
+            machine.change(self.now, task.asks, sign);
         }
-        let there = self.held.entry(task.service).or_default();
-        let (count, last) = there.entry(id).or_default();
-        *count = if comes {
+        let (count, last) = self
+            .held
+            .entry(task.service)
+            .or_default()
+            .entry(id)
+            .or_default();
+        *count = if sign > 0.0 {
             *count + 1
         } else {
             count.saturating_sub(1)
@@ -425,92 +400,75 @@
     }
 
     /// What own tasks say of themselves and of their machine.
-    fn noted(&mut self, key: (TaskId, u32), note: Note) {
-        let Some(attempt) = self.attempts.get(&key) else {
+    fn noted(&mut self, id: &AttemptId, note: Note) {
+        let Some(attempt) = self.attempts.get(id) else {
             return;
         };
         let asks = attempt.task.asks;
-        let crowded = match note {
+        let mut crowded = false;
+        match note {
             Note::CoresUsed(x) if asks.cores > 0.0 => {
                 self.used.cores += USE_WEIGHT * (x / asks.cores - self.used.cores);
-                false
             }
             Note::MemoryUsed(x) if asks.memory > 0.0 => {
                 self.used.memory += USE_WEIGHT * (x / asks.memory - self.used.memory);
-                false
             }
-            Note::Served(x) => x < SERVED_POORLY,
-            Note::MachineMemory(x) => x > MEMORY_TIGHT,
-            _ => false,
-        };
+            Note::Served(x) => crowded = x < SERVED_POORLY,
+            Note::MachineMemory(x) => crowded = x > MEMORY_TIGHT,
+            _ => {}
+        }
         if let Some(machine) = self.machines.get_mut(&attempt.machine).filter(|_| crowded) {
             machine.crowded_until = self.now + CROWDED_FOR;
         }
     }
 
     /// T runs from the offer to the start; failed attempts never get here and give no sample.
-    fn started(&mut self, task: TaskId, attempt: u32) {
-        let Some(attempt) = self
-            .attempts
-            .get_mut(&(task, attempt))
-            .filter(|a| !a.started)
-        else {
+    fn started(&mut self, id: &AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(id).filter(|a| !a.started) else {
             return;
         };
         attempt.started = true;
         let aim = self.settings.classes[attempt.task.class].aim as f64;
-        let took = ((self.now - attempt.sent) as f64)
-            .max(aim * QUICK_ENOUGH)
-            .max(1.0);
+        let took = (self.now - attempt.sent) as f64;
+        let took = took.max(aim * QUICK_ENOUGH).max(1.0);
         let pair = (attempt.task.service, attempt.machine, attempt.level);
         self.rates.entry(pair).or_default().sample(took);
-        self.pools
-            .entry((attempt.task.class, attempt.level))
-            .or_default()
-            .sample(took);
+        let pool = (attempt.task.class, attempt.level);
+        self.pools.entry(pool).or_default().sample(took);
         if let Some(machine) = self.machines.get_mut(&attempt.machine) {
             machine.strikes = (machine.strikes / 2.0).floor();
         }
     }
 
-    fn ended(
-        &mut self,
-        key: (TaskId, u32),
-        ending: Ending,
-        why: Option<Why>,
-        closed: bool,
-        load: Option<Room>,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(attempt) = self.attempts.remove(&key) else {
+    fn ended(&mut self, id: AttemptId, end: End, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(&id) else {
             return;
         };
-        self.bind(attempt.machine, &attempt.task, false);
-        self.report(attempt.machine, load);
-        self.judge(&attempt, ending, why);
-        if closed || attempt.seated {
-            self.open.remove(&key.0);
+        self.count(attempt.machine, &attempt.task, -1.0);
+        self.report(attempt.machine, end.load);
+        self.judge(&attempt, end);
+        if end.closed || attempt.seated {
+            self.open.remove(&id.task);
         }
-        let Some(open) = self.open.get_mut(&key.0) else {
+        let Some(open) = self.open.get_mut(&id.task) else {
             return;
         };
         open.out = false;
-        let never_ran = matches!(
-            ending,
+        if !matches!(
+            end.ending,
             Ending::Refused | Ending::Unreachable | Ending::NotSent
-        );
-        if !never_ran && open.may_run.is_none() {
-            open.may_run = Some((attempt.sent, attempt.machine));
+        ) {
+            open.may_run = open.may_run.or(Some((attempt.sent, attempt.machine)));
         }
-        if ending == Ending::NotSent || self.now + ANSWER_MARGIN >= open.task.give_up_at {
-            self.answer(key.0, actions);
+        if end.ending == Ending::NotSent || self.too_late(&attempt.task) {
+            self.answer(id.task, actions);
         } else {
-            self.waiting.push_back(key.0);
+            self.waiting.push_back(id.task);
         }
     }
 
     /// What an ending says of the machine.
-    fn judge(&mut self, attempt: &Attempt, ending: Ending, why: Option<Why>) {
+    fn judge(&mut self, attempt: &Attempt, end: End) {
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&attempt.machine) else {
             return;
@@ -518,7 +476,7 @@
         if !attempt.seated {
             machine.unanswered = machine.unanswered.saturating_sub(1);
         }
-        match (ending, why) {
+        match (end.ending, end.why) {
             (Ending::Refused, Some(Why::Cores | Why::Memory)) => {
                 machine.full = Some((attempt.task.asks, now + FULL_FOR));
             }
@@ -537,12 +495,11 @@
         let Some(open) = self.open.get(&id).copied() else {
             return;
         };
-        if open.out || open.task.give_up_at <= self.now + ANSWER_MARGIN {
+        if open.out || self.too_late(&open.task) {
             return;
         }
-        let effect = self.settings.classes[open.task.class].effect;
         // Rule 2: what may have run is sent again only as its class allows.
-        let again = match (open.may_run, effect) {
+        let again = match (open.may_run, self.settings.classes[open.task.class].effect) {
             (None, _) | (_, Effect::Safe) => true,
             (Some(_), Effect::Unsafe) => false,
             (Some((sent, _)), Effect::Keyed { window, .. }) => {
@@ -554,109 +511,111 @@
             return;
         }
         let Some(machine) = self.pick(&open) else {
+            self.on_hold.push_back(id);
             return;
         };
-        let left = open.task.give_up_at - self.now;
-        let time_out = self.patience(&open.task, left);
-        actions.push(Action::Offer {
-            task: id,
-            machine,
-            time_out,
-        });
-        let level = self.level(machine, open.task.service);
-        let (task, sent) = (open.task, self.now);
-        let attempt = Attempt {
-            task,
+        let time_out = self.patience(&open.task, open.task.give_up_at - self.now);
+        actions.push(Action::Offer(id, machine, time_out));
+        self.bind(
+            AttemptId {
+                task: id,
+                number: open.attempts,
+            },
+            open.task,
             machine,
-            level,
-            sent,
-            seated: false,
-            started: false,
-        };
-        self.attempts.insert((id, open.attempts), attempt);
+            false,
+        );
         if let Some(open) = self.open.get_mut(&id) {
-            open.attempts += 1;
-            open.out = true;
+            (open.attempts, open.out) = (open.attempts + 1, true);
         }
-        self.bind(machine, &open.task, true);
-        let window = self.settings.rules.fall_window;
         if let Some(machine) = self.machines.get_mut(&machine) {
             machine.unanswered += 1;
-            machine.sends.push_back(self.now);
-            while machine
+            machine
                 .sends
-                .front()
-                .is_some_and(|&at| at + window < self.now)
-            {
-                machine.sends.pop_front();
-            }
+                .retain(|at| at + self.settings.rules.fall_window >= self.now);
+            machine.sends.push_back(self.now);
         }
     }
 
     /// How long an attempt may stay without its answer. Where a second start does harm: to the end.
     fn patience(&self, task: &Task, left: Micros) -> Micros {
         let class = &self.settings.classes[task.class];
-        let prompt = match self.settings.seated {
-            SeatedWhen::Accepted => ACCEPT_PATIENCE.min(class.aim),
-            SeatedWhen::Running if class.effect == Effect::Safe => left / 2,
-            SeatedWhen::Running => left,
-        };
-        match class.effect {
-            Effect::Unsafe => left,
-            Effect::Keyed { .. } | Effect::Safe => prompt,
+        match (class.effect, self.settings.seated) {
+            (Effect::Unsafe, _) => left,
+            (_, SeatedWhen::Accepted) => ACCEPT_PATIENCE.min(class.aim).clamp(1, left),
+            (Effect::Safe, SeatedWhen::Running) => left / 2,
+            (Effect::Keyed { .. }, SeatedWhen::Running) => left,
         }
-        .clamp(1_000, left)
     }
 
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
     fn pick(&mut self, open: &Open) -> Option<MachineId> {
-        let mut allowed: Vec<MachineId> = self
+        let task = &open.task;
+        let all = self
             .machines
             .iter()
-            .filter(|(_, m)| self.may_get(m, open))
-            .map(|(&id, _)| id)
-            .collect();
-        allowed.retain(|id| {
-            let machine = &self.machines[id];
-            self.healthy(machine) && self.has_room(machine, &open.task)
-        });
+            .filter(|(_, m)| self.may_get(m, open) && self.healthy(m) && self.has_room(m, task));
+        let mut allowed: Vec<MachineId> = all.map(|(&id, _)| id).collect();
         if allowed.is_empty() {
             return None;
         }
         let mean = self.mean_asked();
-        let calm = |id: &MachineId| {
-            let machine = &self.machines[id];
-            machine.crowded_until <= self.now
-                && self.likely_use(machine, &open.task, mean) <= COMFORT
+        let calm = |m: &Machine| {
+            m.crowded_until <= self.now
+                && self.asked(m, task, mean).scaled(self.used).larger() <= COMFORT
         };
-        let comfortable: Vec<MachineId> = allowed.iter().copied().filter(calm).collect();
-        if !comfortable.is_empty() {
-            allowed = comfortable;
+        self.prefer(&mut allowed, calm);
+        // Least share would spread tasks over more machines than needed: where that is priced, those
+        // beyond the working set are left to empty, unless nothing in the set is comfortable.
+        if self.settings.prices.fleet > 0.0 {
+            let set = self.working_set();
+            self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
         self.decisions += 1;
         if self.chance() < (self.decisions as f64).powf(-EXPLORE_C) {
             return Some(allowed[self.draw(allowed.len())]);
         }
-        let scores: Vec<f64> = allowed
-            .iter()
-            .map(|id| self.score(*id, &open.task, mean))
-            .collect();
+        let score = |id: &MachineId| {
+            self.asked(&self.machines[id], task, mean).larger() / self.rate(*id, task)
+        };
+        let scores: Vec<f64> = allowed.iter().map(score).collect();
         let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
-        let near: Vec<MachineId> = allowed
-            .iter()
-            .zip(&scores)
-            .filter(|&(_, &score)| score <= least * NEAR_TIE)
-            .map(|(&id, _)| id)
-            .collect();
-        Some(near[self.draw(near.len())])
+        let mut scores = scores.iter();
+        allowed.retain(|_| {
+            scores
+                .next()
+                .is_some_and(|&score| score <= least * NEAR_TIE)
+        });
+        Some(allowed[self.draw(allowed.len())])
+    }
+
+    /// Keeps the machines that `likes` likes, if there are any.
+    fn prefer(&self, allowed: &mut Vec<MachineId>, likes: impl Fn(&Machine) -> bool) {
+        if allowed.iter().any(|id| likes(&self.machines[id])) {
+            allowed.retain(|id| likes(&self.machines[id]));
+        }
+    }
+
+    /// The fullest ready machines that together hold what is likely used, filled up to `FLEET_FILL`.
+    fn working_set(&self) -> BTreeSet<MachineId> {
+        let part = |m: &Machine| m.known().of(m.size).scaled(self.used).larger();
+        let ready = self.machines.values().filter(|m| m.ready());
+        let mut ready: Vec<(f64, &Machine)> = ready.map(|m| (part(m), m)).collect();
+        ready.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let used: f64 = ready.iter().map(|(part, m)| part * m.size.cores).sum();
+        let mut held = 0.0;
+        let needed = ready.iter().take_while(|(_, m)| {
+            held += m.size.cores;
+            held - m.size.cores < used / FLEET_FILL
+        });
+        needed.map(|(_, m)| m.listing.machine).collect()
     }
 
     /// What the rules, the task's kind and its earlier attempts allow.
     fn may_get(&self, machine: &Machine, open: &Open) -> bool {
         let class = &self.settings.classes[open.task.class];
-        if machine.listing.state != MachineState::Ready
-            || class.kind.is_some_and(|kind| kind != machine.listing.kind)
-        {
+        let (at, rules) = (&machine.listing, &self.settings.rules);
+        if !machine.ready() || class.kind.is_some_and(|kind| kind != at.kind) {
             return false;
         }
         // Rule 2: repeats of a key that may have run stay with the machines that know it.
@@ -664,34 +623,29 @@
             let first = self.machines.get(&first).map(|m| m.listing);
             let same = match group {
                 Group::All => true,
-                Group::Zone => first.is_some_and(|f| f.zone == machine.listing.zone),
-                Group::Cell => first.is_some_and(|f| f.cell == machine.listing.cell),
+                Group::Zone => first.is_some_and(|f| f.zone == at.zone),
+                Group::Cell => first.is_some_and(|f| f.cell == at.cell),
             };
             if !same {
                 return false;
             }
         }
         // Rule 5: attempts and running tasks of the service in one place.
-        if let Some((place, most)) = class.spread
-            && self.held_in(place, &machine.listing, open.task.service) >= most
+        if class
+            .spread
+            .is_some_and(|(place, most)| self.held_in(place, at, open.task.service) >= most)
         {
             return false;
         }
-        // Rule 4: own part of what a cold machine always bears, in every window.
-        let rules = &self.settings.rules;
-        let cold = machine
-            .listing
-            .started
-            .is_some_and(|at| at + rules.cold_for > self.now);
-        let own = (rules.fresh_offers * COLD_SHARE / f64::from(self.settings.placers))
-            .floor()
-            .max(1.0);
+        // Rule 4: own part of what a cold machine always bears, in every window, refused offers too.
+        let cold = at.started.is_some_and(|at| at + rules.cold_for > self.now);
+        let own = rules.fresh_offers * COLD_SHARE / f64::from(self.settings.placers);
         let sent = machine
             .sends
             .iter()
             .filter(|&&at| at + rules.fall_window >= self.now)
             .count();
-        !cold || (sent as f64) < own
+        !cold || (sent as f64) < own.floor().max(1.0)
     }
 
     fn held_in(&self, place: Place, at: &Listing, service: ServiceId) -> u32 {
@@ -703,8 +657,7 @@
             })
         };
         let held = self.held.get(&service).into_iter().flatten();
-        held.filter(|(id, _)| there(id))
-            .map(|(_, (count, _))| count)
+        held.map(|(id, (count, _))| if there(id) { *count } else { 0 })
             .sum()
     }
 
@@ -714,76 +667,44 @@
 
     fn has_room(&self, machine: &Machine, task: &Task) -> bool {
         let as_large = |r: Room| task.asks.cores >= r.cores || task.asks.memory >= r.memory;
-        if machine
+        let full = machine
             .full
-            .is_some_and(|(room, until)| until > self.now && as_large(room))
-        {
-            return false;
-        }
-        let with = plus(machine.asked_now().unwrap_or(machine.own), task.asks);
-        with.cores <= self.settings.admit_cores * machine.size.cores
-            && with.memory <= self.settings.admit_memory * machine.size.memory
+            .is_some_and(|(r, until)| until > self.now && as_large(r));
+        let with = machine.known().plus(task.asks, 1.0).of(machine.size);
+        !full
+            && with.cores <= self.settings.admit_cores
+            && with.memory <= self.settings.admit_memory
     }
 
-    /// Mean over the ready machines that are reported, or of own binds where none is.
+    /// Mean shares of the ready machines that are reported, or of own binds where none is.
     fn mean_asked(&self) -> Room {
-        let ready = || {
-            self.machines
-                .values()
-                .filter(|m| m.listing.state == MachineState::Ready)
-        };
-        let part = |m: &Machine, r: Room| Room {
-            cores: r.cores / m.size.cores,
-            memory: r.memory / m.size.memory,
-        };
-        let mut parts: Vec<Room> = ready()
-            .filter_map(|m| Some(part(m, m.asked_now()?)))
+        let ready = || self.machines.values().filter(|m| m.ready());
+        let mut shares: Vec<Room> = ready()
+            .filter_map(|m| Some(m.asked_now()?.of(m.size)))
             .collect();
-        if parts.is_empty() {
-            parts = ready().map(|m| part(m, m.own)).collect();
-        }
-        let sum = parts.iter().fold(Room::default(), |sum, &p| plus(sum, p));
-        let n = parts.len().max(1) as f64;
-        Room {
-            cores: sum.cores / n,
-            memory: sum.memory / n,
+        if shares.is_empty() {
+            shares = ready().map(|m| m.own.of(m.size)).collect();
         }
+        let part = 1.0 / shares.len().max(1) as f64;
+        shares
+            .iter()
+            .fold(Room::default(), |sum, &share| sum.plus(share, part))
     }
 
-    /// Shares asked for: as seen, with own binds since; the mean for an unreported machine. Where nothing
-    /// is ever reported own binds, and the mean of them for each other placer.
-    fn asked_shares(&self, machine: &Machine, task: &Task, mean: Room) -> Room {
+    /// Shares asked for, with the task: as seen, with own binds since; the mean for an unreported machine.
+    /// Where nothing is ever reported own binds, and the mean of them for each other placer.
+    fn asked(&self, machine: &Machine, task: &Task, mean: Room) -> Room {
         let blind = !self.settings.view && self.settings.report != LoadReport::Unasked;
-        let asked = plus(machine.asked_now().unwrap_or(machine.own), task.asks);
-        let size = machine.size;
-        let shares = Room {
-            cores: asked.cores / size.cores,
-            memory: asked.memory / size.memory,
-        };
         let times = match (machine.asked, blind) {
             (Some(_), _) => 0.0,
             (None, true) => f64::from(self.settings.placers - 1),
             (None, false) => 1.0,
         };
-        plus(
-            shares,
-            Room {
-                cores: times * mean.cores,
-                memory: times * mean.memory,
-            },
-        )
-    }
-
-    /// The larger share of the machine that its tasks are likely to use, with this one.
-    fn likely_use(&self, machine: &Machine, task: &Task, mean: Room) -> f64 {
-        let shares = self.asked_shares(machine, task, mean);
-        (shares.cores * self.used.cores).max(shares.memory * self.used.memory)
-    }
-
-    /// W over rate. W is the larger share asked for.
-    fn score(&self, id: MachineId, task: &Task, mean: Room) -> f64 {
-        let shares = self.asked_shares(&self.machines[&id], task, mean);
-        shares.cores.max(shares.memory).max(0.0) / self.rate(id, task)
+        machine
+            .known()
+            .plus(task.asks, 1.0)
+            .of(machine.size)
+            .plus(mean, times)
     }
 
     /// The pair's rate at its present level, drawn towards its class's at that level, or one.
@@ -803,10 +724,9 @@
 
     /// Rule 1: the one final answer. Rule 2: a refusal promises that nothing ran or will.
     fn answer(&mut self, id: TaskId, actions: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id).copied() else {
+        let Some(open) = self.open.remove(&id) else {
             return;
         };
-        self.open.remove(&id);
         let effect = self.settings.classes[open.task.class].effect;
         let harmless = match effect {
             Effect::Safe
@@ -816,19 +736,16 @@
             Effect::Keyed { .. } | Effect::Unsafe => !open.out && open.may_run.is_none(),
         };
         if open.out && effect == Effect::Safe && self.settings.limits.cancel {
-            actions.push(Action::Cancel {
+            actions.push(Action::Cancel(AttemptId {
                 task: id,
-                attempt: open.attempts - 1,
-            });
+                number: open.attempts - 1,
+            }));
         }
-        if harmless {
-            actions.push(Action::Refuse {
-                task: id,
-                come_back: None,
-            });
+        actions.push(if harmless {
+            Action::Refuse(id, None)
         } else {
-            actions.push(Action::Fail(id));
-        }
+            Action::Fail(id)
+        });
     }
 
     /// One general reminder: for held tasks and for discovery.
@@ -839,10 +756,7 @@
         };
         if self.tick_at.is_none_or(|at| at > next) {
             self.tick_at = Some(next);
-            actions.push(Action::Wake {
-                after: next.saturating_sub(self.now),
-                label: TICK,
-            });
+            actions.push(Action::Wake(next.saturating_sub(self.now), TICK));
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,15 +74,6 @@
     pub spread: Option<(Place, u32)>,
 }
 
-/// A kind of machine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Kind {
-    /// Its cores.
-    pub cores: f64,
-    /// Its memory.
-    pub memory: f64,
-}
-
 /// How news of the machines is had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
@@ -166,8 +157,8 @@
     pub zone: u32,
     /// Classes of tasks.
     pub classes: Vec<Class>,
-    /// Kinds of machine.
-    pub kinds: Vec<Kind>,
+    /// The size of each kind of machine.
+    pub kinds: Vec<Room>,
     /// How news of the machines is had.
     pub discovery: Discovery,
     /// When a task counts as seated.
@@ -188,15 +179,67 @@
     pub prices: Prices,
 }
 
-/// Cores and memory, asked for or free.
+/// Cores and memory: a size, what is asked for, what is free, or shares of a size.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
     /// Cores.
     pub cores: f64,
-    /// Memory, in the unit of [`Kind::memory`].
+    /// Memory, in any one unit.
     pub memory: f64,
 }
 
+impl Room {
+    /// So many cores and so much memory.
+    pub const fn new(cores: f64, memory: f64) -> Room {
+        Room { cores, memory }
+    }
+
+    /// Both, `times` times `other` added.
+    pub fn plus(self, other: Room, times: f64) -> Room {
+        Room::new(
+            self.cores + times * other.cores,
+            self.memory + times * other.memory,
+        )
+    }
+
+    /// Both, multiplied one by one.
+    pub fn scaled(self, by: Room) -> Room {
+        Room::new(self.cores * by.cores, self.memory * by.memory)
+    }
+
+    /// Both as shares of `size`.
+    pub fn of(self, size: Room) -> Room {
+        Room::new(self.cores / size.cores, self.memory / size.memory)
+    }
+
+    /// The larger of both, and no less than 0.
+    pub fn larger(self) -> f64 {
+        self.cores.max(self.memory).max(0.0)
+    }
+}
+
+/// One attempt of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The task.
+    pub task: TaskId,
+    /// Attempts of a task count from 0.
+    pub number: u32,
+}
+
+/// How an attempt ended, with all that was told of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct End {
+    /// How.
+    pub ending: Ending,
+    /// Why, if told.
+    pub why: Option<Why>,
+    /// The placing is over.
+    pub closed: bool,
+    /// The machine's report, if one came.
+    pub load: Option<Room>,
+}
+
 /// What discovery says of a machine's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineState {
@@ -327,43 +370,13 @@
     /// A task to place.
     Asked(Task),
     /// A task that runs already and is this placer's from now on, as attempt 0.
-    Running {
-        /// The task.
-        task: Task,
-        /// Where it runs.
-        machine: MachineId,
-    },
+    Running(Task, MachineId),
     /// The task is placed.
-    Seated {
-        /// The task.
-        task: TaskId,
-        /// Number of the attempt.
-        attempt: u32,
-    },
+    Seated(AttemptId),
     /// News of an attempt.
-    Noted {
-        /// The task.
-        task: TaskId,
-        /// Number of the attempt.
-        attempt: u32,
-        /// The news.
-        note: Note,
-    },
+    Noted(AttemptId, Note),
     /// An attempt ended.
-    Ended {
-        /// The task.
-        task: TaskId,
-        /// Number of the attempt.
-        attempt: u32,
-        /// How.
-        ending: Ending,
-        /// Why, if told.
-        why: Option<Why>,
-        /// The placing is over.
-        closed: bool,
-        /// The machine's report, if one came.
-        load: Option<Room>,
-    },
+    Ended(AttemptId, End),
     /// Nobody wants the task any more.
     HungUp(TaskId),
     /// An [`Action::Wake`] fell due.
@@ -389,40 +402,18 @@
 /// What a placer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Offer the task to a machine; attempts of a task count from 0.
-    Offer {
-        /// The task.
-        task: TaskId,
-        /// The machine.
-        machine: MachineId,
-        /// How long to wait for its answer.
-        time_out: Micros,
-    },
+    /// Offer the task to a machine, and wait so long for its answer.
+    Offer(TaskId, MachineId, Micros),
     /// Stop waiting for an attempt.
-    Cancel {
-        /// The task.
-        task: TaskId,
-        /// Number of the attempt.
-        attempt: u32,
-    },
-    /// Final answer: not placed, and asking again does no harm.
-    Refuse {
-        /// The task.
-        task: TaskId,
-        /// Advice to wait.
-        come_back: Option<Micros>,
-    },
+    Cancel(AttemptId),
+    /// Final answer: not placed, and asking again does no harm; with advice how long to wait.
+    Refuse(TaskId, Option<Micros>),
     /// Final answer: not placed, and nothing is promised.
     Fail(TaskId),
     /// Stop a placed task, so that its owner asks again.
     Move(TaskId),
-    /// Return [`Event::Woken`] with this label.
-    Wake {
-        /// From now.
-        after: Micros,
-        /// The label.
-        label: u64,
-    },
+    /// Return [`Event::Woken`] with this label after so long.
+    Wake(Micros, u64),
     /// Ask a machine for its report.
     Probe(MachineId),
     /// Close idle connections to a machine.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,7 @@
 //!         kind: None,
 //!         spread: None,
 //!     }],
-//!     kinds: vec![Kind { cores: 16.0, memory: 64.0 }],
+//!     kinds: vec![Room::new(16.0, 64.0)],
 //!     discovery: Discovery::Push,
 //!     seated: SeatedWhen::Running,
 //!     admit_cores: 1.0,
@@ -53,7 +53,7 @@
 //!     id: TaskId(1),
 //!     service: ServiceId(9),
 //!     class: 0,
-//!     asks: Room { cores: 1.0, memory: 2.0 },
+//!     asks: Room::new(1.0, 2.0),
 //!     life: None,
 //!     give_up_at: 5_000_000,
 //!     again: false,
@@ -63,26 +63,20 @@
 //! let mut actions = Vec::new();
 //! let listed = Event::Listed { scope: Scope::Full, machines: vec![machine] };
 //! placer.turn(0, &[listed, Event::Asked(task)], &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Offer { machine: MachineId(0), .. })));
+//! assert!(actions.iter().any(|a| matches!(a, Action::Offer(TaskId(1), MachineId(0), _))));
 //!
 //! // A reminder that the placer asked for falls due; the offer is still out, so nothing is owed yet.
 //! let label = actions.iter().find_map(|a| match a {
-//!     Action::Wake { label, .. } => Some(*label),
+//!     Action::Wake(_, label) => Some(*label),
 //!     _ => None,
 //! });
 //! actions.clear();
 //! placer.turn(20_000, &[Event::Woken(label.expect("a deadline is watched"))], &mut actions);
-//! assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))));
+//! assert!(!actions.iter().any(|a| matches!(a, Action::Refuse(..) | Action::Fail(_))));
 //!
 //! // The machine turns the offer down; it could be tried again, or another.
-//! let turned_down = Event::Ended {
-//!     task: TaskId(1),
-//!     attempt: 0,
-//!     ending: Ending::Refused,
-//!     why: Some(Why::Line),
-//!     closed: false,
-//!     load: None,
-//! };
+//! let end = End { ending: Ending::Refused, why: Some(Why::Line), closed: false, load: None };
+//! let turned_down = Event::Ended(AttemptId { task: TaskId(1), number: 0 }, end);
 //! placer.turn(40_000, &[turned_down], &mut actions);
 //! # Ok::<(), SettingsError>(())
 //! ```
