--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,8 @@
 const USE_WEIGHT: f64 = 0.02;
 /// Where machines in use are priced, so many are used that they are filled to this share.
 const FLEET_FILL: f64 = 0.7;
+/// A machine in another zone scores worse by so many times the price of crossing.
+const CROSSING: f64 = 20.0;
 /// A failed call to discovery is repeated after this, well within any `ask_within`.
 const ASK_AGAIN: Micros = 300_000;
 /// Share of the own part of a cold machine's budget that is spent, for offers that arrive bunched.
@@ -576,7 +578,14 @@
             return Some(allowed[self.draw(allowed.len())]);
         }
         let score = |id: &MachineId| {
-            self.asked(&self.machines[id], task, mean).larger() / self.rate(*id, task)
+            let machine = &self.machines[id];
+            let away = machine.listing.zone != self.settings.zone;
+            let crossing = if away {
+                1.0 + CROSSING * self.settings.prices.cross_zone
+            } else {
+                1.0
+            };
+            crossing * self.asked(machine, task, mean).larger() / self.rate(*id, task)
         };
         let scores: Vec<f64> = allowed.iter().map(score).collect();
         let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
