--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -354,6 +354,7 @@
 fn listing(row: &Row, view: bool, hosts: &mut Hosts) -> Listing {
     Listing {
         machine: hosts.id(&row.host),
+        label: label(&row.host),
         zone: row.zone,
         cell: row.cell,
         kind: row.kind,
@@ -379,6 +380,13 @@
     }
 }
 
+/// FNV-1a of a host's name: the same at every placer, whichever hosts it has heard of.
+fn label(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
 fn unhex(text: &str) -> Option<Vec<u8>> {
     let digits: Option<Vec<u8>> = text
         .chars()
--- a/src/control.rs
+++ b/src/control.rs
@@ -86,9 +86,17 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Level {
     Local,
+    /// Other placers start the service there too, by the same ranking, if they can.
+    Home,
     Remote,
 }
 
+/// A machine's rank for a service, alike at every placer: the least of those allowed is its home.
+fn rank(service: ServiceId, listing: &Listing) -> u64 {
+    let mixed = (service.0 ^ listing.label).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (mixed >> 32)
+}
+
 /// An attempt without an outcome.
 #[derive(Clone, Copy)]
 struct Attempt {
@@ -268,15 +276,11 @@
                 self.waiting.push_back(task.id);
             }
             Event::Running(task, machine) if task.class < self.settings.classes.len() => {
-                self.bind(
-                    AttemptId {
-                        task: task.id,
-                        number: 0,
-                    },
-                    *task,
-                    *machine,
-                    true,
-                );
+                let id = AttemptId {
+                    task: task.id,
+                    number: 0,
+                };
+                self.bind(id, *task, *machine, Level::Local, true);
             }
             Event::Seated(id) => {
                 self.open.remove(&id.task);
@@ -360,8 +364,7 @@
     }
 
     /// Counts an attempt in: an offer, or a task that runs already.
-    fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, runs: bool) {
-        let level = self.level(machine, task.service);
+    fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, level: Level, runs: bool) {
         let (sent, seated, started) = (self.now, runs, runs);
         let attempt = Attempt {
             task,
@@ -394,9 +397,10 @@
         *last = self.now;
     }
 
-    fn level(&self, id: MachineId, service: ServiceId) -> Level {
+    fn level(&self, id: MachineId, service: ServiceId, home: Option<MachineId>) -> Level {
         match self.held.get(&service).and_then(|there| there.get(&id)) {
             Some(&(count, last)) if count > 0 || last + KEPT_FOR > self.now => Level::Local,
+            _ if home == Some(id) => Level::Home,
             _ => Level::Remote,
         }
     }
@@ -512,7 +516,7 @@
             self.answer(id, actions);
             return;
         }
-        let Some(machine) = self.pick(&open) else {
+        let Some((machine, level)) = self.pick(&open) else {
             self.on_hold.push_back(id);
             return;
         };
@@ -525,6 +529,7 @@
             },
             open.task,
             machine,
+            level,
             false,
         );
         if let Some(open) = self.open.get_mut(&id) {
@@ -551,7 +556,7 @@
     }
 
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
-    fn pick(&mut self, open: &Open) -> Option<MachineId> {
+    fn pick(&mut self, open: &Open) -> Option<(MachineId, Level)> {
         let task = &open.task;
         let all = self
             .machines
@@ -573,9 +578,15 @@
             let set = self.working_set();
             self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
+        let service = task.service;
+        let home = allowed
+            .iter()
+            .copied()
+            .min_by_key(|id| rank(service, &self.machines[id].listing));
         self.decisions += 1;
         if self.chance() < (self.decisions as f64).powf(-EXPLORE_C) {
-            return Some(allowed[self.draw(allowed.len())]);
+            let drawn = allowed[self.draw(allowed.len())];
+            return Some((drawn, self.level(drawn, service, home)));
         }
         let score = |id: &MachineId| {
             let machine = &self.machines[id];
@@ -585,7 +596,8 @@
             } else {
                 1.0
             };
-            crossing * self.asked(machine, task, mean).larger() / self.rate(*id, task)
+            crossing * self.asked(machine, task, mean).larger()
+                / self.rate(*id, task, self.level(*id, service, home))
         };
         let scores: Vec<f64> = allowed.iter().map(score).collect();
         let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
@@ -595,7 +607,8 @@
                 .next()
                 .is_some_and(|&score| score <= least * NEAR_TIE)
         });
-        Some(allowed[self.draw(allowed.len())])
+        let drawn = allowed[self.draw(allowed.len())];
+        Some((drawn, self.level(drawn, service, home)))
     }
 
     /// Keeps the machines that `likes` likes, if there are any.
@@ -717,8 +730,7 @@
     }
 
     /// The pair's rate at its present level, drawn towards its class's at that level, or one.
-    fn rate(&self, id: MachineId, task: &Task) -> f64 {
-        let level = self.level(id, task.service);
+    fn rate(&self, id: MachineId, task: &Task, level: Level) -> f64 {
         let pool = self
             .pools
             .get(&(task.class, level))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -256,6 +256,8 @@
 pub struct Listing {
     /// The machine.
     pub machine: MachineId,
+    /// A number that every placer sees alike, such as a hash of its address.
+    pub label: u64,
     /// Its zone.
     pub zone: u32,
     /// Its cell; unique over all zones.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 //! let mut placer = Placer::new(settings, 7)?;
 //! let machine = Listing {
 //!     machine: MachineId(0),
+//!     label: 0x5eed,
 //!     zone: 0,
 //!     cell: 0,
 //!     kind: 0,
