--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,8 @@
 /// A pair's mean counts as this many samples more of its class's mean at the same level: pairs are
 /// sampled seldom, and one odd start would else rule a pair for long.
 const PRIOR: f64 = 2.0;
+/// Machines that all placers prefer for a service when they hold it nowhere.
+const HOMES: usize = 1;
 /// A machine keeps a program at least about this long after its last task.
 const KEPT_FOR: Micros = 8_000_000;
 /// A start is never taken to be quicker than this share of its class's aim: being quicker still earns
@@ -91,7 +93,7 @@
     Remote,
 }
 
-/// A machine's rank for a service, alike at every placer: the least of those allowed is its home.
+/// A machine's rank for a service, alike at every placer: the least few are its homes.
 fn rank(service: ServiceId, listing: &Listing) -> u64 {
     let mixed = (service.0 ^ listing.label).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (mixed >> 32)
@@ -276,11 +278,15 @@
                 self.waiting.push_back(task.id);
             }
             Event::Running(task, machine) if task.class < self.settings.classes.len() => {
-                let id = AttemptId {
-                    task: task.id,
-                    number: 0,
-                };
-                self.bind(id, *task, *machine, Level::Local, true);
+                self.bind(
+                    AttemptId {
+                        task: task.id,
+                        number: 0,
+                    },
+                    *task,
+                    *machine,
+                    true,
+                );
             }
             Event::Seated(id) => {
                 self.open.remove(&id.task);
@@ -364,7 +370,8 @@
     }
 
     /// Counts an attempt in: an offer, or a task that runs already.
-    fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, level: Level, runs: bool) {
+    fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, runs: bool) {
+        let level = self.level(machine, task.service);
         let (sent, seated, started) = (self.now, runs, runs);
         let attempt = Attempt {
             task,
@@ -397,14 +404,23 @@
         *last = self.now;
     }
 
-    fn level(&self, id: MachineId, service: ServiceId, home: Option<MachineId>) -> Level {
+    fn level(&self, id: MachineId, service: ServiceId) -> Level {
         match self.held.get(&service).and_then(|there| there.get(&id)) {
             Some(&(count, last)) if count > 0 || last + KEPT_FOR > self.now => Level::Local,
-            _ if home == Some(id) => Level::Home,
+            _ if self.is_home(id, service) => Level::Home,
             _ => Level::Remote,
         }
     }
 
+    fn is_home(&self, id: MachineId, service: ServiceId) -> bool {
+        let Some(at) = self.machines.get(&id) else {
+            return false;
+        };
+        let own = rank(service, &at.listing);
+        let ready = self.machines.values().filter(|m| m.ready());
+        ready.filter(|m| rank(service, &m.listing) < own).count() < HOMES
+    }
+
     /// What own tasks say of themselves and of their machine.
     fn noted(&mut self, id: &AttemptId, note: Note) {
         let Some(attempt) = self.attempts.get(id) else {
@@ -516,7 +532,7 @@
             self.answer(id, actions);
             return;
         }
-        let Some((machine, level)) = self.pick(&open) else {
+        let Some(machine) = self.pick(&open) else {
             self.on_hold.push_back(id);
             return;
         };
@@ -529,7 +545,6 @@
             },
             open.task,
             machine,
-            level,
             false,
         );
         if let Some(open) = self.open.get_mut(&id) {
@@ -556,7 +571,7 @@
     }
 
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
-    fn pick(&mut self, open: &Open) -> Option<(MachineId, Level)> {
+    fn pick(&mut self, open: &Open) -> Option<MachineId> {
         let task = &open.task;
         let all = self
             .machines
@@ -578,15 +593,9 @@
             let set = self.working_set();
             self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
-        let service = task.service;
-        let home = allowed
-            .iter()
-            .copied()
-            .min_by_key(|id| rank(service, &self.machines[id].listing));
         self.decisions += 1;
         if self.chance() < (self.decisions as f64).powf(-EXPLORE_C) {
-            let drawn = allowed[self.draw(allowed.len())];
-            return Some((drawn, self.level(drawn, service, home)));
+            return Some(allowed[self.draw(allowed.len())]);
         }
         let score = |id: &MachineId| {
             let machine = &self.machines[id];
@@ -596,8 +605,7 @@
             } else {
                 1.0
             };
-            crossing * self.asked(machine, task, mean).larger()
-                / self.rate(*id, task, self.level(*id, service, home))
+            crossing * self.asked(machine, task, mean).larger() / self.rate(*id, task)
         };
         let scores: Vec<f64> = allowed.iter().map(score).collect();
         let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
@@ -607,8 +615,7 @@
                 .next()
                 .is_some_and(|&score| score <= least * NEAR_TIE)
         });
-        let drawn = allowed[self.draw(allowed.len())];
-        Some((drawn, self.level(drawn, service, home)))
+        Some(allowed[self.draw(allowed.len())])
     }
 
     /// Keeps the machines that `likes` likes, if there are any.
@@ -730,7 +737,8 @@
     }
 
     /// The pair's rate at its present level, drawn towards its class's at that level, or one.
-    fn rate(&self, id: MachineId, task: &Task, level: Level) -> f64 {
+    fn rate(&self, id: MachineId, task: &Task) -> f64 {
+        let level = self.level(id, task.service);
         let pool = self
             .pools
             .get(&(task.class, level))
