--- a/src/control.rs
+++ b/src/control.rs
@@ -34,8 +34,8 @@
 const HELD_AT_ONCE: usize = 64;
 /// Where machines answer an offer at once, an answer later than this is taken for none.
 const ACCEPT_PATIENCE: Micros = 1_000_000;
-/// What listings say is about this old when it comes: own binds of that time are added to it.
-const VIEW_LAG: Micros = 3_000_000;
+/// What listings say is taken to be this old when it comes: own binds of that time are added to it.
+const VIEW_LAG: Micros = 800_000;
 /// The same for load reports that come with answers.
 const REPORT_LAG: Micros = 700_000;
 /// A machine is avoided this long after its first failure, twice that after the next and so on.
