--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,206 @@
+//! The five rules at their edges.
+
+mod common;
+use common::*;
+use maplethread::*;
+
+const KEYED: Effect = Effect::Keyed {
+    group: Group::Cell,
+    window: 4 * S,
+};
+
+#[test]
+fn every_ask_gets_one_answer_before_its_deadline() {
+    for effect in [Effect::Safe, KEYED, Effect::Unsafe] {
+        let mut desk = Desk::new(settings(effect), 2);
+        assert!(desk.ask(task(1, 1, 6 * S)).is_some());
+        let actions = desk.wait(7 * S, &[2]);
+        let answers = answers(&actions);
+        assert_eq!(answers.len(), 1, "{effect:?}: {answers:?}");
+        let expected = match effect {
+            Effect::Safe => Action::Refuse(TaskId(1), None),
+            _ => Action::Fail(TaskId(1)),
+        };
+        assert_eq!(answers[0], expected);
+        // The late outcome brings nothing more.
+        assert!(desk.turn(&[end(1, 0, Ending::TimedOut, None)]).is_empty());
+    }
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_in_the_same_turn() {
+    let mut desk = Desk::new(settings(Effect::Unsafe), 1);
+    desk.ask(task(1, 1, 3 * S));
+    desk.now = 3 * S;
+    let actions = desk.turn(&[end(1, 0, Ending::TimedOut, None)]);
+    assert_eq!(answers(&actions), [Action::Fail(TaskId(1))]);
+}
+
+#[test]
+fn with_no_machine_the_task_is_held_and_then_refused() {
+    let mut desk = Desk::new(settings(Effect::Unsafe), 0);
+    assert_eq!(desk.ask(task(1, 1, 3 * S)), None);
+    let actions = desk.wait(4 * S, &[2]);
+    assert_eq!(answers(&actions), [Action::Refuse(TaskId(1), None)]);
+}
+
+#[test]
+fn a_held_task_is_offered_once_a_machine_comes() {
+    // A held task must be looked at again well before its deadline.
+    let mut desk = Desk::new(settings(Effect::Safe), 0);
+    assert_eq!(desk.ask(task(1, 1, 9 * S)), None);
+    desk.list(Scope::Changes, vec![machine(4)]);
+    let actions = desk.wait(desk.now + 100_000, &[0]);
+    assert_eq!(offer(&actions), Some(4));
+}
+
+#[test]
+fn unsafe_tasks_are_sent_again_only_after_proof_that_they_never_ran() {
+    let proofs = [Ending::Refused, Ending::Unreachable];
+    for ending in proofs {
+        let mut desk = Desk::new(settings(Effect::Unsafe), 3);
+        desk.ask(task(1, 1, 9 * S));
+        let actions = desk.turn(&[end(1, 0, ending, None)]);
+        assert!(offer(&actions).is_some(), "{ending:?}");
+    }
+    for ending in [
+        Ending::Error,
+        Ending::TimedOut,
+        Ending::Reset,
+        Ending::Cancelled,
+    ] {
+        let mut desk = Desk::new(settings(Effect::Unsafe), 3);
+        desk.ask(task(1, 1, 9 * S));
+        let actions = desk.turn(&[end(1, 0, ending, None)]);
+        assert_eq!(offer(&actions), None, "{ending:?}");
+        assert_eq!(answers(&actions), [Action::Fail(TaskId(1))], "{ending:?}");
+    }
+}
+
+#[test]
+fn keyed_tasks_stay_in_their_group_and_window() {
+    let mut desk = Desk::new(settings(KEYED), 0);
+    let cells = |n: u32| Listing {
+        cell: n / 2,
+        ..machine(n)
+    };
+    desk.list(Scope::Full, (0..8).map(cells).collect());
+    let first = desk.ask(task(1, 1, 20 * S)).expect("an offer");
+    let actions = desk.turn(&[end(1, 0, Ending::Reset, None)]);
+    let again = offer(&actions).expect("the cell's other machine");
+    assert_eq!(again / 2, first / 2);
+    assert_ne!(again, first, "the one that failed is avoided");
+    // Past the window nothing is sent, and a refusal would promise too much.
+    desk.now += 4 * S;
+    let actions = desk.turn(&[end(1, 1, Ending::Reset, None)]);
+    assert_eq!(offer(&actions), None);
+    assert_eq!(answers(&actions), [Action::Fail(TaskId(1))]);
+}
+
+#[test]
+fn never_two_attempts_out_and_never_more_than_allowed() {
+    let mut desk = Desk::new(settings(Effect::Safe), 5);
+    desk.ask(task(1, 1, 20 * S));
+    assert_eq!(offer(&desk.wait(3 * S, &[0, 2])), None);
+    for number in 0..2 {
+        let actions = desk.turn(&[end(1, number, Ending::Refused, Some(Why::Cores))]);
+        assert!(offer(&actions).is_some());
+    }
+    let actions = desk.turn(&[end(1, 2, Ending::Refused, Some(Why::Cores))]);
+    assert_eq!(answers(&actions), [Action::Refuse(TaskId(1), None)]);
+}
+
+#[test]
+fn drained_and_gone_machines_get_nothing_new() {
+    for state in [MachineState::Draining, MachineState::Gone] {
+        let mut desk = Desk::new(settings(Effect::Safe), 2);
+        let listing = Listing {
+            state,
+            ..machine(0)
+        };
+        desk.list(Scope::Changes, vec![listing]);
+        for n in 0..40 {
+            assert_eq!(desk.ask(task(n, n, 9 * S)), Some(1));
+        }
+    }
+    let mut desk = Desk::new(settings(Effect::Safe), 2);
+    desk.list(Scope::Full, vec![machine(1)]);
+    for n in 0..40 {
+        assert_eq!(
+            desk.ask(task(n, n, 9 * S)),
+            Some(1),
+            "absent from a full list"
+        );
+    }
+}
+
+#[test]
+fn where_discovery_must_be_asked_it_is_at_once_and_after_each_failure() {
+    let mut asks = settings(Effect::Safe);
+    asks.discovery = Discovery::Ask;
+    let mut desk = Desk {
+        placer: Placer::new(asks, 1).expect("sound settings"),
+        now: 0,
+    };
+    let listen = |actions: &[Action]| {
+        let calls = actions.iter().filter(|a| **a == Action::Listen(true));
+        calls.count()
+    };
+    let restored = Event::Listed {
+        scope: Scope::Restored,
+        machines: vec![machine(0)],
+    };
+    assert_eq!(listen(&desk.turn(&[restored])), 1);
+    for _ in 0..5 {
+        let failed = desk.turn(&[Event::ListUnavailable]);
+        assert_eq!(
+            listen(&failed) + listen(&desk.wait(desk.now + S, &[0])),
+            1,
+            "once each"
+        );
+    }
+}
+
+#[test]
+fn a_cold_machine_gets_no_more_than_its_own_part_of_the_budget() {
+    let mut shared = settings(Effect::Safe);
+    shared.placers = 4;
+    let mut desk = Desk::new(shared, 0);
+    let cold = Listing {
+        started: Some(desk.now),
+        ..machine(0)
+    };
+    desk.list(Scope::Full, vec![cold]);
+    let mut sends = Vec::new();
+    for n in 0..400u64 {
+        desk.now += 20_000;
+        if desk.ask(task(n, n, desk.now + 100_000)).is_some() {
+            sends.push(desk.now);
+            // Refused offers count too.
+            desk.turn(&[end(n, 0, Ending::Refused, Some(Why::Line))]);
+            desk.turn(&[end(n, 1, Ending::Refused, Some(Why::Line))]);
+        }
+    }
+    assert!(sends.len() > 5, "it does get some: {}", sends.len());
+    for &from in &sends {
+        let window = sends.iter().filter(|&&at| at >= from && at < from + 3 * S);
+        assert!(window.count() <= 5, "20 offers over 4 placers");
+    }
+}
+
+#[test]
+fn spread_counts_attempts_and_running_tasks_per_place() {
+    for place in [Place::Machine, Place::Cell, Place::Zone] {
+        let mut spread = settings(Effect::Safe);
+        spread.classes[0].spread = Some((place, 2));
+        let mut desk = Desk::new(spread, 1);
+        // One that runs already counts, an offer without outcome too.
+        desk.turn(&[Event::Running(task(100, 7, 0), MachineId(0))]);
+        assert_eq!(desk.ask(task(1, 7, 9 * S)), Some(0));
+        assert_eq!(desk.ask(task(2, 7, 9 * S)), None, "{place:?}");
+        assert_eq!(desk.ask(task(3, 8, 9 * S)), Some(0), "another service");
+        desk.turn(&[end(100, 0, Ending::Done, None)]);
+        let actions = desk.wait(desk.now + 100_000, &[0]);
+        assert_eq!(offer(&actions), Some(0), "room again");
+    }
+}
