--- a/src/control.rs
+++ b/src/control.rs
@@ -29,7 +29,7 @@
 /// Answers are given this long before the owner gives up, so that a late turn still meets the deadline.
 const ANSWER_MARGIN: Micros = 12_000;
 /// A held task, for which no machine is allowed now, is looked at again after this.
-const HOLD: Micros = 40_000;
+const HOLD: Micros = 200_000;
 /// So many held tasks are looked at together: what a placer's share of a core bears at any backlog.
 const HELD_AT_ONCE: usize = 64;
 /// Where machines answer an offer at once, an answer later than this is taken for none.
@@ -484,6 +484,8 @@
         }
         if end.ending == Ending::NotSent || self.too_late(&attempt.task) {
             self.answer(id.task, actions);
+        } else if end.ending == Ending::Refused && id.number > 0 {
+            self.on_hold.push_back(id.task);
         } else {
             self.waiting.push_back(id.task);
         }
