Patience stretches where answers are slow everywhere; health is a preference

Giving up made copies nobody counts, and with every machine struck tasks were only held. Should also guard against slow networks; harms when many machines go silent at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,12 @@
 const HELD_AT_ONCE: usize = 64;
 /// Where machines answer an offer at once, an answer later than this is taken for none.
 const ACCEPT_PATIENCE: Micros = 1_000_000;
+/// Each time-out stretches the patience by this, each answer in time shrinks it again. Where answers are
+/// slow everywhere, giving up makes copies that nobody counts; one silent machine stretches it little,
+/// as the others go on answering.
+const STRETCH: f64 = 1.6;
+const SHRINK: f64 = 0.92;
+const MOST_STRETCH: f64 = 8.0;
 /// What listings say is taken to be this old when it comes: own binds of that time are added to it.
 const VIEW_LAG: Micros = 800_000;
 /// The same for load reports that come with answers.
@@ -202,6 +208,8 @@
     on_hold: VecDeque<TaskId>,
     /// Share of what they ask for that own tasks use.
     used: Room,
+    /// How much longer than usual an answer is waited for.
+    stretch: f64,
     started_up: bool,
     relisten_at: Option<Micros>,
     tick_at: Option<Micros>,
@@ -225,6 +233,7 @@
             waiting: VecDeque::new(),
             on_hold: VecDeque::new(),
             used: Room::new(1.0, 1.0),
+            stretch: 1.0,
             started_up: false,
             relisten_at: None,
             tick_at: None,
@@ -292,6 +301,7 @@
                 self.open.remove(&id.task);
                 if let Some(attempt) = self.attempts.get_mut(id) {
                     attempt.seated = true;
+                    self.stretch = (self.stretch * SHRINK).max(1.0);
                     if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                         machine.unanswered = machine.unanswered.saturating_sub(1);
                     }
@@ -508,7 +518,10 @@
             // Failing fast gives no sample, so the rate would stay good and draw ever more binds:
             // the machine is avoided, and then tried with one offer at a time.
             (Ending::Error | Ending::Unreachable, _) | (Ending::Reset, None) => machine.strike(now),
-            (Ending::TimedOut, _) if !attempt.seated => machine.strike(now),
+            (Ending::TimedOut, _) if !attempt.seated => {
+                machine.strike(now);
+                self.stretch = (self.stretch * STRETCH).min(MOST_STRETCH);
+            }
             (Ending::Done, _) => machine.full = None,
             _ => {}
         }
@@ -564,12 +577,12 @@
     /// How long an attempt may stay without its answer. Where a second start does harm: to the end.
     fn patience(&self, task: &Task, left: Micros) -> Micros {
         let class = &self.settings.classes[task.class];
-        match (class.effect, self.settings.seated) {
-            (Effect::Unsafe, _) => left,
-            (_, SeatedWhen::Accepted) => ACCEPT_PATIENCE.min(class.aim).clamp(1, left),
+        let usual = match (class.effect, self.settings.seated) {
+            (Effect::Unsafe, _) | (Effect::Keyed { .. }, SeatedWhen::Running) => left,
+            (_, SeatedWhen::Accepted) => ACCEPT_PATIENCE.min(class.aim),
             (Effect::Safe, SeatedWhen::Running) => left / 2,
-            (Effect::Keyed { .. }, SeatedWhen::Running) => left,
-        }
+        };
+        ((usual as f64 * self.stretch) as Micros).clamp(1, left)
     }
 
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
@@ -578,11 +591,12 @@
         let all = self
             .machines
             .iter()
-            .filter(|(_, m)| self.may_get(m, open) && self.healthy(m) && self.has_room(m, task));
+            .filter(|(_, m)| self.may_get(m, open) && self.has_room(m, task));
         let mut allowed: Vec<MachineId> = all.map(|(&id, _)| id).collect();
         if allowed.is_empty() {
             return None;
         }
+        self.prefer(&mut allowed, |m| self.healthy(m));
         let mean = self.mean_asked();
         let calm = |m: &Machine| {
             m.crowded_until <= self.now
