--- a/src/control.rs
+++ b/src/control.rs
@@ -32,8 +32,6 @@
 const HOLD: Micros = 200_000;
 /// So many held tasks are looked at together: what a placer's share of a core bears at any backlog.
 const HELD_AT_ONCE: usize = 64;
-/// Where machines answer an offer at once, an answer later than this is taken for none.
-const ACCEPT_PATIENCE: Micros = 1_000_000;
 /// Each time-out stretches the patience by this, each answer in time shrinks it again. Where answers are
 /// slow everywhere, giving up makes copies that nobody counts; one silent machine stretches it little,
 /// as the others go on answering.
@@ -574,13 +572,13 @@
         }
     }
 
-    /// How long an attempt may stay without its answer. Where a second start does harm: to the end.
+    /// How long an attempt may stay without its answer. Where a second start does harm: to the end. Else
+    /// half the time left: sooner makes copies that nobody counts when answers are late or get lost.
     fn patience(&self, task: &Task, left: Micros) -> Micros {
         let class = &self.settings.classes[task.class];
         let usual = match (class.effect, self.settings.seated) {
             (Effect::Unsafe, _) | (Effect::Keyed { .. }, SeatedWhen::Running) => left,
-            (_, SeatedWhen::Accepted) => ACCEPT_PATIENCE.min(class.aim),
-            (Effect::Safe, SeatedWhen::Running) => left / 2,
+            _ => left / 2,
         };
         ((usual as f64 * self.stretch) as Micros).clamp(1, left)
     }
