--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,246 @@
+//! One test for each failure found, by its symptom.
+
+mod common;
+use common::*;
+use maplethread::*;
+
+/// How many of `n` asks, `every` apart, go to machine 0 of `desk`; what comes of them is up to `react`.
+fn drawn(desk: &mut Desk, n: u64, every: Micros, react: impl Fn(u64, u32) -> Vec<Event>) -> u64 {
+    let mut to_zero = 0;
+    for i in 0..n {
+        desk.now += every;
+        let machine = desk.ask(task(i, 100 + i, desk.now + S)).expect("an offer");
+        to_zero += u64::from(machine == 0);
+        let mut events = react(i, machine);
+        events.push(Event::HungUp(TaskId(i)));
+        desk.turn(&events);
+    }
+    to_zero
+}
+
+fn well(i: u64) -> Vec<Event> {
+    let start = Event::Noted(id(i, 0), Note::Started);
+    vec![
+        Event::Seated(id(i, 0)),
+        start,
+        end(i, 0, Ending::Done, None),
+    ]
+}
+
+#[test]
+fn a_machine_that_fails_fast_does_not_draw_ever_more() {
+    for ending in [
+        Ending::Error,
+        Ending::Reset,
+        Ending::Unreachable,
+        Ending::TimedOut,
+    ] {
+        let mut desk = Desk::new(settings(Effect::Safe), 3);
+        let to_zero = drawn(&mut desk, 300, 40_000, |i, machine| match machine {
+            0 => vec![end(i, 0, ending, None)],
+            _ => well(i),
+        });
+        assert!(to_zero <= 12, "{ending:?}: {to_zero} of 300");
+        // It is tried again, and used once it works.
+        desk.now += 10 * S;
+        let mut works = 0;
+        for i in 1_000..1_100u64 {
+            desk.now += 40_000;
+            works += u64::from(desk.ask(task(i, i, desk.now + S)) == Some(0));
+            desk.turn(&well(i));
+        }
+        assert!(works > 10, "{ending:?}: {works} of 100 once it is well");
+    }
+}
+
+#[test]
+fn a_new_process_starts_with_a_clean_record() {
+    let mut desk = Desk::new(settings(Effect::Safe), 1);
+    for i in 0..6 {
+        desk.ask(task(i, i, desk.now + S));
+        desk.turn(&[end(i, 0, Ending::Error, None), Event::HungUp(TaskId(i))]);
+    }
+    let mut two = vec![machine(0), machine(1)];
+    two[0].started = Some(desk.now);
+    desk.list(Scope::Full, two);
+    let to_zero = drawn(&mut desk, 60, 200_000, |i, _| well(i));
+    assert!(to_zero > 10, "{to_zero} of 60");
+}
+
+#[test]
+fn when_no_machine_looks_healthy_the_fault_is_taken_to_be_elsewhere() {
+    let mut desk = Desk::new(settings(Effect::Safe), 2);
+    for i in 0..8 {
+        desk.ask(task(i, i, desk.now + S));
+        desk.turn(&[Event::HungUp(TaskId(i)), end(i, 0, Ending::TimedOut, None)]);
+    }
+    assert!(
+        desk.ask(task(100, 100, desk.now + S)).is_some(),
+        "held for nothing"
+    );
+}
+
+#[test]
+fn patience_grows_with_time_outs_everywhere_and_shrinks_again() {
+    let mut desk = Desk::new(settings(Effect::Safe), 4);
+    let mut time_out = |n: u64, events: &[Event]| {
+        desk.turn(events);
+        let actions = desk.turn(&[Event::Asked(task(n, n, desk.now + 8 * S))]);
+        let offers = actions.iter().filter_map(|a| match a {
+            Action::Offer(id, _, time_out) if *id == TaskId(n) => Some(*time_out),
+            _ => None,
+        });
+        offers.last().expect("an offer")
+    };
+    let usual = time_out(1, &[]);
+    assert_eq!(usual, 4 * S);
+    let lost = |n| [Event::HungUp(TaskId(n)), end(n, 0, Ending::TimedOut, None)];
+    let stretched = time_out(2, &lost(1));
+    assert!(stretched > usual + usual / 2, "{stretched}");
+    let seated: Vec<Event> = (2..3).map(|n| Event::Seated(id(n, 0))).collect();
+    assert!(time_out(3, &seated) < stretched);
+}
+
+#[test]
+fn a_full_machine_is_passed_over_for_tasks_as_large_but_not_for_smaller_ones() {
+    let mut desk = Desk::new(settings(Effect::Unsafe), 1);
+    let large = Task {
+        asks: Room::new(8.0, 8.0),
+        ..task(1, 1, 9 * S)
+    };
+    assert_eq!(desk.ask(large), Some(0));
+    let again = desk.turn(&[end(1, 0, Ending::Refused, Some(Why::Cores))]);
+    assert_eq!(offer(&again), None, "not at once");
+    assert_eq!(
+        desk.ask(task(2, 2, 9 * S)),
+        Some(0),
+        "a smaller one may fit"
+    );
+    let later = desk.wait(desk.now + 2 * S, &[0]);
+    assert_eq!(offer(&later), Some(0), "it is tried again");
+}
+
+#[test]
+fn machines_whose_tasks_are_served_poorly_are_passed_over_for_a_while() {
+    for note in [Note::Served(0.5), Note::MachineMemory(0.97)] {
+        let mut desk = Desk::new(settings(Effect::Safe), 2);
+        desk.turn(&[Event::Running(task(900, 900, 0), MachineId(0))]);
+        let react = |i: u64, _| [well(i), vec![Event::Noted(id(900, 0), note)]].concat();
+        desk.turn(&[Event::Noted(id(900, 0), note)]);
+        assert_eq!(drawn(&mut desk, 50, 100_000, react), 0, "{note:?}");
+        // Once no more is heard of it, and the other holds more, it is used again.
+        desk.now += 3 * S;
+        let large = Task {
+            asks: Room::new(16.0, 16.0),
+            ..task(901, 901, 0)
+        };
+        desk.turn(&[Event::Running(large, MachineId(1))]);
+        assert!(
+            drawn(&mut desk, 50, 100_000, |i, _| well(i)) > 40,
+            "{note:?}"
+        );
+    }
+}
+
+#[test]
+fn a_service_stays_where_its_program_is_held() {
+    let mut desk = Desk::new(settings(Effect::Safe), 4);
+    // A small task of each service runs on one machine; starts elsewhere take ten times as long.
+    for service in 0..20u64 {
+        let small = Task {
+            asks: Room::new(0.1, 0.1),
+            ..task(5_000 + service, service, 0)
+        };
+        desk.turn(&[Event::Running(small, MachineId((service % 4) as u32))]);
+    }
+    let mut local = 0;
+    for n in 0..600u64 {
+        let machine = desk
+            .ask(task(n, n % 20, desk.now + 9 * S))
+            .expect("an offer");
+        let held = u64::from(machine) == n % 4;
+        local += u64::from(held && n >= 400);
+        desk.now += if held { 100_000 } else { S };
+        desk.turn(&well(n));
+        desk.now += 9 * S;
+    }
+    assert!(local > 150, "{local} of 200; chance gives a quarter");
+}
+
+#[test]
+fn where_machines_in_use_are_priced_no_more_are_used_than_needed() {
+    let used = |fleet: f64| {
+        let mut priced = settings(Effect::Safe);
+        (priced.view, priced.prices.fleet) = (true, fleet);
+        let mut desk = Desk::new(priced, 0);
+        let free = |n: u32| {
+            Some(if n < 2 {
+                Room::new(24.0, 72.0)
+            } else {
+                Room::new(32.0, 96.0)
+            })
+        };
+        desk.list(
+            Scope::Full,
+            (0..8)
+                .map(|n| Listing {
+                    unasked: free(n),
+                    ..machine(n)
+                })
+                .collect(),
+        );
+        let mut used = [0; 8];
+        for n in 0..300 {
+            let machine = desk.ask(task(n, n, desk.now + S)).expect("an offer");
+            used[machine as usize] += 1;
+            desk.turn(&well(n));
+        }
+        used.iter().filter(|&&n| n > 0).count()
+    };
+    assert_eq!(used(0.2), 1);
+    assert!(used(0.0) >= 6);
+}
+
+#[test]
+fn crossing_zones_is_weighed_by_its_price() {
+    let away = |price: f64| {
+        let mut priced = settings(Effect::Safe);
+        priced.prices.cross_zone = price;
+        let mut desk = Desk::new(priced, 0);
+        desk.list(
+            Scope::Full,
+            (0..4)
+                .map(|n| Listing {
+                    zone: n % 2,
+                    ..machine(n)
+                })
+                .collect(),
+        );
+        let mut away = 0;
+        for n in 0..200 {
+            away += desk.ask(task(n, n, desk.now + S)).expect("an offer") % 2;
+            desk.turn(&well(n));
+        }
+        away
+    };
+    assert!(away(0.05) < 20);
+    assert!(away(0.0) > 60);
+}
+
+#[test]
+fn a_restarted_placer_uses_its_old_list_and_believes_a_newer_one() {
+    let mut asks = settings(Effect::Safe);
+    asks.discovery = Discovery::Ask;
+    let placer = Placer::new(asks, 3).expect("sound settings");
+    let mut desk = Desk { placer, now: S };
+    desk.list(Scope::Restored, vec![machine(0), machine(1)]);
+    assert!(desk.ask(task(1, 1, desk.now + S)).is_some());
+    let drained = Listing {
+        state: MachineState::Draining,
+        ..machine(0)
+    };
+    desk.list(Scope::Changes, vec![drained]);
+    for n in 2..30 {
+        assert_eq!(desk.ask(task(n, n, desk.now + S)), Some(1));
+    }
+}
