--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -86,11 +86,11 @@
     let mut time_out = |n: u64, events: &[Event]| {
         desk.turn(events);
         let actions = desk.turn(&[Event::Asked(task(n, n, desk.now + 8 * S))]);
-        let offers = actions.iter().filter_map(|a| match a {
+        let mut offers = actions.iter().filter_map(|a| match a {
             Action::Offer(id, _, time_out) if *id == TaskId(n) => Some(*time_out),
             _ => None,
         });
-        offers.last().expect("an offer")
+        offers.next_back().expect("an offer")
     };
     let usual = time_out(1, &[]);
     assert_eq!(usual, 4 * S);
