--- a/src/control.rs
+++ b/src/control.rs
@@ -62,7 +62,7 @@
 /// Where machines in use are priced, so many are used that they are filled to this share.
 const FLEET_FILL: f64 = 0.7;
 /// A machine in another zone scores worse by so many times the price of crossing.
-const CROSSING: f64 = 20.0;
+const CROSSING: f64 = 10.0;
 /// A failed call to discovery is repeated after this, well within any `ask_within`.
 const ASK_AGAIN: Micros = 300_000;
 /// Share of the own part of a cold machine's budget that is spent, for offers that arrive bunched.
