Each refusal on end doubles the time a machine is passed over

Told from failing machines: every refusal names cores or memory. Should also guard against wrong limits in the settings and machines that turn everything away. Harms when room comes free right after.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,8 @@
 const AVOID_DOUBLINGS: f64 = 4.0;
 /// After a refusal for want of room, tasks as large are not offered there for this long.
 const FULL_FOR: Micros = 1_000_000;
+/// Refusals on end double those times, up to so often.
+const MOST_REFUSALS: i32 = 3;
 /// After a refusal because of its line or state, nothing is offered there for this long.
 const LINE_FOR: Micros = 150_000;
 /// A machine is comfortable while what its tasks are likely to use stays under this share of it.
@@ -140,6 +142,8 @@
     /// Offers there that have no answer yet.
     unanswered: u32,
     full: Option<(Room, Micros)>,
+    /// Refusals since it last took a task.
+    refusals: i32,
     crowded_until: Micros,
     touched: Micros,
 }
@@ -149,7 +153,8 @@
     fn new(listing: Listing, size: Room, touched: Micros) -> Machine {
         Machine {
             listing, size, touched, asked: None, own: Room::default(), changes: VecDeque::new(),
-            sends: VecDeque::new(), strikes: 0.0, avoid_until: 0, unanswered: 0, full: None, crowded_until: 0,
+            sends: VecDeque::new(), strikes: 0.0, avoid_until: 0, unanswered: 0, full: None, refusals: 0,
+            crowded_until: 0,
         }
     }
 
@@ -301,6 +306,7 @@
                     attempt.seated = true;
                     self.stretch = (self.stretch * SHRINK).max(1.0);
                     if let Some(machine) = self.machines.get_mut(&attempt.machine) {
+                        machine.refusals = 0;
                         machine.unanswered = machine.unanswered.saturating_sub(1);
                     }
                 }
@@ -509,10 +515,20 @@
             machine.unanswered = machine.unanswered.saturating_sub(1);
         }
         match (end.ending, end.why) {
-            (Ending::Refused, Some(Why::Cores | Why::Memory)) => {
-                machine.full = Some((attempt.task.asks, now + FULL_FOR));
+            (Ending::Refused, why) => {
+                // Lists are late, and all placers see the same room: each refusal on end doubles the
+                // time, and from the third on smaller tasks are kept away too.
+                let room = matches!(why, Some(Why::Cores | Why::Memory));
+                let base = if room { FULL_FOR } else { LINE_FOR };
+                let sized = room && machine.refusals < 2;
+                let asks = if sized {
+                    attempt.task.asks
+                } else {
+                    Room::default()
+                };
+                machine.full = Some((asks, now + (base << machine.refusals)));
+                machine.refusals = (machine.refusals + 1).min(MOST_REFUSALS);
             }
-            (Ending::Refused, _) => machine.avoid_until = machine.avoid_until.max(now + LINE_FOR),
             // Failing fast gives no sample, so the rate would stay good and draw ever more binds:
             // the machine is avoided, and then tried with one offer at a time.
             (Ending::Error | Ending::Unreachable, _) | (Ending::Reset, None) => machine.strike(now),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -120,6 +120,29 @@
     assert_eq!(offer(&later), Some(0), "it is tried again");
 }
 
+#[test]
+fn refusals_on_end_keep_offers_away_ever_longer_until_one_is_taken() {
+    let mut desk = Desk::new(settings(Effect::Safe), 1);
+    let mut offered = 0;
+    for n in 0..1_000u64 {
+        desk.now += 20_000;
+        if desk.ask(task(n, n, desk.now + S)).is_some() {
+            offered += 1;
+            let refused = end(n, 0, Ending::Refused, Some(Why::Line));
+            desk.turn(&[Event::HungUp(TaskId(n)), refused]);
+        }
+    }
+    assert!((10..30).contains(&offered), "{offered} offers in 20 s");
+    desk.now += 2 * S;
+    assert_eq!(desk.ask(task(5_000, 1, desk.now + S)), Some(0));
+    desk.turn(&well(5_000));
+    assert_eq!(
+        desk.ask(task(5_001, 1, desk.now + S)),
+        Some(0),
+        "taken: all is well"
+    );
+}
+
 #[test]
 fn machines_whose_tasks_are_served_poorly_are_passed_over_for_a_while() {
     for note in [Note::Served(0.5), Note::MachineMemory(0.97)] {
