--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -444,3 +444,73 @@
     out.push_str(&line.to_string());
     out.push('\n');
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplethread::MachineId;
+
+    #[test]
+    fn every_action_has_its_line() {
+        let mut hosts = Hosts::default();
+        let machine = hosts.id("a:1");
+        let id = AttemptId {
+            task: TaskId(9),
+            number: 2,
+        };
+        let cases = [
+            (
+                Action::Offer(TaskId(9), machine, 80_500),
+                r#"["CLAIM_ROOM",3,9,"a:1",80.5]"#,
+            ),
+            (Action::Cancel(id), r#"["CANCEL",3,9,2]"#),
+            (Action::Refuse(TaskId(9), None), r#"["NOT_NOW",3,9,0.0]"#),
+            (
+                Action::Refuse(TaskId(9), Some(1_500)),
+                r#"["NOT_NOW",3,9,1.5]"#,
+            ),
+            (Action::Fail(TaskId(9)), r#"["DROP_REQUEST",3,9]"#),
+            (Action::Move(TaskId(9)), r#"["RELOCATE",3,9]"#),
+            (Action::Wake(500_000, 77), r#"["REMIND",3,500.0,77]"#),
+            (Action::Probe(machine), r#"["TEST",3,"a:1"]"#),
+            (Action::CloseIdle(machine), r#"["CLOSE_IDLE",3,"a:1"]"#),
+            (
+                Action::Tell {
+                    to: Some(1),
+                    bytes: vec![0x68, 0x0a],
+                },
+                r#"["PUBLISH",3,1,"680a"]"#,
+            ),
+            (
+                Action::Tell {
+                    to: None,
+                    bytes: vec![],
+                },
+                r#"["PUBLISH",3,"*",""]"#,
+            ),
+            (Action::Listen(false), r#"["LISTEN",3,false]"#),
+            (Action::Lookup, r#"["LOOKUP",3]"#),
+            (
+                Action::Log("two \"known\"".into()),
+                r#"["PRINT",3,"two \"known\""]"#,
+            ),
+        ];
+        for (action, line) in cases {
+            let mut out = String::new();
+            encode(&mut out, 3, &action, &hosts);
+            assert_eq!(out, format!("{line}\n"));
+        }
+    }
+
+    #[test]
+    fn hosts_are_numbered_once_and_bytes_go_both_ways() {
+        let mut hosts = Hosts::default();
+        assert_eq!(
+            (hosts.id("a:1"), hosts.id("b:1"), hosts.id("a:1")),
+            (MachineId(0), MachineId(1), MachineId(0))
+        );
+        assert_eq!(unhex("00ff68").as_deref(), Some(&[0, 255, 0x68][..]));
+        assert_eq!(hex(&[0, 255, 0x68]), "00ff68");
+        assert_eq!((unhex("0"), unhex("zz")), (None, None));
+    }
+}
