--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -20,6 +20,7 @@
 struct Instance {
     placer: Option<Placer>,
     hosts: Hosts,
+    reports: Reports,
     events: Vec<Event>,
     fault: Option<String>,
 }
@@ -53,7 +54,6 @@
 struct Adapter {
     instances: BTreeMap<u32, Instance>,
     rosters: Rosters,
-    reports: BTreeMap<u32, Reports>,
     batch: Option<(Micros, u64)>,
 }
 
@@ -91,9 +91,10 @@
                     who,
                     seed,
                     settings,
+                    reports,
                 },
                 Some(_),
-            ) => self.launch(who, seed, &settings),
+            ) => self.launch(who, seed, *settings, reports),
             (Incoming::Killed { who }, Some(_)) => {
                 self.instances.remove(&who);
             }
@@ -105,14 +106,15 @@
         Ok(None)
     }
 
-    fn launch(&mut self, who: u32, seed: u64, settings: &Settings) {
-        let (placer, fault) = match Placer::new(settings.clone(), seed) {
+    fn launch(&mut self, who: u32, seed: u64, settings: Settings, reports: Reports) {
+        let (placer, fault) = match Placer::new(settings, seed) {
             Ok(placer) => (Some(placer), None),
             Err(error) => (None, Some(format!("settings: {error}"))),
         };
         let instance = Instance {
             placer,
             hosts: Hosts::default(),
+            reports,
             events: Vec::new(),
             fault,
         };
@@ -129,7 +131,10 @@
     }
 
     fn reports(&self, who: u32) -> Result<Reports, WireError> {
-        self.reports.get(&who).copied().ok_or_else(|| not_up(who))
+        self.instances
+            .get(&who)
+            .map(|i| i.reports)
+            .ok_or_else(|| not_up(who))
     }
 
     fn reply(&mut self, now: Micros, batch: u64) -> String {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -50,6 +50,7 @@
         who: u32,
         seed: u64,
         settings: Box<Settings>,
+        reports: Reports,
     },
     Killed {
         who: u32,
@@ -184,10 +185,9 @@
         "LAUNCH" => {
             let info = v.get(2).ok_or_else(|| v.error("bootInfo", "an object"))?;
             let (settings, reports) = settings::decode(info)?;
-            let who = who(&v)?;
-            adapter.reports.insert(who, reports);
             Incoming::Launch {
-                who,
+                who: who(&v)?,
+                reports,
                 seed: v.whole(1, "initSeed")?,
                 settings: Box::new(settings),
             }
