--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,179 @@
-#![allow(missing_docs)]
-fn main() {}
+//! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use maplethread_config::{Doc, PlacerConfig};
+use maplethread_engine::Decide;
+use maplethread_standin::baseline::RandomChoice;
+use maplethread_standin::day;
+use maplethread_standin::scenario::Scenario;
+
+#[derive(Parser)]
+#[command(name = "maplethread", version, about, max_term_width = 100)]
+struct Cli {
+    /// The least important log lines to show: error, warn, info, debug, or a filter such as `info,maplethread=debug`
+    #[arg(long, global = true, default_value = "info", env = "MAPLETHREAD_LOG", value_name = "LEVEL")]
+    log: String,
+    /// How log lines read
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a placer: serve the actor-placement API and place what is asked for on the hosts of the inventory
+    Placer(PlacerArgs),
+    /// Check a placer's settings file and say what is wrong, with line and key
+    CheckConfig {
+        /// The settings file
+        file: PathBuf,
+    },
+    /// Play a bad day on loopback: stand-in hosts and owners, real placers, troubles, and a verdict on the five rules
+    BadDay(BadDayArgs),
+}
+
+#[derive(Args)]
+struct PlacerArgs {
+    /// The settings file
+    #[arg(long)]
+    config: PathBuf,
+    /// What decides; `random` is the baseline of bad days
+    #[arg(long, value_enum, default_value_t = Decider::Module, hide = true)]
+    decider: Decider,
+    /// Break this rule on purpose (baseline only)
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u8).range(0..=5), hide = true)]
+    rogue: u8,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Decider {
+    Module,
+    Random,
+}
+
+#[derive(Args)]
+struct BadDayArgs {
+    /// A scenario file; the standard bad day without one
+    #[arg(long, value_name = "FILE")]
+    scenario: Option<PathBuf>,
+    /// Length of the day; troubles are squeezed or stretched with it
+    #[arg(long, value_name = "N")]
+    seconds: Option<f64>,
+    /// Seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Placers
+    #[arg(long, value_name = "N")]
+    placers: Option<u32>,
+    /// Stand-in hosts
+    #[arg(long, value_name = "N")]
+    hosts: Option<usize>,
+    /// Let the random-choice baseline decide
+    #[arg(long)]
+    random: bool,
+    /// Let a placer decide that breaks rule N on purpose, to see that the judge catches it
+    #[arg(long, default_value_t = 0, value_name = "N", value_parser = clap::value_parser!(u8).range(0..=5))]
+    rogue: u8,
+    /// Print one JSON object
+    #[arg(long)]
+    json: bool,
+    /// Keep the placers' settings and debug logs in this folder
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = tracing_subscriber::EnvFilter::try_new(&cli.log);
+    let filter = match filter {
+        Ok(filter) => filter,
+        Err(e) => return fail(format!("--log {}: {e}", cli.log)),
+    };
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match cli.log_format {
+        LogFormat::Text => logs.with_ansi(false).init(),
+        LogFormat::Json => logs.json().with_span_list(false).init(),
+    }
+    let result = match cli.command {
+        Command::Placer(args) => placer(&args),
+        Command::CheckConfig { file } => check_config(&file),
+        Command::BadDay(args) => bad_day(&args),
+    };
+    result.unwrap_or_else(fail)
+}
+
+fn fail(why: String) -> ExitCode {
+    eprintln!("maplethread: {why}");
+    ExitCode::from(2)
+}
+
+fn placer(args: &PlacerArgs) -> Result<ExitCode, String> {
+    let options = maplethread_placer::Options { config: args.config.clone() };
+    let (which, rogue) = (args.decider, args.rogue);
+    let decider = |config: &PlacerConfig, seed: u64| -> Result<Box<dyn Decide>, maplethread::SettingsError> {
+        Ok(match which {
+            Decider::Module => Box::new(maplethread::Placer::new(config.settings(), seed)?),
+            Decider::Random => Box::new(RandomChoice::new(config.settings(), seed, rogue)),
+        })
+    };
+    maplethread_placer::run(&options, decider).map_err(|e| e.to_string())?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check_config(file: &std::path::Path) -> Result<ExitCode, String> {
+    let config = maplethread_placer::load(file).map_err(|e| e.to_string())?;
+    println!(
+        "{}: sound; placer {} of {}, {} classes, {} kinds of hosts",
+        file.display(),
+        config.placer.name,
+        config.placer.placers,
+        config.class.len(),
+        config.kind.len()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+fn bad_day(args: &BadDayArgs) -> Result<ExitCode, String> {
+    let mut scenario = match &args.scenario {
+        None => Scenario::standard(),
+        Some(file) => {
+            let name = file.display().to_string();
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+            Scenario::parse(Doc { file: &name, text: &text }).map_err(|e| e.to_string())?
+        }
+    };
+    if let Some(seconds) = args.seconds {
+        if !(seconds.is_finite() && seconds >= 1.0) {
+            return Err("--seconds: at least 1".to_owned());
+        }
+        scenario = scenario.stretched(seconds);
+    }
+    scenario.placers = args.placers.unwrap_or(scenario.placers).max(1);
+    scenario.fleet.hosts = args.hosts.unwrap_or(scenario.fleet.hosts).max(1);
+    let options = day::Options {
+        scenario,
+        seed: args.seed,
+        program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
+        random: args.random,
+        rogue: args.rogue,
+        progress: !args.json,
+        keep: args.keep.clone(),
+    };
+    let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
+    if args.json {
+        println!("{}", report.json());
+    } else {
+        print!("{}", report.text());
+    }
+    Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -65,6 +65,8 @@
     pub turned_away: u64,
     /// Offers sent.
     pub offers: u64,
+    /// Asks whose first offer had to wait for a host to be allowed.
+    pub held: u64,
     /// Attempts called off.
     pub called_off: u64,
     /// Answers too late to be given.
@@ -102,6 +104,8 @@
 pub(crate) struct Ask {
     pub task: Task,
     pub asked: Micros,
+    /// It was taken in since the last turn.
+    pub fresh: bool,
     pub key: ActorKey,
     pub request: Arc<str>,
     pub idempotency: Option<Arc<str>>,
@@ -189,6 +193,7 @@
     pub(crate) stopping: bool,
     /// When the asks were read whose first offer this turn gave.
     decided: Vec<Micros>,
+    pub(crate) fresh: Vec<TaskId>,
     pub(crate) gauges: serde_json::Value,
 }
 
@@ -233,6 +238,7 @@
             counters: Counters::default(),
             stopping: false,
             decided: Vec::new(),
+            fresh: Vec::new(),
             gauges: serde_json::Value::Null,
             config,
         }
@@ -268,7 +274,7 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// When the asks were read whose first offers were given since the last call.
+    /// When the asks were read whose first offers were given since the last call, in the turn that took them in.
     pub fn decided(&mut self) -> Vec<Micros> {
         std::mem::take(&mut self.decided)
     }
@@ -296,6 +302,11 @@
                 self.act(action);
             }
         }
+        for task in std::mem::take(&mut self.fresh) {
+            if let Some(ask) = self.asks.get_mut(&task) {
+                ask.fresh = false;
+            }
+        }
         self.answers.expire(self.now);
         self.pump();
     }
@@ -461,7 +472,12 @@
         if let Some(ask) = self.asks.get_mut(&task) {
             ask.out = Some(wire);
             if id.number == 0 {
-                self.decided.push(ask.asked);
+                // What is held for want of a host is waited for, not decided on slowly.
+                if ask.fresh {
+                    self.decided.push(ask.asked);
+                } else {
+                    self.counters.held += 1;
+                }
             }
         }
         if let Some(host) = self.hosts.get_mut(&host) {
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -423,6 +423,7 @@
         let ask = Ask {
             task,
             asked,
+            fresh: true,
             key,
             request,
             idempotency,
@@ -437,6 +438,7 @@
         self.asks.insert(id, ask);
         self.waits(client, id, true);
         self.counters.asks += 1;
+        self.fresh.push(id);
         self.events.push(Event::Asked(task));
         Ok(())
     }
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -1,6 +1,7 @@
 //! Readiness by epoll, and signals turned into readiness.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -24,14 +25,13 @@
 /// An epoll instance. Level-triggered: what was left unread is told again.
 pub struct Poller {
     epoll: OwnedFd,
-    buffer: Vec<epoll::Event>,
 }
 
 impl Poller {
     /// A poller that watches nothing yet.
     pub fn new() -> io::Result<Poller> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        Ok(Poller { epoll, buffer: Vec::with_capacity(1024) })
+        Ok(Poller { epoll })
     }
 
     fn flags(write: bool) -> epoll::EventFlags {
@@ -59,19 +59,18 @@
     }
 
     /// Waits until something is ready or the time is over, and adds it to `ready`.
-    pub fn wait(&mut self, timeout: Option<Duration>, ready: &mut Vec<Readiness>) -> io::Result<()> {
+    pub fn wait(&self, timeout: Option<Duration>, ready: &mut Vec<Readiness>) -> io::Result<()> {
         let timeout = timeout.map(|t| Timespec {
             tv_sec: t.as_secs().min(1 << 30) as i64,
             tv_nsec: i64::from(t.subsec_nanos()) as _,
         });
-        self.buffer.clear();
-        let room = rustix::buffer::spare_capacity(&mut self.buffer);
-        match epoll::wait(&self.epoll, room, timeout.as_ref()) {
-            Ok(_) => {}
+        let mut room = [MaybeUninit::uninit(); 256];
+        let events = match epoll::wait(&self.epoll, &mut room, timeout.as_ref()) {
+            Ok((events, _)) => events,
             Err(rustix::io::Errno::INTR) => return Ok(()),
             Err(e) => return Err(e.into()),
-        }
-        for event in &self.buffer {
+        };
+        for event in events {
             let flags = event.flags;
             let closed = epoll::EventFlags::HUP | epoll::EventFlags::ERR | epoll::EventFlags::RDHUP;
             ready.push(Readiness {
--- /dev/null
+++ b/crates/standin/src/baseline.rs
@@ -0,0 +1,224 @@
+//! A decider that draws hosts at random: the baseline that the module is compared with, behind the same seam. It
+//! keeps the five rules by guards of its own, and each of them can be taken away, so that the judge can be shown a
+//! placer that breaks it. It is a baseline only.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use maplethread::{
+    Action, AttemptId, Effect, Ending, Event, Group, Listing, MachineId, MachineState, Micros, Place, Scope,
+    ServiceId, Settings, Task, TaskId,
+};
+use maplethread_engine::Decide;
+
+use crate::world::Dice;
+
+/// Final answers are given this long before the deadline.
+const MARGIN: Micros = 15_000;
+/// What waits for a host is looked at this often.
+const HOLD: Micros = 100_000;
+const TICK: u64 = 0;
+
+struct Open {
+    task: Task,
+    attempts: u32,
+    out: bool,
+    may_run: Option<(Micros, MachineId)>,
+}
+
+/// Random choice among the hosts that the rules allow.
+pub struct RandomChoice {
+    settings: Settings,
+    dice: Dice,
+    now: Micros,
+    machines: BTreeMap<MachineId, Listing>,
+    sends: BTreeMap<MachineId, VecDeque<Micros>>,
+    open: BTreeMap<TaskId, Open>,
+    attempts: BTreeMap<AttemptId, (Task, MachineId, Micros)>,
+    todo: VecDeque<TaskId>,
+    held: VecDeque<TaskId>,
+    ticking: bool,
+    rogue: u8,
+    dropped: u64,
+}
+
+impl RandomChoice {
+    /// Keeps all rules but the one named by `rogue` (1 to 5; 0 for none).
+    pub fn new(settings: Settings, seed: u64, rogue: u8) -> RandomChoice {
+        RandomChoice {
+            settings,
+            dice: Dice::new(seed, 77),
+            now: 0,
+            machines: BTreeMap::new(),
+            sends: BTreeMap::new(),
+            open: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            todo: VecDeque::new(),
+            held: VecDeque::new(),
+            ticking: false,
+            rogue,
+            dropped: 0,
+        }
+    }
+
+    fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Listed { scope, machines } => {
+                if *scope != Scope::Changes {
+                    self.machines.clear();
+                }
+                self.machines.extend(machines.iter().map(|m| (m.machine, *m)));
+            }
+            Event::Asked(task) => {
+                self.dropped += 1;
+                if self.rogue == 1 && self.dropped.is_multiple_of(7) {
+                    return;
+                }
+                self.open.insert(task.id, Open { task: *task, attempts: 0, out: false, may_run: None });
+                let last = task.give_up_at.saturating_sub(MARGIN);
+                actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
+                self.todo.push_back(task.id);
+            }
+            Event::Running(task, machine) => {
+                self.attempts.insert(AttemptId { task: task.id, number: 0 }, (*task, *machine, self.now));
+            }
+            Event::Seated(id, _) => drop(self.open.remove(&id.task)),
+            Event::Ended(id, end) => {
+                let Some((_, machine, sent)) = self.attempts.remove(id) else { return };
+                let Some(open) = self.open.get_mut(&id.task) else { return };
+                open.out = false;
+                if !matches!(end.ending, Ending::Refused | Ending::Unreachable | Ending::NotSent) {
+                    open.may_run = open.may_run.or(Some((sent, machine)));
+                }
+                // What refused a moment ago is likely to do so again.
+                if end.ending == Ending::Refused {
+                    self.held.push_back(id.task)
+                } else {
+                    self.todo.push_back(id.task)
+                }
+            }
+            Event::HungUp(task) => drop(self.open.remove(task)),
+            Event::Woken(TICK) => self.ticking = false,
+            Event::Woken(label) => {
+                let id = TaskId(label - 1);
+                if self.open.get(&id).is_some_and(|o| o.task.give_up_at <= self.now + MARGIN) {
+                    self.answer(id, actions);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, id: TaskId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let harmless = match self.settings.classes[open.task.class].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            _ => !open.out && open.may_run.is_none(),
+        };
+        actions.push(if harmless { Action::Refuse(id, None) } else { Action::Fail(id) });
+    }
+
+    fn place(&mut self, id: TaskId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let task = open.task;
+        let class = &self.settings.classes[task.class];
+        if open.out || task.give_up_at <= self.now + MARGIN {
+            return;
+        }
+        let again = match (open.may_run, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some((sent, _)), Effect::Keyed { window, .. }) => {
+                self.now + MARGIN < sent + window || self.rogue == 2
+            }
+            (Some(_), Effect::Unsafe) => self.rogue == 2,
+        };
+        if !again || open.attempts >= self.settings.limits.max_attempts {
+            self.answer(id, actions);
+            return;
+        }
+        let allowed: Vec<MachineId> =
+            self.machines.values().filter(|m| self.allowed(m, open)).map(|m| m.machine).collect();
+        if allowed.is_empty() {
+            self.held.push_back(id);
+            return;
+        }
+        let machine = allowed[self.dice.below(allowed.len())];
+        let number = open.attempts;
+        let wait = class.aim.min(task.give_up_at - self.now);
+        actions.push(Action::Offer(id, machine, wait));
+        self.attempts.insert(AttemptId { task: id, number }, (task, machine, self.now));
+        if let Some(open) = self.open.get_mut(&id) {
+            (open.attempts, open.out) = (number + 1, true);
+        }
+        let sends = self.sends.entry(machine).or_default();
+        sends.push_back(self.now);
+        let window = self.settings.rules.fall_window;
+        while sends.front().is_some_and(|&at| at + window < self.now) {
+            sends.pop_front();
+        }
+    }
+
+    fn allowed(&self, machine: &Listing, open: &Open) -> bool {
+        let class = &self.settings.classes[open.task.class];
+        let state = machine.state == MachineState::Ready || self.rogue == 3;
+        if !state || class.kind.is_some_and(|kind| kind != machine.kind) {
+            return false;
+        }
+        if let (Some((_, first)), Effect::Keyed { group, .. }, true) =
+            (open.may_run, class.effect, self.rogue != 2)
+        {
+            let first = self.machines.get(&first);
+            let same = match group {
+                Group::All => true,
+                Group::Zone => first.is_some_and(|f| f.zone == machine.zone),
+                Group::Cell => first.is_some_and(|f| f.cell == machine.cell),
+            };
+            if !same {
+                return false;
+            }
+        }
+        let spread = class.spread.filter(|_| self.rogue != 5);
+        if spread.is_some_and(|(place, most)| self.count(place, machine, open.task.service) >= most) {
+            return false;
+        }
+        let rules = &self.settings.rules;
+        let cold = machine.started.is_some_and(|start| start + rules.cold_for > self.now);
+        if cold && self.rogue != 4 {
+            let part = (rules.fresh_offers * 0.9 / f64::from(self.settings.placers)) as usize;
+            let sends = self.sends.get(&machine.machine);
+            let lately =
+                sends.map_or(0, |s| s.iter().filter(|&&at| at + rules.fall_window >= self.now).count());
+            return lately < part;
+        }
+        true
+    }
+
+    fn count(&self, place: Place, at: &Listing, service: ServiceId) -> u32 {
+        let there = |id: &MachineId| {
+            self.machines.get(id).is_some_and(|m| match place {
+                Place::Machine => m.machine == at.machine,
+                Place::Cell => m.cell == at.cell,
+                Place::Zone => m.zone == at.zone,
+            })
+        };
+        self.attempts.values().filter(|(task, id, _)| task.service == service && there(id)).count() as u32
+    }
+}
+
+impl Decide for RandomChoice {
+    fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        for event in events {
+            self.take(event, actions);
+        }
+        if !self.ticking {
+            self.todo.extend(self.held.drain(..));
+        }
+        while let Some(id) = self.todo.pop_front() {
+            self.place(id, actions);
+        }
+        if !self.held.is_empty() && !self.ticking {
+            self.ticking = true;
+            actions.push(Action::Wake(HOLD, TICK));
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! x
+//! A world for placers to run in, on loopback and made of stand-ins: hosts that behave as the users describe theirs
+//! (simulated work, real sockets), owners that ask, wait, hang up and come again, and days with troubles, after
+//! which the traffic is judged. Also a load generator, and a random-choice decider to compare the module with,
+//! which can be made to break each rule on purpose.
+
+pub mod baseline;
+pub mod day;
+mod host;
+pub mod load;
+mod owners;
+mod rack;
+pub mod scenario;
+mod world;
--- /dev/null
+++ b/crates/standin/src/rack.rs
@@ -0,0 +1,392 @@
+//! Stand-in hosts on sockets: many in one thread, each on a port of its own, all that they send and receive
+//! recorded.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use maplethread_admission::KeyTable;
+use maplethread_engine::Timers;
+use maplethread_judge::Seen;
+use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_wire::frame::{self, Frame};
+
+use crate::host::{Do, Faults, Host, Later, Spec};
+use crate::scenario::Scenario;
+use crate::world::{Dice, World};
+
+const WAKER: u64 = 0;
+const LISTENERS: u64 = 1 << 32;
+const CONNS: u64 = 1 << 33;
+/// Simulated service is reckoned this often, µs.
+const TICK: u64 = 100_000;
+
+/// What is done to hosts.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// The process dies: connections are reset, the port is closed.
+    Crash(usize),
+    /// A new process starts, cold.
+    Start(usize),
+    /// It takes nothing new and tells its placers.
+    Drain(usize),
+    /// Its faults from now on.
+    Faults(usize, Faults),
+    /// Its connections are reset in the middle of a frame.
+    ResetMidFrame(usize),
+    /// The thread ends.
+    End,
+}
+
+/// The thread of the hosts.
+pub struct Rack {
+    commands: Arc<Mutex<VecDeque<Command>>>,
+    waker: OwnedFd,
+    thread: Option<JoinHandle<io::Result<()>>>,
+    /// Where each host listens.
+    pub addresses: Vec<SocketAddr>,
+    /// When each host last started, Unix time in ms; 0 while it is down.
+    pub started: Arc<Mutex<Vec<u64>>>,
+}
+
+impl Rack {
+    /// Starts all hosts of a scenario.
+    pub fn start(scenario: &Arc<Scenario>, world: &World, seed: u64) -> io::Result<Rack> {
+        let mut dice = Dice::new(seed, 3);
+        let mut slots = Vec::new();
+        let poller = Poller::new()?;
+        let waker = Poller::waker()?;
+        poller.add(&waker, WAKER, false)?;
+        let mut addresses = Vec::new();
+        let net = 1 + std::process::id() % 200;
+        for number in 0..scenario.fleet.hosts {
+            let (zone, cell) = scenario.place_of(number);
+            let kind = scenario.kind_of(number);
+            let spec = Spec {
+                name: format!("host-{number:02}").into(),
+                zone,
+                cell,
+                kind: kind.name.clone(),
+                cores: kind.cores,
+                memory: kind.memory_gib,
+                speed: dice.between([0.85, 1.15]),
+            };
+            // An address of its own, so that its port stays free while it is down.
+            let ip = [127, net as u8, (number / 250) as u8, (number % 250 + 1) as u8];
+            let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
+            let address = listener.local_addr()?;
+            addresses.push(address);
+            let set = Dice::new(dice.seed(), number as u64);
+            let host = Host::new(spec, scenario.clone(), world.clone(), set, false);
+            slots.push(Slot { host, address, listener: None, epoch: 0, down: true, fresh: Some(listener) });
+        }
+        let commands = Arc::new(Mutex::new(VecDeque::new()));
+        let started = Arc::new(Mutex::new(vec![0; slots.len()]));
+        let mut run = Run {
+            poller,
+            slots,
+            world: world.clone(),
+            keys: KeyTable::default(),
+            conns: HashMap::new(),
+            by_placer: BTreeMap::new(),
+            next: CONNS,
+            timers: Timers::default(),
+            commands: commands.clone(),
+            waker: rustix::io::dup(&waker)?,
+            started: started.clone(),
+            ended: false,
+        };
+        for slot in 0..run.slots.len() {
+            run.up(slot)?;
+        }
+        let thread = std::thread::Builder::new().name("hosts".into()).spawn(move || run.run())?;
+        Ok(Rack { commands, waker, thread: Some(thread), addresses, started })
+    }
+
+    /// Has something done to a host.
+    pub fn command(&self, command: Command) {
+        let mut commands = self.commands.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        commands.push_back(command);
+        let _ = rustix::io::write(&self.waker, &1u64.to_ne_bytes());
+    }
+
+    /// Ends the thread.
+    pub fn end(mut self) -> io::Result<()> {
+        self.command(Command::End);
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(result)) => result,
+            _ => Err(io::Error::other("the hosts' thread panicked")),
+        }
+    }
+}
+
+struct Slot {
+    host: Host,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    /// Counts processes, so that timers of an old one are known as such.
+    epoch: u64,
+    down: bool,
+    fresh: Option<TcpListener>,
+}
+
+struct Link {
+    conn: Conn,
+    slot: usize,
+    placer: Option<Arc<str>>,
+}
+
+struct Run {
+    poller: Poller,
+    slots: Vec<Slot>,
+    world: World,
+    keys: KeyTable,
+    conns: HashMap<u64, Link>,
+    /// The connection of each placer to each host.
+    by_placer: BTreeMap<(usize, Arc<str>), u64>,
+    next: u64,
+    timers: Timers<(usize, u64, Later)>,
+    commands: Arc<Mutex<VecDeque<Command>>>,
+    waker: OwnedFd,
+    started: Arc<Mutex<Vec<u64>>>,
+    ended: bool,
+}
+
+impl Run {
+    fn run(&mut self) -> io::Result<()> {
+        let mut ready: Vec<Readiness> = Vec::new();
+        let mut ticked = self.world.clock.now();
+        while !self.ended {
+            let now = self.world.clock.now();
+            let next = self.timers.next().unwrap_or(u64::MAX).min(ticked + TICK);
+            ready.clear();
+            self.poller.wait(Some(Duration::from_micros(next.saturating_sub(now))), &mut ready)?;
+            for r in &ready {
+                match r.token {
+                    WAKER => self.commanded()?,
+                    token if token >= CONNS => self.link_ready(token, r),
+                    token => self.accept((token - LISTENERS) as usize),
+                }
+            }
+            let now = self.world.clock.now();
+            while let Some((slot, epoch, later)) = self.timers.due(now) {
+                if self.slots[slot].epoch == epoch && !self.slots[slot].down {
+                    let mut out = Vec::new();
+                    self.slots[slot].host.due(now, later, &mut self.keys, &mut out);
+                    self.carry_out(slot, out);
+                }
+            }
+            if ticked + TICK <= now {
+                for slot in 0..self.slots.len() {
+                    if !self.slots[slot].down {
+                        let mut out = Vec::new();
+                        self.slots[slot].host.serve(ticked, now, &mut self.keys, &mut out);
+                        self.carry_out(slot, out);
+                    }
+                }
+                ticked = now;
+            }
+        }
+        Ok(())
+    }
+
+    fn commanded(&mut self) -> io::Result<()> {
+        let _ = rustix::io::read(&self.waker, &mut [0u8; 8]);
+        loop {
+            let command = {
+                let mut commands = self.commands.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                commands.pop_front()
+            };
+            match command {
+                None => return Ok(()),
+                Some(Command::End) => self.ended = true,
+                Some(Command::Crash(slot)) => self.crash(slot),
+                Some(Command::Start(slot)) if self.slots[slot].down => {
+                    self.slots[slot].host.restart();
+                    self.up(slot)?;
+                }
+                Some(Command::Start(_)) => {}
+                Some(Command::Drain(slot)) => {
+                    self.slots[slot].host.drain();
+                    let links: Vec<u64> =
+                        self.by_placer.iter().filter(|((s, _), _)| *s == slot).map(|(_, &t)| t).collect();
+                    links.into_iter().for_each(|token| self.send(token, Frame::Drain));
+                }
+                Some(Command::Faults(slot, faults)) => self.slots[slot].host.faults = faults,
+                Some(Command::ResetMidFrame(slot)) => {
+                    let links: Vec<u64> =
+                        self.conns.iter().filter(|(_, l)| l.slot == slot).map(|(&t, _)| t).collect();
+                    for token in links {
+                        if let Some(link) = self.conns.get_mut(&token) {
+                            link.conn.out().extend_from_slice(&[9, 0, 0, 0, 7]);
+                            let _ = link.conn.flush(&self.poller);
+                        }
+                        self.lose(token, true);
+                    }
+                }
+            }
+        }
+    }
+
+    fn up(&mut self, number: usize) -> io::Result<()> {
+        let slot = &mut self.slots[number];
+        let listener = match slot.fresh.take() {
+            Some(listener) => listener,
+            None => TcpListener::bind(slot.address)?,
+        };
+        listener.set_nonblocking(true)?;
+        self.poller.add(&listener, LISTENERS + number as u64, false)?;
+        slot.listener = Some(listener);
+        slot.down = false;
+        slot.epoch += 1;
+        let started_ms = slot.host.started / 1000;
+        self.started.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[number] = started_ms;
+        self.world.see(Seen::HostUp { host: slot.host.spec.name.clone(), started_ms });
+        Ok(())
+    }
+
+    fn crash(&mut self, number: usize) {
+        let slot = &mut self.slots[number];
+        if slot.down {
+            return;
+        }
+        slot.down = true;
+        slot.listener = None;
+        slot.host.forget_keys(&mut self.keys);
+        slot.host.die();
+        self.started.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[number] = 0;
+        self.world.see(Seen::HostDown { host: slot.host.spec.name.clone() });
+        let links: Vec<u64> = self.conns.iter().filter(|(_, l)| l.slot == number).map(|(&t, _)| t).collect();
+        links.into_iter().for_each(|token| self.lose(token, true));
+    }
+
+    fn accept(&mut self, number: usize) {
+        while let Some(listener) = self.slots.get(number).and_then(|s| s.listener.as_ref())
+            && let Ok((stream, _)) = listener.accept()
+        {
+            self.next += 1;
+            let token = self.next;
+            if let Ok(conn) = Conn::accepted(stream, token, &self.poller) {
+                self.conns.insert(token, Link { conn, slot: number, placer: None });
+            }
+        }
+    }
+
+    fn lose(&mut self, token: u64, reset: bool) {
+        let Some(link) = self.conns.remove(&token) else { return };
+        if let Some(placer) = link.placer {
+            let host = self.slots[link.slot].host.spec.name.clone();
+            self.world.see(Seen::LinkLost { host, link: token });
+            let key = (link.slot, placer);
+            if self.by_placer.get(&key) == Some(&token) {
+                self.by_placer.remove(&key);
+            }
+        }
+        if reset {
+            link.conn.reset();
+        }
+    }
+
+    fn link_ready(&mut self, token: u64, r: &Readiness) {
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        if r.write && link.conn.flush(&self.poller).is_err() {
+            self.lose(token, false);
+            return;
+        }
+        if !r.read {
+            return;
+        }
+        let outcome = link.conn.fill(256 << 10, 512 << 10);
+        while let Some(link) = self.conns.get_mut(&token) {
+            match frame::decode(link.conn.unread()) {
+                Ok((frame, used)) => {
+                    link.conn.take(used);
+                    let Some(frame) = frame else { break };
+                    self.frame(token, frame);
+                }
+                Err(_) => {
+                    self.lose(token, true);
+                    return;
+                }
+            }
+        }
+        if matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
+            self.lose(token, false);
+        }
+    }
+
+    fn frame(&mut self, token: u64, frame: Frame) {
+        let now = self.world.clock.now();
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        let number = link.slot;
+        let host = self.slots[number].host.spec.name.clone();
+        if let Frame::Hello { name, started_ms, .. } = &frame {
+            let placer: Arc<str> = name.as_str().into();
+            link.placer = Some(placer.clone());
+            self.world.see(Seen::Link {
+                host: host.clone(),
+                link: token,
+                placer: placer.clone(),
+                life: *started_ms,
+            });
+            self.by_placer.insert((number, placer.clone()), token);
+            let slot = &self.slots[number].host;
+            if slot.faults.silent {
+                return;
+            }
+            let hello = Frame::Hello {
+                major: frame::MAJOR,
+                minor: frame::MINOR,
+                name: host.to_string(),
+                started_ms: slot.started / 1000,
+                most_offers: 0,
+            };
+            let mut frames = vec![hello];
+            frames.extend(slot.held(&placer));
+            frames.push(Frame::HeldEnd);
+            if slot.draining() {
+                frames.push(Frame::Drain);
+            }
+            frames.into_iter().for_each(|frame| self.send(token, frame));
+            return;
+        }
+        let Some(placer) = link.placer.clone() else { return };
+        self.world.see(Seen::FromPlacer { host, link: token, frame: frame.clone() });
+        let mut out = Vec::new();
+        self.slots[number].host.frame(now, &placer, frame, &mut self.keys, &mut out);
+        self.carry_out(number, out);
+    }
+
+    fn carry_out(&mut self, number: usize, out: Vec<Do>) {
+        for what in out {
+            match what {
+                Do::Send(placer, frame) => {
+                    if let Some(&token) = self.by_placer.get(&(number, placer)) {
+                        self.send(token, frame);
+                    }
+                }
+                Do::After(after, later) => {
+                    let epoch = self.slots[number].epoch;
+                    self.timers.set(self.world.clock.now() + after, (number, epoch, later));
+                }
+                Do::FallOver => self.crash(number),
+            }
+        }
+    }
+
+    fn send(&mut self, token: u64, frame: Frame) {
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        let host = self.slots[link.slot].host.spec.name.clone();
+        frame::encode(&frame, link.conn.out());
+        self.world.see(Seen::FromHost { host, link: token, frame });
+        let broken = link.conn.flush(&self.poller).is_err();
+        // A placer that stands still reads nothing; what waits for it is bounded.
+        if broken || link.conn.unwritten() > 4 << 20 {
+            self.lose(token, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/scenario.rs
@@ -0,0 +1,336 @@
+//! Scenarios: a fleet, classes, demand over time and troubles, as TOML.
+
+use maplethread_config::{Class as PlacerClass, ConfigError, Doc, Effect, Kind, PlacedWhen, parse};
+use serde::{Deserialize, Serialize};
+
+/// A day.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// How long owners ask, s.
+    pub seconds: f64,
+    /// Placers.
+    pub placers: u32,
+    /// Hosts and how they behave.
+    pub fleet: Fleet,
+    /// Figures of the rules.
+    pub rules: Rules,
+    /// What owners want.
+    pub demand: Demand,
+    /// The kinds of hosts.
+    pub kind: Vec<KindShare>,
+    /// The classes of tasks.
+    pub class: Vec<Class>,
+    /// The troubles.
+    #[serde(default)]
+    pub trouble: Vec<Trouble>,
+}
+
+/// Hosts and how they behave.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Hosts.
+    pub hosts: usize,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Hosts in a cell.
+    pub cell_size: usize,
+    /// When an ask counts as placed.
+    #[serde(default)]
+    pub placed_when: PlacedWhen,
+    /// Asks are taken while they stay within this multiple of a host's cores...
+    pub over_cores: f64,
+    /// ...and of its memory.
+    pub over_memory: f64,
+    /// Looking at one ask takes from so long to so long, ms.
+    pub admit_ms: [f64; 2],
+    /// So many asks may wait.
+    pub line: usize,
+    /// So many tasks start at once.
+    pub starts: usize,
+    /// A start without the program takes so many times as long.
+    pub setup: f64,
+    /// Programs kept after their last task.
+    pub kept: usize,
+    /// Higher priorities push out lower ones.
+    pub push_out: bool,
+    /// The inventory tells changes after so long, ms.
+    pub notice_ms: u64,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rules {
+    /// Nothing new to a host later than this after the placer was told, ms.
+    pub drain_grace_ms: u64,
+    /// A host's share of its pace right after its start.
+    pub cold_from: f64,
+    /// It is warm after this, ms.
+    pub cold_for_ms: u64,
+    /// It falls over when sent this many times what it can do...
+    pub fall_multiple: f64,
+    /// ...for this long, ms.
+    pub fall_window_ms: u64,
+    /// Offers in that time that it always bears.
+    pub fresh_offers: f64,
+}
+
+/// What owners want.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Demand {
+    /// Share of the fleet's cores that all wanted tasks use, at these times: `[s, share]`, straight between them.
+    pub load: Vec<[f64; 2]>,
+    /// An owner waits from so long to so long before it asks again, ms.
+    pub again_ms: [f64; 2],
+    /// After an attempt that may have run it looks whether the task runs, ms.
+    pub settle_ms: u64,
+    /// A front goes on sending to a dead placer for so long, ms.
+    pub front_notice_ms: u64,
+}
+
+/// A kind of host and how many of the fleet it makes up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KindShare {
+    /// Its name.
+    pub name: String,
+    /// Cores.
+    pub cores: f64,
+    /// Memory.
+    pub memory_gib: f64,
+    /// Share of the fleet.
+    pub share: f64,
+}
+
+impl KindShare {
+    /// As placers know it.
+    pub fn kind(&self) -> Kind {
+        Kind { name: self.name.clone(), cores: self.cores, memory_gib: self.memory_gib }
+    }
+}
+
+/// A class of tasks, with how its tasks behave.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// What placers know of it.
+    pub rules: PlacerClass,
+    /// Share of the tasks.
+    pub share: f64,
+    /// Shapes: cores and memory (GiB) asked for.
+    pub shapes: Vec<[f64; 2]>,
+    /// What is used of that, in the mean: cores and memory.
+    pub uses: [f64; 2],
+    /// Mean life, s.
+    pub life_s: f64,
+    /// A start's work on a warm host that has the program, ms.
+    pub work_ms: f64,
+    /// The owner gives up after this, ms.
+    pub deadline_ms: u64,
+    /// A first start after the aim is worth this share.
+    pub late_share: f64,
+    /// Served in full while the cores are busy up to this...
+    pub calm: f64,
+    /// ...and not at all from so much further on.
+    pub fade: f64,
+    /// Services of this class.
+    pub services: usize,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleKind {
+    /// Hosts' processes die and come back cold.
+    HostCrash,
+    /// Hosts accept connections and never answer, then come back cold.
+    Silence,
+    /// All hosts of a zone are lost and come back cold.
+    ZoneLoss,
+    /// Hosts are replaced, a batch at a time, with drains.
+    RollingDeploy,
+    /// Hosts quickly fail a share of the starts.
+    FastErrors,
+    /// Hosts fail a share of one class's asks and serve the other classes.
+    ClassErrors,
+    /// Hosts leave a share of one class's asks unanswered.
+    ClassSilence,
+    /// Tasks are taken and run, and the answers are lost.
+    AnswersLost,
+    /// Another program takes a share of the cores.
+    Neighbour,
+    /// Looking at an ask takes so many times as long.
+    SlowAnswers,
+    /// Hosts drain and do not come back.
+    Shrink,
+    /// Placers are killed and started anew.
+    PlacerKill,
+    /// Placers stand still and go on.
+    PlacerPause,
+    /// Connections are reset in the middle of a frame.
+    ResetMidFrame,
+    /// The inventory tells changes so many times as late.
+    InventoryLate,
+    /// The inventory is an empty file.
+    InventoryEmpty,
+    /// The inventory is garbage.
+    InventoryGarbage,
+    /// Demand rises to so many times its share.
+    Overload,
+    /// Owners hang up while a further try is out.
+    HangUps,
+}
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// What.
+    pub kind: TroubleKind,
+    /// When, s.
+    pub at_s: f64,
+    /// How long, s.
+    #[serde(default)]
+    pub for_s: f64,
+    /// Share of the hosts (or placers) that it strikes.
+    #[serde(default)]
+    pub reach: f64,
+    /// How hard: a share or a multiple, by kind.
+    #[serde(default)]
+    pub size: f64,
+    /// The class that it strikes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<String>,
+    /// The zone that it strikes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+}
+
+impl Scenario {
+    /// Parses and checks a scenario file.
+    pub fn parse(doc: Doc<'_>) -> Result<Scenario, ConfigError> {
+        let scenario: Scenario = parse(doc)?;
+        scenario.check(doc)?;
+        Ok(scenario)
+    }
+
+    /// The standard bad day: every kind of trouble, spread over its length.
+    pub fn standard() -> Scenario {
+        let doc = Doc { file: "scenarios/standard.toml", text: include_str!("../scenarios/standard.toml") };
+        Scenario::parse(doc).expect("the built-in scenario is sound, which a test holds")
+    }
+
+    fn check(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
+        let above = |key: &str, x: f64| doc.check(x.is_finite() && x > 0.0, key, "must be above 0");
+        above("seconds", self.seconds)?;
+        doc.check(self.placers >= 1, "placers", "at least 1")?;
+        doc.check(self.fleet.hosts >= 1, "fleet.hosts", "at least 1")?;
+        doc.check(self.fleet.cell_size >= 1, "fleet.cell_size", "at least 1")?;
+        doc.check(!self.fleet.zones.is_empty(), "fleet.zones", "at least one")?;
+        doc.check(!self.kind.is_empty(), "kind", "at least one")?;
+        doc.check(!self.class.is_empty(), "class", "at least one")?;
+        doc.check(!self.demand.load.is_empty(), "demand.load", "at least one point")?;
+        let range = |key: &str, r: [f64; 2]| {
+            doc.check(
+                r[0].is_finite() && r[0] >= 0.0 && r[1] >= r[0],
+                key,
+                "from a least to a most, both 0 or above",
+            )
+        };
+        range("fleet.admit_ms", self.fleet.admit_ms)?;
+        range("demand.again_ms", self.demand.again_ms)?;
+        for (i, class) in self.class.iter().enumerate() {
+            let key = |field: &str| format!("class[{i}].{field}");
+            above(&key("life_s"), class.life_s)?;
+            above(&key("work_ms"), class.work_ms)?;
+            doc.check(!class.shapes.is_empty(), &key("shapes"), "at least one")?;
+            doc.check(class.services >= 1, &key("services"), "at least 1")?;
+            doc.check(class.share >= 0.0, &key("share"), "0 or above")?;
+        }
+        for (i, trouble) in self.trouble.iter().enumerate() {
+            let key = |field: &str| format!("trouble[{i}].{field}");
+            doc.check(trouble.at_s >= 0.0, &key("at_s"), "0 or above")?;
+            doc.check((0.0..=1.0).contains(&trouble.reach), &key("reach"), "a share, 0 to 1")?;
+            if let Some(zone) = &trouble.zone {
+                doc.check(self.fleet.zones.contains(zone), &key("zone"), format!("unknown zone `{zone}`"))?;
+            }
+            if let Some(class) = &trouble.class {
+                let known = self.class.iter().any(|c| &c.rules.name == class);
+                doc.check(known, &key("class"), format!("unknown class `{class}`"))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// The same day squeezed or stretched to another length; lives of tasks stay as they are.
+    pub fn stretched(mut self, seconds: f64) -> Scenario {
+        let by = seconds / self.seconds;
+        for trouble in &mut self.trouble {
+            (trouble.at_s, trouble.for_s) = (trouble.at_s * by, trouble.for_s * by);
+        }
+        for point in &mut self.demand.load {
+            point[0] *= by;
+        }
+        self.seconds = seconds;
+        self
+    }
+
+    /// The share of the fleet that is wanted at a time.
+    pub fn load_at(&self, s: f64) -> f64 {
+        let points = &self.demand.load;
+        let after = points.iter().position(|p| p[0] > s);
+        match after {
+            None => points.last().map_or(0.0, |p| p[1]),
+            Some(0) => points[0][1],
+            Some(i) => {
+                let (a, b) = (points[i - 1], points[i]);
+                a[1] + (b[1] - a[1]) * (s - a[0]) / (b[0] - a[0])
+            }
+        }
+    }
+
+    /// Kind of the host of this number.
+    pub fn kind_of(&self, host: usize) -> &KindShare {
+        let total: f64 = self.kind.iter().map(|k| k.share).sum();
+        // A low-discrepancy walk, so that each part of the fleet has its mix.
+        let x = (host as f64 * 0.618_033_988_749_895 + 0.25).fract() * total;
+        let mut sum = 0.0;
+        let found = self.kind.iter().find(|k| {
+            sum += k.share;
+            x < sum
+        });
+        found.unwrap_or(&self.kind[0])
+    }
+
+    /// Zone and cell of the host of this number.
+    pub fn place_of(&self, host: usize) -> (String, String) {
+        let zones = &self.fleet.zones;
+        let zone = host % zones.len();
+        (zones[zone].clone(), format!("rack-{}", host / zones.len() / self.fleet.cell_size))
+    }
+
+    /// Cores of all hosts.
+    pub fn cores(&self) -> f64 {
+        (0..self.fleet.hosts).map(|h| self.kind_of(h).cores).sum()
+    }
+
+    /// Core-seconds that a task uses in the mean.
+    pub fn core_seconds(&self) -> f64 {
+        let share: f64 = self.class.iter().map(|c| c.share).sum();
+        let of = |c: &Class| {
+            let cores = c.shapes.iter().map(|s| s[0]).sum::<f64>() / c.shapes.len() as f64;
+            c.share / share * cores * c.uses[0] * c.life_s
+        };
+        self.class.iter().map(of).sum::<f64>().max(1e-9)
+    }
+
+    /// Whether a second start does harm.
+    pub fn careful(&self, class: usize) -> bool {
+        self.class[class].rules.effect != Effect::Safe
+    }
+}
--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,239 @@
+//! What the parts of a run share: the clock, the record of traffic, and the ledger of what was wanted and served.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use maplethread_judge::{Record, Seen};
+use maplethread_placer::Clock;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+
+/// Locks, whatever another thread's panic left behind: the record stays readable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Shared by all threads of a run.
+#[derive(Clone)]
+pub struct World {
+    /// The clock of the record; Unix time, µs.
+    pub clock: Clock,
+    record: Arc<Mutex<Vec<Record>>>,
+    ledger: Arc<Mutex<Ledger>>,
+}
+
+impl World {
+    /// A world in which nothing was seen yet, with so many classes.
+    pub fn new(classes: usize) -> World {
+        let clock = Clock::start();
+        let ledger = Ledger::new(clock.now(), classes);
+        World { clock, record: Arc::default(), ledger: Arc::new(Mutex::new(ledger)) }
+    }
+
+    /// Records what was seen; the order of the record is that of its times.
+    pub fn see(&self, seen: Seen) {
+        let mut record = lock(&self.record);
+        record.push(Record { at: self.clock.now(), seen });
+    }
+
+    /// The record.
+    pub fn take_record(&self) -> Vec<Record> {
+        std::mem::take(&mut lock(&self.record))
+    }
+
+    /// The ledger.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+}
+
+/// A task that an owner wants.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// Its class.
+    pub class: usize,
+    /// Worth of a second.
+    pub rate: f64,
+    /// From when...
+    pub from: u64,
+    /// ...until when, µs.
+    pub until: u64,
+    /// A first start by then is worth...
+    pub aim: u64,
+    /// ...so much...
+    pub bonus: f64,
+    /// ...and later, by then, so much.
+    pub deadline: u64,
+    /// The bonus of a late start.
+    pub late_bonus: f64,
+}
+
+#[derive(Default)]
+struct Served {
+    /// Where it runs now: how many copies.
+    running: u32,
+    started: bool,
+    /// Served up to this time, so that two copies count once.
+    until: u64,
+}
+
+/// Worth wanted and served, by second and by class.
+pub struct Ledger {
+    start: u64,
+    wanted: HashMap<Arc<str>, (Wanted, Served)>,
+    by_second: Vec<(f64, f64)>,
+    by_class: Vec<(f64, f64)>,
+    /// Seconds that second copies ran, which earn nothing.
+    pub double_s: f64,
+}
+
+/// Service, as shares of the worth that was asked for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Service {
+    /// Over the whole run.
+    pub whole: f64,
+    /// In the worst ten seconds.
+    pub worst_10_s: f64,
+    /// Of the worst-served class.
+    pub worst_class: f64,
+}
+
+impl Ledger {
+    fn new(start: u64, classes: usize) -> Ledger {
+        let by_class = vec![(0.0, 0.0); classes];
+        Ledger { start, wanted: HashMap::new(), by_second: Vec::new(), by_class, double_s: 0.0 }
+    }
+
+    fn second(&mut self, at: u64) -> &mut (f64, f64) {
+        let second = (at.saturating_sub(self.start) / 1_000_000) as usize;
+        if self.by_second.len() <= second {
+            self.by_second.resize(second + 1, (0.0, 0.0));
+        }
+        &mut self.by_second[second]
+    }
+
+    /// An owner wants a task.
+    pub fn want(&mut self, actor: &Arc<str>, wanted: Wanted) {
+        self.second(wanted.from).0 += wanted.bonus;
+        let mut at = wanted.from;
+        while at < wanted.until {
+            let next = (at + 1_000_000).min(wanted.until);
+            self.second(at).0 += wanted.rate * (next - at) as f64 / 1e6;
+            at = next;
+        }
+        let whole = wanted.rate * (wanted.until - wanted.from) as f64 / 1e6 + wanted.bonus;
+        self.by_class[wanted.class].0 += whole;
+        self.wanted.insert(actor.clone(), (wanted, Served::default()));
+    }
+
+    /// A copy of a task runs.
+    pub fn starts(&mut self, actor: &str, now: u64) {
+        let Some((wanted, served)) = self.wanted.get_mut(actor) else { return };
+        served.running += 1;
+        if std::mem::replace(&mut served.started, true) {
+            return;
+        }
+        let (wanted, bonus) = (
+            *wanted,
+            if now <= wanted.aim {
+                wanted.bonus
+            } else if now <= wanted.deadline {
+                wanted.late_bonus
+            } else {
+                0.0
+            },
+        );
+        self.second(wanted.from).1 += bonus;
+        self.by_class[wanted.class].1 += bonus;
+    }
+
+    /// A copy of a task does not run any more.
+    pub fn ends(&mut self, actor: &str) {
+        if let Some((_, served)) = self.wanted.get_mut(actor) {
+            served.running = served.running.saturating_sub(1);
+        }
+    }
+
+    /// A copy was served with this share of full service.
+    pub fn serve(&mut self, actor: &str, from: u64, to: u64, share: f64) {
+        let Some((wanted, served)) = self.wanted.get_mut(actor) else { return };
+        let whole = to.saturating_sub(from);
+        let from = from.max(served.until).max(wanted.from);
+        let to_wanted = to.min(wanted.until);
+        served.until = served.until.max(to);
+        let span = to_wanted.saturating_sub(from) as f64 / 1e6;
+        let (wanted, copies) = (*wanted, served.running);
+        if copies > 1 && span == 0.0 {
+            self.double_s += whole as f64 / 1e6;
+        }
+        self.second(to_wanted.max(wanted.from)).1 += wanted.rate * share * span;
+        self.by_class[wanted.class].1 += wanted.rate * share * span;
+    }
+
+    /// Whether some copy runs.
+    pub fn runs(&self, actor: &str) -> bool {
+        self.wanted.get(actor).is_some_and(|(_, served)| served.running > 0)
+    }
+
+    /// The service up to a time.
+    pub fn service(&self, until: u64) -> Service {
+        let seconds = (until.saturating_sub(self.start) / 1_000_000) as usize;
+        let part = |from: usize, to: usize| {
+            let all = &self.by_second[from.min(self.by_second.len())..to.min(self.by_second.len())];
+            let sum = all.iter().fold((0.0, 0.0), |s, b| (s.0 + b.0, s.1 + b.1));
+            if sum.0 > 0.0 { sum.1 / sum.0 } else { 1.0 }
+        };
+        let last = seconds.saturating_sub(10);
+        let worst_10_s = (0..=last).map(|from| part(from, from + 10)).fold(1.0, f64::min);
+        let classes = self.by_class.iter().filter(|c| c.0 > 0.0).map(|c| c.1 / c.0);
+        Service { whole: part(0, seconds), worst_10_s, worst_class: classes.fold(1.0, f64::min) }
+    }
+}
+
+/// Seeded random numbers with the draws that the stand-ins need.
+pub struct Dice(Pcg64Mcg);
+
+impl Dice {
+    /// Dice of this seed, one of several sets.
+    pub fn new(seed: u64, set: u64) -> Dice {
+        Dice(Pcg64Mcg::seed_from_u64(seed ^ set.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+    }
+
+    /// A number in 0..1.
+    pub fn share(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Whether something of this likelihood happens.
+    pub fn chance(&mut self, likely: f64) -> bool {
+        self.share() < likely
+    }
+
+    /// A number below `n`.
+    pub fn below(&mut self, n: usize) -> usize {
+        ((self.share() * n as f64) as usize).min(n.saturating_sub(1))
+    }
+
+    /// A number between two.
+    pub fn between(&mut self, range: [f64; 2]) -> f64 {
+        range[0] + (range[1] - range[0]) * self.share()
+    }
+
+    /// An exponential draw of this mean.
+    pub fn exp(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.share()).ln()
+    }
+
+    /// Puts items in a random order.
+    pub fn shuffle<T>(&mut self, items: &mut [T]) {
+        for i in (1..items.len()).rev() {
+            let j = self.below(i + 1);
+            items.swap(i, j);
+        }
+    }
+
+    /// A seed for something else.
+    pub fn seed(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+}
