--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -88,7 +88,7 @@
         json!({
             "asks": v.asks, "placed": v.placed, "refused": v.refused, "failed": v.failed,
             "turned_away": v.turned_away, "unanswered": v.unanswered, "excused": v.excused,
-            "offers": v.offers,
+            "offers": v.offers, "refused_by": v.refused_by,
             "service": self.service.whole,
             "service_worst_10_s": self.service.worst_10_s,
             "service_worst_class": self.service.worst_class,
@@ -345,6 +345,7 @@
             cold_for: s.rules.cold_for_ms * 1000,
             fall_window: s.rules.fall_window_ms * 1000,
             fresh_offers: s.rules.fresh_offers,
+            lost_after: hosts("").lost_after_ms * 1000,
             slack: SLACK,
         }
     }
