--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -40,6 +40,8 @@
     },
     /// Play a bad day on loopback: stand-in hosts and owners, real placers, troubles, and a verdict on the five rules
     BadDay(BadDayArgs),
+    /// Put one placer under an open-loop load of asks, against stand-in hosts that accept all at once
+    Load(LoadArgs),
 }
 
 #[derive(Args)]
@@ -92,6 +94,31 @@
     keep: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct LoadArgs {
+    /// Asks a second
+    #[arg(long, default_value_t = 370.0, value_name = "N")]
+    rate: f64,
+    /// Seconds
+    #[arg(long, default_value_t = 10.0, value_name = "N")]
+    seconds: f64,
+    /// Stand-in hosts
+    #[arg(long, default_value_t = 130, value_name = "N")]
+    hosts: usize,
+    /// Client connections, each with asks pipelined
+    #[arg(long, default_value_t = 64, value_name = "N")]
+    connections: usize,
+    /// Tasks end after so many ms; 0 for never
+    #[arg(long, default_value_t = 5000, value_name = "MS")]
+    life_ms: u64,
+    /// Look for the highest rate that is sustained (p99 of due-to-answer under 50 ms), starting from --rate
+    #[arg(long)]
+    max: bool,
+    /// Print one JSON object a run
+    #[arg(long)]
+    json: bool,
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let filter = tracing_subscriber::EnvFilter::try_new(&cli.log);
@@ -108,6 +135,7 @@
         Command::Placer(args) => placer(&args),
         Command::CheckConfig { file } => check_config(&file),
         Command::BadDay(args) => bad_day(&args),
+        Command::Load(args) => load(&args),
     };
     result.unwrap_or_else(fail)
 }
@@ -177,3 +205,45 @@
     }
     Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+fn load(args: &LoadArgs) -> Result<ExitCode, String> {
+    if !(args.rate > 0.0 && args.seconds > 0.0 && args.hosts > 0) {
+        return Err("--rate, --seconds and --hosts: above 0".to_owned());
+    }
+    let program = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+    let measure = |rate: f64| {
+        let options = maplethread_standin::load::Options {
+            program: program.clone(),
+            rate,
+            seconds: args.seconds,
+            hosts: args.hosts,
+            connections: args.connections,
+            life_ms: args.life_ms,
+            seed: 1,
+        };
+        let measured = maplethread_standin::load::run(&options).map_err(|e| format!("load: {e}"))?;
+        if args.json {
+            println!("{}", measured.json());
+        } else {
+            println!("{}", measured.text());
+        }
+        Ok::<_, String>(measured)
+    };
+    let first = measure(args.rate)?;
+    if args.max {
+        let sustained =
+            |m: &maplethread_standin::load::Measured| m.place_us[1] < 50_000 && m.placed == m.asks;
+        let (mut low, mut high) = (0.0, args.rate);
+        let mut last = first;
+        while sustained(&last) {
+            (low, high) = (high, high * 1.5);
+            last = measure(high)?;
+        }
+        for _ in 0..4 {
+            let middle = (low + high) / 2.0;
+            if sustained(&measure(middle)?) { low = middle } else { high = middle }
+        }
+        println!("highest rate sustained: {low:.0} asks a second");
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -732,7 +732,7 @@
     }
 }
 
-fn api() -> Api {
+pub(crate) fn api() -> Api {
     Api {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         max_clients: 10_000,
@@ -752,7 +752,7 @@
     }
 }
 
-fn hosts(inventory: impl AsRef<Path>) -> Hosts {
+pub(crate) fn hosts(inventory: impl AsRef<Path>) -> Hosts {
     Hosts {
         inventory: inventory.as_ref().to_owned(),
         max_hosts: 4096,
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -1,1 +1,413 @@
-//! x
+//! A load generator for one placer: an open loop of asks at a fixed rate over pipelined connections, against hosts
+//! that accept all at once. Times run from when an ask was due to be sent, not from when it was, so that a placer
+//! that falls behind can't hide it (coordinated omission).
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command as Process, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use maplethread_config::{
+    Class, Effect, HostEntry, HostState, Identity, Inventory, Kind, PlacerConfig, Placing, Prices, Rules,
+};
+use maplethread_engine::Timers;
+use maplethread_placer::Clock;
+use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_wire::frame::{self, Frame};
+use maplethread_wire::http::{self, Found, Limits, Reader, Role};
+use serde_json::{Value, json};
+
+use crate::day::{api, get_json, hosts};
+
+/// What load to make.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program whose `placer` subcommand is run.
+    pub program: PathBuf,
+    /// Asks a second.
+    pub rate: f64,
+    /// For so long, s.
+    pub seconds: f64,
+    /// Hosts.
+    pub hosts: usize,
+    /// Client connections.
+    pub connections: usize,
+    /// Tasks end after so long, ms; 0 for never.
+    pub life_ms: u64,
+    /// Seed of the placer.
+    pub seed: u64,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug)]
+pub struct Measured {
+    /// Asks a second that were wanted, and that got their answer.
+    pub rate: f64,
+    /// See `rate`.
+    pub answered_rate: f64,
+    /// Asks.
+    pub asks: u64,
+    /// Those placed.
+    pub placed: u64,
+    /// From when an ask was due to its answer: p50, p99, p99.9 and the longest, µs.
+    pub place_us: [u64; 4],
+    /// Decisions: p50 and p99, µs, as the placer measured them.
+    pub decide_us: [u64; 2],
+    /// Memory of the placer before and after, KiB.
+    pub rss_kib: [u64; 2],
+    /// Actors held at the end.
+    pub actors: u64,
+    /// Share of one core that the placer used while idle and under load.
+    pub cpu: [f64; 2],
+}
+
+impl Measured {
+    /// As an object.
+    pub fn json(&self) -> Value {
+        json!({
+            "rate": self.rate, "answered_rate": self.answered_rate, "asks": self.asks, "placed": self.placed,
+            "place_us": {"p50": self.place_us[0], "p99": self.place_us[1], "p99.9": self.place_us[2], "max": self.place_us[3]},
+            "decide_us": {"p50": self.decide_us[0], "p99": self.decide_us[1]},
+            "rss_kib": {"before": self.rss_kib[0], "after": self.rss_kib[1]},
+            "actors": self.actors,
+            "cpu": {"idle": self.cpu[0], "load": self.cpu[1]},
+        })
+    }
+
+    /// For a person.
+    pub fn text(&self) -> String {
+        format!(
+            "{:.0} asks a second wanted, {:.0} answered; {} asks, {} placed\n\
+             due to answer: p50 {} us, p99 {} us, p99.9 {} us, max {} us\n\
+             decisions: p50 {} us, p99 {} us\n\
+             placer: {:.1} MiB before, {:.1} MiB with {} actors; {:.1}% of a core idle, {:.1}% under load\n",
+            self.rate,
+            self.answered_rate,
+            self.asks,
+            self.placed,
+            self.place_us[0],
+            self.place_us[1],
+            self.place_us[2],
+            self.place_us[3],
+            self.decide_us[0],
+            self.decide_us[1],
+            self.rss_kib[0] as f64 / 1024.0,
+            self.rss_kib[1] as f64 / 1024.0,
+            self.actors,
+            self.cpu[0] * 100.0,
+            self.cpu[1] * 100.0
+        )
+    }
+}
+
+/// Hosts that accept all at once, in a thread of their own.
+struct NullHosts {
+    addresses: Vec<SocketAddr>,
+    end: Arc<AtomicBool>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl NullHosts {
+    fn start(count: usize, life_us: u64) -> io::Result<NullHosts> {
+        let poller = Poller::new()?;
+        let mut listeners = Vec::new();
+        let mut addresses = Vec::new();
+        for number in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            listener.set_nonblocking(true)?;
+            poller.add(&listener, number as u64, false)?;
+            addresses.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
+        let end = Arc::new(AtomicBool::new(false));
+        let ended = end.clone();
+        let run = move || null_hosts(&poller, &listeners, life_us, &ended);
+        let thread = std::thread::Builder::new().name("null-hosts".into()).spawn(run)?;
+        Ok(NullHosts { addresses, end, thread: Some(thread) })
+    }
+}
+
+impl Drop for NullHosts {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn null_hosts(
+    poller: &Poller,
+    listeners: &[TcpListener],
+    life_us: u64,
+    ended: &AtomicBool,
+) -> io::Result<()> {
+    let clock = Clock::start();
+    let mut conns: HashMap<u64, (Conn, usize)> = HashMap::new();
+    let mut next = listeners.len() as u64;
+    let mut ready: Vec<Readiness> = Vec::new();
+    let mut over: Timers<(u64, u64)> = Timers::default();
+    while !ended.load(Ordering::Relaxed) {
+        ready.clear();
+        let wait = over.next().map_or(50_000, |at| at.saturating_sub(clock.now()).min(50_000));
+        poller.wait(Some(Duration::from_micros(wait)), &mut ready)?;
+        for r in &ready {
+            if let Some(listener) = listeners.get(r.token as usize) {
+                while let Ok((stream, _)) = listener.accept() {
+                    next += 1;
+                    conns.insert(next, (Conn::accepted(stream, next, poller)?, r.token as usize));
+                }
+                continue;
+            }
+            let Some((conn, host)) = conns.get_mut(&r.token) else { continue };
+            let outcome = conn.fill(256 << 10, 512 << 10);
+            while let Ok((Some(frame), used)) = frame::decode(conn.unread()) {
+                conn.take(used);
+                let mut answers = Vec::new();
+                match frame {
+                    Frame::Hello { .. } => {
+                        let name = format!("host-{host}");
+                        let (major, minor) = (frame::MAJOR, frame::MINOR);
+                        answers.push(Frame::Hello { major, minor, name, started_ms: 1, most_offers: 0 });
+                        answers.push(Frame::HeldEnd);
+                    }
+                    Frame::Offer(offer) => {
+                        answers.push(Frame::Accepted(offer.attempt, 0));
+                        answers.push(Frame::Started(offer.attempt, 0));
+                        if life_us > 0 {
+                            over.set(clock.now() + life_us, (r.token, offer.attempt));
+                        }
+                    }
+                    Frame::Cancel(attempt) | Frame::Stop(attempt) => {
+                        answers.push(Frame::Ended(attempt, frame::Reason::Stopped, true, None));
+                    }
+                    Frame::Ping(nonce) => answers.push(Frame::Pong(nonce)),
+                    _ => {}
+                }
+                answers.iter().for_each(|frame| frame::encode(frame, conn.out()));
+            }
+            let broken = conn.flush(poller).is_err();
+            if broken || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
+                conns.remove(&r.token);
+            }
+        }
+        while let Some((token, attempt)) = over.due(clock.now()) {
+            if let Some((conn, _)) = conns.get_mut(&token) {
+                frame::encode(&Frame::Ended(attempt, frame::Reason::Done, true, None), conn.out());
+                let _ = conn.flush(poller);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Processor time of a process so far, s, and its memory, KiB.
+fn usage(pid: u32) -> io::Result<(f64, u64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let rss = rss.and_then(|l| l.split_whitespace().next()).and_then(|k| k.parse().ok()).unwrap_or(0);
+    // Clock ticks are 10 ms on Linux.
+    Ok(((ticks(11) + ticks(12)) / 100.0, rss))
+}
+
+struct KillOnDrop(Child);
+
+impl Drop for KillOnDrop {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Runs one placer under a load.
+pub fn run(options: &Options) -> io::Result<Measured> {
+    let folder = tempfile::tempdir()?;
+    let hosts_up = NullHosts::start(options.hosts, options.life_ms * 1000)?;
+    let entry = |(number, address): (usize, &SocketAddr)| HostEntry {
+        name: format!("host-{number}"),
+        address: *address,
+        zone: ["a", "b", "c"][number % 3].to_owned(),
+        cell: format!("{}", number / 12),
+        kind: "std".to_owned(),
+        state: HostState::Ready,
+        started_ms: None,
+        unasked_cores: None,
+        unasked_memory_gib: None,
+    };
+    let inventory = Inventory { host: hosts_up.addresses.iter().enumerate().map(entry).collect() };
+    std::fs::write(folder.path().join("hosts.toml"), toml::to_string(&inventory).map_err(io::Error::other)?)?;
+    let config = PlacerConfig {
+        placer: Identity {
+            name: "placer-0".to_owned(),
+            number: 0,
+            placers: 1,
+            zone: "a".to_owned(),
+            zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
+            seed: Some(options.seed),
+        },
+        api: api(),
+        hosts: hosts("hosts.toml"),
+        placing: Placing { admit_cores: 1.0, admit_memory: 1.0, ..Placing::default() },
+        rules: Rules {
+            ask_within_ms: 10_000,
+            cold_from: 0.2,
+            cold_for_ms: 5_000,
+            fall_multiple: 4.0,
+            fall_window_ms: 2_000,
+            fresh_offers: 20.0,
+        },
+        prices: Prices::default(),
+        kind: vec![Kind { name: "std".to_owned(), cores: 1e6, memory_gib: 1e6 }],
+        class: vec![Class {
+            name: "web-api".to_owned(),
+            effect: Effect::Safe,
+            group: None,
+            window_ms: None,
+            aim_ms: 600,
+            worth: 1.0,
+            start_bonus_s: 10.0,
+            priority: 0,
+            kind: None,
+            spread_over: None,
+            spread_most: None,
+        }],
+    };
+    let path = folder.path().join("placer.toml");
+    std::fs::write(&path, config.to_toml().map_err(io::Error::other)?)?;
+    let mut process = Process::new(&options.program);
+    process.args(["placer", "--log", "warn", "--config"]).arg(&path);
+    let mut child = KillOnDrop(process.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?);
+    let pid = child.0.id();
+    let mut line = String::new();
+    if let Some(out) = child.0.stdout.take() {
+        BufReader::new(out).read_line(&mut line)?;
+    }
+    let address: SocketAddr = line
+        .trim()
+        .rsplit(' ')
+        .next()
+        .and_then(|a| a.parse().ok())
+        .ok_or_else(|| io::Error::other("the placer did not start"))?;
+    std::thread::sleep(Duration::from_millis(300));
+    let idle_from = usage(pid)?;
+    std::thread::sleep(Duration::from_secs(1));
+    let idle_to = usage(pid)?;
+    let clock = Clock::start();
+    let mut clients = Clients::connect(options, address, clock)?;
+    clients.run()?;
+    let loaded = usage(pid)?;
+    let took = clients.took_s;
+    std::thread::sleep(Duration::from_millis(600));
+    let status = get_json(address, "/v1/status")?;
+    let decide = |q: &str| status["gauges"]["decide_us"][q].as_u64().unwrap_or(0);
+    let h = &clients.times;
+    Ok(Measured {
+        rate: options.rate,
+        answered_rate: h.len() as f64 / took,
+        asks: clients.asked,
+        placed: clients.placed,
+        place_us: [h.value_at_quantile(0.5), h.value_at_quantile(0.99), h.value_at_quantile(0.999), h.max()],
+        decide_us: [decide("p50"), decide("p99")],
+        rss_kib: [idle_to.1, usage(pid)?.1],
+        actors: status["actors"].as_u64().unwrap_or(0),
+        cpu: [idle_to.0 - idle_from.0, (loaded.0 - idle_to.0) / took],
+    })
+}
+
+struct Clients<'a> {
+    options: &'a Options,
+    poller: Poller,
+    clock: Clock,
+    conns: Vec<(Conn, Reader, VecDeque<u64>)>,
+    asked: u64,
+    placed: u64,
+    times: Histogram<u64>,
+    took_s: f64,
+    outcomes: BTreeMap<u16, u64>,
+}
+
+impl<'a> Clients<'a> {
+    fn connect(options: &'a Options, address: SocketAddr, clock: Clock) -> io::Result<Clients<'a>> {
+        let poller = Poller::new()?;
+        let mut conns = Vec::new();
+        for token in 0..options.connections.max(1) {
+            let stream = std::net::TcpStream::connect(address)?;
+            let conn = Conn::accepted(stream, token as u64, &poller)?;
+            conns.push((conn, Reader::new(Role::Responses, Limits::default()), VecDeque::new()));
+        }
+        let times = Histogram::new_with_bounds(1, 120_000_000, 3).map_err(io::Error::other)?;
+        let (asked, placed, took_s) = (0, 0, 0.0);
+        Ok(Clients { options, poller, clock, conns, asked, placed, times, took_s, outcomes: BTreeMap::new() })
+    }
+
+    fn run(&mut self) -> io::Result<()> {
+        let start = self.clock.now();
+        let total = (self.options.rate * self.options.seconds) as u64;
+        let due_at = |n: u64, rate: f64| start + (n as f64 * 1e6 / rate) as u64;
+        let mut ready = Vec::new();
+        let give_up = start + (self.options.seconds * 1e6) as u64 + 30_000_000;
+        let mut open = 0u64;
+        while self.asked < total || open > 0 {
+            let now = self.clock.now();
+            if now > give_up {
+                break;
+            }
+            let mut touched = vec![false; self.conns.len()];
+            while self.asked < total && due_at(self.asked, self.options.rate) <= now {
+                let n = self.asked;
+                let at = n as usize % self.conns.len();
+                let due = due_at(n, self.options.rate);
+                let (conn, _, waiting) = &mut self.conns[at];
+                let body = format!(
+                    "{{\"service\":\"service-{}\",\"actor\":\"actor-{n}\",\"class\":\"web-api\",\"cores\":0.5,\"memory_gib\":1,\"budget_ms\":10000}}",
+                    n % 500
+                );
+                http::write_request(conn.out(), "POST", "/v1/actors", &[("Host", "placer")], body.as_bytes());
+                waiting.push_back(due);
+                touched[at] = true;
+                self.asked += 1;
+                open += 1;
+            }
+            for (at, _) in touched.iter().enumerate().filter(|(_, t)| **t) {
+                self.conns[at].0.flush(&self.poller)?;
+            }
+            let wait = if self.asked < total {
+                due_at(self.asked, self.options.rate).saturating_sub(now)
+            } else {
+                50_000
+            };
+            ready.clear();
+            self.poller.wait(Some(Duration::from_micros(wait)), &mut ready)?;
+            for r in &ready {
+                let (conn, reader, waiting) = &mut self.conns[r.token as usize];
+                conn.flush(&self.poller)?;
+                conn.fill(256 << 10, 512 << 10);
+                loop {
+                    let (found, used) = reader.read(conn.unread()).map_err(io::Error::other)?;
+                    conn.take(used);
+                    let Found::Message(message) = found else { break };
+                    let now = self.clock.now();
+                    if let Some(due) = waiting.pop_front() {
+                        self.times.saturating_record(now.saturating_sub(due).max(1));
+                        open -= 1;
+                    }
+                    *self.outcomes.entry(message.head.status()).or_default() += 1;
+                    if message.body.windows(8).any(|w| w == b"\"placed\"") {
+                        self.placed += 1;
+                    }
+                }
+            }
+        }
+        self.took_s = (self.clock.now() - start) as f64 / 1e6;
+        Ok(())
+    }
+}
