--- a/crates/engine/src/api.rs
+++ b/crates/engine/src/api.rs
@@ -31,7 +31,7 @@
     Look { service: String, actor: String },
     List { after: Option<(String, String)>, limit: usize },
     Events { after: Option<u64>, life: Option<u64> },
-    Status,
+    Status { full: bool },
 }
 
 /// An error answer (RFC 9457).
@@ -172,7 +172,7 @@
         (["v1", "asks", _], _) => Err(wrong("DELETE")),
         (["v1", "events"], "GET") => Ok(Call::Events { after: number("after")?, life: number("life")? }),
         (["v1", "events"], _) => Err(wrong("GET")),
-        (["v1", "status"], "GET") => Ok(Call::Status),
+        (["v1", "status"], "GET") => Ok(Call::Status { full: param("full").is_some() }),
         (["v1", "status"], _) => Err(wrong("GET")),
         _ => Err(Problem::new(404, "no-such-path", "Nothing is served under this path", path)),
     }
--- a/crates/engine/src/clients.rs
+++ b/crates/engine/src/clients.rs
@@ -27,6 +27,8 @@
     pub unread: usize,
     /// Nothing more is read from it.
     pub ended: bool,
+    /// Requests taken in this turn.
+    pub taken: (u64, usize),
     /// The asks whose answers it waits for.
     pub waits: BTreeSet<TaskId>,
 }
@@ -57,6 +59,7 @@
             follows,
             unread: 0,
             ended: false,
+            taken: (0, 0),
             waits: BTreeSet::new(),
         }
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -166,6 +166,9 @@
     next_attempt: u64,
     pub(crate) next_task: u64,
     pub(crate) now: Micros,
+    pub(crate) turns: u64,
+    /// Requests taken in this turn.
+    pub(crate) taken: usize,
     /// This turn follows a time in which the caller stood still.
     pub(crate) stalled: bool,
     pub(crate) events: Vec<Event>,
@@ -214,6 +217,8 @@
             next_attempt: 0,
             next_task: 0,
             now,
+            turns: 0,
+            taken: 0,
             stalled: false,
             events: Vec::new(),
             outputs: Vec::new(),
@@ -288,6 +293,8 @@
     /// still before this turn, so that silence is its own and not the hosts'.
     pub fn turn(&mut self, now: Micros, stalled: bool) {
         (self.now, self.stalled) = (self.now.max(now), stalled);
+        self.turns += 1;
+        self.taken = 0;
         while let Some(due) = self.timers.due(self.now) {
             self.fall_due(due);
         }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -16,6 +16,8 @@
 
 /// Bytes of events that may wait for a follower to read; more wait in the ring.
 const FOLLOWER_BYTES: usize = 64 << 10;
+/// So many requests are taken in one turn; then each client has one more, so that none waits for a crowd.
+const TURN_REQUESTS: usize = 128;
 /// Followers hear at least this often that the connection lives.
 const BEAT: u64 = 10_000_000;
 
@@ -40,7 +42,8 @@
     /// client has had an answer.
     pub fn client_bytes(&mut self, now: u64, id: ClientId, unread: &[u8]) -> usize {
         self.now = self.now.max(now);
-        let most = self.config.api.max_pipelined;
+        let (most, turn) = (self.config.api.max_pipelined, self.turns);
+        let unread_most = self.config.api.max_unread_bytes / 4;
         let mut used = 0;
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return unread.len() };
@@ -48,7 +51,12 @@
                 // Nothing after the last request counts.
                 return unread.len();
             }
-            if client.in_hand() >= most {
+            // A client that has much in hand, does not read, or has had its share of this turn waits.
+            if client.taken.0 != turn {
+                client.taken = (turn, 0);
+            }
+            let share = if self.taken >= TURN_REQUESTS { 1 } else { most };
+            if client.in_hand() >= most || client.taken.1 >= share || client.unread > unread_most {
                 return used;
             }
             let (came, n) = client.read(&unread[used..]);
@@ -65,6 +73,8 @@
                 }
                 Came::Request(slot, message) => {
                     (client.begun, client.used) = (None, self.now);
+                    client.taken.1 += 1;
+                    self.taken += 1;
                     match api::call(&message) {
                         Ok(call) => self.serve(id, slot, call),
                         Err(problem) => self.problem(id, slot, problem),
@@ -260,7 +270,7 @@
                 self.reply(id, slot, api::answer(200, &body), false);
             }
             Call::Events { after, life } => self.follow(id, slot, after, life),
-            Call::Status => {
+            Call::Status { full } => {
                 let up = self.hosts.values().filter(|h| h.link == crate::hosts::Link::Up).count();
                 let body = json!({
                     "placer": self.config.placer.name,
@@ -274,7 +284,7 @@
                     "followers": self.followers.len(),
                     "hosts": self.hosts.len(),
                     "hosts_connected": up,
-                    "gauges": self.gauges,
+                    "gauges": if full { &self.gauges } else { &serde_json::Value::Null },
                     "events": {"oldest": self.ring.oldest(), "next": self.ring.next()},
                 });
                 self.reply(id, slot, api::answer(200, &body), false);
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -204,6 +204,7 @@
         if untold {
             self.relist(id);
         }
+        self.events.push(Event::Linked(MachineId(id.0), false));
     }
 
     pub(crate) fn lost_due(&mut self, id: HostId, epoch: u64) {
@@ -291,6 +292,7 @@
                     self.end(wire, Ending::Reset, None, None, true);
                 }
                 self.relist(id);
+                self.events.push(Event::Linked(MachineId(id.0), true));
                 Ok(())
             }
             Frame::Drain if matches!(link, Link::Naming | Link::Up) => {
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -125,6 +125,8 @@
     lingering: HashMap<u64, (Conn, u64)>,
     /// Clients with bytes that the engine did not take yet.
     stuffed: BTreeSet<u64>,
+    /// Some of those may get on.
+    feed: bool,
     /// Connections with something new to write.
     dirty: BTreeSet<u64>,
     decide_time: DecideTime,
@@ -165,6 +167,7 @@
             host_tokens: HashMap::new(),
             lingering: HashMap::new(),
             stuffed: BTreeSet::new(),
+            feed: false,
             dirty: BTreeSet::new(),
             decide_time: DecideTime::new(),
             gauges_at: 0,
@@ -185,6 +188,7 @@
             let before = self.clock.now();
             let due = self.next_due();
             let timeout = due.map(|at| Duration::from_micros(at.saturating_sub(before)));
+            let timeout = if self.feed { Some(Duration::ZERO) } else { timeout };
             ready.clear();
             self.poller.wait(timeout, &mut ready).map_err(io_error("epoll"))?;
             let woke = self.clock.now();
@@ -335,6 +339,7 @@
         let full = client.conn.unread().len() >= READ_MOST;
         if !client.conn.unread().is_empty() {
             self.stuffed.insert(token);
+            self.feed |= used > 0;
         }
         if full {
             let _ = client.conn.set_reading(false, &self.poller);
@@ -349,10 +354,14 @@
     /// Bytes that the engine left, while a client had too many requests in hand, are offered to it again.
     fn feed_stuffed(&mut self) {
         let now = self.clock.now();
+        if !std::mem::take(&mut self.feed) {
+            return;
+        }
         for token in std::mem::take(&mut self.stuffed) {
             let Some(client) = self.clients.get_mut(&token) else { continue };
             let used = self.engine.client_bytes(now, client.id, client.conn.unread());
             client.conn.take(used);
+            self.feed |= used > 0;
             if !client.conn.unread().is_empty() {
                 self.stuffed.insert(token);
             }
@@ -515,6 +524,7 @@
         } else if let Some(client) = self.clients.get_mut(&token) {
             let (id, result) = (client.id, client.conn.flush(&self.poller));
             self.engine.client_unread(id, client.conn.unwritten());
+            self.feed |= self.stuffed.contains(&token);
             if result.is_err() {
                 self.engine.client_closed(self.clock.now(), id);
                 self.drop_client(token);
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -1,7 +1,6 @@
 //! Readiness by epoll, and signals turned into readiness.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -64,13 +63,20 @@
             tv_sec: t.as_secs().min(1 << 30) as i64,
             tv_nsec: i64::from(t.subsec_nanos()) as _,
         });
-        let mut room = [MaybeUninit::uninit(); 256];
-        let events = match epoll::wait(&self.epoll, &mut room, timeout.as_ref()) {
-            Ok((events, _)) => events,
+        let mut room =
+            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) }; 256];
+        let mut waited = epoll::wait(&self.epoll, &mut room, timeout.as_ref());
+        if waited == Err(rustix::io::Errno::INTR) {
+            // A process that was stopped and goes on comes here, and much may be ready by now.
+            let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+            waited = epoll::wait(&self.epoll, &mut room, Some(&now));
+        }
+        let events = match waited {
+            Ok(events) => events,
             Err(rustix::io::Errno::INTR) => return Ok(()),
             Err(e) => return Err(e.into()),
         };
-        for event in events {
+        for event in &room[..events] {
             let flags = event.flags;
             let closed = epoll::EventFlags::HUP | epoll::EventFlags::ERR | epoll::EventFlags::RDHUP;
             ready.push(Readiness {
--- a/crates/standin/src/baseline.rs
+++ b/crates/standin/src/baseline.rs
@@ -2,7 +2,7 @@
 //! keeps the five rules by guards of its own, and each of them can be taken away, so that the judge can be shown a
 //! placer that breaks it. It is a baseline only.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use maplethread::{
     Action, AttemptId, Effect, Ending, Event, Group, Listing, MachineId, MachineState, Micros, Place, Scope,
@@ -31,6 +31,7 @@
     dice: Dice,
     now: Micros,
     machines: BTreeMap<MachineId, Listing>,
+    unlinked: BTreeSet<MachineId>,
     sends: BTreeMap<MachineId, VecDeque<Micros>>,
     open: BTreeMap<TaskId, Open>,
     attempts: BTreeMap<AttemptId, (Task, MachineId, Micros)>,
@@ -49,6 +50,7 @@
             dice: Dice::new(seed, 77),
             now: 0,
             machines: BTreeMap::new(),
+            unlinked: BTreeSet::new(),
             sends: BTreeMap::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -68,6 +70,13 @@
                 }
                 self.machines.extend(machines.iter().map(|m| (m.machine, *m)));
             }
+            Event::Linked(machine, up) => {
+                if *up {
+                    self.unlinked.remove(machine);
+                } else {
+                    self.unlinked.insert(*machine);
+                }
+            }
             Event::Asked(task) => {
                 self.dropped += 1;
                 if self.rogue == 1 && self.dropped.is_multiple_of(7) {
@@ -160,6 +169,7 @@
     fn allowed(&self, machine: &Listing, open: &Open) -> bool {
         let class = &self.settings.classes[open.task.class];
         let state = machine.state == MachineState::Ready || self.rogue == 3;
+        let state = state && !self.unlinked.contains(&machine.machine);
         if !state || class.kind.is_some_and(|kind| kind != machine.kind) {
             return false;
         }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -703,7 +703,7 @@
         let mut all = BTreeMap::new();
         let addresses: Vec<_> = owners.mood().placers.iter().filter_map(|p| p.address).collect();
         for address in addresses {
-            let Ok(status) = get_json(address, "/v1/status") else { continue };
+            let Ok(status) = get_json(address, "/v1/status?full") else { continue };
             let counts = status["gauges"]["decide_us"]["counts"].as_array().cloned().unwrap_or_default();
             for pair in counts {
                 if let (Some(value), Some(count)) = (pair[0].as_u64(), pair[1].as_u64()) {
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -307,7 +307,7 @@
     let loaded = usage(pid)?;
     let took = clients.took_s;
     std::thread::sleep(Duration::from_millis(600));
-    let status = get_json(address, "/v1/status")?;
+    let status = get_json(address, "/v1/status?full")?;
     let decide = |q: &str| status["gauges"]["decide_us"][q].as_u64().unwrap_or(0);
     let h = &clients.times;
     Ok(Measured {
--- a/src/control.rs
+++ b/src/control.rs
@@ -179,6 +179,8 @@
 struct Machine {
     listing: Listing,
     size: Room,
+    /// The caller has no connection to it: an offer would fail at once, and use up an attempt.
+    unlinked: bool,
     /// What all placers' tasks asked for there, and when that was so.
     asked: Option<(Room, Micros)>,
     /// What this placer's attempts and tasks ask for, and its latest changes.
@@ -200,7 +202,7 @@
     #[rustfmt::skip]
     fn new(listing: Listing, size: Room, classes: usize, touched: Micros) -> Machine {
         Machine {
-            listing, size, touched, asked: None, own: Room::default(), changes: VecDeque::new(),
+            listing, size, touched, unlinked: false, asked: None, own: Room::default(), changes: VecDeque::new(),
             sends: VecDeque::new(), health: vec![Health::default(); classes], lives: 0, full: None,
             refusals: 0, crowded_until: 0,
         }
@@ -313,6 +315,13 @@
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Listed { scope, machines } => self.listed(*scope, machines),
+            // Guards against attempts spent in one instant on machines known to be out of reach: the task is
+            // held instead, as where no machine has room.
+            Event::Linked(machine, up) => {
+                if let Some(machine) = self.machines.get_mut(machine) {
+                    machine.unlinked = !up;
+                }
+            }
             Event::ListUnavailable if self.settings.discovery == Discovery::Ask => {
                 self.relisten_at = self.relisten_at.or(Some(self.now + ASK_AGAIN));
             }
@@ -686,7 +695,7 @@
     fn may_get(&self, machine: &Machine, open: &Open) -> bool {
         let class = &self.settings.classes[open.task.class];
         let (at, rules) = (&machine.listing, &self.settings.rules);
-        if !machine.ready() || class.kind.is_some_and(|kind| kind != at.kind) {
+        if !machine.ready() || machine.unlinked || class.kind.is_some_and(|kind| kind != at.kind) {
             return false;
         }
         // Rule 2: repeats of a key that may have run stay with the machines that know it.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -408,6 +408,9 @@
         /// The machines.
         machines: Vec<Listing>,
     },
+    /// Whether the caller has a connection to a machine. Told only by callers that keep connections: without one
+    /// an offer is [`Ending::Unreachable`] at once. A machine of which nothing was told counts as connected.
+    Linked(MachineId, bool),
     /// A call to discovery failed, or the subscription broke.
     ListUnavailable,
     /// A task to place.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,3 +310,32 @@
         assert_eq!(desk.ask(task(n, n, desk.now + S)), Some(1));
     }
 }
+
+#[test]
+fn a_machine_without_connection_gets_no_offers_and_costs_no_attempts() {
+    let mut desk = Desk::new(settings(Effect::Safe), 2);
+    desk.turn(&[Event::Linked(MachineId(0), false), Event::Linked(MachineId(1), false)]);
+    // Out of reach altogether: held, neither offered nor refused.
+    let actions = desk.turn(&[Event::Asked(task(1, 5, desk.now + 10 * S))]);
+    assert_eq!(offer(&actions), None);
+    assert!(answers(&desk.wait(desk.now + S, &[0])).is_empty());
+    // Back in reach: the one that is gets it, as its first attempt.
+    desk.turn(&[Event::Linked(MachineId(1), true)]);
+    let actions = desk.wait(desk.now + S, &[0]);
+    assert_eq!(offer(&actions), Some(1));
+    // A loss of the connection takes effect in the turn in which it is told.
+    let lost = [
+        end(1, 0, Ending::Reset, None),
+        Event::Linked(MachineId(1), false),
+        Event::Linked(MachineId(0), true),
+    ];
+    assert_eq!(offer(&desk.turn(&lost)), Some(0));
+    // Out of reach until the deadline: refused in time.
+    let mut desk = Desk::new(settings(Effect::Unsafe), 1);
+    desk.turn(&[Event::Linked(MachineId(0), false)]);
+    let give_up_at = desk.now + 2 * S;
+    desk.turn(&[Event::Asked(task(1, 5, give_up_at))]);
+    let actions = desk.wait(give_up_at, &[0, 2]);
+    assert_eq!(answers(&actions), [Action::Refuse(TaskId(1), None)]);
+    assert_eq!(offer(&actions), None);
+}
