--- /dev/null
+++ b/crates/cli/tests/bad_day.rs
@@ -0,0 +1,76 @@
+//! A short bad day with real processes, and the five rogues that the judge must catch.
+
+use std::process::Command;
+use std::sync::{Mutex, PoisonError};
+
+use serde_json::Value;
+
+/// Days run one at a time: on two slow cores two of them would be late together.
+static ONE: Mutex<()> = Mutex::new(());
+
+fn bad_day(args: &[&str]) -> (Option<i32>, Value) {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let out = Command::new(env!("CARGO_BIN_EXE_maplethread"))
+        .args(["--log", "error", "bad-day", "--json"])
+        .args(args)
+        .output()
+        .expect("the program starts");
+    let text = String::from_utf8_lossy(&out.stdout);
+    let report = serde_json::from_str(&text).unwrap_or_else(|e| {
+        panic!("no report ({e}): {text}\n{}", String::from_utf8_lossy(&out.stderr));
+    });
+    (out.status.code(), report)
+}
+
+#[test]
+fn a_short_bad_day_breaks_no_rule() {
+    let (code, report) = bad_day(&["--seconds", "12", "--seed", "7", "--placers", "3", "--hosts", "12"]);
+    assert_eq!(report["broken"], serde_json::json!({}), "{report:#}");
+    assert_eq!(report["unanswered"], 0, "{report:#}");
+    assert_eq!(code, Some(0));
+    let n = |key: &str| report[key].as_u64().unwrap_or(0);
+    assert!(n("asks") > 200 && n("placed") > n("asks") / 2, "{report:#}");
+    // Each ask has one answer, or a reason why nobody is to blame for its lack.
+    let all = n("placed") + n("refused") + n("failed") + n("turned_away") + n("excused");
+    assert_eq!(all, n("asks"), "{report:#}");
+    assert!(report["service"].as_f64().is_some_and(|s| (0.2..=1.0).contains(&s)), "{report:#}");
+}
+
+fn rogue(rule: u8) {
+    let number = rule.to_string();
+    let (code, report) =
+        bad_day(&["--seconds", "7", "--seed", "2", "--placers", "3", "--hosts", "12", "--rogue", &number]);
+    assert_eq!(code, Some(1), "{report:#}");
+    let broken = report["broken"].as_object().expect("an object");
+    assert!(broken.contains_key(&number), "the judge missed rule {rule}: {report:#}");
+    // The frames that show it are given.
+    let shown = report["broken_shown"].as_array().expect("a list");
+    assert!(
+        shown.iter().any(|b| b["rule"] == rule && b["records"].as_array().is_some_and(|r| !r.is_empty()))
+    );
+}
+
+#[test]
+fn the_judge_catches_a_placer_that_leaves_asks_unanswered() {
+    rogue(1);
+}
+
+#[test]
+fn the_judge_catches_a_placer_that_repeats_what_may_have_run() {
+    rogue(2);
+}
+
+#[test]
+fn the_judge_catches_a_placer_that_ignores_drains() {
+    rogue(3);
+}
+
+#[test]
+fn the_judge_catches_a_placer_that_pushes_cold_hosts_over() {
+    rogue(4);
+}
+
+#[test]
+fn the_judge_catches_a_placer_that_ignores_spread_limits() {
+    rogue(5);
+}
--- a/crates/standin/src/baseline.rs
+++ b/crates/standin/src/baseline.rs
@@ -150,9 +150,15 @@
             self.held.push_back(id);
             return;
         }
-        let machine = allowed[self.dice.below(allowed.len())];
+        let machine = match self.rogue {
+            // Always the same place for a service.
+            5 => allowed[(task.service.0 % allowed.len() as u64) as usize],
+            _ => allowed[self.dice.below(allowed.len())],
+        };
         let number = open.attempts;
-        let wait = class.aim.min(task.give_up_at - self.now);
+        // Giving up before a host can have answered makes for attempts that may have run.
+        let patience = if self.rogue == 2 { 3_000 } else { class.aim };
+        let wait = patience.min(task.give_up_at - self.now);
         actions.push(Action::Offer(id, machine, wait));
         self.attempts.insert(AttemptId { task: id, number }, (task, machine, self.now));
         if let Some(open) = self.open.get_mut(&id) {
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -338,6 +338,9 @@
             let (step, n) = self.message_head(&unread[2..])?;
             return Ok((step, n + 2));
         }
+        if self.role == Role::Requests && unread == b"\r" {
+            return Ok((Step::More, 0));
+        }
         self.message_head(unread)
     }
 
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,152 @@
+//! The host protocol's codec: round trips, bounds, and what a newer peer may send.
+
+use maplethread_wire::frame::{
+    Copies, Frame, FrameError, Load, MAX_FRAME, NoteKind, Offer, Reason, decode, encode,
+};
+use proptest::prelude::*;
+
+fn load() -> impl Strategy<Value = Load> {
+    (-1e6..1e6, -1e6..1e6).prop_map(|(cores, memory)| Load { cores, memory })
+}
+
+fn offer() -> impl Strategy<Value = Offer> {
+    let copies = prop_oneof![Just(Copies::Safe), any::<u64>().prop_map(Copies::Keyed), Just(Copies::Unsafe)];
+    let texts = (".{0,20}", ".{0,20}", "[a-z-]{0,20}", "[!-~]{0,40}");
+    let numbers = (any::<u64>(), any::<u32>(), any::<u32>(), any::<u64>(), any::<u32>());
+    (texts, numbers, load(), copies).prop_map(|((service, actor, class, request), n, asks, copies)| Offer {
+        attempt: n.0,
+        number: n.1,
+        service,
+        actor,
+        class,
+        request,
+        asks,
+        priority: n.2,
+        copies,
+        life_ms: n.3,
+        wait_ms: n.4,
+    })
+}
+
+fn reason() -> impl Strategy<Value = Reason> {
+    (0u8..=10).prop_map(Reason::from_byte)
+}
+
+fn any_frame() -> impl Strategy<Value = Frame> {
+    let maybe = || proptest::option::of(load());
+    let kind = prop_oneof![
+        Just(NoteKind::Cores),
+        Just(NoteKind::Memory),
+        Just(NoteKind::Served),
+        Just(NoteKind::HostMemory)
+    ];
+    prop_oneof![
+        (any::<u16>(), any::<u16>(), ".{0,30}", any::<u64>(), any::<u32>()).prop_map(
+            |(major, minor, name, started_ms, most_offers)| Frame::Hello {
+                major,
+                minor,
+                name,
+                started_ms,
+                most_offers
+            }
+        ),
+        offer().prop_map(Frame::Offer),
+        any::<u64>().prop_map(Frame::Cancel),
+        any::<u64>().prop_map(Frame::Stop),
+        any::<u32>().prop_map(Frame::Probe),
+        any::<u32>().prop_map(Frame::Ping),
+        any::<u32>().prop_map(Frame::Pong),
+        (any::<u64>(), any::<u32>()).prop_map(|(a, t)| Frame::Accepted(a, t)),
+        (any::<u64>(), reason(), maybe()).prop_map(|(a, r, l)| Frame::Refused(a, r, l)),
+        (any::<u64>(), any::<u32>()).prop_map(|(a, t)| Frame::Started(a, t)),
+        (any::<u64>(), reason(), any::<bool>(), maybe())
+            .prop_map(|(a, r, ran, l)| Frame::Ended(a, r, ran, l)),
+        (any::<u64>(), kind, -1e9..1e9).prop_map(|(a, k, x)| Frame::Note(a, k, x)),
+        (any::<u32>(), load()).prop_map(|(n, l)| Frame::Report(n, l)),
+        Just(Frame::Drain),
+        (offer(), any::<bool>()).prop_map(|(o, runs)| Frame::Held(o, runs)),
+        Just(Frame::HeldEnd),
+        ".{0,40}".prop_map(Frame::Bye),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn frames_come_back_as_they_went(frames in proptest::collection::vec(any_frame(), 1..6)) {
+        let mut bytes = Vec::new();
+        frames.iter().for_each(|frame| encode(frame, &mut bytes));
+        let (mut got, mut at) = (Vec::new(), 0);
+        // Byte by byte: nothing comes before it is whole.
+        for end in 0..=bytes.len() {
+            while let (Some(frame), used) = decode(&bytes[at..end]).expect("sound") {
+                got.push(frame);
+                at += used;
+            }
+        }
+        prop_assert_eq!(at, bytes.len());
+        prop_assert_eq!(got, frames);
+    }
+
+    #[test]
+    fn survives_anything(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let mut at = 0;
+        while let Ok((Some(_), used)) = decode(&bytes[at..]) {
+            prop_assert!(used > 0 && at + used <= bytes.len());
+            at += used;
+        }
+    }
+
+    /// A newer minor version may add fields at the end and frames of types that are not known here.
+    #[test]
+    fn survives_a_newer_peer(frame in any_frame(), more in proptest::collection::vec(any::<u8>(), 0..20), kind in 18u8..=255) {
+        let mut bytes = Vec::new();
+        let unknown = [&[kind][..], &more].concat();
+        bytes.extend_from_slice(&(unknown.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&unknown);
+        let start = bytes.len();
+        encode(&frame, &mut bytes);
+        bytes.extend_from_slice(&more);
+        let length = (bytes.len() - start - 4) as u32;
+        bytes[start..start + 4].copy_from_slice(&length.to_le_bytes());
+        prop_assert_eq!(decode(&bytes), Ok((Some(frame), bytes.len())));
+    }
+
+    /// A frame cut short is an error, and not another frame.
+    #[test]
+    fn refuses_frames_cut_short(frame in any_frame(), cut in 0usize..30) {
+        let mut bytes = Vec::new();
+        encode(&frame, &mut bytes);
+        let whole = bytes.len();
+        if whole == 5 {
+            return Ok(());
+        }
+        bytes.truncate(whole - 1 - cut % (whole - 5));
+        let length = (bytes.len() - 4) as u32;
+        bytes[..4].copy_from_slice(&length.to_le_bytes());
+        prop_assert!(decode(&bytes).is_err(), "{:?}", decode(&bytes));
+    }
+}
+
+#[test]
+fn refuses_what_is_no_frame() {
+    assert_eq!(decode(&[0, 0, 0, 0]), Err(FrameError::Empty));
+    let long = (MAX_FRAME as u32 + 1).to_le_bytes();
+    assert_eq!(decode(&long), Err(FrameError::TooLong(MAX_FRAME + 1)));
+    // HTTP on this port is found out by its first four bytes.
+    assert!(matches!(decode(b"GET / HTTP/1.1\r\n"), Err(FrameError::TooLong(_))));
+    let mut hello = Vec::new();
+    let frame = Frame::Hello { major: 1, minor: 0, name: "h".into(), started_ms: 1, most_offers: 0 };
+    encode(&frame, &mut hello);
+    hello[5] ^= 1;
+    assert_eq!(decode(&hello), Err(FrameError::Magic));
+    let mut note = Vec::new();
+    encode(&Frame::Note(1, NoteKind::Served, 0.5), &mut note);
+    let at = note.len() - 8;
+    note[at..].copy_from_slice(&f64::NAN.to_le_bytes());
+    assert_eq!(decode(&note), Err(FrameError::Value(12)));
+    note[13] = 99;
+    note[at..].copy_from_slice(&1f64.to_le_bytes());
+    assert_eq!(decode(&note), Ok((None, note.len())), "a note of an unknown kind is passed over");
+}
