--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
 
-use std::path::PathBuf;
+mod hosts;
+
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -38,6 +40,12 @@
         /// The settings file
         file: PathBuf,
     },
+    /// Run stand-in hosts, to try a placer by hand; they write the inventory that it reads
+    Host {
+        /// The settings file
+        #[arg(long)]
+        config: PathBuf,
+    },
     /// Play a bad day on loopback: stand-in hosts and owners, real placers, troubles, and a verdict on the five rules
     BadDay(BadDayArgs),
     /// Put one placer under an open-loop load of asks, against stand-in hosts that accept all at once
@@ -134,6 +142,7 @@
     let result = match cli.command {
         Command::Placer(args) => placer(&args),
         Command::CheckConfig { file } => check_config(&file),
+        Command::Host { config } => host(&config),
         Command::BadDay(args) => bad_day(&args),
         Command::Load(args) => load(&args),
     };
@@ -158,7 +167,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn check_config(file: &std::path::Path) -> Result<ExitCode, String> {
+fn check_config(file: &Path) -> Result<ExitCode, String> {
     let config = maplethread_placer::load(file).map_err(|e| e.to_string())?;
     println!(
         "{}: sound; placer {} of {}, {} classes, {} kinds of hosts",
@@ -171,14 +180,25 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn read_scenario(file: &Path) -> Result<Scenario, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    Scenario::parse(Doc { file: &name, text: &text }).map_err(|e| e.to_string())
+}
+
+fn host(file: &Path) -> Result<ExitCode, String> {
+    let config = hosts::load(file)?;
+    let scenario = std::sync::Arc::new(read_scenario(&config.scenario)?);
+    let addresses = hosts::addresses(&config, scenario.fleet.hosts);
+    day::run_hosts(&scenario, &addresses, config.seed, &config.inventory)
+        .map_err(|e| format!("hosts: {e}"))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn bad_day(args: &BadDayArgs) -> Result<ExitCode, String> {
     let mut scenario = match &args.scenario {
         None => Scenario::standard(),
-        Some(file) => {
-            let name = file.display().to_string();
-            let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-            Scenario::parse(Doc { file: &name, text: &text }).map_err(|e| e.to_string())?
-        }
+        Some(file) => read_scenario(file)?,
     };
     if let Some(seconds) = args.seconds {
         if !(seconds.is_finite() && seconds >= 1.0) {
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -339,8 +339,8 @@
                     self.orphans.push_back((at + self.figures.lost_after, host.clone(), *link, placer));
                 }
             }
-            Seen::FromPlacer { host, link, frame } => self.from_placer(host, *link, frame),
-            Seen::FromHost { host, link, frame } => self.from_host(host, *link, frame),
+            Seen::FromPlacer { host, link, frame } => self.placer_frame(host, *link, frame),
+            Seen::FromHost { host, link, frame } => self.host_frame(host, *link, frame),
             Seen::Asked { request, placer, budget_us, .. } => {
                 let deadline = at + budget_us;
                 let state = AskState {
@@ -475,7 +475,7 @@
         }
     }
 
-    fn from_placer(&mut self, host: &Name, link: u64, frame: &Frame) {
+    fn placer_frame(&mut self, host: &Name, link: u64, frame: &Frame) {
         let at = self.at;
         match frame {
             Frame::Offer(offer) => {
@@ -512,7 +512,7 @@
         }
     }
 
-    fn from_host(&mut self, host: &Name, link: u64, frame: &Frame) {
+    fn host_frame(&mut self, host: &Name, link: u64, frame: &Frame) {
         let at = self.at;
         match frame {
             Frame::Refused(wire, ..) => {
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -218,7 +218,7 @@
     let folder = options.keep.clone().unwrap_or_else(|| temporary.path().to_owned());
     std::fs::create_dir_all(&folder)?;
     let world = World::new(scenario.class.len());
-    let rack = Rack::start(&scenario, &world, options.seed)?;
+    let rack = Rack::start(&scenario, &world, options.seed, None)?;
     let hosts = scenario.fleet.hosts;
     let mut day = Day {
         options,
@@ -419,34 +419,12 @@
         Ok(address)
     }
 
-    fn inventory(&self) -> Inventory {
-        let entry = |number: usize| {
-            let (zone, cell) = self.scenario.place_of(number);
-            let (state, started_ms) = self.listed[number];
-            HostEntry {
-                name: format!("host-{number:02}"),
-                address: self.rack.addresses[number],
-                zone,
-                cell,
-                kind: self.scenario.kind_of(number).name.clone(),
-                state,
-                started_ms,
-                unasked_cores: None,
-                unasked_memory_gib: None,
-            }
-        };
-        Inventory { host: (0..self.scenario.fleet.hosts).map(entry).collect() }
-    }
-
-    /// Replaces the inventory atomically, as operators are told to.
     fn replace_inventory(&self, text: &str) -> io::Result<()> {
-        let new = self.folder.join("hosts.toml.new");
-        std::fs::write(&new, text)?;
-        std::fs::rename(&new, self.folder.join("hosts.toml"))
+        replace(&self.folder.join("hosts.toml"), text)
     }
 
     fn write_inventory(&mut self) -> io::Result<()> {
-        let inventory = self.inventory();
+        let inventory = inventory(&self.scenario, &self.rack.addresses, &self.listed);
         let ready = inventory.host.iter().filter(|h| h.state == HostState::Ready);
         let ready = ready.map(|h| (Arc::from(h.name.as_str()), h.started_ms)).collect();
         let text = toml::to_string(&inventory).map_err(io::Error::other)?;
@@ -732,6 +710,54 @@
     }
 }
 
+/// Replaces a file atomically, as operators are told to do with inventories.
+fn replace(path: &Path, text: &str) -> io::Result<()> {
+    let mut new = path.as_os_str().to_owned();
+    new.push(".new");
+    std::fs::write(&new, text)?;
+    std::fs::rename(&new, path)
+}
+
+fn inventory(
+    scenario: &Scenario,
+    addresses: &[SocketAddr],
+    listed: &[(HostState, Option<u64>)],
+) -> Inventory {
+    let entry = |number: usize| {
+        let (zone, cell) = scenario.place_of(number);
+        let (state, started_ms) = listed[number];
+        HostEntry {
+            name: format!("host-{number:02}"),
+            address: addresses[number],
+            zone,
+            cell,
+            kind: scenario.kind_of(number).name.clone(),
+            state,
+            started_ms,
+            unasked_cores: None,
+            unasked_memory_gib: None,
+        }
+    };
+    Inventory { host: (0..scenario.fleet.hosts).map(entry).collect() }
+}
+
+/// Runs the stand-in hosts of a scenario at these addresses until the process ends, and writes their inventory.
+pub fn run_hosts(
+    scenario: &Arc<Scenario>,
+    addresses: &[SocketAddr],
+    seed: u64,
+    inventory_file: &Path,
+) -> io::Result<()> {
+    let world = World::quiet(scenario.class.len());
+    let rack = Rack::start(scenario, &world, seed, Some(addresses))?;
+    let started = rack.started.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+    let listed: Vec<_> = started.iter().map(|&ms| (HostState::Ready, Some(ms))).collect();
+    let text = toml::to_string(&inventory(scenario, &rack.addresses, &listed)).map_err(io::Error::other)?;
+    replace(inventory_file, &text)?;
+    println!("{} stand-in hosts listening; inventory in {}", listed.len(), inventory_file.display());
+    rack.join()
+}
+
 pub(crate) fn api() -> Api {
     Api {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -65,7 +65,6 @@
     pub name: Arc<str>,
     pub zone: String,
     pub cell: String,
-    pub kind: String,
     pub cores: f64,
     pub memory: f64,
     pub speed: f64,
--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -54,8 +54,13 @@
 }
 
 impl Rack {
-    /// Starts all hosts of a scenario.
-    pub fn start(scenario: &Arc<Scenario>, world: &World, seed: u64) -> io::Result<Rack> {
+    /// Starts all hosts of a scenario, on loopback addresses of their own or at these.
+    pub fn start(
+        scenario: &Arc<Scenario>,
+        world: &World,
+        seed: u64,
+        at: Option<&[SocketAddr]>,
+    ) -> io::Result<Rack> {
         let mut dice = Dice::new(seed, 3);
         let mut slots = Vec::new();
         let poller = Poller::new()?;
@@ -70,14 +75,14 @@
                 name: format!("host-{number:02}").into(),
                 zone,
                 cell,
-                kind: kind.name.clone(),
                 cores: kind.cores,
                 memory: kind.memory_gib,
                 speed: dice.between([0.85, 1.15]),
             };
             // An address of its own, so that its port stays free while it is down.
             let ip = [127, net as u8, (number / 250) as u8, (number % 250 + 1) as u8];
-            let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
+            let at = at.and_then(|at| at.get(number)).copied().unwrap_or(SocketAddr::from((ip, 0)));
+            let listener = TcpListener::bind(at)?;
             let address = listener.local_addr()?;
             addresses.push(address);
             let set = Dice::new(dice.seed(), number as u64);
@@ -114,9 +119,8 @@
         let _ = rustix::io::write(&self.waker, &1u64.to_ne_bytes());
     }
 
-    /// Ends the thread.
-    pub fn end(mut self) -> io::Result<()> {
-        self.command(Command::End);
+    /// Waits for the thread to end, which it does only when something fails.
+    pub fn join(mut self) -> io::Result<()> {
         match self.thread.take().map(JoinHandle::join) {
             Some(Ok(result)) => result,
             _ => Err(io::Error::other("the hosts' thread panicked")),
@@ -124,6 +128,15 @@
     }
 }
 
+impl Drop for Rack {
+    fn drop(&mut self) {
+        self.command(Command::End);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 struct Slot {
     host: Host,
     address: SocketAddr,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -18,7 +18,8 @@
 pub struct World {
     /// The clock of the record; Unix time, µs.
     pub clock: Clock,
-    record: Arc<Mutex<Vec<Record>>>,
+    /// Nothing is recorded without it.
+    record: Option<Arc<Mutex<Vec<Record>>>>,
     ledger: Arc<Mutex<Ledger>>,
 }
 
@@ -27,18 +28,24 @@
     pub fn new(classes: usize) -> World {
         let clock = Clock::start();
         let ledger = Ledger::new(clock.now(), classes);
-        World { clock, record: Arc::default(), ledger: Arc::new(Mutex::new(ledger)) }
+        World { clock, record: Some(Arc::default()), ledger: Arc::new(Mutex::new(ledger)) }
+    }
+
+    /// A world that records nothing, for hosts that run for long.
+    pub fn quiet(classes: usize) -> World {
+        World { record: None, ..World::new(classes) }
     }
 
     /// Records what was seen; the order of the record is that of its times.
     pub fn see(&self, seen: Seen) {
-        let mut record = lock(&self.record);
+        let Some(record) = &self.record else { return };
+        let mut record = lock(record);
         record.push(Record { at: self.clock.now(), seen });
     }
 
     /// The record.
     pub fn take_record(&self) -> Vec<Record> {
-        std::mem::take(&mut lock(&self.record))
+        self.record.as_ref().map(|record| std::mem::take(&mut *lock(record))).unwrap_or_default()
     }
 
     /// The ledger.
