--- /dev/null
+++ b/crates/cli/tests/api.rs
@@ -0,0 +1,403 @@
+//! The API as it is documented: `docs/openapi.json` and `docs/api.md` are held to what is served.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use maplethread_wire::frame::{Frame, Reason};
+use serde_json::{Value, json};
+use support::*;
+
+fn openapi() -> Value {
+    serde_json::from_str(include_str!("../../../docs/openapi.json")).expect("JSON")
+}
+
+/// What of a body does not fit a schema.
+fn misfit(doc: &Value, schema: &Value, body: &Value, at: &str) -> Option<String> {
+    if let Some(reference) = schema["$ref"].as_str() {
+        let target = doc.pointer(reference.trim_start_matches('#')).expect("a schema");
+        return misfit(doc, target, body, at);
+    }
+    let fits = |kind: &str| match kind {
+        "object" => body.is_object(),
+        "array" => body.is_array(),
+        "string" => body.is_string(),
+        "integer" => body.is_u64() || body.is_i64(),
+        "number" => body.is_number(),
+        "boolean" => body.is_boolean(),
+        "null" => body.is_null(),
+        other => panic!("schema type {other}"),
+    };
+    let fine = match &schema["type"] {
+        Value::String(kind) => fits(kind),
+        Value::Array(kinds) => kinds.iter().filter_map(Value::as_str).any(fits),
+        _ => true,
+    };
+    if !fine {
+        return Some(format!("{at}: {body} is no {}", schema["type"]));
+    }
+    if let Some(allowed) = schema["enum"].as_array()
+        && !allowed.contains(body)
+    {
+        return Some(format!("{at}: {body} is not listed"));
+    }
+    for field in schema["required"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+        if body.get(field).is_none() {
+            return Some(format!("{at}: no {field}"));
+        }
+    }
+    if let (Some(properties), Some(fields)) = (schema["properties"].as_object(), body.as_object()) {
+        for (name, value) in fields {
+            let Some(schema) = properties.get(name) else {
+                return Some(format!("{at}: {name} is not described"));
+            };
+            if let Some(wrong) = misfit(doc, schema, value, &format!("{at}.{name}")) {
+                return Some(wrong);
+            }
+        }
+    }
+    let items = body.as_array().into_iter().flatten();
+    items.filter_map(|item| misfit(doc, &schema["items"], item, at)).next()
+}
+
+/// Calls, and holds the answer to the description; `path` as it stands there.
+fn described(
+    doc: &Value,
+    placer: &Placer,
+    path: &str,
+    method: &str,
+    target: &str,
+    body: &str,
+) -> (u16, Value) {
+    let (status, answer) = placer.client().call(method, target, body);
+    let responses = &doc["paths"][path][method.to_lowercase()]["responses"];
+    let response = &responses[status.to_string()];
+    assert!(response.is_object(), "{method} {target}: {status} is not described: {answer}");
+    let content = response["content"].as_object().and_then(|c| c.values().next()).expect("a body");
+    assert_eq!(misfit(doc, &content["schema"], &answer, target), None, "{answer}");
+    (status, answer)
+}
+
+#[test]
+fn what_is_served_is_what_is_described() {
+    let doc = openapi();
+    let text = include_str!("../../../docs/api.md");
+    let host = ScriptedHost::new("h1", "a", "1");
+    let (placer, mut links) = world(&[&host]);
+    let link = &mut links[0];
+    let place = |body: &str| described(&doc, &placer, "/v1/actors", "POST", "/v1/actors", body);
+    // Placing: all three outcomes, and what is turned down.
+    let client = std::thread::scope(|scope| {
+        let answer = scope.spawn(|| place(&ask("web-api", "s", "a1", 4000)));
+        let offer = link.offer();
+        link.send(&Frame::Accepted(offer.attempt, 1));
+        link.send(&Frame::Started(offer.attempt, 1));
+        answer.join().expect("answered")
+    });
+    assert_eq!((client.0, client.1["outcome"].as_str()), (200, Some("placed")));
+    let refused = std::thread::scope(|scope| {
+        let answer = scope.spawn(|| place(&ask("web-api", "s", "a2", 1000)));
+        let offer = link.offer();
+        link.send(&Frame::Refused(offer.attempt, Reason::Memory, None));
+        answer.join().expect("answered")
+    });
+    assert_eq!(
+        (refused.1["outcome"].as_str(), refused.1["reason"].as_str()),
+        (Some("refused"), Some("memory"))
+    );
+    let failed = std::thread::scope(|scope| {
+        let answer = scope.spawn(|| place(&ask("statements", "s", "a3", 4000)));
+        let offer = link.offer();
+        link.send(&Frame::Ended(offer.attempt, Reason::Error, true, None));
+        answer.join().expect("answered")
+    });
+    assert_eq!(failed.1["outcome"], "failed");
+    assert_eq!(failed.1["unknown"], "whether it runs on h1");
+    let mut kinds = BTreeSet::new();
+    let bad = [
+        (400, "{"),
+        (400, r#"{"service":"s"}"#),
+        (422, &ask("nope", "s", "a", 100)),
+        (422, &ask("web-api", "", "a", 100)),
+        (422, &ask("web-api", "s", "a\\u0007", 100)),
+        (422, &ask("web-api", "s", "a", 5)),
+        (409, &ask("statements", "s", "a3", 1000)),
+        (400, &ask("web-api", "s", "a", 100).replace("cores", "core")),
+    ];
+    for (status, body) in bad {
+        let (got, problem) = place(body);
+        assert_eq!(got, status, "{body}: {problem}");
+        assert_eq!(problem["status"], status);
+        kinds.insert(problem["type"].as_str().expect("a type").to_owned());
+    }
+    // Actors.
+    let one = "/v1/actors/{service}/{actor}";
+    assert_eq!(described(&doc, &placer, one, "GET", "/v1/actors/s/a1", "").1["state"], "running");
+    assert_eq!(described(&doc, &placer, one, "GET", "/v1/actors/s/a%31", "").0, 200);
+    for (method, target, status) in [
+        ("GET", "/v1/actors/s/none", 404),
+        ("GET", "/v1/actors/s/%zz", 400),
+        ("GET", "/v1/actors/s/%+1", 400),
+        ("DELETE", "/v1/actors/s/none", 404),
+        ("DELETE", "/v1/actors/s/a1", 202),
+    ] {
+        let (got, body) = described(&doc, &placer, one, method, target, "");
+        assert_eq!(got, status, "{target}");
+        kinds.extend(body["type"].as_str().map(str::to_owned));
+    }
+    assert!(matches!(link.next(), Frame::Stop(_)));
+    let (_, page) = described(&doc, &placer, "/v1/actors", "GET", "/v1/actors?limit=1", "");
+    assert_eq!((page["held"].as_u64(), page["actors"][0]["state"].as_str()), (Some(1), Some("stopping")));
+    assert_eq!(described(&doc, &placer, "/v1/actors", "GET", "/v1/actors?limit=x", "").0, 400);
+    assert_eq!(described(&doc, &placer, "/v1/asks/{request}", "DELETE", "/v1/asks/none", "").0, 404);
+    assert_eq!(described(&doc, &placer, "/v1/events", "GET", "/v1/events?life=1", "").0, 410);
+    assert_eq!(described(&doc, &placer, "/v1/events", "GET", "/v1/events?after=99", "").0, 410);
+    assert_eq!(described(&doc, &placer, "/v1/status", "GET", "/v1/status", "").0, 200);
+    assert_eq!(described(&doc, &placer, "/v1/status", "GET", "/v1/status?full=1", "").0, 200);
+    // Methods that are not described are refused, with those that are.
+    for (path, methods) in doc["paths"].as_object().expect("paths") {
+        assert!(
+            text.contains(path.split('{').next().expect("a part")),
+            "docs/api.md does not tell of {path}"
+        );
+        let target = path.replace('{', "").replace('}', "");
+        let mut client = placer.client();
+        client.write("PATCH", &target, &[], "");
+        let answer = client.answer().expect("an answer");
+        assert_eq!(answer.head.status(), 405, "{path}");
+        let allowed: BTreeSet<String> =
+            answer.head.field("allow").expect("Allow").split(", ").map(str::to_lowercase).collect();
+        assert_eq!(allowed, methods.as_object().expect("methods").keys().cloned().collect(), "{path}");
+    }
+    let (status, problem) = placer.client().call("GET", "/v2", "");
+    assert_eq!(status, 404);
+    kinds.extend(problem["type"].as_str().map(str::to_owned));
+    for kind in kinds {
+        let name = kind.strip_prefix("urn:maplethread:problem:").expect("the project's own");
+        assert!(text.contains(&format!("`{name}`")), "docs/api.md does not tell of {name}");
+    }
+}
+
+#[test]
+fn bad_messages_are_refused_and_the_connection_closed() {
+    use std::io::Write;
+    let host = ScriptedHost::new("h1", "a", "1");
+    let (placer, _links) = world(&[&host]);
+    let cases: [(&[u8], u16); 6] = [
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n c\r\n\r\n", 400),
+        (b"POST /v1/actors HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n", 413),
+        (b"GET / HTTP/3.0\r\n\r\n", 505),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: br\r\n\r\n", 501),
+        (&[b'x'; 9000], 414),
+    ];
+    for (bytes, status) in cases {
+        let mut client = placer.client();
+        client.stream.write_all(bytes).expect("the placer reads");
+        assert_eq!(client.json().0, status, "{}", String::from_utf8_lossy(&bytes[..bytes.len().min(60)]));
+        assert!(client.answer().is_none(), "the connection goes on");
+    }
+    // A request that never becomes whole.
+    let mut placer = Placer::files(&[&host], "request_within_ms = 100");
+    let ready = placer.start();
+    let _link = host.greet(&[]);
+    ready(&mut placer);
+    let mut client = placer.client();
+    client.stream.write_all(b"GET /v1/status HT").expect("the placer reads");
+    assert_eq!(client.json().0, 408);
+    assert!(client.answer().is_none());
+}
+
+#[test]
+fn answers_are_given_again_to_their_key() {
+    let host = ScriptedHost::new("h1", "a", "1");
+    let (placer, mut links) = world(&[&host]);
+    let link = &mut links[0];
+    let body = ask("web-api", "s", "a", 4000);
+    let key = [("Idempotency-Key", "k1")];
+    let mut client = placer.client();
+    client.write("POST", "/v1/actors", &key, &body);
+    let offer = link.offer();
+    let mut other = placer.client();
+    other.write("POST", "/v1/actors", &[], &body);
+    placer.wait_for("both wait", |s| s["clients"].as_u64() >= Some(3));
+    link.send(&Frame::Accepted(offer.attempt, 1));
+    let first = client.json();
+    assert_eq!(first.1["outcome"], "placed");
+    assert_eq!(other.json().1, first.1, "asked for twice at once: one placing, one answer");
+    // Even after the actor has ended the key stands for its answer, and nothing is offered.
+    link.send(&Frame::Ended(offer.attempt, Reason::Done, true, None));
+    placer.wait_for("ended", |s| s["actors"] == 0);
+    let mut again = placer.client();
+    again.write("POST", "/v1/actors", &key, &body);
+    assert_eq!(again.json(), first);
+    let frames = link.all_within(Duration::from_millis(100));
+    assert!(!frames.iter().any(|f| matches!(f, Frame::Offer(_))), "{frames:?}");
+    // An explicit cancel is a hang-up.
+    let mut client = placer.client();
+    client.ask(&ask("web-api", "s", "b", 4000), "cancel-me");
+    let offer = link.offer();
+    assert_eq!(placer.client().call("DELETE", "/v1/asks/cancel-me", "").0, 202);
+    assert_eq!(client.json().0, 410);
+    assert!(matches!(link.next(), Frame::Cancel(w) if w == offer.attempt));
+    assert_eq!(placer.status()["counters"]["hung_up"], 1);
+}
+
+#[test]
+fn events_are_followed_and_resumed_and_a_follower_that_falls_behind_is_told() {
+    let host = ScriptedHost::new("h1", "a", "1");
+    let mut placer = Placer::files(&[&host], "events_kept = 8");
+    let ready = placer.start();
+    let mut link = host.greet(&[]);
+    ready(&mut placer);
+    let life = placer.status()["life"].clone();
+    let mut follower = Follower::new(&placer, "/v1/events");
+    let hello = follower.next().expect("a hello");
+    assert_eq!(
+        (hello["event"].as_str(), &hello["life"], hello["next"].as_u64()),
+        (Some("hello"), &life, Some(1))
+    );
+    let mut place = |actor: &str| {
+        let mut client = placer.client();
+        client.ask(&ask("web-api", "s", actor, 4000), actor);
+        let offer = link.offer();
+        link.send(&Frame::Accepted(offer.attempt, 1));
+        assert_eq!(client.json().1["outcome"], "placed");
+        link.send(&Frame::Started(offer.attempt, 1));
+        link.send(&Frame::Ended(offer.attempt, Reason::Evicted, true, None));
+    };
+    place("a1");
+    let told: Vec<Value> = (0..3).map(|_| follower.next().expect("an event")).collect();
+    let kinds: Vec<&str> = told.iter().filter_map(|e| e["event"].as_str()).collect();
+    assert_eq!(kinds, ["placed", "started", "evicted"]);
+    assert_eq!(
+        (&told[2]["reason"], &told[2]["seq"], &told[2]["request"]),
+        (&json!("memory"), &json!(3), &json!("a1"))
+    );
+    drop(follower);
+    place("a2");
+    // Resumed after the second event: nothing is left out, nothing comes twice.
+    let mut follower = Follower::new(&placer, &format!("/v1/events?after=2&life={life}"));
+    assert_eq!(follower.next().expect("a hello")["next"], 3);
+    let seqs: Vec<u64> = (0..4).filter_map(|_| follower.next()?["seq"].as_u64()).collect();
+    assert_eq!(seqs, [3, 4, 5, 6]);
+    // Only eight are kept: after six more the first ones are gone.
+    (0..2).for_each(|n| place(&format!("b{n}")));
+    placer.wait_for("told", |s| s["events"]["next"] == 13);
+    let (status, problem) = placer.client().call("GET", "/v1/events?after=2", "");
+    assert_eq!((status, problem["type"].as_str()), (410, Some("urn:maplethread:problem:fell-behind")));
+}
+
+/// A connection that follows events.
+struct Follower {
+    client: Client,
+    decoder: maplethread_wire::http::Decoder,
+    buffer: Vec<u8>,
+    lines: Vec<u8>,
+}
+
+impl Follower {
+    fn new(placer: &Placer, target: &str) -> Follower {
+        use maplethread_wire::http::{Decoder, Limits, Role};
+        let mut client = placer.client();
+        client.write("GET", target, &[], "");
+        let decoder = Decoder::new(Role::Responses, Limits { body: usize::MAX, ..Limits::default() });
+        Follower { client, decoder, buffer: Vec::new(), lines: Vec::new() }
+    }
+
+    fn next(&mut self) -> Option<Value> {
+        use maplethread_wire::http::Step;
+        use std::io::Read;
+        loop {
+            if let Some(end) = self.lines.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = self.lines.drain(..=end).collect();
+                return serde_json::from_slice(&line).ok();
+            }
+            let (step, used) = self.decoder.step(&self.buffer).expect("sound");
+            self.buffer.drain(..used);
+            match step {
+                Step::Head(head) => assert_eq!(head.status(), 200),
+                Step::Data(data) => self.lines.extend(data),
+                Step::End => return None,
+                Step::More => {
+                    let mut bytes = [0; 4096];
+                    let n = self.client.stream.read(&mut bytes).expect("events");
+                    self.buffer.extend_from_slice(&bytes[..n]);
+                    if n == 0 {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn sigterm_answers_what_is_out_and_leaves() {
+    let host = ScriptedHost::new("h1", "a", "1");
+    let (mut placer, mut links) = world(&[&host]);
+    let link = &mut links[0];
+    let mut client = placer.client();
+    let mut other = placer.client();
+    assert_eq!(other.call("GET", "/v1/status", "").0, 200);
+    client.ask(&ask("web-api", "s", "a", 4000), "last");
+    let offer = link.offer();
+    placer.signal(rustix::process::Signal::TERM);
+    // Nothing new is taken.
+    while other.call("GET", "/v1/status", "").1["state"] != "stopping" {}
+    let (status, problem) = other.call("POST", "/v1/actors", &ask("web-api", "s", "b", 4000));
+    assert_eq!((status, problem["type"].as_str()), (503, Some("urn:maplethread:problem:stopping")));
+    // What is out is answered.
+    link.send(&Frame::Accepted(offer.attempt, 1));
+    assert_eq!(client.json().1["outcome"], "placed");
+    assert!(placer.left().success());
+    // A second signal does not wait.
+    let (mut placer, mut links) = world(&[&host]);
+    let mut client = placer.client();
+    client.ask(&ask("web-api", "s", "a", 60_000), "stuck");
+    links[0].offer();
+    let mut other = placer.client();
+    assert_eq!(other.call("GET", "/v1/status", "").0, 200);
+    placer.signal(rustix::process::Signal::TERM);
+    while other.call("GET", "/v1/status", "").1["state"] != "stopping" {}
+    placer.signal(rustix::process::Signal::TERM);
+    assert!(placer.left().success());
+    assert!(client.answer().is_none());
+}
+
+#[test]
+fn a_bad_inventory_keeps_the_last_good_list_and_limits_have_their_answers() {
+    let (h1, h2) = (ScriptedHost::new("h1", "a", "1"), ScriptedHost::new("h2", "a", "1"));
+    let mut placer = Placer::files(&[&h1], "max_asks = 2");
+    let ready = placer.start();
+    let mut link = h1.greet(&[]);
+    ready(&mut placer);
+    for bad in ["", "[[host", "[[host]]\nname = \"h1\"\n", "\u{0}", "[[host]]\nnom = 1\n"] {
+        placer.raw_inventory(bad);
+        let log = placer.log();
+        let told = move || std::fs::read_to_string(&log).unwrap_or_default().matches("bad inventory").count();
+        let before = told();
+        placer.wait_for("complaint", |_| told() > before || told() >= 1);
+        assert_eq!(placer.status()["hosts"], 1);
+    }
+    placer.inventory(&[(&h1, "ready"), (&h2, "ready")]);
+    let _second = h2.greet(&[]);
+    placer.wait_for("both connected", |s| s["hosts_connected"] == 2);
+    placer.inventory(&[(&h1, "ready")]);
+    // Two asks are out; a third is turned away, and nothing of it is kept.
+    let mut clients: Vec<Client> = (0..2).map(|_| placer.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.ask(&ask("web-api", "s", &format!("{n}"), 10_000), &format!("{n}"));
+    }
+    placer.wait_for("two asks", |s| s["open_asks"] == 2);
+    let mut third = placer.client();
+    third.write("POST", "/v1/actors", &[], &ask("web-api", "s", "x", 1000));
+    let answer = third.answer().expect("an answer");
+    assert_eq!((answer.head.status(), answer.head.field("retry-after")), (503, Some("1")));
+    for _ in 0..2 {
+        let offer = link.offer();
+        link.send(&Frame::Accepted(offer.attempt, 1));
+    }
+    clients.iter_mut().for_each(|c| assert_eq!(c.json().1["outcome"], "placed"));
+}
