--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -1,9 +1,11 @@
 //! The loop: sockets, signals and the inventory file in; the engine's outputs carried out.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::io::{self, Write};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 
 use maplethread::SettingsError;
@@ -12,7 +14,7 @@
 use maplethread_reactor::{Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
 
 use crate::clock::Clock;
-use crate::decide_time::DecideTime;
+use crate::decide_time::{DecideTime, Span, Spent, Timed};
 
 const LISTENER: u64 = 0;
 const SIGNALS: u64 = 1;
@@ -93,7 +95,9 @@
     let decider = decider(&config, seed).map_err(Error::Settings)?;
     let listener =
         TcpListener::bind(config.api.listen).map_err(io_error(format!("{}", config.api.listen)))?;
-    let mut daemon = Daemon::new(config, decider, Boot { started_ms, seed }, clock, listener)?;
+    let deciding = Rc::new(Cell::new(Span::default()));
+    let decider = Timed { inner: decider, spent: deciding.clone() };
+    let mut daemon = Daemon::new(config, decider, deciding, Boot { started_ms, seed }, clock, listener)?;
     daemon.serve()
 }
 
@@ -130,6 +134,8 @@
     /// Connections with something new to write.
     dirty: BTreeSet<u64>,
     decide_time: DecideTime,
+    spent: Spent,
+    deciding: Rc<Cell<Span>>,
     gauges_at: u64,
     stop_by: Option<u64>,
 }
@@ -138,6 +144,7 @@
     fn new(
         config: PlacerConfig,
         decider: D,
+        deciding: Rc<Cell<Span>>,
         boot: Boot,
         clock: Clock,
         listener: TcpListener,
@@ -170,6 +177,8 @@
             feed: false,
             dirty: BTreeSet::new(),
             decide_time: DecideTime::new(),
+            spent: Spent::default(),
+            deciding,
             gauges_at: 0,
             stop_by: None,
         };
@@ -205,8 +214,13 @@
                 self.poller.wait(Some(Duration::ZERO), &mut ready).map_err(io_error("epoll"))?;
             }
             self.feed_stuffed();
-            self.engine.turn(self.clock.now(), stalled);
+            let read = self.clock.now();
+            self.engine.turn(read, stalled);
+            let decided = self.clock.now();
             self.carry_out();
+            self.spent.read.add(read - woke);
+            self.spent.turn.add(decided - read);
+            self.spent.write.add(self.clock.now() - decided);
             if !self.accepting && self.stop_by.is_none() && self.engine.ready() {
                 self.accept_from_now()?;
             }
@@ -452,7 +466,8 @@
         }
         if now >= self.gauges_at {
             self.gauges_at = now + 250_000;
-            self.engine.set_gauges(self.decide_time.json());
+            self.spent.decide = self.deciding.get();
+            self.engine.set_gauges(self.decide_time.json_with(&self.spent));
         }
         self.lingering.retain(|_, (_, until)| *until > now);
     }
--- a/crates/placer/src/decide_time.rs
+++ b/crates/placer/src/decide_time.rs
@@ -1,6 +1,12 @@
 //! How long decisions take: from the last byte of an ask read to the first byte of its offer written.
 
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
 use hdrhistogram::Histogram;
+use maplethread::{Action, Event, Micros};
+use maplethread_engine::Decide;
 use serde_json::{Value, json};
 
 /// A histogram of decision times, µs, with three figures of precision.
@@ -17,8 +23,15 @@
         self.0.saturating_record(micros);
     }
 
+    /// The measurements, with what the loop's time was spent on.
+    pub fn json_with(&self, spent: &Spent) -> Value {
+        let mut json = self.json();
+        json["spent_us"] = spent.json();
+        json
+    }
+
     /// Quantiles, and the counts themselves, so that those of several placers can be added up.
-    pub fn json(&self) -> Value {
+    fn json(&self) -> Value {
         let counts: Vec<(u64, u64)> =
             self.0.iter_recorded().map(|v| (v.value_iterated_to(), v.count_at_value())).collect();
         json!({
@@ -32,3 +45,52 @@
         })
     }
 }
+
+/// What the loop's time was spent on, µs in all and in the longest single turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    pub read: Span,
+    pub turn: Span,
+    pub write: Span,
+    pub decide: Span,
+}
+
+/// One kind of work.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Span {
+    all: u64,
+    longest: u64,
+}
+
+impl Span {
+    pub fn add(&mut self, micros: u64) {
+        self.all += micros;
+        self.longest = self.longest.max(micros);
+    }
+}
+
+impl Spent {
+    fn json(&self) -> Value {
+        let span = |s: Span| json!({"all": s.all, "longest": s.longest});
+        json!({
+            "reading": span(self.read), "turn": span(self.turn), "deciding": span(self.decide),
+            "writing": span(self.write),
+        })
+    }
+}
+
+/// A decider whose time is measured.
+pub struct Timed<D> {
+    pub inner: D,
+    pub spent: Rc<Cell<Span>>,
+}
+
+impl<D: Decide> Decide for Timed<D> {
+    fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        let from = Instant::now();
+        self.inner.turn(now, events, actions);
+        let mut spent = self.spent.get();
+        spent.add(from.elapsed().as_micros() as u64);
+        self.spent.set(spent);
+    }
+}
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -63,6 +63,9 @@
     pub rss_kib: [u64; 2],
     /// Actors held at the end.
     pub actors: u64,
+    /// What the placer's loop spent its time on: reading, turns, deciding within them, and writing, µs in all and in
+    /// the longest turn.
+    pub spent: Value,
     /// Share of one core that the placer used while idle and under load.
     pub cpu: [f64; 2],
 }
@@ -76,13 +79,29 @@
             "decide_us": {"p50": self.decide_us[0], "p99": self.decide_us[1]},
             "rss_kib": {"before": self.rss_kib[0], "after": self.rss_kib[1]},
             "actors": self.actors,
+            "spent_us": self.spent,
             "cpu": {"idle": self.cpu[0], "load": self.cpu[1]},
         })
     }
 
     /// For a person.
     pub fn text(&self) -> String {
-        format!(
+        let spent = |part: &str| {
+            let of = |key: &str| self.spent[part][key].as_u64().unwrap_or(0);
+            format!(
+                "{:.1} us ({:.1} ms)",
+                of("all") as f64 / self.asks.max(1) as f64,
+                of("longest") as f64 / 1000.0
+            )
+        };
+        let spent = format!(
+            "spent an ask (longest turn): reading {}, turns {} of which deciding {}, writing {}\n",
+            spent("reading"),
+            spent("turn"),
+            spent("deciding"),
+            spent("writing")
+        );
+        let text = format!(
             "{:.0} asks a second wanted, {:.0} answered; {} asks, {} placed\n\
              due to answer: p50 {} us, p99 {} us, p99.9 {} us, max {} us\n\
              decisions: p50 {} us, p99 {} us\n\
@@ -102,7 +121,8 @@
             self.actors,
             self.cpu[0] * 100.0,
             self.cpu[1] * 100.0
-        )
+        );
+        text + &spent
     }
 }
 
@@ -319,6 +339,7 @@
         decide_us: [decide("p50"), decide("p99")],
         rss_kib: [idle_to.1, usage(pid)?.1],
         actors: status["actors"].as_u64().unwrap_or(0),
+        spent: status["gauges"]["spent_us"].clone(),
         cpu: [idle_to.0 - idle_from.0, (loaded.0 - idle_to.0) / took],
     })
 }
