--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -333,15 +333,18 @@
     }
 
     fn head(&mut self, unread: &[u8]) -> Result<(Step, usize), HttpError> {
-        // RFC 9112, 2.2: at least one empty line before a request line is passed over.
-        if self.role == Role::Requests && self.scanned == 0 && unread.starts_with(b"\r\n") {
-            let (step, n) = self.message_head(&unread[2..])?;
-            return Ok((step, n + 2));
-        }
-        if self.role == Role::Requests && unread == b"\r" {
-            return Ok((Step::More, 0));
+        // RFC 9112, 2.2: empty lines before a request line are passed over.
+        let mut empty = 0;
+        if self.role == Role::Requests && self.scanned == 0 {
+            while unread[empty..].starts_with(b"\r\n") {
+                empty += 2;
+            }
+            if unread[empty..] == *b"\r" {
+                return Ok((Step::More, empty));
+            }
         }
-        self.message_head(unread)
+        let (step, n) = self.message_head(&unread[empty..])?;
+        Ok((step, n + empty))
     }
 
     fn message_head(&mut self, unread: &[u8]) -> Result<(Step, usize), HttpError> {
--- a/crates/wire/tests/http.rs
+++ b/crates/wire/tests/http.rs
@@ -49,6 +49,8 @@
     let all = request(bytes).expect("sound");
     let bodies: Vec<&[u8]> = all.iter().map(|m| m.body.as_slice()).collect();
     assert_eq!(bodies, [&b"abc"[..], b"abc0123456789", b""]);
+    // Found by fuzzing: empty lines before a request are passed over however many come together.
+    assert_eq!(request(b"\r\n\r\n\r\nGET / HTTP/1.0\r\n\r\n").map(|all| all.len()), Ok(1));
     assert_eq!(all.iter().map(|m| m.head.keep_alive()).collect::<Vec<_>>(), [true, true, false]);
 }
 
