--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -207,6 +207,8 @@
     news: Vec<(u64, usize, HostState)>,
     listed: Vec<(HostState, Option<u64>)>,
     faults: Vec<Faults>,
+    /// The hosts that the last sound inventory told as ready.
+    told_ready: Vec<(Arc<str>, Option<u64>)>,
     notice: u64,
     garbled: bool,
 }
@@ -230,6 +232,7 @@
         news: Vec::new(),
         listed: vec![(HostState::Ready, None); hosts],
         faults: vec![Faults::default(); hosts],
+        told_ready: Vec::new(),
         notice: scenario.fleet.notice_ms * 1000,
         garbled: false,
         world,
@@ -426,10 +429,18 @@
     fn write_inventory(&mut self) -> io::Result<()> {
         let inventory = inventory(&self.scenario, &self.rack.addresses, &self.listed);
         let ready = inventory.host.iter().filter(|h| h.state == HostState::Ready);
-        let ready = ready.map(|h| (Arc::from(h.name.as_str()), h.started_ms)).collect();
+        let ready: Vec<_> = ready.map(|h| (Arc::from(h.name.as_str()), h.started_ms)).collect();
         let text = toml::to_string(&inventory).map_err(io::Error::other)?;
+        // A placer may act on good news before the record has it, so that stands there first; bad news counts from
+        // when the file was surely in place.
+        let mut either = ready.clone();
+        either.extend(
+            self.told_ready.iter().filter(|(host, _)| !ready.iter().any(|(h, _)| h == host)).cloned(),
+        );
+        self.world.see(Seen::Inventory { ready: either });
         self.replace_inventory(&text)?;
-        self.world.see(Seen::Inventory { ready });
+        self.world.see(Seen::Inventory { ready: ready.clone() });
+        self.told_ready = ready;
         Ok(())
     }
 
