Consul as a source of hosts and slots: client, catalogue, trust, lease and flap damping

Sans-I/O: blocking queries with back-off and fail-over, entries to hosts with plain errors, which answers to believe, a leased placer number that ends by the placer's own clock, and good news held back after repeated changes. The module takes Event::Numbered: without its number a placer sends nothing to cold machines.

--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -18,6 +18,9 @@
     pub api: Api,
     /// The hosts and the connections to them.
     pub hosts: Hosts,
+    /// Consul as the source of hosts, in place of an inventory file.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub consul: Option<Consul>,
     /// What hosts admit and tell.
     #[serde(default)]
     pub placing: Placing,
@@ -105,8 +108,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hosts {
-    /// The inventory file; relative to the settings file.
-    pub inventory: PathBuf,
+    /// The inventory file; relative to the settings file. Not with `[consul]`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub inventory: Option<PathBuf>,
     /// Hosts listed at a time; a longer inventory is refused.
     #[serde(default = "d::max_hosts")]
     pub max_hosts: usize,
@@ -133,6 +137,88 @@
     pub max_unwritten_bytes: usize,
 }
 
+/// Consul as the source of hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Consul {
+    /// Servers or agents that speak the HTTP API; one after the other is tried.
+    pub servers: Vec<SocketAddr>,
+    /// The service under which hosts are registered.
+    #[serde(default = "d::host_service")]
+    pub service: String,
+    /// The datacentre; answers of another one are not taken. Where missing, that of the first answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub datacentre: Option<String>,
+    /// A file with the ACL token, relative to the settings file.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_file: Option<PathBuf>,
+    /// How consistent reads are.
+    #[serde(default)]
+    pub reads: Reads,
+    /// A filter expression for the hosts' entries.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub filter: Option<String>,
+    /// A blocking query waits so long for news; at most half of `rules.ask_within_ms`.
+    #[serde(default = "d::wait")]
+    pub wait_ms: u64,
+    /// The members of the gossip pool are read this often.
+    #[serde(default = "d::members_every")]
+    pub members_every_ms: u64,
+    /// A longer answer is refused.
+    #[serde(default = "d::max_answer")]
+    pub max_answer_bytes: usize,
+    /// How good news after repeated changes is held back.
+    #[serde(default)]
+    pub damping: Damping,
+    /// The placers' own membership.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub membership: Option<Membership>,
+}
+
+/// How consistent reads are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reads {
+    /// By the leader.
+    #[default]
+    Default,
+    /// By any server.
+    Stale,
+    /// By a leader that verified itself.
+    Consistent,
+}
+
+/// How good news after repeated changes is held back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Damping {
+    /// By a penalty that decays.
+    #[default]
+    Penalty,
+    /// Not at all.
+    Off,
+    /// Always for three seconds; for comparison.
+    Hold,
+}
+
+/// The placers' own membership.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    /// The service under which placers register.
+    #[serde(default = "d::placer_service")]
+    pub service: String,
+    /// Keys of the slots lie under this prefix; `placer.placers` is their number.
+    #[serde(default = "d::slots_prefix")]
+    pub prefix: String,
+    /// TTL of the session and of the check, at least 10 s as Consul has it.
+    #[serde(default = "d::ttl")]
+    pub ttl_ms: u64,
+    /// Nobody takes the slot of a lost session for so long.
+    #[serde(default = "d::lock_delay")]
+    pub lock_delay_ms: u64,
+}
+
 /// What hosts admit and tell.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -365,7 +451,31 @@
         10_000
     }
     pub fn max_hosts() -> usize {
-        4_096
+        8_192
+    }
+    pub fn host_service() -> String {
+        "maplethread-host".to_owned()
+    }
+    pub fn placer_service() -> String {
+        "maplethread-placer".to_owned()
+    }
+    pub fn slots_prefix() -> String {
+        "maplethread/slots".to_owned()
+    }
+    pub fn wait() -> u64 {
+        5_000
+    }
+    pub fn members_every() -> u64 {
+        2_000
+    }
+    pub fn max_answer() -> usize {
+        32 << 20
+    }
+    pub fn ttl() -> u64 {
+        10_000
+    }
+    pub fn lock_delay() -> u64 {
+        5_000
     }
     pub fn connect_within() -> u64 {
         1_000
@@ -446,6 +556,22 @@
         doc.check(rising, "hosts.reconnect_most_ms", "below hosts.reconnect_first_ms")?;
         let longer = hosts.silent_after_ms > hosts.ping_every_ms;
         doc.check(longer, "hosts.silent_after_ms", "not above hosts.ping_every_ms")?;
+        let one = hosts.inventory.is_some() != self.consul.is_some();
+        doc.check(one, "hosts.inventory", "either this or [consul] tells of the hosts")?;
+        if let Some(consul) = &self.consul {
+            let loopback = consul.servers.iter().all(|s| s.ip().is_loopback());
+            doc.check(loopback, "consul.servers", "plain text is spoken on loopback addresses only")?;
+            doc.check(!consul.servers.is_empty(), "consul.servers", "at least one")?;
+            doc.check(!consul.service.is_empty(), "consul.service", "a name")?;
+            let within = consul.wait_ms >= 1 && consul.wait_ms <= self.rules.ask_within_ms / 2;
+            doc.check(within, "consul.wait_ms", "1 to half of rules.ask_within_ms")?;
+            doc.check(consul.members_every_ms >= 100, "consul.members_every_ms", "at least 100")?;
+            doc.check(consul.max_answer_bytes >= 1024, "consul.max_answer_bytes", "at least 1024")?;
+            if let Some(m) = &consul.membership {
+                doc.check(m.ttl_ms >= 1_000, "consul.membership.ttl_ms", "at least 1000")?;
+                doc.check(!m.prefix.is_empty(), "consul.membership.prefix", "a key's prefix")?;
+            }
+        }
         for (i, kind) in self.kind.iter().enumerate() {
             let twice = self.kind[..i].iter().any(|k| k.name == kind.name);
             doc.check(!twice, &format!("kind[{i}].name"), format!("`{}` stands twice", kind.name))?;
--- /dev/null
+++ b/crates/consul/src/query.rs
@@ -0,0 +1,178 @@
+//! Requests, what the answers' headers say, and when to ask again.
+
+use maplethread_wire::http::{self, Message};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::Rng;
+
+use crate::Micros;
+
+/// How consistent a read is to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Answered by the leader, without a check that it still is.
+    #[default]
+    Default,
+    /// Answered by any server from what it has.
+    Stale,
+    /// Answered by the leader after it has verified that it leads.
+    Consistent,
+}
+
+/// Builds a request's target.
+pub struct Target {
+    text: String,
+    more: bool,
+}
+
+impl Target {
+    /// A path without parameters.
+    pub fn new(path: impl Into<String>) -> Target {
+        Target { text: path.into(), more: false }
+    }
+
+    /// Adds a parameter; the value is escaped.
+    pub fn with(mut self, name: &str, value: &str) -> Target {
+        self.text.push(if self.more { '&' } else { '?' });
+        self.more = true;
+        self.text += name;
+        if !value.is_empty() {
+            self.text.push('=');
+            self.text += &escape(value);
+        }
+        self
+    }
+
+    /// Adds a parameter if there is a value.
+    pub fn maybe(self, name: &str, value: Option<&str>) -> Target {
+        match value {
+            Some(value) => self.with(name, value),
+            None => self,
+        }
+    }
+
+    /// Adds the consistency mode.
+    pub fn mode(self, mode: Mode) -> Target {
+        match mode {
+            Mode::Default => self,
+            Mode::Stale => self.with("stale", ""),
+            Mode::Consistent => self.with("consistent", ""),
+        }
+    }
+
+    /// The request.
+    pub fn request(&self, method: &str, who: &str, token: Option<&str>, body: &[u8]) -> Vec<u8> {
+        let mut fields = vec![("Host", "consul"), ("User-Agent", who)];
+        fields.extend(token.map(|t| ("X-Consul-Token", t)));
+        let mut out = Vec::new();
+        http::write_request(&mut out, method, &self.text, &fields, body);
+        out
+    }
+}
+
+/// Escapes a value for a path or query.
+pub fn escape(text: &str) -> String {
+    let mut out = String::new();
+    for b in text.bytes() {
+        if b.is_ascii_alphanumeric() || b"-._~/".contains(&b) {
+            out.push(char::from(b));
+        } else {
+            out += &format!("%{b:02X}");
+        }
+    }
+    out
+}
+
+/// What the headers of an answer say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Meta {
+    /// `X-Consul-Index`; 0 if it is missing or no number.
+    pub index: u64,
+    /// `X-Consul-KnownLeader`, where it is told.
+    pub known_leader: Option<bool>,
+    /// `X-Consul-LastContact`: how long ago the server heard of the leader, ms.
+    pub last_contact_ms: u64,
+}
+
+impl Meta {
+    /// Reads the headers.
+    pub fn of(message: &Message) -> Meta {
+        let number = |name: &str| message.head.field(name).and_then(|v| v.trim().parse().ok());
+        Meta {
+            index: number("x-consul-index").unwrap_or(0),
+            known_leader: message.head.field("x-consul-knownleader").map(|v| v.trim() == "true"),
+            last_contact_ms: number("x-consul-lastcontact").unwrap_or(0),
+        }
+    }
+}
+
+/// The index to block on next, as the documentation asks for: from the beginning when it goes back, and never 0,
+/// so that the next query surely blocks.
+pub fn next_index(last: u64, answered: u64) -> u64 {
+    if answered < last { 0 } else { answered.max(1) }
+}
+
+/// Waits between failed calls: doubling, and each drawn between half and the whole.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BackOff {
+    failures: u32,
+}
+
+impl BackOff {
+    const FIRST: Micros = 100_000;
+    const MOST: Micros = 3_000_000;
+
+    /// The wait after another failure.
+    pub fn failed(&mut self, rng: &mut Pcg64Mcg) -> Micros {
+        let whole = (Self::FIRST << self.failures.min(10)).min(Self::MOST);
+        self.failures = self.failures.saturating_add(1);
+        whole / 2 + rng.next_u64() % (whole / 2)
+    }
+
+    /// A call went well.
+    pub fn well(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Failures since a call went well.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_pcg::rand_core::SeedableRng;
+
+    #[test]
+    fn targets_are_escaped() {
+        let target = Target::new("/v1/kv/a")
+            .with("filter", "Meta.zone == \"a b\"")
+            .mode(Mode::Stale)
+            .maybe("dc", None);
+        let text = String::from_utf8(target.request("GET", "me", Some("t\r\nX: y"), b"")).expect("text");
+        assert!(
+            text.starts_with("GET /v1/kv/a?filter=Meta.zone%20%3D%3D%20%22a%20b%22&stale HTTP/1.1\r\n"),
+            "{text}"
+        );
+        assert!(text.contains("X-Consul-Token: tX: y\r\n"), "a token can't add a line: {text}");
+    }
+
+    #[test]
+    fn indexes_never_go_back_to_zero_or_stand_there() {
+        assert_eq!(next_index(5, 9), 9);
+        assert_eq!(next_index(9, 5), 0, "it went back: from the beginning");
+        assert_eq!(next_index(0, 0), 1, "missing or zero: still one that blocks");
+    }
+
+    #[test]
+    fn back_off_doubles_to_a_bound_with_jitter() {
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let mut off = BackOff::default();
+        let waits: Vec<Micros> = (0..10).map(|_| off.failed(&mut rng)).collect();
+        assert!((50_000..100_000).contains(&waits[0]));
+        assert!(waits.iter().all(|&w| w < 3_000_000) && waits[9] >= 1_500_000, "{waits:?}");
+        off.well();
+        assert!(off.failed(&mut rng) < 100_000);
+    }
+}
--- /dev/null
+++ b/crates/consul/src/trust.rs
@@ -0,0 +1,165 @@
+//! Which answers of the catalogue to believe.
+//!
+//! Three things must not pass for news: an answer of a server that lags, a list that lost much at once because a
+//! server has just restarted, and a list of another datacentre. The first is known by its index, the last by what
+//! its entries say. A loss of half the hosts is asked for again in the consistent mode, which only a leader that
+//! verified itself answers; where that answer does not come within [`CONFIRM_WITHIN`], the loss counts, since it may
+//! be true (rule 3 wins). What an unconfirmed answer says of hosts that it does list counts at once if it is bad.
+
+use std::collections::BTreeMap;
+
+use crate::Micros;
+use crate::catalogue::{Entry, Listed};
+use crate::query::Meta;
+
+/// A loss waits so long to be confirmed, well within any grace of rule 3.
+pub const CONFIRM_WITHIN: Micros = 500_000;
+/// A list with fewer than this share of the hosts that were listed is confirmed first...
+const LOST_SHARE: f64 = 0.5;
+/// ...if at least so many are missing.
+const LOST_LEAST: usize = 3;
+
+/// What to do with an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Belief {
+    /// It counts as a whole.
+    Take,
+    /// It counts for what it lists, if that is bad news; the rest waits for a confirming read.
+    Confirm,
+    /// It does not count, for this reason.
+    Reject(&'static str),
+}
+
+/// Counts and knowledge on which beliefs rest.
+#[derive(Debug, Default)]
+pub struct Trust {
+    datacentre: Option<String>,
+    /// The highest index of an answer that was taken.
+    highest: u64,
+    /// When a loss began to wait.
+    doubt: Option<Micros>,
+}
+
+impl Trust {
+    /// Trusts answers of this datacentre, or of any that first answers.
+    pub fn new(datacentre: Option<String>) -> Trust {
+        Trust { datacentre, highest: 0, doubt: None }
+    }
+
+    /// The highest index taken.
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// When a waiting loss counts at the latest.
+    pub fn due(&self) -> Option<Micros> {
+        self.doubt.map(|since| since + CONFIRM_WITHIN)
+    }
+
+    /// Judges an answer; `consistent` tells that it was read in that mode.
+    pub fn judge(
+        &mut self,
+        now: Micros,
+        meta: Meta,
+        consistent: bool,
+        listed: &Listed,
+        have: &BTreeMap<String, Entry>,
+    ) -> Belief {
+        if let Some(own) = &self.datacentre
+            && listed.datacentres.iter().any(|dc| dc != own)
+        {
+            return Belief::Reject("it is of another datacentre");
+        }
+        if consistent && meta.known_leader == Some(false) {
+            return Belief::Reject("a consistent read without a leader");
+        }
+        if meta.index < self.highest && !consistent {
+            return Belief::Reject("its server lags");
+        }
+        if self.datacentre.is_none() {
+            self.datacentre = listed.datacentres.first().cloned();
+        }
+        let kept = have.keys().filter(|name| listed.entries.contains_key(*name)).count();
+        let lost = have.len() - kept;
+        let much = lost >= LOST_LEAST && (kept as f64) < LOST_SHARE * have.len() as f64;
+        let overdue = self.due().is_some_and(|due| due <= now);
+        if much && !consistent && !overdue {
+            self.doubt.get_or_insert(now);
+            return Belief::Confirm;
+        }
+        self.doubt = None;
+        // Read consistently the index may have gone back: a cluster restored from a snapshot.
+        self.highest = if consistent { meta.index } else { self.highest.max(meta.index) };
+        Belief::Take
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::catalogue::{Known, read};
+
+    fn list(names: &[&str], dc: &str) -> Listed {
+        let entry = |n: &&str| {
+            format!(
+                r#"{{"Node":{{"Node":"{n}","Address":"127.0.0.1","Datacenter":"{dc}"}},
+                "Service":{{"ID":"{n}","Port":1,"Meta":{{"zone":"a","cell":"c","kind":"k"}}}},"Checks":[]}}"#
+            )
+        };
+        let body = format!("[{}]", names.iter().map(entry).collect::<Vec<_>>().join(","));
+        read(body.as_bytes(), &Known { zones: vec!["a".into()], kinds: vec!["k".into()], most: 99 })
+            .expect("a list")
+    }
+
+    fn meta(index: u64) -> Meta {
+        Meta { index, known_leader: Some(true), last_contact_ms: 0 }
+    }
+
+    const ALL: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+    #[test]
+    fn lagging_servers_and_other_datacentres_do_not_count() {
+        let mut trust = Trust::new(Some("dc1".into()));
+        let have = list(&ALL, "dc1").entries;
+        assert_eq!(trust.judge(0, meta(50), false, &list(&ALL, "dc1"), &have), Belief::Take);
+        assert!(matches!(trust.judge(1, meta(49), false, &list(&ALL, "dc1"), &have), Belief::Reject(_)));
+        assert!(matches!(trust.judge(1, meta(60), false, &list(&ALL, "dc2"), &have), Belief::Reject(_)));
+        assert!(matches!(trust.judge(1, meta(60), true, &list(&ALL, "dc2"), &have), Belief::Reject(_)));
+        assert_eq!(trust.judge(2, meta(50), false, &list(&ALL[1..], "dc1"), &have), Belief::Take);
+        // A cluster restored from a snapshot: its leader says so, and from then on its indexes count.
+        assert_eq!(trust.judge(3, meta(7), true, &list(&ALL, "dc1"), &have), Belief::Take);
+        assert_eq!(trust.judge(4, meta(8), false, &list(&ALL, "dc1"), &have), Belief::Take);
+        // Without a name in the settings the first answer gives it.
+        let mut trust = Trust::new(None);
+        assert_eq!(trust.judge(0, meta(1), false, &list(&ALL, "dc9"), &have), Belief::Take);
+        assert!(matches!(trust.judge(0, meta(2), false, &list(&ALL, "dc1"), &have), Belief::Reject(_)));
+    }
+
+    #[test]
+    fn a_great_loss_is_confirmed_or_counts_in_time() {
+        let have = list(&ALL, "dc1").entries;
+        for less in [&ALL[..0], &ALL[..2]] {
+            let mut trust = Trust::new(None);
+            assert_eq!(trust.judge(100, meta(5), false, &list(less, "dc1"), &have), Belief::Confirm);
+            assert_eq!(trust.due(), Some(100 + CONFIRM_WITHIN));
+            // The same again does not begin the wait anew, and when it is over the loss counts.
+            assert_eq!(trust.judge(200, meta(6), false, &list(less, "dc1"), &have), Belief::Confirm);
+            assert_eq!(
+                trust.judge(100 + CONFIRM_WITHIN, meta(6), false, &list(less, "dc1"), &have),
+                Belief::Take
+            );
+            // Confirmed by a leader it counts at once.
+            let mut trust = Trust::new(None);
+            assert_eq!(trust.judge(100, meta(5), false, &list(less, "dc1"), &have), Belief::Confirm);
+            assert_eq!(trust.judge(101, meta(5), true, &list(less, "dc1"), &have), Belief::Take);
+            assert_eq!(trust.due(), None);
+            // A consistent answer without a leader confirms nothing.
+            let mut trust = Trust::new(None);
+            let none = Meta { known_leader: Some(false), ..meta(5) };
+            assert!(matches!(trust.judge(1, none, true, &list(less, "dc1"), &have), Belief::Reject(_)));
+        }
+        // Few lost hosts are plain news.
+        let mut trust = Trust::new(None);
+        assert_eq!(trust.judge(0, meta(5), false, &list(&ALL[..4], "dc1"), &have), Belief::Take);
+    }
+}
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use maplethread::{AttemptId, Ending, Event, MachineId, Note, Room, Scope, Task, TaskId, Why};
-use maplethread_config::{HostState, Inventory};
+use maplethread_config::{HostEntry, HostState, Inventory};
 use maplethread_wire::frame::{self, Copies, Frame, NoteKind, Offer, Reason};
 
 use crate::answers::Answer;
@@ -37,36 +37,7 @@
             }
         }
         for entry in &inventory.host {
-            let id = match self.by_name.get(entry.name.as_str()) {
-                Some(&id) => id,
-                None => {
-                    let id = HostId(self.next_host);
-                    self.next_host += 1;
-                    let host = Host::new(id, entry, hash(&entry.name), self.now);
-                    self.by_name.insert(host.name.clone(), id);
-                    self.hosts.insert(id, host);
-                    id
-                }
-            };
-            let cell = self.cells.of(&format!("{}/{}", entry.zone, entry.cell));
-            let zones = &self.config.placer.zones;
-            let zone = zones.iter().position(|z| *z == entry.zone).unwrap_or(0) as u32;
-            let kind = self.config.kind.iter().position(|k| k.name == entry.kind).unwrap_or(0);
-            let Some(host) = self.hosts.get_mut(&id) else { continue };
-            (host.listing.zone, host.listing.cell, host.listing.kind) = (zone, cell, kind);
-            let free = entry.unasked_cores.zip(entry.unasked_memory_gib);
-            host.listing.unasked = free.map(|(cores, memory)| Room::new(cores, memory));
-            (host.listed, host.listed_start) = (entry.state, entry.started_ms);
-            let moved = host.address != entry.address;
-            host.address = entry.address;
-            let (link, epoch) = (host.link, host.epoch);
-            if moved && link != Link::Down {
-                let written = host.written;
-                self.outputs.push(Output::CloseHost(id));
-                self.host_closed(self.now, id, written);
-            } else if link == Link::Down && entry.state != HostState::Gone && epoch == 0 {
-                self.connect_due(id, 0);
-            }
+            self.take_entry(entry);
         }
         // What is gone and holds nothing is forgotten; its number is never used again.
         let gone: Vec<HostId> = self
@@ -88,6 +59,72 @@
         }
     }
 
+    /// News of some hosts, each as it now is; those that are gone have that state.
+    pub fn hosts_changed(&mut self, now: u64, entries: &[HostEntry]) {
+        self.now = self.now.max(now);
+        self.listed = true;
+        let mut machines = Vec::new();
+        for entry in entries {
+            if entry.state == HostState::Gone && !self.by_name.contains_key(entry.name.as_str()) {
+                continue;
+            }
+            let id = self.take_entry(entry);
+            let Some(host) = self.hosts.get_mut(&id) else { continue };
+            let forgotten = host.listed == HostState::Gone && host.link == Link::Down;
+            if host.tried || forgotten {
+                machines.push(host.refresh());
+            }
+            if forgotten {
+                self.lose_all(id);
+                if let Some(host) = self.hosts.remove(&id) {
+                    self.by_name.remove(&host.name);
+                }
+            }
+        }
+        if !machines.is_empty() {
+            self.events.push(Event::Listed { scope: Scope::Changes, machines });
+        }
+    }
+
+    /// This placer's number from now on, where it is leased.
+    pub fn numbered(&mut self, number: Option<u32>) {
+        self.events.push(Event::Numbered(number));
+    }
+
+    fn take_entry(&mut self, entry: &HostEntry) -> HostId {
+        let id = match self.by_name.get(entry.name.as_str()) {
+            Some(&id) => id,
+            None => {
+                let id = HostId(self.next_host);
+                self.next_host += 1;
+                let host = Host::new(id, entry, hash(&entry.name), self.now);
+                self.by_name.insert(host.name.clone(), id);
+                self.hosts.insert(id, host);
+                id
+            }
+        };
+        let cell = self.cells.of(&format!("{}/{}", entry.zone, entry.cell));
+        let zones = &self.config.placer.zones;
+        let zone = zones.iter().position(|z| *z == entry.zone).unwrap_or(0) as u32;
+        let kind = self.config.kind.iter().position(|k| k.name == entry.kind).unwrap_or(0);
+        let Some(host) = self.hosts.get_mut(&id) else { return id };
+        (host.listing.zone, host.listing.cell, host.listing.kind) = (zone, cell, kind);
+        let free = entry.unasked_cores.zip(entry.unasked_memory_gib);
+        host.listing.unasked = free.map(|(cores, memory)| Room::new(cores, memory));
+        (host.listed, host.listed_start) = (entry.state, entry.started_ms);
+        let moved = host.address != entry.address;
+        host.address = entry.address;
+        let (link, epoch) = (host.link, host.epoch);
+        if moved && link != Link::Down {
+            let written = host.written;
+            self.outputs.push(Output::CloseHost(id));
+            self.host_closed(self.now, id, written);
+        } else if link == Link::Down && entry.state != HostState::Gone && epoch == 0 {
+            self.connect_due(id, 0);
+        }
+        id
+    }
+
     /// Tells the decider what is new of one host.
     fn relist(&mut self, id: HostId) {
         if let Some(host) = self.hosts.get_mut(&id) {
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -10,9 +10,11 @@
 
 use maplethread::SettingsError;
 use maplethread_config::{ConfigError, Doc, Inventory, PlacerConfig};
+use maplethread_consul::Update;
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
 use maplethread_reactor::{Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
 
+use crate::catalogue::Catalogue;
 use crate::clock::Clock;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
 
@@ -67,7 +69,7 @@
 
 impl std::error::Error for Error {}
 
-fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
+pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
     let what = what.into();
     move |e| Error::Io(what, e)
 }
@@ -78,7 +80,10 @@
     let file = path.display().to_string();
     let mut config = PlacerConfig::parse(Doc { file: &file, text: &text }).map_err(Error::Config)?;
     if let Some(folder) = path.parent() {
-        config.hosts.inventory = folder.join(&config.hosts.inventory);
+        config.hosts.inventory = config.hosts.inventory.map(|path| folder.join(path));
+        if let Some(consul) = &mut config.consul {
+            consul.token_file = consul.token_file.take().map(|path| folder.join(path));
+        }
     }
     Ok(config)
 }
@@ -118,7 +123,8 @@
     signals: Signals,
     listener: Option<TcpListener>,
     accepting: bool,
-    watch: FileWatch,
+    watch: Option<FileWatch>,
+    catalogue: Option<Catalogue>,
     config: PlacerConfig,
     next_token: u64,
     clients: HashMap<u64, ClientConn>,
@@ -153,9 +159,15 @@
         let signals = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
         let signals = Signals::catch(&signals).map_err(io_error("signals"))?;
         signals.register(&poller, SIGNALS).map_err(io_error("signals"))?;
-        let path = &config.hosts.inventory;
-        let watch = FileWatch::new(path).map_err(io_error(format!("watching {}", path.display())))?;
-        poller.add(&watch, INVENTORY, false).map_err(io_error("inotify"))?;
+        let watch = match &config.hosts.inventory {
+            Some(path) => {
+                let watch = FileWatch::new(path).map_err(io_error(format!("watching {}", path.display())))?;
+                poller.add(&watch, INVENTORY, false).map_err(io_error("inotify"))?;
+                Some(watch)
+            }
+            None => None,
+        };
+        let catalogue = Catalogue::new(&config, boot.seed)?;
         listener.set_nonblocking(true).map_err(io_error("listener"))?;
         let now = clock.now();
         let mut daemon = Daemon {
@@ -166,6 +178,7 @@
             listener: Some(listener),
             accepting: false,
             watch,
+            catalogue,
             config,
             next_token: FIRST,
             clients: HashMap::new(),
@@ -183,6 +196,9 @@
             stop_by: None,
         };
         daemon.read_inventory();
+        if daemon.config.consul.as_ref().is_some_and(|c| c.membership.is_some()) {
+            daemon.engine.numbered(None);
+        }
         Ok(daemon)
     }
 
@@ -214,6 +230,7 @@
                 self.poller.wait(Some(Duration::ZERO), &mut ready).map_err(io_error("epoll"))?;
             }
             self.feed_stuffed();
+            self.look_up();
             let read = self.clock.now();
             self.engine.turn(read, stalled);
             let decided = self.clock.now();
@@ -230,9 +247,25 @@
         }
     }
 
+    /// Lets the catalogue do what is due, and gives what is new to the engine.
+    fn look_up(&mut self) {
+        let Some(catalogue) = &mut self.catalogue else { return };
+        let now = self.clock.now();
+        for update in catalogue.tick(now, &self.poller, &mut self.next_token) {
+            match update {
+                Update::Hosts(hosts) => {
+                    tracing::info!(hosts = hosts.len(), "news of the catalogue");
+                    self.engine.hosts_changed(now, &hosts);
+                }
+                Update::Slot(slot) => self.engine.numbered(slot),
+            }
+        }
+    }
+
     fn next_due(&self) -> Option<u64> {
+        let catalogue = self.catalogue.as_ref().and_then(|c| c.next_timeout(self.clock.now()));
         let linger = self.lingering.values().map(|l| l.1).min();
-        [self.engine.next_timeout(), linger, self.stop_by].into_iter().flatten().min()
+        [self.engine.next_timeout(), catalogue, linger, self.stop_by].into_iter().flatten().min()
     }
 
     fn accept_from_now(&mut self) -> Result<(), Error> {
@@ -241,6 +274,9 @@
         self.poller.add(listener, LISTENER, false).map_err(io_error("listener"))?;
         let address = listener.local_addr().map_err(io_error("listener"))?;
         tracing::info!(placer = %self.config.placer.name, %address, "listening");
+        if let Some(catalogue) = &mut self.catalogue {
+            catalogue.source.serves(&self.config.placer.name, address);
+        }
         let mut out = io::stdout().lock();
         let _ = writeln!(out, "maplethread placer {} listening on {address}", self.config.placer.name);
         let _ = out.flush();
@@ -275,11 +311,17 @@
                 LISTENER => self.accept(),
                 SIGNALS => self.signals.take().into_iter().for_each(|signal| self.stop(signal)),
                 INVENTORY => {
-                    if self.watch.changed() {
+                    if self.watch.as_mut().is_some_and(FileWatch::changed) {
                         self.read_inventory();
                     }
                 }
                 token if self.hosts.contains_key(&token) => self.host_ready(token, r),
+                token if self.catalogue.as_ref().is_some_and(|c| c.has(token)) => {
+                    let now = self.clock.now();
+                    if let Some(catalogue) = &mut self.catalogue {
+                        catalogue.ready(now, token, r, &self.poller);
+                    }
+                }
                 token if self.clients.contains_key(&token) => self.client_ready(token, r),
                 token => self.linger_ready(token, r),
             }
@@ -287,7 +329,7 @@
     }
 
     fn read_inventory(&mut self) {
-        let path = self.watch.path().to_owned();
+        let Some(path) = self.watch.as_ref().map(|w| w.path().to_owned()) else { return };
         let file = path.display().to_string();
         let long = std::fs::metadata(&path).is_ok_and(|m| m.len() > INVENTORY_BYTES);
         let text = if long {
@@ -467,7 +509,11 @@
         if now >= self.gauges_at {
             self.gauges_at = now + 250_000;
             self.spent.decide = self.deciding.get();
-            self.engine.set_gauges(self.decide_time.json_with(&self.spent));
+            let mut gauges = self.decide_time.json_with(&self.spent);
+            if let Some(catalogue) = &self.catalogue {
+                gauges["catalogue"] = serde_json::json!(catalogue.source.report(now));
+            }
+            self.engine.set_gauges(gauges);
         }
         self.lingering.retain(|_, (_, until)| *until > now);
     }
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -1,6 +1,7 @@
 //! The placer's daemon: the engine on sockets. It reads all that is readable, gives it to the engine with the
 //! time, lets it decide once, and writes what came out. Nothing here knows what the bytes mean.
 
+mod catalogue;
 mod clock;
 mod daemon;
 mod decide_time;
--- a/crates/standin/src/baseline.rs
+++ b/crates/standin/src/baseline.rs
@@ -32,6 +32,7 @@
     now: Micros,
     machines: BTreeMap<MachineId, Listing>,
     unlinked: BTreeSet<MachineId>,
+    numbered: bool,
     sends: BTreeMap<MachineId, VecDeque<Micros>>,
     open: BTreeMap<TaskId, Open>,
     attempts: BTreeMap<AttemptId, (Task, MachineId, Micros)>,
@@ -51,6 +52,7 @@
             now: 0,
             machines: BTreeMap::new(),
             unlinked: BTreeSet::new(),
+            numbered: true,
             sends: BTreeMap::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -77,6 +79,7 @@
                     self.unlinked.insert(*machine);
                 }
             }
+            Event::Numbered(number) => self.numbered = number.is_some(),
             Event::Asked(task) => {
                 self.dropped += 1;
                 if self.rogue == 1 && self.dropped.is_multiple_of(7) {
@@ -203,7 +206,7 @@
             let sends = self.sends.get(&machine.machine);
             let lately =
                 sends.map_or(0, |s| s.iter().filter(|&&at| at + rules.fall_window >= self.now).count());
-            return lately < part;
+            return lately < part && self.numbered;
         }
         true
     }
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -276,6 +276,7 @@
         },
         api: api(),
         hosts: hosts("hosts.toml"),
+        consul: None,
         placing: Placing { admit_cores: 1.0, admit_memory: 1.0, ..Placing::default() },
         rules: Rules {
             ask_within_ms: 10_000,
--- a/src/control.rs
+++ b/src/control.rs
@@ -242,6 +242,8 @@
     settings: Settings,
     rng: Pcg64Mcg,
     now: Micros,
+    /// Which of the placers this one is; nothing while its number is lost.
+    number: Option<u32>,
     decisions: u64,
     machines: BTreeMap<MachineId, Machine>,
     rates: BTreeMap<(ServiceId, MachineId, Level), Rate>,
@@ -267,6 +269,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Placer, SettingsError> {
         settings.check()?;
         Ok(Placer {
+            number: Some(settings.number),
             settings,
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0,
@@ -322,6 +325,7 @@
                     machine.unlinked = !up;
                 }
             }
+            Event::Numbered(number) => self.number = *number,
             Event::ListUnavailable if self.settings.discovery == Discovery::Ask => {
                 self.relisten_at = self.relisten_at.or(Some(self.now + ASK_AGAIN));
             }
@@ -720,8 +724,12 @@
         let Some(start) = at.started.filter(|&start| start + rules.cold_for > self.now) else {
             return true;
         };
+        // Guards against two placers spending one part: whose number is lost sends nothing to cold machines.
+        let Some(number) = self.number else {
+            return false;
+        };
         let (offers, placers) = ((rules.fresh_offers * COLD_SHARE) as u64, u64::from(self.settings.placers));
-        let turn = (u64::from(self.settings.number) + mix(at.label ^ start) % placers) % placers;
+        let turn = (u64::from(number) + mix(at.label ^ start) % placers) % placers;
         let own = offers / placers + u64::from(turn < offers % placers);
         let sent = machine.sends.iter().filter(|&&at| at + rules.fall_window >= self.now).count();
         (sent as u64) < own
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -408,6 +408,9 @@
         /// The machines.
         machines: Vec<Listing>,
     },
+    /// Which of the placers this one is from now on, where that is leased rather than set. Without a number it has
+    /// no part of a cold machine's budget.
+    Numbered(Option<u32>),
     /// Whether the caller has a connection to a machine. Told only by callers that keep connections: without one
     /// an offer is [`Ending::Unreachable`] at once. A machine of which nothing was told counts as connected.
     Linked(MachineId, bool),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -206,3 +206,28 @@
         assert_eq!(offer(&actions), Some(0), "room again");
     }
 }
+
+#[test]
+fn without_its_number_a_placer_sends_nothing_to_cold_machines() {
+    let mut s = settings(Effect::Safe);
+    s.placers = 4;
+    let mut desk = Desk::new(s, 1);
+    let cold = Listing { started: Some(desk.now), ..machine(0) };
+    desk.list(Scope::Full, vec![cold]);
+    // Its number is lost, as when a lease ran out while it stood still: no budget is its own.
+    desk.turn(&[Event::Numbered(None)]);
+    assert_eq!(desk.ask(task(1, 1, desk.now + 60 * S)), None);
+    assert_eq!(offer(&desk.wait(desk.now + 2 * S, &[0])), None);
+    // With a number again the held task goes there, and no more than that number's part does.
+    desk.turn(&[Event::Numbered(Some(2))]);
+    let mut sent = usize::from(offer(&desk.wait(desk.now + S / 2, &[0])).is_some());
+    assert_eq!(sent, 1);
+    for n in 2..40 {
+        sent += usize::from(desk.ask(task(n, n, desk.now + 60 * S)).is_some());
+    }
+    assert!(sent <= 5, "{sent} of 20 for one of four placers");
+    // Warm machines need no number.
+    desk.turn(&[Event::Numbered(None)]);
+    desk.list(Scope::Full, vec![machine(0)]);
+    assert!(desk.ask(task(99, 99, desk.now + 60 * S)).is_some());
+}
