--- /dev/null
+++ b/crates/cli/tests/consul.rs
@@ -0,0 +1,300 @@
+//! A real placer with hosts and its own number from Consul's stand-in.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use maplethread_consul_standin::{Faults, Servers, Settings};
+use maplethread_wire::frame::Frame;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use support::*;
+
+/// One request to a server; its status and body.
+fn http(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).expect("the server listens");
+    let length = body.len();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .expect("the server reads");
+    stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a timeout");
+    let (mut bytes, mut part) = (Vec::new(), [0; 4096]);
+    // The server keeps connections; a whole answer has its length.
+    while let Ok(n) = stream.read(&mut part) {
+        if n == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&part[..n]);
+        let text = String::from_utf8_lossy(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
+            if length.and_then(|l| l.parse().ok()).is_some_and(|l: usize| body.len() >= l) {
+                break;
+            }
+        }
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    (status, text.split_once("\r\n\r\n").map_or("", |(_, b)| b).to_owned())
+}
+
+fn register(servers: &Servers, host: &ScriptedHost, status: &str) {
+    let body = json!({
+        "Node": format!("node-{}", host.name), "Address": "127.0.0.1",
+        "Service": {
+            "ID": host.name, "Service": "maplethread-host", "Port": host.address().port(),
+            "Meta": {"zone": host.zone, "cell": host.cell, "kind": "std", "started_ms": host.started_ms.to_string()},
+        },
+        "Checks": [{"CheckID": format!("service:{}", host.name), "Name": "host", "Status": status, "ServiceID": host.name}],
+    });
+    assert_eq!(http(servers.addresses[0], "PUT", "/v1/catalog/register", &body.to_string()).0, 200);
+}
+
+fn deregister(servers: &Servers, host: &ScriptedHost) {
+    let body = json!({"Node": format!("node-{}", host.name), "ServiceID": host.name});
+    assert_eq!(http(servers.addresses[0], "PUT", "/v1/catalog/deregister", &body.to_string()).0, 200);
+}
+
+/// A placer that reads its hosts from these servers, with further settings of `[consul]`.
+fn placer(servers: &Servers, name: &str, placers: u32, more: &str) -> Placer {
+    let placer = Placer::files(&[], "");
+    let path = placer.folder().join("placer.toml");
+    let text = std::fs::read_to_string(&path).expect("a file");
+    let list: Vec<String> = servers.addresses.iter().map(|a| format!("\"{a}\"")).collect();
+    let text = text
+        .replace("inventory = \"hosts.toml\"", "")
+        .replace("name = \"p0\"", &format!("name = \"{name}\""))
+        .replace("placers = 1", &format!("placers = {placers}"))
+        .replace(
+            "[placing]",
+            &format!("[consul]\nservers = [{}]\nwait_ms = 1000\n{more}\n[placing]", list.join(", ")),
+        );
+    std::fs::write(&path, text).expect("a file");
+    placer
+}
+
+fn gauges(placer: &Placer) -> Value {
+    placer.client().call("GET", "/v1/status?full=1", "").1["gauges"]["catalogue"].clone()
+}
+
+fn wait_gauge(placer: &Placer, what: &str, shown: impl Fn(&Value) -> bool) -> Value {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let gauges = gauges(placer);
+        if shown(&gauges) {
+            return gauges;
+        }
+        assert!(Instant::now() < until, "never came about: {what}; {gauges}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn hosts_come_and_go_by_the_catalogue() {
+    let servers = Servers::start(Settings::new(3)).expect("servers");
+    let (h1, h2) = (ScriptedHost::new("h1", "a", "1"), ScriptedHost::new("h2", "a", "1"));
+    register(&servers, &h1, "passing");
+    register(&servers, &h2, "passing");
+    let mut placer = placer(&servers, "p0", 1, "");
+    let ready = placer.start();
+    let (mut l1, mut l2) = (h1.greet(&[]), h2.greet(&[]));
+    ready(&mut placer);
+    assert_eq!(placer.status()["hosts_connected"], 2);
+    // Critical: nothing new there, while its tasks run on.
+    register(&servers, &h1, "critical");
+    wait_gauge(&placer, "the drain", |g| g["index"].as_u64() > Some(5));
+    let mut client = placer.client();
+    for n in 0..20 {
+        client.ask(&ask("web-api", &format!("s{n}"), "a", 4000), &format!("{n}"));
+        let offer = l2.offer();
+        l2.send(&Frame::Accepted(offer.attempt, 1));
+        assert_eq!(client.json().1["host"], "h2");
+    }
+    assert!(l1.all_within(Duration::from_millis(100)).is_empty());
+    // Passing again: it takes part again; the other one is gone altogether.
+    register(&servers, &h1, "passing");
+    deregister(&servers, &h2);
+    drop(l2);
+    placer.wait_for("h2 is forgotten", |s| s["hosts"] == 1);
+    client.ask(&ask("web-api", "s", "b", 4000), "b");
+    let offer = l1.offer();
+    l1.send(&Frame::Accepted(offer.attempt, 1));
+    assert_eq!(client.json().1["host"], "h1");
+}
+
+#[test]
+fn a_late_answer_that_holds_a_drain_is_heeded_as_soon_as_it_is_read() {
+    // What the placer is told, and when: the moment at which the server wrote the answer.
+    let told: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
+    let seen = told.clone();
+    let watch = move |_: &str, _: u64, _: bool, body: &[u8]| {
+        let drains = String::from_utf8_lossy(body).contains("\"critical\"");
+        seen.lock().expect("no panic").push((Instant::now(), drains));
+    };
+    let settings = Settings { watch: Some(Arc::new(watch)), ..Settings::new(1) };
+    let servers = Servers::start(settings).expect("servers");
+    let (h1, h2) = (ScriptedHost::new("h1", "a", "1"), ScriptedHost::new("h2", "a", "1"));
+    register(&servers, &h1, "passing");
+    register(&servers, &h2, "passing");
+    let mut placer = placer(&servers, "p0", 1, "");
+    let ready = placer.start();
+    let (mut l1, mut l2) = (h1.greet(&[]), h2.greet(&[]));
+    ready(&mut placer);
+    let late = Duration::from_secs(3);
+    servers.faults(None, Faults { late: late.as_micros() as u64, ..Faults::default() });
+    register(&servers, &h1, "critical");
+    // Asks go on all the while; the last offer to the draining host is noted.
+    let mut client = placer.client();
+    let until = Instant::now() + late + Duration::from_secs(3);
+    let (mut last_there, mut n) = (None, 0);
+    while Instant::now() < until {
+        n += 1;
+        client.ask(&ask("web-api", &format!("s{n}"), "a", 2000), &format!("{n}"));
+        loop {
+            if let Some(Frame::Offer(offer)) = l1.next_within(Duration::from_millis(2)) {
+                last_there = Some(Instant::now());
+                l1.send(&Frame::Accepted(offer.attempt, 1));
+                break;
+            }
+            if let Some(Frame::Offer(offer)) = l2.next_within(Duration::from_millis(2)) {
+                l2.send(&Frame::Accepted(offer.attempt, 1));
+                break;
+            }
+        }
+        assert_eq!(client.json().1["outcome"], "placed");
+    }
+    let written = told.lock().expect("no panic").iter().find(|t| t.1).expect("it was told").0 + late;
+    let last = last_there.expect("it got work before");
+    let margin = (written + Duration::from_secs(2)).saturating_duration_since(last);
+    assert!(last < written + Duration::from_secs(2), "offered 2 s after it was told");
+    println!("margin to the grace: {margin:?}");
+    assert!(margin > Duration::from_millis(1500), "it acted late: {margin:?}");
+}
+
+#[test]
+fn lagging_empty_partial_and_foreign_lists_do_not_lose_hosts() {
+    let servers = Servers::start(Settings::new(3)).expect("servers");
+    let hosts: Vec<ScriptedHost> = (0..6).map(|n| ScriptedHost::new(&format!("h{n}"), "a", "1")).collect();
+    hosts.iter().for_each(|h| register(&servers, h, "passing"));
+    let mut placer = placer(&servers, "p0", 1, "reads = \"stale\"");
+    let ready = placer.start();
+    let mut links: Vec<Link> = hosts.iter().map(|h| h.greet(&[])).collect();
+    ready(&mut placer);
+    for faults in [
+        Faults { empty: true, ..Faults::default() },
+        Faults { partial: 0.2, ..Faults::default() },
+        Faults { other_datacentre: true, ..Faults::default() },
+        Faults { index_back: 1000, ..Faults::default() },
+        Faults { storm: Some((500, 1.0)), ..Faults::default() },
+        Faults { storm: Some((429, 1.0)), ..Faults::default() },
+        Faults { storm: Some((403, 1.0)), ..Faults::default() },
+        Faults { cut: 1.0, ..Faults::default() },
+    ] {
+        let before = gauges(&placer);
+        let count =
+            |g: &Value| ["taken", "rejected", "failed"].iter().filter_map(|k| g[*k].as_u64()).sum::<u64>();
+        servers.faults(None, faults.clone());
+        // Something changes, so that the faulty answers come.
+        register(&servers, &hosts[0], "warning");
+        wait_gauge(&placer, "some answers", |g| count(g) >= count(&before) + 3);
+        assert_eq!(placer.status()["hosts"], 6, "{faults:?}");
+        let mut client = placer.client();
+        client.ask(&ask("web-api", "s", "a", 2000), "x");
+        let until = Instant::now() + PATIENCE;
+        'placed: while Instant::now() < until {
+            for link in &mut links {
+                if let Some(Frame::Offer(offer)) = link.next_within(Duration::from_millis(2)) {
+                    link.send(&Frame::Accepted(offer.attempt, 1));
+                    link.send(&Frame::Ended(
+                        offer.attempt,
+                        maplethread_wire::frame::Reason::Done,
+                        true,
+                        None,
+                    ));
+                    break 'placed;
+                }
+            }
+        }
+        assert_eq!(client.json().1["outcome"], "placed", "{faults:?}");
+        servers.faults(None, Faults::default());
+        register(&servers, &hosts[0], "passing");
+        wait_gauge(&placer, "sound answers", |g| g["age_ms"].as_u64() < Some(300));
+        placer.wait_for("settled", |s| s["actors"] == 0);
+    }
+    // A follower that lags does not bring back a host that is known to be gone.
+    let index = gauges(&placer)["index"].as_u64();
+    deregister(&servers, &hosts[5]);
+    placer.wait_for("h5 drains", |_| gauges(&placer)["hosts"] == 5);
+    assert!(gauges(&placer)["index"].as_u64() > index);
+    servers.faults(None, Faults { index_back: 50, ..Faults::default() });
+    register(&servers, &hosts[0], "warning");
+    wait_gauge(&placer, "rejections", |g| g["rejected"].as_u64() > Some(2));
+    assert_eq!(gauges(&placer)["hosts"], 5);
+    // A loss that nobody denies counts, though nobody confirms it either: the rules win.
+    servers.faults(None, Faults::default());
+    for host in &hosts[1..] {
+        deregister(&servers, host);
+    }
+    wait_gauge(&placer, "the loss", |g| g["hosts"] == 1);
+}
+
+#[test]
+fn no_two_live_placers_hold_a_number_and_a_stopped_one_fences_itself() {
+    let servers = Servers::start(Settings::new(3)).expect("servers");
+    let host = ScriptedHost::new("h1", "a", "1");
+    register(&servers, &host, "passing");
+    let more = "[consul.membership]\nttl_ms = 1500\nlock_delay_ms = 1000\n";
+    let mut placers: Vec<Placer> = (0..3).map(|n| placer(&servers, &format!("p{n}"), 2, more)).collect();
+    for placer in &mut placers {
+        let ready = placer.start();
+        let link = host.greet(&[]);
+        ready(placer);
+        std::thread::spawn(move || {
+            let mut link = link;
+            while link.next_within(Duration::from_secs(30)).is_some() {}
+        });
+    }
+    let slots = |placers: &[Placer]| -> Vec<Option<u64>> {
+        placers.iter().map(|p| gauges(p)["slot"].as_u64()).collect()
+    };
+    let until = Instant::now() + PATIENCE;
+    let held = loop {
+        let held = slots(&placers);
+        if held.iter().flatten().count() == 2 {
+            break held;
+        }
+        assert!(Instant::now() < until, "{held:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let (one, late) = (
+        held.iter().position(Option::is_some).expect("one"),
+        held.iter().position(Option::is_none).expect("late"),
+    );
+    assert_ne!(held[(late + 1) % 3], held[(late + 2) % 3], "two placers hold one number");
+    // The placers are found where they registered, and their checks pass.
+    let (_, list) = http(servers.addresses[1], "GET", "/v1/health/service/maplethread-placer?passing", "");
+    assert_eq!(
+        serde_json::from_str::<Value>(&list).expect("JSON").as_array().map(Vec::len),
+        Some(3),
+        "{list}"
+    );
+    // One is stopped beyond its session: the late one takes its number after the lock delay...
+    placers[one].signal(Signal::STOP);
+    wait_gauge(&placers[late], "the number of the stopped one", |g| g["slot"] == json!(held[one]));
+    // ...and when the first goes on it knows at once that it has none. It never shows the number again.
+    placers[one].signal(Signal::CONT);
+    let log = std::fs::read_to_string(placers[one].log()).expect("a log");
+    let before = log.matches("placer number").count();
+    wait_gauge(&placers[one], "it has no number", |g| g["slot"].is_null());
+    let log = std::fs::read_to_string(placers[one].log()).expect("a log");
+    assert!(log.matches("placer number slot=None").count() > before.saturating_sub(2));
+    assert_eq!(gauges(&placers[late])["slot"], json!(held[one]));
+    // A placer that leaves for good makes room.
+    placers[late].kill();
+    wait_gauge(&placers[one], "the number is free again", |g| !g["slot"].is_null());
+}
--- /dev/null
+++ b/crates/consul-standin/src/server.rs
@@ -0,0 +1,661 @@
+//! The servers on sockets: one thread, a log of commands, and for each server a state that may lag behind it.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use maplethread_engine::Timers;
+use maplethread_placer::Clock;
+use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_wire::http::{self, Found, Limits, Message, Reader, Role};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::api::{Asked, Read, What, Write, asked};
+use crate::state::{Check, Command, Lock, State};
+
+const WAKER: u64 = 0;
+const LISTENERS: u64 = 1 << 32;
+const CONNS: u64 = 1 << 33;
+
+/// What goes wrong with a server just now.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Writes suffer them too; without it only reads do.
+    pub writes: bool,
+    /// Answers come so much later, µs.
+    pub late: u64,
+    /// This share of requests gets this status.
+    pub storm: Option<(u16, f64)>,
+    /// This share of answers is cut in the middle of the body.
+    pub cut: f64,
+    /// Lists are empty.
+    pub empty: bool,
+    /// Only this share of each list is told, if above 0.
+    pub partial: f64,
+    /// Lists are of another datacentre.
+    pub other_datacentre: bool,
+    /// Indexes are told so much lower.
+    pub index_back: u64,
+    /// No further command is taken in.
+    pub frozen: bool,
+}
+
+/// How to run the servers.
+#[derive(Clone)]
+pub struct Settings {
+    /// Where they listen; port 0 for free ones.
+    pub listen: Vec<SocketAddr>,
+    /// The datacentre.
+    pub datacentre: String,
+    /// How far followers lag, µs.
+    pub lag: u64,
+    /// Tokens that may read, and whether they may write; without any, everybody may.
+    pub tokens: Vec<(String, bool)>,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Told of each answer to a read of a service's health: User-Agent, index, whether it was read consistently, body.
+    pub watch: Option<Arc<dyn Fn(&str, u64, bool, &[u8]) + Send + Sync>>,
+}
+
+impl Settings {
+    /// So many servers on free ports.
+    pub fn new(servers: usize) -> Settings {
+        let listen = vec![SocketAddr::from(([127, 0, 0, 1], 0)); servers.max(1)];
+        Settings {
+            listen,
+            datacentre: "dc1".to_owned(),
+            lag: 20_000,
+            tokens: Vec::new(),
+            seed: 1,
+            watch: None,
+        }
+    }
+}
+
+enum Control {
+    Faults(Option<usize>, Faults),
+    /// No leader for so long, µs; then the next server leads.
+    LoseLeader(u64),
+    Command(Command),
+    End,
+}
+
+/// The running servers.
+pub struct Servers {
+    /// Where they listen.
+    pub addresses: Vec<SocketAddr>,
+    controls: Arc<Mutex<VecDeque<Control>>>,
+    waker: OwnedFd,
+    thread: Option<JoinHandle<io::Result<()>>>,
+    counts: Arc<[AtomicU64; 2]>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Servers {
+    /// Starts them.
+    pub fn start(settings: Settings) -> io::Result<Servers> {
+        let poller = Poller::new()?;
+        let waker = Poller::waker()?;
+        poller.add(&waker, WAKER, false)?;
+        let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
+        for (n, at) in settings.listen.iter().enumerate() {
+            let listener = TcpListener::bind(at)?;
+            listener.set_nonblocking(true)?;
+            poller.add(&listener, LISTENERS + n as u64, false)?;
+            addresses.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
+        let controls = Arc::new(Mutex::new(VecDeque::new()));
+        let counts: Arc<[AtomicU64; 2]> = Arc::default();
+        let server = |_| Server { state: State::default(), applied: 0, faults: Faults::default() };
+        let mut run = Run {
+            poller,
+            listeners,
+            clock: Clock::start(),
+            servers: settings.listen.iter().map(server).collect(),
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            settings,
+            conns: HashMap::new(),
+            next: CONNS,
+            log: VecDeque::new(),
+            log_start: 0,
+            leader: Some(0),
+            leader_back: 0,
+            parked: Vec::new(),
+            delayed: Timers::default(),
+            renewed: HashMap::new(),
+            requests: 0,
+            controls: controls.clone(),
+            waker: rustix::io::dup(&waker)?,
+            counts: counts.clone(),
+            ended: false,
+        };
+        for (n, address) in addresses.iter().enumerate() {
+            let (name, ip) = (node_name(n), address.ip().to_string());
+            run.commit(Command::Register {
+                node: name.clone(),
+                address: ip.clone(),
+                meta: json!({}),
+                service: None,
+                checks: Vec::new(),
+            });
+            run.commit(Command::Member { name, address: ip, status: 1 });
+        }
+        let thread = std::thread::Builder::new().name("consul-stand-in".into()).spawn(move || run.run())?;
+        Ok(Servers { addresses, controls, waker, thread: Some(thread), counts })
+    }
+
+    fn control(&self, control: Control) {
+        lock(&self.controls).push_back(control);
+        let _ = rustix::io::write(&self.waker, &1u64.to_ne_bytes());
+    }
+
+    /// Sets the faults of one server, or of all.
+    pub fn faults(&self, server: Option<usize>, faults: Faults) {
+        self.control(Control::Faults(server, faults));
+    }
+
+    /// No leader for so long, µs; then the next server leads.
+    pub fn lose_leader(&self, span: u64) {
+        self.control(Control::LoseLeader(span));
+    }
+
+    /// An agent's status in the gossip pool: 1 alive, 2 leaving, 3 left, 4 failed.
+    pub fn member(&self, name: &str, status: i64) {
+        let command = Command::Member { name: name.to_owned(), address: "127.0.0.1".to_owned(), status };
+        self.control(Control::Command(command));
+    }
+
+    /// Requests served and bytes sent so far.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.counts[0].load(Ordering::Relaxed), self.counts[1].load(Ordering::Relaxed))
+    }
+
+    /// Waits for the thread to end, which it does only when something fails.
+    pub fn join(mut self) -> io::Result<()> {
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(result)) => result,
+            _ => Err(io::Error::other("the servers' thread panicked")),
+        }
+    }
+}
+
+impl Drop for Servers {
+    fn drop(&mut self) {
+        self.control(Control::End);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn node_name(server: usize) -> String {
+    format!("server-{server}")
+}
+
+struct Server {
+    state: State,
+    /// Commands taken in.
+    applied: u64,
+    faults: Faults,
+}
+
+struct Link {
+    conn: Conn,
+    server: usize,
+    reader: Reader,
+    closing: bool,
+}
+
+struct Parked {
+    token: u64,
+    server: usize,
+    read: Read,
+    until: u64,
+    who: String,
+}
+
+struct Run {
+    poller: Poller,
+    listeners: Vec<TcpListener>,
+    clock: Clock,
+    settings: Settings,
+    servers: Vec<Server>,
+    rng: Pcg64Mcg,
+    conns: HashMap<u64, Link>,
+    next: u64,
+    log: VecDeque<(u64, Command)>,
+    log_start: u64,
+    leader: Option<usize>,
+    leader_back: u64,
+    parked: Vec<Parked>,
+    delayed: Timers<(u64, Vec<u8>, bool)>,
+    /// When sessions and TTL checks were last renewed.
+    renewed: HashMap<String, u64>,
+    requests: u64,
+    controls: Arc<Mutex<VecDeque<Control>>>,
+    waker: OwnedFd,
+    counts: Arc<[AtomicU64; 2]>,
+    ended: bool,
+}
+
+impl Run {
+    fn run(&mut self) -> io::Result<()> {
+        let mut ready: Vec<Readiness> = Vec::new();
+        while !self.ended {
+            let now = self.clock.now();
+            let next = self.delayed.next().unwrap_or(u64::MAX).min(now + 10_000);
+            ready.clear();
+            self.poller.wait(Some(Duration::from_micros(next.saturating_sub(now))), &mut ready)?;
+            for r in &ready {
+                match r.token {
+                    WAKER => self.controlled(),
+                    token if token >= CONNS => self.link_ready(token, r),
+                    token => self.accept((token - LISTENERS) as usize),
+                }
+            }
+            self.tick();
+        }
+        Ok(())
+    }
+
+    fn controlled(&mut self) {
+        let _ = rustix::io::read(&self.waker, &mut [0u8; 8]);
+        let controls = std::mem::take(&mut *lock(&self.controls));
+        for control in controls {
+            match control {
+                Control::Faults(server, faults) => {
+                    for (n, s) in self.servers.iter_mut().enumerate() {
+                        if server.is_none_or(|one| one == n) {
+                            s.faults = faults.clone();
+                        }
+                    }
+                }
+                Control::LoseLeader(span) => {
+                    self.leader_back = self.clock.now() + span;
+                    let next = self.leader.map_or(0, |l| (l + 1) % self.servers.len());
+                    self.leader = None;
+                    self.renewed.insert("next leader".to_owned(), next as u64);
+                }
+                Control::Command(command) => self.commit(command),
+                Control::End => self.ended = true,
+            }
+        }
+    }
+
+    fn rand(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// The leader takes a command in at once, followers after their lag.
+    fn commit(&mut self, command: Command) {
+        let now = self.clock.now();
+        self.log.push_back((now, command));
+        let leader = self.leader.unwrap_or(0);
+        self.catch_up(leader, u64::MAX);
+    }
+
+    fn catch_up(&mut self, server: usize, until: u64) {
+        let s = &mut self.servers[server];
+        while let Some((at, command)) = self.log.get((s.applied - self.log_start) as usize)
+            && *at <= until
+        {
+            s.state.apply(command);
+            s.applied += 1;
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if self.leader.is_none() && now >= self.leader_back {
+            let next = self.renewed.remove("next leader").unwrap_or(0) as usize;
+            // The new leader has the whole log, and its followers' sessions get a full TTL.
+            self.leader = Some(next);
+            self.catch_up(next, u64::MAX);
+            self.renewed.values_mut().for_each(|at| *at = now);
+        }
+        for server in 0..self.servers.len() {
+            if Some(server) != self.leader && !self.servers[server].faults.frozen {
+                self.catch_up(server, now.saturating_sub(self.settings.lag));
+            }
+        }
+        let all = self.servers.iter().map(|s| s.applied).min().unwrap_or(0);
+        while self.log_start < all {
+            self.log.pop_front();
+            self.log_start += 1;
+        }
+        self.expire(now);
+        while let Some((token, bytes, cut)) = self.delayed.due(now) {
+            self.write(token, &bytes, cut);
+        }
+        let mut still = Vec::new();
+        for parked in std::mem::take(&mut self.parked) {
+            let state = self.state_for(parked.server, &parked.read);
+            let moved =
+                state.is_none_or(|s| parked.read.index_in(&self.servers[s].state) > parked.read.index);
+            if moved || parked.until <= now {
+                self.answer_read(parked.token, parked.server, &parked.read, &parked.who);
+            } else {
+                still.push(parked);
+            }
+        }
+        self.parked.extend(still);
+    }
+
+    /// Checks and sessions whose TTL is over.
+    fn expire(&mut self, now: u64) {
+        let Some(leader) = self.leader else { return };
+        let state = &self.servers[leader].state;
+        let mut commands = Vec::new();
+        for ((node, check), ttl, status) in state.ttl_checks() {
+            let at = self.renewed.get(&format!("{node}/{check}")).copied().unwrap_or(0);
+            if at + ttl <= now && status != "critical" {
+                let (node, check, output) = (node.clone(), check.clone(), "TTL expired".to_owned());
+                commands.push(Command::Status { node, check, status: "critical".to_owned(), output });
+            }
+        }
+        for (session, _) in state.sessions.values() {
+            let at = self.renewed.get(&session.id).copied().unwrap_or(now);
+            if session.ttl > 0 && at + session.ttl <= now {
+                commands.push(Command::End { session: session.id.clone(), at: now });
+            }
+        }
+        commands.into_iter().for_each(|command| self.commit(command));
+    }
+
+    fn accept(&mut self, server: usize) {
+        while let Some(listener) = self.listeners.get(server)
+            && let Ok((stream, _)) = listener.accept()
+        {
+            self.next += 1;
+            if let Ok(conn) = Conn::accepted(stream, self.next, &self.poller) {
+                let reader = Reader::new(Role::Requests, Limits { body: 1 << 20, ..Limits::default() });
+                self.conns.insert(self.next, Link { conn, server, reader, closing: false });
+            }
+        }
+    }
+
+    fn drop_link(&mut self, token: u64) {
+        self.conns.remove(&token);
+        self.parked.retain(|p| p.token != token);
+    }
+
+    fn link_ready(&mut self, token: u64, r: &Readiness) {
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        if link.conn.flush(&self.poller).is_err() || (link.closing && link.conn.unwritten() == 0) {
+            self.drop_link(token);
+            return;
+        }
+        if !r.read {
+            return;
+        }
+        let outcome = link.conn.fill(256 << 10, 2 << 20);
+        while let Some(link) = self.conns.get_mut(&token) {
+            match link.reader.read(link.conn.unread()) {
+                Ok((Found::Message(message), used)) => {
+                    link.conn.take(used);
+                    let server = link.server;
+                    self.request(token, server, &message);
+                }
+                Ok((Found::Continue, used)) => {
+                    link.conn.take(used);
+                    link.conn.out().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    let _ = link.conn.flush(&self.poller);
+                }
+                Ok((Found::More, used)) => {
+                    link.conn.take(used);
+                    break;
+                }
+                Err(_) => {
+                    self.drop_link(token);
+                    return;
+                }
+            }
+        }
+        if matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
+            self.drop_link(token);
+        }
+    }
+
+    fn request(&mut self, token: u64, server: usize, message: &Message) {
+        self.requests += 1;
+        self.counts[0].fetch_add(1, Ordering::Relaxed);
+        let what = asked(message, &node_name(server), self.requests);
+        let suffers = self.servers[server].faults.writes || matches!(what, Asked::Read(_));
+        if let Some((status, share)) = self.servers[server].faults.storm
+            && suffers
+            && self.rand() < share
+        {
+            let text = if status == 429 {
+                "Your IP is issuing too many concurrent connections"
+            } else {
+                "rpc error"
+            };
+            self.answer(token, server, status, text.as_bytes(), None);
+            return;
+        }
+        if !self.settings.tokens.is_empty() {
+            let given = message.head.field("x-consul-token").unwrap_or("");
+            let may = self.settings.tokens.iter().find(|(t, _)| t == given).map(|(_, write)| *write);
+            let fine = match &what {
+                Asked::Write(_) => may == Some(true),
+                _ => may.is_some(),
+            };
+            if !fine {
+                let why: &[u8] = if may.is_some() { b"Permission denied" } else { b"ACL not found" };
+                self.answer(token, server, 403, why, None);
+                return;
+            }
+        }
+        match what {
+            Asked::Answer(status, body) => {
+                let text = body.as_str().map_or_else(|| body.to_string(), str::to_owned);
+                let text = if status == 200 { body.to_string() } else { text };
+                self.answer(token, server, status, text.as_bytes(), None);
+            }
+            Asked::Read(read) => {
+                let who = message.head.field("user-agent").unwrap_or("").to_owned();
+                let state = self.state_for(server, &read);
+                let blocks = read.index > 0
+                    && state.is_some_and(|s| read.index_in(&self.servers[s].state) <= read.index);
+                if blocks {
+                    // Up to a sixteenth of the wait is added, so that not all come back at once.
+                    let jitter = (self.rand() * (read.wait / 16) as f64) as u64;
+                    let until = self.clock.now() + read.wait + jitter;
+                    self.parked.push(Parked { token, server, read, until, who });
+                } else {
+                    self.answer_read(token, server, &read, &who);
+                }
+            }
+            Asked::Write(write) => {
+                if self.leader.is_none() {
+                    self.answer(token, server, 500, b"No cluster leader", None);
+                    return;
+                }
+                let (status, body) = self.write_asked(write, &node_name(server));
+                self.answer(token, server, status, &body, None);
+            }
+        }
+    }
+
+    /// The server whose state answers a read; none without a leader where one is needed.
+    fn state_for(&self, server: usize, read: &Read) -> Option<usize> {
+        if read.stale || matches!(read.what, What::Members) { Some(server) } else { self.leader }
+    }
+
+    fn answer_read(&mut self, token: u64, server: usize, read: &Read, who: &str) {
+        let Some(from) = self.state_for(server, read) else {
+            self.answer(token, server, 500, b"No cluster leader", None);
+            return;
+        };
+        let faults = self.servers[server].faults.clone();
+        let dc = if faults.other_datacentre { "elsewhere" } else { &self.settings.datacentre };
+        let state = &self.servers[from].state;
+        let index = read.index_in(state).saturating_sub(faults.index_back);
+        let (status, mut body) = read.answer(state, dc);
+        if faults.empty && !read.consistent {
+            body = b"[]".to_vec();
+        }
+        if faults.partial > 0.0
+            && !read.consistent
+            && let Ok(Value::Array(mut all)) = serde_json::from_slice(&body)
+        {
+            all.truncate((all.len() as f64 * faults.partial) as usize);
+            body = Value::Array(all).to_string().into_bytes();
+        }
+        if let (What::HealthService(..), Some(watch)) = (&read.what, &self.settings.watch) {
+            watch(who, index, read.consistent, &body);
+        }
+        self.answer(token, server, status, &body, Some(index));
+    }
+
+    fn answer(&mut self, token: u64, server: usize, status: u16, body: &[u8], index: Option<u64>) {
+        let known = if self.leader.is_some() { "true" } else { "false" };
+        let contact = if Some(server) == self.leader { 0 } else { self.settings.lag / 1000 };
+        let (index, contact) = (index.map(|i| i.to_string()), contact.to_string());
+        let mut fields = vec![("X-Consul-KnownLeader", known), ("X-Consul-LastContact", contact.as_str())];
+        fields.extend(index.as_deref().map(|i| ("X-Consul-Index", i)));
+        let mut bytes = Vec::new();
+        let kind = if status == 200 { "application/json" } else { "text/plain; charset=utf-8" };
+        if body.len() > 16 << 10 {
+            http::write_chunked_head(&mut bytes, status, kind, &fields);
+            body.chunks(8 << 10).for_each(|part| http::write_chunk(&mut bytes, part));
+            http::write_chunk(&mut bytes, b"");
+        } else {
+            http::write_response(&mut bytes, status, kind, &fields, body);
+        }
+        let faults = &self.servers[server].faults;
+        let suffers = faults.writes || index.is_some();
+        let (late, cut) = if suffers { (faults.late, faults.cut) } else { (0, 0.0) };
+        let cut = self.rand() < cut;
+        if cut {
+            bytes.truncate(bytes.len() - body.len() / 2 - 1);
+        }
+        if late > 0 {
+            self.delayed.set(self.clock.now() + late, (token, bytes, cut));
+        } else {
+            self.write(token, &bytes, cut);
+        }
+    }
+
+    fn write(&mut self, token: u64, bytes: &[u8], cut: bool) {
+        self.counts[1].fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        link.conn.out().extend_from_slice(bytes);
+        link.closing |= cut;
+        let broken = link.conn.flush(&self.poller).is_err();
+        if broken || (link.closing && link.conn.unwritten() == 0) {
+            self.drop_link(token);
+        }
+    }
+
+    fn leader_state(&self) -> &State {
+        &self.servers[self.leader.unwrap_or(0)].state
+    }
+
+    fn write_asked(&mut self, write: Write, node: &str) -> (u16, Vec<u8>) {
+        let now = self.clock.now();
+        let json = |value: Value| {
+            if value.is_null() { (200, Vec::new()) } else { (200, value.to_string().into_bytes()) }
+        };
+        match write {
+            Write::Commands(commands, answer) => {
+                for command in commands {
+                    if let Command::Register { node, checks, .. } = &command {
+                        for check in checks {
+                            self.renewed.insert(format!("{node}/{}", check.id), now);
+                        }
+                    }
+                    self.commit(command);
+                }
+                json(answer)
+            }
+            Write::Put { key, value, flags, lock, cas } => {
+                let state = self.leader_state();
+                let session_gone = match &lock {
+                    Lock::Acquire(s) | Lock::Release(s) => !state.sessions.contains_key(s),
+                    Lock::Leave => false,
+                };
+                if session_gone {
+                    return (500, b"invalid session".to_vec());
+                }
+                let fine = cas.is_none_or(|cas| state.modified(&key) == cas)
+                    && match &lock {
+                        Lock::Leave => true,
+                        Lock::Acquire(session) => state.may_lock(&key, session, now),
+                        Lock::Release(session) => state.holds(&key, session),
+                    };
+                if fine {
+                    self.commit(Command::Put { key, value, flags, lock });
+                }
+                json(json!(fine))
+            }
+            Write::CreateSession(session) => {
+                let id = session.id.clone();
+                self.renewed.insert(id.clone(), now);
+                self.commit(Command::Begin(session));
+                json(json!({"ID": id}))
+            }
+            Write::Renew(id) => match self.leader_state().session(&id) {
+                Some(session) => {
+                    self.renewed.insert(id, now);
+                    json(json!([session]))
+                }
+                None => (404, format!("Session id '{id}' not found").into_bytes()),
+            },
+            Write::DestroySession(id) => {
+                self.commit(Command::End { session: id, at: now });
+                json(json!(true))
+            }
+            Write::Check(check, status, output) => {
+                if !self.leader_state().has_check(node, &check) {
+                    return (404, format!("Unknown check ID \"{check}\"").into_bytes());
+                }
+                self.renewed.insert(format!("{node}/{check}"), now);
+                self.commit(Command::Status { node: node.to_owned(), check, status, output });
+                (200, Vec::new())
+            }
+            Write::Service { id, maintenance } => {
+                let Some(name) = self.leader_state().service_name(node, &id).map(str::to_owned) else {
+                    return (404, format!("Unknown service ID \"{id}\"").into_bytes());
+                };
+                let check = format!("_service_maintenance:{id}");
+                match maintenance {
+                    None => {
+                        self.commit(Command::Deregister { node: node.to_owned(), service: Some(id) });
+                    }
+                    Some((true, why)) => self.set_aside(node, check, id, name, why),
+                    Some((false, _)) => self.commit(Command::DropCheck { node: node.to_owned(), check }),
+                }
+                (200, Vec::new())
+            }
+            Write::NodeMaintenance(on, why) => {
+                let check = "_node_maintenance".to_owned();
+                if on {
+                    self.set_aside(node, check, String::new(), String::new(), why);
+                } else {
+                    self.commit(Command::DropCheck { node: node.to_owned(), check });
+                }
+                (200, Vec::new())
+            }
+        }
+    }
+
+    fn set_aside(&mut self, node: &str, id: String, service_id: String, service_name: String, why: String) {
+        let (name, status) = ("Maintenance Mode".to_owned(), "critical".to_owned());
+        let check = Check { id, name, status, output: why, service_id, service_name, ttl: None };
+        let address = "127.0.0.1".to_owned();
+        let (node, meta) = (node.to_owned(), json!({}));
+        self.commit(Command::Register { node, address, meta, service: None, checks: vec![check] });
+    }
+}
--- /dev/null
+++ b/crates/consul-standin/src/state.rs
@@ -0,0 +1,455 @@
+//! What the servers agree on, changed by commands only, so that a follower is the leader some commands ago.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Map, Value, json};
+
+/// A change.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// A node with its address and metadata, and perhaps a service and checks on it.
+    Register { node: String, address: String, meta: Value, service: Option<Service>, checks: Vec<Check> },
+    /// A service of a node is gone, or the node with all of them.
+    Deregister { node: String, service: Option<String> },
+    /// A check's status.
+    Status { node: String, check: String, status: String, output: String },
+    /// A check is gone.
+    DropCheck { node: String, check: String },
+    /// A session begins.
+    Begin(Session),
+    /// A session ends, and lets go of its locks.
+    End { session: String, at: u64 },
+    /// A key's value; with what becomes of its lock.
+    Put { key: String, value: String, flags: u64, lock: Lock },
+    /// A key is gone, or all under a prefix.
+    Delete { key: String, recurse: bool },
+    /// An agent's status in the gossip pool.
+    Member { name: String, address: String, status: i64 },
+}
+
+/// What a put does with a key's lock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lock {
+    /// Nothing.
+    Leave,
+    /// The session takes it.
+    Acquire(String),
+    /// The session lets go of it.
+    Release(String),
+}
+
+/// A service instance.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub id: String,
+    pub name: String,
+    pub address: String,
+    pub port: i64,
+    pub tags: Value,
+    pub meta: Value,
+}
+
+/// A check.
+#[derive(Clone, Debug)]
+pub struct Check {
+    pub id: String,
+    pub name: String,
+    pub status: String,
+    pub output: String,
+    pub service_id: String,
+    pub service_name: String,
+    /// Critical unless it is renewed within this, µs.
+    pub ttl: Option<u64>,
+}
+
+/// A session.
+#[derive(Clone, Debug)]
+pub struct Session {
+    pub id: String,
+    pub name: String,
+    pub node: String,
+    pub ttl: u64,
+    pub lock_delay: u64,
+    pub behavior: String,
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    address: String,
+    meta: Value,
+    created: u64,
+    modified: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Instance {
+    service: Service,
+    created: u64,
+    modified: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    check: Check,
+    created: u64,
+    modified: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Key {
+    value: String,
+    flags: u64,
+    session: Option<String>,
+    locks: u64,
+    created: u64,
+    modified: u64,
+}
+
+/// The state after some commands.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// The index of the last command.
+    pub index: u64,
+    nodes: BTreeMap<String, Node>,
+    instances: BTreeMap<(String, String), Instance>,
+    probes: BTreeMap<(String, String), Probe>,
+    pub sessions: BTreeMap<String, (Session, u64)>,
+    keys: BTreeMap<String, Key>,
+    /// Until when nobody may lock a key, µs.
+    delays: BTreeMap<String, u64>,
+    members: BTreeMap<String, (String, i64)>,
+    service_index: BTreeMap<String, u64>,
+    nodes_index: u64,
+    checks_index: u64,
+    keys_index: u64,
+    sessions_index: u64,
+}
+
+impl State {
+    /// Applies a command under the next index.
+    pub fn apply(&mut self, command: &Command) {
+        self.index += 1;
+        let index = self.index;
+        match command {
+            Command::Register { node, address, meta, service, checks } => {
+                let known =
+                    self.nodes.get(node).map(|n| (n.address == *address && n.meta == *meta, n.created));
+                if known.is_none_or(|(same, _)| !same) {
+                    let created = known.map_or(index, |(_, created)| created);
+                    let entry =
+                        Node { address: address.clone(), meta: meta.clone(), created, modified: index };
+                    self.nodes.insert(node.clone(), entry);
+                    self.nodes_index = index;
+                    self.touch_node(node);
+                }
+                if let Some(service) = service {
+                    let key = (node.clone(), service.id.clone());
+                    let created = self.instances.get(&key).map_or(index, |i| i.created);
+                    self.touch(&service.name);
+                    self.instances
+                        .insert(key, Instance { service: service.clone(), created, modified: index });
+                }
+                for check in checks {
+                    let key = (node.clone(), check.id.clone());
+                    let created = self.probes.get(&key).map_or(index, |p| p.created);
+                    self.probes.insert(key, Probe { check: check.clone(), created, modified: index });
+                    self.touch_check(node, &check.service_name.clone());
+                }
+            }
+            Command::Deregister { node, service: Some(id) } => {
+                if let Some(gone) = self.instances.remove(&(node.clone(), id.clone())) {
+                    self.touch(&gone.service.name);
+                }
+                self.probes.retain(|(n, _), p| n != node || p.check.service_id != *id);
+                self.checks_index = index;
+            }
+            Command::Deregister { node, service: None } => {
+                self.touch_node(node);
+                self.nodes.remove(node);
+                self.instances.retain(|(n, _), _| n != node);
+                self.probes.retain(|(n, _), _| n != node);
+                (self.nodes_index, self.checks_index) = (index, index);
+            }
+            Command::Status { node, check, status, output } => {
+                let mut service = None;
+                if let Some(probe) = self.probes.get_mut(&(node.clone(), check.clone()))
+                    && (probe.check.status != *status || probe.check.output != *output)
+                {
+                    (probe.check.status, probe.check.output) = (status.clone(), output.clone());
+                    probe.modified = index;
+                    service = Some(probe.check.service_name.clone());
+                }
+                if let Some(service) = service {
+                    self.touch_check(node, &service);
+                }
+            }
+            Command::DropCheck { node, check } => {
+                if let Some(gone) = self.probes.remove(&(node.clone(), check.clone())) {
+                    self.touch_check(node, &gone.check.service_name);
+                }
+            }
+            Command::Begin(session) => {
+                self.sessions.insert(session.id.clone(), (session.clone(), index));
+                self.sessions_index = index;
+            }
+            Command::End { session, at } => {
+                let Some((gone, _)) = self.sessions.remove(session) else { return };
+                self.sessions_index = index;
+                let mut dropped = Vec::new();
+                for (name, key) in &mut self.keys {
+                    if key.session.as_deref() == Some(session) {
+                        key.session = None;
+                        key.modified = index;
+                        self.keys_index = index;
+                        self.delays.insert(name.clone(), at + gone.lock_delay);
+                        if gone.behavior == "delete" {
+                            dropped.push(name.clone());
+                        }
+                    }
+                }
+                dropped.iter().for_each(|name| drop(self.keys.remove(name)));
+            }
+            Command::Put { key, value, flags, lock } => {
+                let entry = self.keys.entry(key.clone()).or_insert(Key {
+                    value: String::new(),
+                    flags: 0,
+                    session: None,
+                    locks: 0,
+                    created: index,
+                    modified: index,
+                });
+                (entry.value, entry.flags, entry.modified) = (value.clone(), *flags, index);
+                match lock {
+                    Lock::Leave => {}
+                    Lock::Acquire(session) => {
+                        entry.locks += u64::from(entry.session.as_ref() != Some(session));
+                        entry.session = Some(session.clone());
+                    }
+                    Lock::Release(_) => entry.session = None,
+                }
+                self.keys_index = index;
+            }
+            Command::Delete { key, recurse } => {
+                self.keys
+                    .retain(|name, _| if *recurse { !name.starts_with(key.as_str()) } else { name != key });
+                self.keys_index = index;
+            }
+            Command::Member { name, address, status } => {
+                self.members.insert(name.clone(), (address.clone(), *status));
+            }
+        }
+    }
+
+    fn touch(&mut self, service: &str) {
+        self.service_index.insert(service.to_owned(), self.index);
+    }
+
+    fn touch_node(&mut self, node: &str) {
+        let names: Vec<String> = self
+            .instances
+            .iter()
+            .filter(|((n, _), _)| n == node)
+            .map(|(_, i)| i.service.name.clone())
+            .collect();
+        names.iter().for_each(|name| self.touch(name));
+    }
+
+    /// A check of a service, or of a node with all its services, has changed.
+    fn touch_check(&mut self, node: &str, service: &str) {
+        self.checks_index = self.index;
+        if service.is_empty() { self.touch_node(node) } else { self.touch(service) }
+    }
+
+    /// Whether a session may lock a key now.
+    pub fn may_lock(&self, key: &str, session: &str, now: u64) -> bool {
+        let delayed = self.delays.get(key).is_some_and(|&until| until > now);
+        let holder = self.keys.get(key).and_then(|k| k.session.as_deref());
+        self.sessions.contains_key(session) && (holder == Some(session) || (holder.is_none() && !delayed))
+    }
+
+    /// Whether a session holds a key.
+    pub fn holds(&self, key: &str, session: &str) -> bool {
+        self.keys.get(key).is_some_and(|k| k.session.as_deref() == Some(session))
+    }
+
+    /// A key's modify index; 0 if there is none.
+    pub fn modified(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |k| k.modified)
+    }
+
+    /// Checks with a TTL.
+    pub fn ttl_checks(&self) -> impl Iterator<Item = (&(String, String), u64, &str)> {
+        self.probes.iter().filter_map(|(key, p)| Some((key, p.check.ttl?, p.check.status.as_str())))
+    }
+
+    /// Whether a check exists.
+    pub fn has_check(&self, node: &str, check: &str) -> bool {
+        self.probes.contains_key(&(node.to_owned(), check.to_owned()))
+    }
+
+    /// Whether a service is registered on a node.
+    pub fn has_service(&self, node: &str, id: &str) -> bool {
+        self.instances.contains_key(&(node.to_owned(), id.to_owned()))
+    }
+
+    /// A service's name.
+    pub fn service_name(&self, node: &str, id: &str) -> Option<&str> {
+        self.instances.get(&(node.to_owned(), id.to_owned())).map(|i| i.service.name.as_str())
+    }
+
+    /// The index that a query of a service blocks on.
+    pub fn service_index(&self, service: &str) -> u64 {
+        self.service_index.get(service).copied().unwrap_or(self.index.min(1))
+    }
+
+    /// The index of the list of nodes.
+    pub fn nodes_index(&self) -> u64 {
+        self.nodes_index.max(1)
+    }
+
+    /// The index of checks.
+    pub fn checks_index(&self) -> u64 {
+        self.checks_index.max(1)
+    }
+
+    /// The index of keys.
+    pub fn keys_index(&self) -> u64 {
+        self.keys_index.max(1)
+    }
+
+    fn node_json(&self, name: &str, dc: &str) -> Value {
+        let Some(node) = self.nodes.get(name) else { return Value::Null };
+        json!({
+            "ID": uuid(name), "Node": name, "Address": node.address, "Datacenter": dc,
+            "TaggedAddresses": {"lan": node.address, "wan": node.address}, "Meta": node.meta,
+            "CreateIndex": node.created, "ModifyIndex": node.modified,
+        })
+    }
+
+    fn check_json(node: &str, probe: &Probe) -> Value {
+        let c = &probe.check;
+        json!({
+            "Node": node, "CheckID": c.id, "Name": c.name, "Status": c.status, "Notes": "", "Output": c.output,
+            "ServiceID": c.service_id, "ServiceName": c.service_name, "ServiceTags": [],
+            "Type": if c.ttl.is_some() { "ttl" } else { "" }, "Definition": {},
+            "CreateIndex": probe.created, "ModifyIndex": probe.modified,
+        })
+    }
+
+    /// Entries of `/v1/health/service/:name`.
+    pub fn health_service(&self, service: &str, dc: &str, passing: bool) -> Vec<Value> {
+        let of = |(node, id): &(String, String), instance: &Instance| {
+            let s = &instance.service;
+            let checks = self.probes.range((node.clone(), String::new())..);
+            let checks = checks.take_while(|((n, _), _)| n == node);
+            let checks: Vec<Value> = checks
+                .filter(|(_, p)| p.check.service_id.is_empty() || p.check.service_id == *id)
+                .map(|(_, p)| Self::check_json(node, p))
+                .collect();
+            let entry = json!({
+                "Node": self.node_json(node, dc),
+                "Service": {
+                    "ID": s.id, "Service": s.name, "Tags": s.tags, "Address": s.address, "Meta": s.meta, "Port": s.port,
+                    "TaggedAddresses": {}, "Weights": {"Passing": 1, "Warning": 1}, "EnableTagOverride": false,
+                    "Proxy": {"Mode": "", "MeshGateway": {}, "Expose": {}}, "Connect": {}, "PeerName": "",
+                    "CreateIndex": instance.created, "ModifyIndex": instance.modified,
+                },
+                "Checks": checks,
+            });
+            let fine = checks.iter().all(|c| c["Status"] == "passing");
+            (fine || !passing).then_some(entry)
+        };
+        self.instances
+            .iter()
+            .filter(|(_, i)| i.service.name == service)
+            .filter_map(|(key, i)| of(key, i))
+            .collect()
+    }
+
+    /// Entries of `/v1/catalog/service/:name`.
+    pub fn catalog_service(&self, service: &str, dc: &str) -> Vec<Value> {
+        let of = |(node, _): &(String, String), i: &Instance| {
+            let s = &i.service;
+            let n = self.node_json(node, dc);
+            json!({
+                "ID": n["ID"], "Node": node, "Address": n["Address"], "Datacenter": dc,
+                "TaggedAddresses": n["TaggedAddresses"], "NodeMeta": n["Meta"], "ServiceID": s.id, "ServiceName": s.name,
+                "ServiceTags": s.tags, "ServiceAddress": s.address, "ServiceMeta": s.meta, "ServicePort": s.port,
+                "ServiceWeights": {"Passing": 1, "Warning": 1}, "ServiceEnableTagOverride": false,
+                "ServiceProxy": {}, "ServiceConnect": {}, "CreateIndex": i.created, "ModifyIndex": i.modified,
+            })
+        };
+        self.instances.iter().filter(|(_, i)| i.service.name == service).map(|(k, i)| of(k, i)).collect()
+    }
+
+    /// Entries of `/v1/catalog/nodes`.
+    pub fn catalog_nodes(&self, dc: &str) -> Vec<Value> {
+        self.nodes.keys().map(|name| self.node_json(name, dc)).collect()
+    }
+
+    /// Entries of `/v1/health/node/:node`, or of `/v1/health/state/:state`.
+    pub fn checks(&self, node: Option<&str>, state: Option<&str>) -> Vec<Value> {
+        let wanted = |(n, _): &(String, String), p: &Probe| {
+            node.is_none_or(|node| node == n) && state.is_none_or(|s| s == "any" || s == p.check.status)
+        };
+        self.probes.iter().filter(|(k, p)| wanted(k, p)).map(|(k, p)| Self::check_json(&k.0, p)).collect()
+    }
+
+    /// Entries of `/v1/agent/members`.
+    pub fn members(&self) -> Vec<Value> {
+        let of = |(name, (address, status)): (&String, &(String, i64))| {
+            json!({
+                "Name": name, "Addr": address, "Port": 8301, "Tags": {"role": "node"}, "Status": status,
+                "ProtocolMin": 1, "ProtocolMax": 5, "ProtocolCur": 2, "DelegateMin": 2, "DelegateMax": 5, "DelegateCur": 4,
+            })
+        };
+        self.members.iter().map(of).collect()
+    }
+
+    /// A session as `/v1/session/info` shows it.
+    pub fn session(&self, id: &str) -> Option<Value> {
+        let (s, created) = self.sessions.get(id)?;
+        Some(json!({
+            "ID": s.id, "Name": s.name, "Node": s.node, "LockDelay": s.lock_delay * 1000, "Behavior": s.behavior,
+            "TTL": format!("{}ms", s.ttl / 1000), "NodeChecks": [], "ServiceChecks": null,
+            "CreateIndex": created, "ModifyIndex": created,
+        }))
+    }
+
+    /// Entries of `/v1/kv/:key`.
+    pub fn keys(&self, key: &str, recurse: bool) -> Vec<Value> {
+        let wanted = |name: &str| if recurse { name.starts_with(key) } else { name == key };
+        let of = |(name, k): (&String, &Key)| {
+            let mut entry = Map::new();
+            entry.insert("LockIndex".into(), json!(k.locks));
+            entry.insert("Key".into(), json!(name));
+            entry.insert("Flags".into(), json!(k.flags));
+            entry.insert("Value".into(), json!(k.value));
+            if let Some(session) = &k.session {
+                entry.insert("Session".into(), json!(session));
+            }
+            entry.insert("CreateIndex".into(), json!(k.created));
+            entry.insert("ModifyIndex".into(), json!(k.modified));
+            Value::Object(entry)
+        };
+        self.keys.iter().filter(|(name, _)| wanted(name)).map(of).collect()
+    }
+}
+
+/// A name as a UUID, alike each time.
+pub fn uuid(name: &str) -> String {
+    let mut h = (0xcbf2_9ce4_8422_2325_u64, 0x9e37_79b9_7f4a_7c15_u64);
+    for b in name.bytes() {
+        h.0 = (h.0 ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+        h.1 = (h.1 ^ h.0).rotate_left(17).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    }
+    let (a, b) = h;
+    format!(
+        "{:08x}-{:04x}-4{:03x}-8{:03x}-{:012x}",
+        a >> 32,
+        (a >> 16) & 0xffff,
+        a & 0xfff,
+        b >> 52,
+        b & 0xffff_ffff_ffff
+    )
+}
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -39,23 +39,11 @@
         for entry in &inventory.host {
             self.take_entry(entry);
         }
-        // What is gone and holds nothing is forgotten; its number is never used again.
-        let gone: Vec<HostId> = self
-            .hosts
-            .iter()
-            .filter(|(_, h)| h.listed == HostState::Gone && h.link == Link::Down)
-            .map(|(&id, _)| id)
-            .collect();
-        for &id in &gone {
-            self.lose_all(id);
-        }
         let listings = self.hosts.values_mut().filter(|h| h.tried || h.listed == HostState::Gone);
         let machines = listings.map(Host::refresh).collect();
         self.events.push(Event::Listed { scope: Scope::Full, machines });
-        for id in gone {
-            if let Some(host) = self.hosts.remove(&id) {
-                self.by_name.remove(&host.name);
-            }
+        for id in self.hosts.keys().copied().collect::<Vec<_>>() {
+            self.forget_gone(id);
         }
     }
 
@@ -74,12 +62,7 @@
             if host.tried || forgotten {
                 machines.push(host.refresh());
             }
-            if forgotten {
-                self.lose_all(id);
-                if let Some(host) = self.hosts.remove(&id) {
-                    self.by_name.remove(&host.name);
-                }
-            }
+            self.forget_gone(id);
         }
         if !machines.is_empty() {
             self.events.push(Event::Listed { scope: Scope::Changes, machines });
@@ -242,6 +225,18 @@
             self.relist(id);
         }
         self.events.push(Event::Linked(MachineId(id.0), false));
+        self.forget_gone(id);
+    }
+
+    /// A host that is gone and has no connection holds nothing any more, and its number is never used again.
+    fn forget_gone(&mut self, id: HostId) {
+        let over = |h: &Host| h.listed == HostState::Gone && h.link == Link::Down;
+        if self.hosts.get(&id).is_some_and(over) {
+            self.lose_all(id);
+            if let Some(host) = self.hosts.remove(&id) {
+                self.by_name.remove(&host.name);
+            }
+        }
     }
 
     pub(crate) fn lost_due(&mut self, id: HostId, epoch: u64) {
