--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use maplethread_config::{Doc, PlacerConfig};
+use maplethread_config::{Damping, Doc, PlacerConfig};
 use maplethread_engine::Decide;
 use maplethread_standin::baseline::RandomChoice;
 use maplethread_standin::day;
@@ -48,6 +48,18 @@
     },
     /// Play a bad day on loopback: stand-in hosts and owners, real placers, troubles, and a verdict on the five rules
     BadDay(BadDayArgs),
+    /// Run a stand-in for Consul servers: the endpoints that placers need, on loopback, without storage
+    ConsulStandIn {
+        /// Servers, on ports from this one on; 0 for free ones
+        #[arg(long, default_value_t = 8500)]
+        port: u16,
+        /// How many
+        #[arg(long, default_value_t = 3)]
+        servers: u16,
+        /// How far followers lag, ms
+        #[arg(long, default_value_t = 20)]
+        lag_ms: u64,
+    },
     /// Put one placer under an open-loop load of asks, against stand-in hosts that accept all at once
     Load(LoadArgs),
 }
@@ -94,6 +106,12 @@
     /// Let a placer decide that breaks rule N on purpose, to see that the judge catches it
     #[arg(long, default_value_t = 0, value_name = "N", value_parser = clap::value_parser!(u8).range(0..=5))]
     rogue: u8,
+    /// Hosts and placers register in a stand-in for Consul, whose troubles are played besides
+    #[arg(long)]
+    consul: bool,
+    /// With --consul: how good news after repeated changes is held back
+    #[arg(long, value_enum, default_value_t = DampingArg::Penalty, requires = "consul")]
+    damping: DampingArg,
     /// Print one JSON object
     #[arg(long)]
     json: bool,
@@ -102,6 +120,13 @@
     keep: Option<PathBuf>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum DampingArg {
+    Penalty,
+    Off,
+    Hold,
+}
+
 #[derive(Args)]
 struct LoadArgs {
     /// Asks a second
@@ -145,6 +170,7 @@
         Command::Host { config } => host(&config),
         Command::BadDay(args) => bad_day(&args),
         Command::Load(args) => load(&args),
+        Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
     };
     result.unwrap_or_else(fail)
 }
@@ -197,6 +223,7 @@
 
 fn bad_day(args: &BadDayArgs) -> Result<ExitCode, String> {
     let mut scenario = match &args.scenario {
+        None if args.consul => Scenario::standard_with_catalogue(),
         None => Scenario::standard(),
         Some(file) => read_scenario(file)?,
     };
@@ -214,6 +241,11 @@
         program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
         random: args.random,
         rogue: args.rogue,
+        consul: args.consul.then_some(match args.damping {
+            DampingArg::Penalty => Damping::Penalty,
+            DampingArg::Off => Damping::Off,
+            DampingArg::Hold => Damping::Hold,
+        }),
         progress: !args.json,
         keep: args.keep.clone(),
     };
@@ -267,3 +299,22 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn consul_stand_in(port: u16, servers: u16, lag_ms: u64) -> Result<ExitCode, String> {
+    let at = |n: u16| {
+        let port = if port == 0 { 0 } else { port.saturating_add(n) };
+        std::net::SocketAddr::from(([127, 0, 0, 1], port))
+    };
+    let settings = maplethread_consul_standin::Settings {
+        listen: (0..servers.max(1)).map(at).collect(),
+        lag: lag_ms * 1000,
+        ..maplethread_consul_standin::Settings::new(1)
+    };
+    let servers =
+        maplethread_consul_standin::Servers::start(settings).map_err(|e| format!("servers: {e}"))?;
+    for address in &servers.addresses {
+        println!("stand-in for Consul listening on {address}");
+    }
+    servers.join().map_err(|e| format!("servers: {e}"))?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/tests/consul.rs
+++ b/crates/cli/tests/consul.rs
@@ -168,7 +168,7 @@
         }
         assert_eq!(client.json().1["outcome"], "placed");
     }
-    let written = told.lock().expect("no panic").iter().find(|t| t.1).expect("it was told").0 + late;
+    let written = told.lock().expect("no panic").iter().find(|t| t.1).expect("it was told").0;
     let last = last_there.expect("it got work before");
     let margin = (written + Duration::from_secs(2)).saturating_duration_since(last);
     assert!(last < written + Duration::from_secs(2), "offered 2 s after it was told");
--- a/crates/consul-standin/src/server.rs
+++ b/crates/consul-standin/src/server.rs
@@ -60,7 +60,7 @@
     pub tokens: Vec<(String, bool)>,
     /// Seed of all that is drawn.
     pub seed: u64,
-    /// Told of each answer to a read of a service's health: User-Agent, index, whether it was read consistently, body.
+    /// Told of each whole answer to a read of a service's health as it is written: User-Agent, index, whether it was read consistently, body.
     pub watch: Option<Arc<dyn Fn(&str, u64, bool, &[u8]) + Send + Sync>>,
 }
 
@@ -217,6 +217,16 @@
     closing: bool,
 }
 
+/// Who read it, its index, whether it was read consistently, and the body.
+type Watched = (String, u64, bool, Vec<u8>);
+
+struct Answer {
+    token: u64,
+    bytes: Vec<u8>,
+    cut: bool,
+    watched: Option<Watched>,
+}
+
 struct Parked {
     token: u64,
     server: usize,
@@ -239,7 +249,7 @@
     leader: Option<usize>,
     leader_back: u64,
     parked: Vec<Parked>,
-    delayed: Timers<(u64, Vec<u8>, bool)>,
+    delayed: Timers<Answer>,
     /// When sessions and TTL checks were last renewed.
     renewed: HashMap<String, u64>,
     requests: u64,
@@ -335,8 +345,8 @@
             self.log_start += 1;
         }
         self.expire(now);
-        while let Some((token, bytes, cut)) = self.delayed.due(now) {
-            self.write(token, &bytes, cut);
+        while let Some(answer) = self.delayed.due(now) {
+            self.write(answer);
         }
         let mut still = Vec::new();
         for parked in std::mem::take(&mut self.parked) {
@@ -513,13 +523,24 @@
             all.truncate((all.len() as f64 * faults.partial) as usize);
             body = Value::Array(all).to_string().into_bytes();
         }
-        if let (What::HealthService(..), Some(watch)) = (&read.what, &self.settings.watch) {
-            watch(who, index, read.consistent, &body);
-        }
-        self.answer(token, server, status, &body, Some(index));
+        let watched = matches!(read.what, What::HealthService(..)) && self.settings.watch.is_some();
+        let watched = watched.then(|| (who.to_owned(), index, read.consistent, body.clone()));
+        self.answer_with(token, server, status, &body, Some(index), watched);
     }
 
     fn answer(&mut self, token: u64, server: usize, status: u16, body: &[u8], index: Option<u64>) {
+        self.answer_with(token, server, status, body, index, None);
+    }
+
+    fn answer_with(
+        &mut self,
+        token: u64,
+        server: usize,
+        status: u16,
+        body: &[u8],
+        index: Option<u64>,
+        watched: Option<Watched>,
+    ) {
         let known = if self.leader.is_some() { "true" } else { "false" };
         let contact = if Some(server) == self.leader { 0 } else { self.settings.lag / 1000 };
         let (index, contact) = (index.map(|i| i.to_string()), contact.to_string());
@@ -541,18 +562,25 @@
         if cut {
             bytes.truncate(bytes.len() - body.len() / 2 - 1);
         }
+        let answer = Answer { token, bytes, cut, watched };
         if late > 0 {
-            self.delayed.set(self.clock.now() + late, (token, bytes, cut));
+            self.delayed.set(self.clock.now() + late, answer);
         } else {
-            self.write(token, &bytes, cut);
+            self.write(answer);
         }
     }
 
-    fn write(&mut self, token: u64, bytes: &[u8], cut: bool) {
-        self.counts[1].fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    fn write(&mut self, answer: Answer) {
+        let token = answer.token;
+        self.counts[1].fetch_add(answer.bytes.len() as u64, Ordering::Relaxed);
         let Some(link) = self.conns.get_mut(&token) else { return };
-        link.conn.out().extend_from_slice(bytes);
-        link.closing |= cut;
+        link.conn.out().extend_from_slice(&answer.bytes);
+        link.closing |= answer.cut;
+        if let (Some((who, index, consistent, body)), Some(watch), false) =
+            (&answer.watched, &self.settings.watch, answer.cut)
+        {
+            watch(who, *index, *consistent, body);
+        }
         let broken = link.conn.flush(&self.poller).is_err();
         if broken || (link.closing && link.conn.unwritten() == 0) {
             self.drop_link(token);
--- a/crates/consul-standin/src/state.rs
+++ b/crates/consul-standin/src/state.rs
@@ -287,11 +287,6 @@
         self.probes.contains_key(&(node.to_owned(), check.to_owned()))
     }
 
-    /// Whether a service is registered on a node.
-    pub fn has_service(&self, node: &str, id: &str) -> bool {
-        self.instances.contains_key(&(node.to_owned(), id.to_owned()))
-    }
-
     /// A service's name.
     pub fn service_name(&self, node: &str, id: &str) -> Option<&str> {
         self.instances.get(&(node.to_owned(), id.to_owned())).map(|i| i.service.name.as_str())
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -169,6 +169,9 @@
     /// Rule 3: when each placer was told that a host takes nothing new, by host.
     barred: BTreeMap<(Name, Name), (u64, usize)>,
     inventory: BTreeMap<Name, (u64, usize)>,
+    /// The same by a catalogue, and the highest index that each placer was told.
+    catalogue: BTreeMap<(Name, Name), (u64, usize)>,
+    told_index: BTreeMap<Name, u64>,
     /// The start of each host's process, and what the inventory tells of it.
     started: BTreeMap<Name, u64>,
     listed_start: BTreeMap<Name, u64>,
@@ -205,6 +208,8 @@
         places: figures.hosts.iter().map(|w| (w.host.clone(), w.clone())).collect(),
         barred: BTreeMap::new(),
         inventory: BTreeMap::new(),
+        catalogue: BTreeMap::new(),
+        told_index: BTreeMap::new(),
         started: BTreeMap::new(),
         listed_start: BTreeMap::new(),
         told_start: BTreeMap::new(),
@@ -381,10 +386,51 @@
                     }
                 }
             }
-            Seen::PlacerUp { .. }
-            | Seen::PlacerDown { .. }
-            | Seen::PlacerPaused { .. }
-            | Seen::PlacerGoesOn { .. } => {}
+            Seen::Catalogue { placer, index, consistent, body } => {
+                self.catalogue_told(placer, *index, *consistent, body);
+            }
+            Seen::PlacerUp { placer } => {
+                // A new life knows nothing of what the old one was told.
+                self.catalogue.retain(|(p, _), _| p != placer);
+                self.told_index.remove(placer);
+            }
+            Seen::PlacerDown { .. } | Seen::PlacerPaused { .. } | Seen::PlacerGoesOn { .. } => {}
+        }
+    }
+
+    /// What a catalogue's answer tells: a host with a critical check, or without an entry, takes nothing new. An
+    /// answer older than another that was told is no news, unless a leader gave it that verified itself.
+    fn catalogue_told(&mut self, placer: &Name, index: u64, consistent: bool, body: &[u8]) {
+        let highest = self.told_index.entry(placer.clone()).or_default();
+        if index < *highest && !consistent {
+            return;
+        }
+        let Ok(serde_json::Value::Array(entries)) = serde_json::from_slice(body) else { return };
+        if entries.iter().any(|e| e["Node"]["Datacenter"] != "dc1") {
+            return;
+        }
+        *highest = if consistent { index } else { index.max(*highest) };
+        let critical = |e: &serde_json::Value| {
+            let checks = e["Checks"].as_array().map(Vec::as_slice).unwrap_or_default();
+            checks.iter().any(|c| c["Status"] == "critical")
+        };
+        let mut ready = BTreeSet::new();
+        for entry in entries.iter().filter(|e| !critical(e)) {
+            let Some(name) = entry["Service"]["ID"].as_str() else { continue };
+            ready.insert(name.to_owned());
+            let start = entry["Service"]["Meta"]["started_ms"].as_str().and_then(|s| s.parse().ok());
+            if let (Some((host, _)), Some(start)) = (self.places.get_key_value(name), start) {
+                self.listed_start.insert(host.clone(), start);
+            }
+        }
+        let told = self.reached(placer, self.at);
+        for host in self.places.keys() {
+            let key = (placer.clone(), host.clone());
+            if ready.contains(&**host) {
+                self.catalogue.remove(&key);
+            } else {
+                self.catalogue.entry(key).or_insert((told, self.number));
+            }
         }
     }
 
@@ -636,7 +682,8 @@
         let (at, grace, slack) = (self.at, self.figures.drain_grace, self.figures.slack);
         let drained = self.barred.get(&(placer.clone(), host.clone())).copied();
         let listed = self.inventory.get(host).map(|&(told, shown)| (self.reached(placer, told), shown));
-        for (told, shown) in drained.into_iter().chain(listed) {
+        let catalogue = self.catalogue.get(&(placer.clone(), host.clone())).copied();
+        for (told, shown) in drained.into_iter().chain(listed).chain(catalogue) {
             if at > told + grace + slack {
                 let late = (at - told) / 1000;
                 let what = format!(
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -1,6 +1,6 @@
 //! A day: hosts and owners in this process, placers as processes of their own, troubles on time, and the verdict.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -10,10 +10,12 @@
 use std::time::Duration;
 
 use maplethread_config::{
-    Api, HostEntry, HostState, Hosts, Identity, Inventory, PlacerConfig, Placing, Prices,
-    Rules as PlacerRules,
+    Api, Consul, Damping, HostEntry, HostState, Hosts, Identity, Inventory, Membership, PlacerConfig,
+    Placing, Prices, Reads, Rules as PlacerRules,
 };
+use maplethread_consul_standin::{Faults as CatalogueFaults, Servers, Settings as ServerSettings};
 use maplethread_judge::{Broken, ClassRule, Figures, Group, Place, Record, Seen, Verdict, Where, judge};
+use maplethread_wire::http::{self, Found, Limits, Reader, Role};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
@@ -36,6 +38,8 @@
     pub random: bool,
     /// Break this rule (1 to 5) on purpose; 0 for none.
     pub rogue: u8,
+    /// Hosts and placers register in a catalogue, with this way of damping.
+    pub consul: Option<Damping>,
     /// Tell how it goes, on standard error.
     pub progress: bool,
     /// Keep the placers' logs and settings in this folder.
@@ -179,6 +183,9 @@
     GoOn(usize),
     Noticed(usize),
     Garbage(&'static str),
+    Flap(usize, bool),
+    Catalogue(CatalogueFaults),
+    LoseLeader(u64),
     Overload(f64),
     HangUps(f64),
     Late(f64),
@@ -211,6 +218,12 @@
     told_ready: Vec<(Arc<str>, Option<u64>)>,
     notice: u64,
     garbled: bool,
+    /// Hosts that said that they drain.
+    draining: BTreeSet<usize>,
+    servers: Option<Servers>,
+    /// The hosts as they stand in the catalogue, and whether it lacks something.
+    in_catalogue: Inventory,
+    unregistered: bool,
 }
 
 /// Plays a day and judges it.
@@ -222,6 +235,19 @@
     let world = World::new(scenario.class.len());
     let rack = Rack::start(&scenario, &world, options.seed, None)?;
     let hosts = scenario.fleet.hosts;
+    let servers = match options.consul {
+        None => None,
+        Some(_) => {
+            let world = world.clone();
+            let watch = move |who: &str, index: u64, consistent: bool, body: &[u8]| {
+                let placer = who.split(['(', ')']).nth(1).unwrap_or("").into();
+                world.see(Seen::Catalogue { placer, index, consistent, body: body.into() });
+            };
+            let settings =
+                ServerSettings { seed: options.seed, watch: Some(Arc::new(watch)), ..ServerSettings::new(3) };
+            Some(Servers::start(settings)?)
+        }
+    };
     let mut day = Day {
         options,
         dice: Dice::new(options.seed, 1),
@@ -235,6 +261,10 @@
         told_ready: Vec::new(),
         notice: scenario.fleet.notice_ms * 1000,
         garbled: false,
+        draining: BTreeSet::new(),
+        servers,
+        in_catalogue: Inventory::default(),
+        unregistered: false,
         world,
         scenario,
     };
@@ -370,8 +400,28 @@
                 seed: Some(self.options.seed.wrapping_mul(1000) + number as u64),
             },
             api: api(),
-            hosts: hosts("hosts.toml"),
-            consul: None,
+            hosts: Hosts {
+                inventory: self.servers.is_none().then(|| "hosts.toml".into()),
+                ..hosts("hosts.toml")
+            },
+            consul: self.servers.as_ref().map(|servers| Consul {
+                servers: servers.addresses.clone(),
+                service: "maplethread-host".to_owned(),
+                datacentre: Some("dc1".to_owned()),
+                token_file: None,
+                reads: Reads::Stale,
+                filter: None,
+                wait_ms: 2_000,
+                members_every_ms: 1_000,
+                max_answer_bytes: 32 << 20,
+                damping: self.options.consul.unwrap_or_default(),
+                membership: Some(Membership {
+                    service: "maplethread-placer".to_owned(),
+                    prefix: "maplethread/slots".to_owned(),
+                    ttl_ms: 2_000,
+                    lock_delay_ms: 1_000,
+                }),
+            }),
             placing: Placing {
                 placed_when: s.fleet.placed_when,
                 admit_cores: s.fleet.over_cores,
@@ -427,7 +477,48 @@
         replace(&self.folder.join("hosts.toml"), text)
     }
 
+    /// Puts what is listed of a host in the catalogue.
+    fn register(&self, servers: &Servers, host: &HostEntry) -> io::Result<()> {
+        let node = format!("node-{}", host.name);
+        let at = servers.addresses[0];
+        if host.state == HostState::Gone {
+            let body = json!({"Node": node, "ServiceID": host.name});
+            return put_json(at, "/v1/catalog/deregister", &body);
+        }
+        let status = if host.state == HostState::Ready { "passing" } else { "critical" };
+        let body = json!({
+            "Node": node, "Address": host.address.ip().to_string(),
+            "Service": {
+                "ID": host.name, "Service": "maplethread-host", "Port": host.address.port(),
+                "Meta": {
+                    "zone": host.zone, "cell": host.cell, "kind": host.kind,
+                    "started_ms": host.started_ms.unwrap_or(1).to_string(),
+                },
+            },
+            "Checks": [{
+                "CheckID": format!("service:{}", host.name), "Name": "host", "Status": status, "ServiceID": host.name,
+            }],
+        });
+        put_json(at, "/v1/catalog/register", &body)
+    }
+
     fn write_inventory(&mut self) -> io::Result<()> {
+        if let Some(servers) = &self.servers {
+            let now = inventory(&self.scenario, &self.rack.addresses, &self.listed);
+            let mut told = Vec::new();
+            for host in &now.host {
+                let known = self.in_catalogue.host.iter().find(|h| h.name == host.name);
+                match known {
+                    Some(known) if known == host => told.push(host.clone()),
+                    _ if self.register(servers, host).is_ok() => told.push(host.clone()),
+                    // The catalogue has no leader: told with the next news.
+                    _ => told.extend(known.cloned()),
+                }
+            }
+            self.unregistered = told != now.host;
+            self.in_catalogue.host = told;
+            return Ok(());
+        }
         let inventory = inventory(&self.scenario, &self.rack.addresses, &self.listed);
         let ready = inventory.host.iter().filter(|h| h.state == HostState::Ready);
         let ready: Vec<_> = ready.map(|h| (Arc::from(h.name.as_str()), h.started_ms)).collect();
@@ -447,7 +538,7 @@
 
     /// The inventory tells what it has noticed.
     fn tell_news(&mut self, now: u64) -> io::Result<()> {
-        if self.garbled || !self.news.iter().any(|n| n.0 <= now) {
+        if self.garbled || !(self.unregistered || self.news.iter().any(|n| n.0 <= now)) {
             return Ok(());
         }
         let (due, later): (Vec<_>, Vec<_>) =
@@ -593,6 +684,37 @@
                     acts.push((at, Act::Garbage("[[host]]\nname = \"host-00\"\nadress = \"?\u{0}\" [[")));
                     acts.push((until, Act::Garbage("sound")));
                 }
+                TroubleKind::HealthFlaps => {
+                    let period = ((size.max(0.05)) * 1e6) as u64;
+                    for host in self.struck(trouble) {
+                        let offset = self.dice.below(period as usize) as u64;
+                        let mut at = at + offset;
+                        while at < until {
+                            acts.push((at, Act::Flap(host, false)));
+                            acts.push(((at + period / 2).min(until), Act::Flap(host, true)));
+                            at += period;
+                        }
+                    }
+                }
+                TroubleKind::LeaderLost => acts.push((at, Act::LoseLeader(until - at))),
+                TroubleKind::CatalogueLate
+                | TroubleKind::CatalogueStorm
+                | TroubleKind::CatalogueCut
+                | TroubleKind::CataloguePartial
+                | TroubleKind::CatalogueStale => {
+                    let none = CatalogueFaults::default;
+                    let faults = match trouble.kind {
+                        TroubleKind::CatalogueLate => CatalogueFaults { late: (size * 1e6) as u64, ..none() },
+                        TroubleKind::CatalogueStorm => {
+                            CatalogueFaults { storm: Some((size as u16, 1.0)), ..none() }
+                        }
+                        TroubleKind::CatalogueCut => CatalogueFaults { cut: 0.7, ..none() },
+                        TroubleKind::CataloguePartial => CatalogueFaults { partial: size, ..none() },
+                        _ => CatalogueFaults { index_back: size as u64, ..none() },
+                    };
+                    acts.push((at, Act::Catalogue(faults)));
+                    acts.push((until, Act::Catalogue(none())));
+                }
                 TroubleKind::Overload => {
                     acts.push((at, Act::Overload(size)));
                     acts.push((until, Act::Overload(0.0)));
@@ -618,7 +740,14 @@
     fn act(&mut self, act: Act, owners: &Owners) -> io::Result<()> {
         tracing::debug!(?act, "trouble");
         match act {
-            Act::Host(command) => self.rack.command(command),
+            Act::Host(command) => {
+                match command {
+                    Command::Drain(host) => drop(self.draining.insert(host)),
+                    Command::Start(host) => drop(self.draining.remove(&host)),
+                    _ => {}
+                }
+                self.rack.command(command);
+            }
             Act::HostListed(host, state) => {
                 self.news.push((self.world.clock.now() + self.notice, host, state));
             }
@@ -672,6 +801,44 @@
                     self.world.see(Seen::PlacerGoesOn { placer: format!("placer-{number}").into() });
                 }
             }
+            Act::Flap(host, good) => {
+                // Only a host that is listed as up flaps; what other troubles did to it stands.
+                let (from, to) = if good {
+                    (HostState::Draining, HostState::Ready)
+                } else {
+                    (HostState::Ready, HostState::Draining)
+                };
+                let up = self.started(host) > 0 && !self.draining.contains(&host);
+                if up && self.listed[host].0 == from && !self.news.iter().any(|n| n.1 == host) {
+                    self.listed[host].0 = to;
+                    if !self.garbled {
+                        self.write_inventory()?;
+                    }
+                }
+            }
+            Act::Catalogue(faults) => {
+                if let Some(servers) = &self.servers {
+                    // Stale indexes are those of one server; the rest strikes all.
+                    let server = (faults.index_back > 0).then_some(1);
+                    servers.faults(server, faults);
+                }
+            }
+            Act::LoseLeader(span) => {
+                if let Some(servers) = &self.servers {
+                    servers.lose_leader(span);
+                }
+            }
+            Act::Garbage(text) if self.servers.is_some() => {
+                // An empty or a garbled file is an empty or a cut answer here.
+                let faults = match text {
+                    "" => CatalogueFaults { empty: true, ..CatalogueFaults::default() },
+                    "sound" => CatalogueFaults::default(),
+                    _ => CatalogueFaults { cut: 1.0, ..CatalogueFaults::default() },
+                };
+                if let Some(servers) = &self.servers {
+                    servers.faults(None, faults);
+                }
+            }
             Act::Garbage("sound") => {
                 self.garbled = false;
                 self.write_inventory()?;
@@ -804,6 +971,30 @@
     }
 }
 
+/// One PUT on a connection of its own.
+fn put_json(address: SocketAddr, target: &str, body: &Value) -> io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    let mut out = Vec::new();
+    http::write_request(&mut out, "PUT", target, &[("Host", "consul")], body.to_string().as_bytes());
+    stream.write_all(&out)?;
+    let mut reader = Reader::new(Role::Responses, Limits::default());
+    let (mut bytes, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        let (found, used) = reader.read(&bytes).map_err(io::Error::other)?;
+        bytes.drain(..used);
+        if let Found::Message(message) = found {
+            // Without a leader nothing is registered; the day goes on, and what is next tells all that differs.
+            return if message.head.status() == 200 { Ok(()) } else { Err(io::ErrorKind::WouldBlock.into()) };
+        }
+        let n = stream.read(&mut part)?;
+        if n == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        bytes.extend_from_slice(&part[..n]);
+    }
+}
+
 /// One GET on a connection of its own.
 pub fn get_json(address: SocketAddr, target: &str) -> io::Result<Value> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -184,6 +184,20 @@
     Overload,
     /// Owners hang up while a further try is out.
     HangUps,
+    /// The health of hosts goes back and forth, every so many seconds.
+    HealthFlaps,
+    /// The catalogue answers so many seconds late.
+    CatalogueLate,
+    /// The catalogue answers with this status.
+    CatalogueStorm,
+    /// The catalogue's answers are cut in the middle.
+    CatalogueCut,
+    /// The catalogue tells this share of its entries.
+    CataloguePartial,
+    /// The catalogue's indexes go back by so much at one of its servers.
+    CatalogueStale,
+    /// The catalogue has no leader.
+    LeaderLost,
 }
 
 /// One trouble.
@@ -225,6 +239,20 @@
         Scenario::parse(doc).expect("the built-in scenario is sound, which a test holds")
     }
 
+    /// The standard day with the troubles of a catalogue besides.
+    pub fn standard_with_catalogue() -> Scenario {
+        #[derive(Deserialize)]
+        struct More {
+            trouble: Vec<Trouble>,
+        }
+        let doc = Doc { file: "scenarios/catalogue.toml", text: include_str!("../scenarios/catalogue.toml") };
+        let more: More = parse(doc).expect("the built-in troubles are sound, which a test holds");
+        let mut scenario = Scenario::standard();
+        scenario.name = "standard with catalogue".to_owned();
+        scenario.trouble.extend(more.trouble);
+        scenario
+    }
+
     fn check(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
         let above = |key: &str, x: f64| doc.check(x.is_finite() && x > 0.0, key, "must be above 0");
         above("seconds", self.seconds)?;
