--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -36,10 +36,11 @@
     assert!(report["service"].as_f64().is_some_and(|s| (0.2..=1.0).contains(&s)), "{report:#}");
 }
 
+const ROGUE_DAY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../standin/scenarios/rogue.toml");
+
 fn rogue(rule: u8) {
     let number = rule.to_string();
-    let (code, report) =
-        bad_day(&["--seconds", "7", "--seed", "2", "--placers", "3", "--hosts", "12", "--rogue", &number]);
+    let (code, report) = bad_day(&["--scenario", ROGUE_DAY, "--seed", "2", "--rogue", &number]);
     assert_eq!(code, Some(1), "{report:#}");
     let broken = report["broken"].as_object().expect("an object");
     assert!(broken.contains_key(&number), "the judge missed rule {rule}: {report:#}");
@@ -74,3 +75,17 @@
 fn the_judge_catches_a_placer_that_ignores_spread_limits() {
     rogue(5);
 }
+
+#[test]
+fn a_placer_that_keeps_the_rules_keeps_them_on_the_rogues_day_too() {
+    let (code, report) = bad_day(&["--scenario", ROGUE_DAY, "--seed", "2"]);
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+}
+
+#[test]
+fn a_short_bad_day_with_a_catalogue_breaks_no_rule() {
+    let (code, report) =
+        bad_day(&["--consul", "--seconds", "14", "--seed", "3", "--placers", "3", "--hosts", "12"]);
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+    assert!(report["placed"].as_u64() > Some(200), "{report:#}");
+}
--- a/crates/standin/src/baseline.rs
+++ b/crates/standin/src/baseline.rs
@@ -154,6 +154,11 @@
             return;
         }
         let machine = match self.rogue {
+            // Cold hosts first.
+            4 if allowed.iter().any(|id| self.cold(id)) => {
+                let cold: Vec<MachineId> = allowed.iter().copied().filter(|id| self.cold(id)).collect();
+                cold[self.dice.below(cold.len())]
+            }
             // Always the same place for a service.
             5 => allowed[(task.service.0 % allowed.len() as u64) as usize],
             _ => allowed[self.dice.below(allowed.len())],
@@ -200,8 +205,7 @@
             return false;
         }
         let rules = &self.settings.rules;
-        let cold = machine.started.is_some_and(|start| start + rules.cold_for > self.now);
-        if cold && self.rogue != 4 {
+        if self.cold(&machine.machine) && self.rogue != 4 {
             let part = (rules.fresh_offers * 0.9 / f64::from(self.settings.placers)) as usize;
             let sends = self.sends.get(&machine.machine);
             let lately =
@@ -211,6 +215,11 @@
         true
     }
 
+    fn cold(&self, id: &MachineId) -> bool {
+        let started = self.machines.get(id).and_then(|m| m.started);
+        started.is_some_and(|start| start + self.settings.rules.cold_for > self.now)
+    }
+
     fn count(&self, place: Place, at: &Listing, service: ServiceId) -> u32 {
         let there = |id: &MachineId| {
             self.machines.get(id).is_some_and(|m| match place {
