--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -15,6 +15,7 @@
 };
 use maplethread_consul_standin::{Faults as CatalogueFaults, Servers, Settings as ServerSettings};
 use maplethread_judge::{Broken, ClassRule, Figures, Group, Place, Record, Seen, Verdict, Where, judge};
+use maplethread_wire::frame::Frame;
 use maplethread_wire::http::{self, Found, Limits, Reader, Role};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -58,6 +59,8 @@
     pub place_us: Vec<u64>,
     /// Times of decisions, µs, with their counts, of all placers that were up at the end.
     pub decide_us: BTreeMap<u64, u64>,
+    /// Offers to a host in the second after its health came back: how many returns, the mean and the most.
+    pub returns: (usize, f64, usize),
     /// The record, for frames that show a broken rule.
     pub record: Vec<Record>,
 }
@@ -99,6 +102,7 @@
             "double_s": self.double_s,
             "broken": broken,
             "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
+            "returns": {"count": self.returns.0, "offers_mean": self.returns.1, "offers_most": self.returns.2},
             "place_ms": {
                 "p50": self.place_quantile(0.5), "p99": self.place_quantile(0.99), "max": self.place_quantile(1.0),
             },
@@ -218,6 +222,8 @@
     told_ready: Vec<(Arc<str>, Option<u64>)>,
     notice: u64,
     garbled: bool,
+    /// When a host's health came back after a flap.
+    returned: Vec<(u64, Arc<str>)>,
     /// Hosts that said that they drain.
     draining: BTreeSet<usize>,
     servers: Option<Servers>,
@@ -261,6 +267,7 @@
         told_ready: Vec::new(),
         notice: scenario.fleet.notice_ms * 1000,
         garbled: false,
+        returned: Vec::new(),
         draining: BTreeSet::new(),
         servers,
         in_catalogue: Inventory::default(),
@@ -339,7 +346,8 @@
         self.stop_placers();
         let record = self.world.take_record();
         let verdict = judge(&record, &self.figures());
-        Ok(Report { verdict, service, double_s, place_us, decide_us, record })
+        let returns = returns(&record, &self.returned);
+        Ok(Report { verdict, service, double_s, place_us, decide_us, returns, record })
     }
 
     fn figures(&self) -> Figures {
@@ -811,6 +819,9 @@
                 let up = self.started(host) > 0 && !self.draining.contains(&host);
                 if up && self.listed[host].0 == from && !self.news.iter().any(|n| n.1 == host) {
                     self.listed[host].0 = to;
+                    if good {
+                        self.returned.push((self.world.clock.now(), format!("host-{host:02}").into()));
+                    }
                     if !self.garbled {
                         self.write_inventory()?;
                     }
@@ -889,6 +900,25 @@
     }
 }
 
+/// Offers to hosts in the second after each of these returns: how many returns, the mean and the most.
+fn returns(record: &[Record], returned: &[(u64, Arc<str>)]) -> (usize, f64, usize) {
+    let mut offers: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for r in record {
+        if let Seen::FromPlacer { host, frame: Frame::Offer(_), .. } = &r.seen {
+            offers.entry(host).or_default().push(r.at);
+        }
+    }
+    let counts: Vec<usize> = returned
+        .iter()
+        .map(|(at, host)| {
+            let all = offers.get(&**host).map(Vec::as_slice).unwrap_or_default();
+            all.iter().filter(|&&o| o >= *at && o < at + 1_000_000).count()
+        })
+        .collect();
+    let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
+    (counts.len(), mean, counts.iter().copied().max().unwrap_or(0))
+}
+
 /// Replaces a file atomically, as operators are told to do with inventories.
 fn replace(path: &Path, text: &str) -> io::Result<()> {
     let mut new = path.as_os_str().to_owned();
