--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -144,6 +144,9 @@
     /// Tasks end after so many ms; 0 for never
     #[arg(long, default_value_t = 5000, value_name = "MS")]
     life_ms: u64,
+    /// Take the hosts from a catalogue, whose entries change N times a second in the second half of the run
+    #[arg(long, value_name = "N")]
+    storm: Option<f64>,
     /// Look for the highest rate that is sustained (p99 of due-to-answer under 50 ms), starting from --rate
     #[arg(long)]
     max: bool,
@@ -272,6 +275,7 @@
             connections: args.connections,
             life_ms: args.life_ms,
             seed: 1,
+            storm: args.storm,
         };
         let measured = maplethread_standin::load::run(&options).map_err(|e| format!("load: {e}"))?;
         if args.json {
--- /dev/null
+++ b/crates/consul-standin/examples/measure.rs
@@ -0,0 +1,175 @@
+//! Measures readers of the stand-in: time from a change to the reader's news, cost of taking in whole answers, and
+//! what many readers cost the servers. `cargo run --release -p maplethread-consul-standin --example measure`.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use maplethread_config::{Doc, PlacerConfig};
+use maplethread_consul::Update;
+use maplethread_consul::catalogue::{Known, read};
+use maplethread_consul_standin::{Servers, Settings};
+use maplethread_placer::{Catalogue, Clock};
+use maplethread_reactor::{Poller, Readiness};
+use maplethread_wire::http::{self, Found, Limits, Reader, Role};
+use serde_json::json;
+
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+struct Http {
+    stream: TcpStream,
+    reader: Reader,
+    buffer: Vec<u8>,
+}
+
+impl Http {
+    fn new(at: SocketAddr) -> Result<Http> {
+        let stream = TcpStream::connect(at)?;
+        stream.set_nodelay(true)?;
+        let limits = Limits { body: 64 << 20, ..Limits::default() };
+        Ok(Http { stream, reader: Reader::new(Role::Responses, limits), buffer: Vec::new() })
+    }
+
+    fn call(&mut self, method: &str, target: &str, body: &str) -> Result<Vec<u8>> {
+        let mut out = Vec::new();
+        http::write_request(&mut out, method, target, &[("Host", "c")], body.as_bytes());
+        self.stream.write_all(&out)?;
+        loop {
+            let (found, used) = self.reader.read(&self.buffer)?;
+            self.buffer.drain(..used);
+            if let Found::Message(message) = found {
+                return Ok(message.body);
+            }
+            let mut part = [0; 65536];
+            let n = self.stream.read(&mut part)?;
+            self.buffer.extend_from_slice(&part[..n]);
+        }
+    }
+}
+
+fn register(http: &mut Http, n: usize, status: &str) -> Result<()> {
+    let name = format!("host-{n}");
+    let body = json!({
+        "Node": format!("node-{n}"), "Address": "127.0.0.1",
+        "Service": {"ID": name, "Service": "maplethread-host", "Port": 7000,
+            "Meta": {"zone": "a", "cell": format!("c{}", n / 10), "kind": "std", "started_ms": "1700000000000"}},
+        "Checks": [{"CheckID": format!("service:{name}"), "Name": "host", "Status": status, "ServiceID": name}],
+    });
+    http.call("PUT", "/v1/catalog/register", &body.to_string())?;
+    Ok(())
+}
+
+fn config(servers: &Servers) -> Result<PlacerConfig> {
+    let list: Vec<String> = servers.addresses.iter().map(|a| format!("\"{a}\"")).collect();
+    let text = format!(
+        "[placer]\nname = \"p\"\nnumber = 0\nplacers = 1\nzone = \"a\"\nzones = [\"a\"]\n[api]\nlisten = \"127.0.0.1:0\"\n\
+         [hosts]\n[consul]\nservers = [{}]\ndamping = \"off\"\nreads = \"stale\"\n[rules]\ncold_from = 0.2\n\
+         cold_for_ms = 1\nfall_multiple = 4.0\nfall_window_ms = 1\nfresh_offers = 1.0\n[[kind]]\nname = \"std\"\n\
+         cores = 1.0\nmemory_gib = 1.0\n[[class]]\nname = \"c\"\neffect = \"safe\"\naim_ms = 1\n",
+        list.join(", ")
+    );
+    Ok(PlacerConfig::parse(Doc { file: "measure", text: &text })?)
+}
+
+struct Readers {
+    poller: Poller,
+    clock: Clock,
+    all: Vec<Catalogue>,
+    token: u64,
+}
+
+impl Readers {
+    fn new(config: &PlacerConfig, count: usize) -> Result<Readers> {
+        let mut all = Vec::new();
+        for seed in 0..count {
+            all.extend(Catalogue::new(config, seed as u64)?);
+        }
+        Ok(Readers { poller: Poller::new()?, clock: Clock::start(), all, token: 0 })
+    }
+
+    /// Runs for a while, or until the first reader's news names this host.
+    fn run(&mut self, span: Duration, wanted: Option<&str>) -> Result<bool> {
+        let until = Instant::now() + span;
+        let mut ready: Vec<Readiness> = Vec::new();
+        while Instant::now() < until {
+            let now = self.clock.now();
+            for (n, reader) in self.all.iter_mut().enumerate() {
+                if reader.next_timeout(now).is_some_and(|at| at <= now) || n == 0 {
+                    for update in reader.tick(now, &self.poller, &mut self.token) {
+                        if let (0, Update::Hosts(hosts), Some(wanted)) = (n, update, wanted)
+                            && hosts.iter().any(|h| h.name == wanted)
+                        {
+                            return Ok(true);
+                        }
+                    }
+                }
+            }
+            ready.clear();
+            self.poller.wait(Some(Duration::from_millis(1)), &mut ready)?;
+            let now = self.clock.now();
+            for r in &ready {
+                if let Some(reader) = self.all.iter_mut().find(|c| c.has(r.token)) {
+                    reader.ready(now, r.token, r, &self.poller);
+                }
+            }
+        }
+        Ok(false)
+    }
+}
+
+fn main() -> Result<()> {
+    for hosts in [130, 5000] {
+        let servers = Servers::start(Settings::new(3))?;
+        let mut http = Http::new(servers.addresses[0])?;
+        for n in 0..hosts {
+            register(&mut http, n, "passing")?;
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let body = http.call("GET", "/v1/health/service/maplethread-host", "")?;
+        let known = Known { zones: vec!["a".into()], kinds: vec!["std".into()], most: 10_000 };
+        let from = Instant::now();
+        let rounds = 20;
+        for _ in 0..rounds {
+            assert_eq!(read(&body, &known)?.entries.len(), hosts);
+        }
+        let parse = from.elapsed() / rounds;
+        println!("{hosts} hosts: an answer of {} KiB is read in {parse:?}", body.len() / 1024);
+        let mut readers = Readers::new(&config(&servers)?, 1)?;
+        readers.run(Duration::from_millis(1500), None)?;
+        let mut times = Vec::new();
+        for n in 0..100 {
+            // Off the step of the reads.
+            readers.run(Duration::from_millis(40 + n % 17), None)?;
+            let host = (n as usize * 37) % hosts;
+            let from = Instant::now();
+            register(&mut http, host, if n % 2 == 0 { "critical" } else { "warning" })?;
+            if readers.run(Duration::from_secs(5), Some(&format!("host-{host}")))? {
+                times.push(from.elapsed());
+            }
+        }
+        times.sort();
+        let at = |q: f64| times[((times.len() as f64 * q) as usize).min(times.len() - 1)];
+        println!(
+            "{hosts} hosts: from a change to its news p50 {:?}, p99 {:?} ({} changes)",
+            at(0.5),
+            at(0.99),
+            times.len()
+        );
+    }
+    let servers = Servers::start(Settings::new(3))?;
+    let mut http = Http::new(servers.addresses[0])?;
+    for n in 0..130 {
+        register(&mut http, n, "passing")?;
+    }
+    let mut readers = Readers::new(&config(&servers)?, 400)?;
+    readers.run(Duration::from_secs(8), None)?;
+    let before = servers.counts();
+    readers.run(Duration::from_secs(15), None)?;
+    let after = servers.counts();
+    println!(
+        "400 readers of 130 hosts at rest: {:.0} queries a second, {:.1} MiB a minute",
+        (after.0 - before.0) as f64 / 15.0,
+        (after.1 - before.1) as f64 / 15.0 * 60.0 / 1048576.0
+    );
+    Ok(())
+}
--- a/crates/placer/src/catalogue.rs
+++ b/crates/placer/src/catalogue.rs
@@ -22,7 +22,9 @@
     call: Option<(CallId, u64)>,
 }
 
+/// A source on sockets.
 pub struct Catalogue {
+    /// What is asked and known.
     pub source: Source,
     config: Consul,
     calls: HashMap<u64, Call>,
@@ -31,6 +33,7 @@
 }
 
 impl Catalogue {
+    /// The source that the settings name, if they name one.
     pub fn new(config: &PlacerConfig, seed: u64) -> Result<Option<Catalogue>, Error> {
         let Some(consul) = &config.consul else { return Ok(None) };
         let token = match &consul.token_file {
@@ -45,10 +48,12 @@
         Ok(Some(Catalogue { source, config: consul.clone(), calls, by_call, idle: Vec::new() }))
     }
 
+    /// Whether a token of the poller belongs to one of its connections.
     pub fn has(&self, token: u64) -> bool {
         self.calls.contains_key(&token)
     }
 
+    /// When [`Catalogue::tick`] is to be called at the latest.
     pub fn next_timeout(&self, now: u64) -> Option<u64> {
         let waits = self.calls.values().filter_map(|c| c.call.map(|(_, until)| until)).min();
         [self.source.next_timeout(now), waits].into_iter().flatten().min()
@@ -130,6 +135,7 @@
         }
     }
 
+    /// One of its connections is ready.
     pub fn ready(&mut self, now: u64, token: u64, r: &Readiness, poller: &Poller) {
         let Some(c) = self.calls.get_mut(&token) else { return };
         if c.conn.connecting() {
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -6,5 +6,6 @@
 mod daemon;
 mod decide_time;
 
+pub use catalogue::Catalogue;
 pub use clock::Clock;
 pub use daemon::{Error, Options, load, run};
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -412,23 +412,14 @@
                 inventory: self.servers.is_none().then(|| "hosts.toml".into()),
                 ..hosts("hosts.toml")
             },
-            consul: self.servers.as_ref().map(|servers| Consul {
-                servers: servers.addresses.clone(),
-                service: "maplethread-host".to_owned(),
-                datacentre: Some("dc1".to_owned()),
-                token_file: None,
-                reads: Reads::Stale,
-                filter: None,
-                wait_ms: 2_000,
-                members_every_ms: 1_000,
-                max_answer_bytes: 32 << 20,
-                damping: self.options.consul.unwrap_or_default(),
-                membership: Some(Membership {
+            consul: self.servers.as_ref().map(|servers| {
+                let membership = Membership {
                     service: "maplethread-placer".to_owned(),
                     prefix: "maplethread/slots".to_owned(),
                     ttl_ms: 2_000,
                     lock_delay_ms: 1_000,
-                }),
+                };
+                consul(servers.addresses.clone(), self.options.consul.unwrap_or_default(), Some(membership))
             }),
             placing: Placing {
                 placed_when: s.fleet.placed_when,
@@ -485,31 +476,6 @@
         replace(&self.folder.join("hosts.toml"), text)
     }
 
-    /// Puts what is listed of a host in the catalogue.
-    fn register(&self, servers: &Servers, host: &HostEntry) -> io::Result<()> {
-        let node = format!("node-{}", host.name);
-        let at = servers.addresses[0];
-        if host.state == HostState::Gone {
-            let body = json!({"Node": node, "ServiceID": host.name});
-            return put_json(at, "/v1/catalog/deregister", &body);
-        }
-        let status = if host.state == HostState::Ready { "passing" } else { "critical" };
-        let body = json!({
-            "Node": node, "Address": host.address.ip().to_string(),
-            "Service": {
-                "ID": host.name, "Service": "maplethread-host", "Port": host.address.port(),
-                "Meta": {
-                    "zone": host.zone, "cell": host.cell, "kind": host.kind,
-                    "started_ms": host.started_ms.unwrap_or(1).to_string(),
-                },
-            },
-            "Checks": [{
-                "CheckID": format!("service:{}", host.name), "Name": "host", "Status": status, "ServiceID": host.name,
-            }],
-        });
-        put_json(at, "/v1/catalog/register", &body)
-    }
-
     fn write_inventory(&mut self) -> io::Result<()> {
         if let Some(servers) = &self.servers {
             let now = inventory(&self.scenario, &self.rack.addresses, &self.listed);
@@ -518,7 +484,7 @@
                 let known = self.in_catalogue.host.iter().find(|h| h.name == host.name);
                 match known {
                     Some(known) if known == host => told.push(host.clone()),
-                    _ if self.register(servers, host).is_ok() => told.push(host.clone()),
+                    _ if register(servers.addresses[0], host).is_ok() => told.push(host.clone()),
                     // The catalogue has no leader: told with the next news.
                     _ => told.extend(known.cloned()),
                 }
@@ -1001,6 +967,47 @@
     }
 }
 
+/// Puts what is listed of a host in the catalogue.
+pub(crate) fn register(at: SocketAddr, host: &HostEntry) -> io::Result<()> {
+    let node = format!("node-{}", host.name);
+    if host.state == HostState::Gone {
+        let body = json!({"Node": node, "ServiceID": host.name});
+        return put_json(at, "/v1/catalog/deregister", &body);
+    }
+    let status = if host.state == HostState::Ready { "passing" } else { "critical" };
+    let body = json!({
+        "Node": node, "Address": host.address.ip().to_string(),
+        "Service": {
+            "ID": host.name, "Service": "maplethread-host", "Port": host.address.port(),
+            "Meta": {
+                "zone": host.zone, "cell": host.cell, "kind": host.kind,
+                "started_ms": host.started_ms.unwrap_or(1).to_string(),
+            },
+        },
+        "Checks": [{
+            "CheckID": format!("service:{}", host.name), "Name": "host", "Status": status, "ServiceID": host.name,
+        }],
+    });
+    put_json(at, "/v1/catalog/register", &body)
+}
+
+/// Settings of a placer that reads its hosts from these servers.
+pub(crate) fn consul(servers: Vec<SocketAddr>, damping: Damping, membership: Option<Membership>) -> Consul {
+    Consul {
+        servers,
+        service: "maplethread-host".to_owned(),
+        datacentre: Some("dc1".to_owned()),
+        token_file: None,
+        reads: Reads::Stale,
+        filter: None,
+        wait_ms: 2_000,
+        members_every_ms: 1_000,
+        max_answer_bytes: 32 << 20,
+        damping,
+        membership,
+    }
+}
+
 /// One PUT on a connection of its own.
 fn put_json(address: SocketAddr, target: &str, body: &Value) -> io::Result<()> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -14,8 +14,10 @@
 
 use hdrhistogram::Histogram;
 use maplethread_config::{
-    Class, Effect, HostEntry, HostState, Identity, Inventory, Kind, PlacerConfig, Placing, Prices, Rules,
+    Class, Damping, Effect, HostEntry, HostState, Hosts, Identity, Inventory, Kind, PlacerConfig, Placing,
+    Prices, Rules,
 };
+use maplethread_consul_standin::{Servers, Settings as ServerSettings};
 use maplethread_engine::Timers;
 use maplethread_placer::Clock;
 use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
@@ -42,6 +44,9 @@
     pub life_ms: u64,
     /// Seed of the placer.
     pub seed: u64,
+    /// The hosts come from a catalogue, and in the second half of the run the health of a third of them changes so
+    /// often a second.
+    pub storm: Option<f64>,
 }
 
 /// What a run measured.
@@ -57,6 +62,8 @@
     pub placed: u64,
     /// From when an ask was due to its answer: p50, p99, p99.9 and the longest, µs.
     pub place_us: [u64; 4],
+    /// The same for the first half of the run and for the second.
+    pub halves_us: [[u64; 4]; 2],
     /// Decisions: p50 and p99, µs, as the placer measured them.
     pub decide_us: [u64; 2],
     /// Memory of the placer before and after, KiB.
@@ -76,6 +83,7 @@
         json!({
             "rate": self.rate, "answered_rate": self.answered_rate, "asks": self.asks, "placed": self.placed,
             "place_us": {"p50": self.place_us[0], "p99": self.place_us[1], "p99.9": self.place_us[2], "max": self.place_us[3]},
+            "halves_us": self.halves_us,
             "decide_us": {"p50": self.decide_us[0], "p99": self.decide_us[1]},
             "rss_kib": {"before": self.rss_kib[0], "after": self.rss_kib[1]},
             "actors": self.actors,
@@ -122,7 +130,11 @@
             self.cpu[0] * 100.0,
             self.cpu[1] * 100.0
         );
-        text + &spent
+        let halves = format!(
+            "due to answer, p50, p99, p99.9 and max: first half {:?} us, second half {:?} us\n",
+            self.halves_us[0], self.halves_us[1]
+        );
+        text + &halves + &spent
     }
 }
 
@@ -265,6 +277,16 @@
     };
     let inventory = Inventory { host: hosts_up.addresses.iter().enumerate().map(entry).collect() };
     std::fs::write(folder.path().join("hosts.toml"), toml::to_string(&inventory).map_err(io::Error::other)?)?;
+    let servers = match options.storm {
+        None => None,
+        Some(_) => {
+            let servers = Servers::start(ServerSettings::new(3))?;
+            for host in &inventory.host {
+                crate::day::register(servers.addresses[0], host)?;
+            }
+            Some(servers)
+        }
+    };
     let config = PlacerConfig {
         placer: Identity {
             name: "placer-0".to_owned(),
@@ -275,8 +297,8 @@
             seed: Some(options.seed),
         },
         api: api(),
-        hosts: hosts("hosts.toml"),
-        consul: None,
+        hosts: Hosts { inventory: servers.is_none().then(|| "hosts.toml".into()), ..hosts("hosts.toml") },
+        consul: servers.as_ref().map(|s| crate::day::consul(s.addresses.clone(), Damping::Penalty, None)),
         placing: Placing { admit_cores: 1.0, admit_memory: 1.0, ..Placing::default() },
         rules: Rules {
             ask_within_ms: 10_000,
@@ -324,19 +346,39 @@
     let idle_to = usage(pid)?;
     let clock = Clock::start();
     let mut clients = Clients::connect(options, address, clock)?;
+    let storm = servers.as_ref().zip(options.storm).map(|(servers, rate)| {
+        let (at, hosts) = (servers.addresses[0], inventory.host.clone());
+        let (half, rate) = (options.seconds / 2.0, rate.max(0.1));
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs_f64(half));
+            for n in 0..(half * rate) as usize {
+                let mut host = hosts[n * 7 % (hosts.len() / 3).max(1)].clone();
+                host.state = if n % 2 == 0 { HostState::Draining } else { HostState::Ready };
+                let _ = crate::day::register(at, &host);
+                std::thread::sleep(Duration::from_secs_f64(1.0 / rate));
+            }
+        })
+    });
     clients.run()?;
+    if let Some(storm) = storm {
+        let _ = storm.join();
+    }
     let loaded = usage(pid)?;
     let took = clients.took_s;
     std::thread::sleep(Duration::from_millis(600));
     let status = get_json(address, "/v1/status?full")?;
     let decide = |q: &str| status["gauges"]["decide_us"][q].as_u64().unwrap_or(0);
+    let quantiles = |h: &Histogram<u64>| {
+        [h.value_at_quantile(0.5), h.value_at_quantile(0.99), h.value_at_quantile(0.999), h.max()]
+    };
     let h = &clients.times;
     Ok(Measured {
         rate: options.rate,
         answered_rate: h.len() as f64 / took,
         asks: clients.asked,
         placed: clients.placed,
-        place_us: [h.value_at_quantile(0.5), h.value_at_quantile(0.99), h.value_at_quantile(0.999), h.max()],
+        place_us: quantiles(h),
+        halves_us: [quantiles(&clients.halves[0]), quantiles(&clients.halves[1])],
         decide_us: [decide("p50"), decide("p99")],
         rss_kib: [idle_to.1, usage(pid)?.1],
         actors: status["actors"].as_u64().unwrap_or(0),
@@ -353,6 +395,7 @@
     asked: u64,
     placed: u64,
     times: Histogram<u64>,
+    halves: [Histogram<u64>; 2],
     took_s: f64,
     outcomes: BTreeMap<u16, u64>,
 }
@@ -368,7 +411,19 @@
         }
         let times = Histogram::new_with_bounds(1, 120_000_000, 3).map_err(io::Error::other)?;
         let (asked, placed, took_s) = (0, 0, 0.0);
-        Ok(Clients { options, poller, clock, conns, asked, placed, times, took_s, outcomes: BTreeMap::new() })
+        let halves = [times.clone(), times.clone()];
+        Ok(Clients {
+            options,
+            poller,
+            clock,
+            conns,
+            asked,
+            placed,
+            times,
+            halves,
+            took_s,
+            outcomes: BTreeMap::new(),
+        })
     }
 
     fn run(&mut self) -> io::Result<()> {
@@ -419,7 +474,10 @@
                     let Found::Message(message) = found else { break };
                     let now = self.clock.now();
                     if let Some(due) = waiting.pop_front() {
-                        self.times.saturating_record(now.saturating_sub(due).max(1));
+                        let took = now.saturating_sub(due).max(1);
+                        self.times.saturating_record(took);
+                        let half = usize::from((due - start) as f64 >= self.options.seconds * 5e5);
+                        self.halves[half].saturating_record(took);
                         open -= 1;
                     }
                     *self.outcomes.entry(message.head.status()).or_default() += 1;
