--- a/crates/consul-standin/examples/measure.rs
+++ b/crates/consul-standin/examples/measure.rs
@@ -140,9 +140,9 @@
         for n in 0..100 {
             // Off the step of the reads.
             readers.run(Duration::from_millis(40 + n % 17), None)?;
-            let host = (n as usize * 37) % hosts;
+            let host = (n as usize / 2 * 37) % hosts;
             let from = Instant::now();
-            register(&mut http, host, if n % 2 == 0 { "critical" } else { "warning" })?;
+            register(&mut http, host, if n % 2 == 0 { "critical" } else { "passing" })?;
             if readers.run(Duration::from_secs(5), Some(&format!("host-{host}")))? {
                 times.push(from.elapsed());
             }
--- a/crates/standin/src/owners.rs
+++ b/crates/standin/src/owners.rs
@@ -88,7 +88,7 @@
             open: 0,
             place_us: Vec::new(),
         };
-        run.timers.set(start, Due::Arrive);
+        run.timers.set(start, Due::Arrive(start));
         run.timers.set(start, Due::Follow);
         let thread = std::thread::Builder::new().name("owners".into()).spawn(move || run.run())?;
         Ok(Owners { mood, thread: Some(thread) })
@@ -137,7 +137,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
-    Arrive,
+    /// A new task; with when it was due, so that a late thread makes up for its delay.
+    Arrive(u64),
     Ask(usize),
     Deadline(usize, u32),
     EarlyHangUp(usize, u32),
@@ -208,7 +209,7 @@
 
     fn due(&mut self, now: u64, due: Due) {
         match due {
-            Due::Arrive => self.arrive(now),
+            Due::Arrive(due) => self.arrive(now, due),
             Due::Ask(owner) => self.ask(now, owner),
             Due::Deadline(owner, ask) => {
                 if self.owners[owner].asks == ask {
@@ -226,7 +227,7 @@
         }
     }
 
-    fn arrive(&mut self, now: u64) {
+    fn arrive(&mut self, now: u64, due: u64) {
         let (overload, closing) = {
             let mood = self.mood();
             (mood.overload, mood.closing)
@@ -234,11 +235,12 @@
         if closing {
             return;
         }
-        let at_s = (now - self.start) as f64 / 1e6;
+        let at_s = (due - self.start) as f64 / 1e6;
         let times = if overload > 0.0 { overload } else { 1.0 };
         let rate = self.scenario.load_at(at_s) * times * self.scenario.cores() / self.scenario.core_seconds();
         let wait = self.dice.exp(1e6 / rate.max(0.01));
-        self.timers.set(now + wait as u64, Due::Arrive);
+        let next = due + wait as u64;
+        self.timers.set(next, Due::Arrive(next));
         let total: f64 = self.scenario.class.iter().map(|c| c.share).sum();
         let mut left = self.dice.share() * total;
         let class = self.scenario.class.iter().position(|c| {
