--- a/crates/cli/tests/consul.rs
+++ b/crates/cli/tests/consul.rs
@@ -298,3 +298,118 @@
     placers[late].kill();
     wait_gauge(&placers[one], "the number is free again", |g| !g["slot"].is_null());
 }
+
+#[test]
+fn all_hosts_critical_and_back_get_held_tasks_within_the_cold_budgets() {
+    let servers = Servers::start(Settings::new(3)).expect("servers");
+    let now = || {
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_millis()
+            as u64
+    };
+    let mut hosts: Vec<ScriptedHost> =
+        (0..4).map(|n| ScriptedHost::new(&format!("h{n}"), "a", "1")).collect();
+    hosts.iter().for_each(|h| register(&servers, h, "passing"));
+    let mut placer = placer(&servers, "p0", 1, "");
+    let ready = placer.start();
+    let mut links: Vec<Link> = hosts.iter().map(|h| h.greet(&[])).collect();
+    ready(&mut placer);
+    hosts.iter().for_each(|h| register(&servers, h, "critical"));
+    placer.wait_for("all drain", |_| gauges(&placer)["index"].as_u64() >= Some(12));
+    // Sixty asks while nobody takes any: all are held.
+    let mut clients: Vec<Client> = (0..4).map(|_| placer.client()).collect();
+    for n in 0..60 {
+        clients[n % 4].ask(&ask("web-api", &format!("s{n}"), "a", 15_000), &format!("{n}"));
+    }
+    placer.wait_for("all are held", |s| s["open_asks"] == 60);
+    assert!(links.iter_mut().all(|l| l.all_within(Duration::from_millis(30)).is_empty()));
+    // Two of them come back as they were, two as new processes, cold.
+    for n in [2, 3] {
+        hosts[n].started_ms = now();
+        let link = links.remove(2);
+        drop(link.into_stream());
+    }
+    let started = hosts[2].started_ms;
+    links.extend(hosts[2..].iter().map(|h| h.greet(&[])));
+    hosts.iter().for_each(|h| register(&servers, h, "passing"));
+    let mut offers: Vec<Vec<u64>> = vec![Vec::new(); 4];
+    let until = Instant::now() + PATIENCE;
+    while offers.iter().map(Vec::len).sum::<usize>() < 60 && Instant::now() < until {
+        for (n, link) in links.iter_mut().enumerate() {
+            while let Some(Frame::Offer(offer)) = link.next_within(Duration::from_millis(1)) {
+                offers[n].push(now());
+                link.send(&Frame::Accepted(offer.attempt, 1));
+            }
+        }
+    }
+    for client in &mut clients {
+        for _ in 0..15 {
+            assert_eq!(client.json().1["outcome"], "placed");
+        }
+    }
+    // A cold host bears ten offers a second; this placer is alone, so at most nine of them are its own.
+    for times in &offers[2..] {
+        for (i, &at) in times.iter().enumerate().filter(|(_, at)| **at < started + 2000) {
+            let window = times[i..].iter().filter(|&&t| t < at + 950).count();
+            assert!(window <= 10, "{window} offers within a second: {times:?}");
+        }
+    }
+    assert!(offers[0].len() + offers[1].len() >= 40, "{offers:?}");
+}
+
+#[test]
+fn a_hostile_catalogue_of_five_thousand_entries_loses_nothing_sound() {
+    let servers = Servers::start(Settings::new(1)).expect("servers");
+    let host = ScriptedHost::new("h1", "a", "1");
+    register(&servers, &host, "passing");
+    let mut stream = TcpStream::connect(servers.addresses[0]).expect("the server listens");
+    let answers = std::thread::spawn({
+        let mut stream = stream.try_clone().expect("a socket");
+        move || {
+            let (mut seen, mut part) = (0, [0; 65536]);
+            while seen < 5000 {
+                let n = stream.read(&mut part).expect("answers");
+                seen += String::from_utf8_lossy(&part[..n]).matches("HTTP/1.1 200").count();
+                assert!(n > 0, "the server closed");
+            }
+        }
+    });
+    let long = "x".repeat(1 << 10);
+    let huge = "y".repeat(900 << 10);
+    for n in 0..5000 {
+        // One in five is sound but for its kind; the rest is bad in one of many ways.
+        let meta = match n % 5 {
+            0 => json!({"zone": "a", "cell": "c", "kind": "unheard-of", "started_ms": "1"}),
+            1 => json!({"zone": "a", "cell": long, "kind": "std"}),
+            2 => json!({"zone": "a", "cell": "c", "kind": "std", "started_ms": "-7"}),
+            3 if n == 3 => json!({"zone": "a", "note": huge}),
+            _ => json!({}),
+        };
+        let port = if n % 7 == 0 { json!(1_u64 << 40) } else { json!(7000) };
+        let id = if n % 11 == 0 { "dup".to_owned() } else { format!("bad-{n}\u{1}<script>") };
+        let body = json!({
+            "Node": format!("n{n}"), "Address": "127.0.0.1",
+            "Service": {"ID": id, "Service": "maplethread-host", "Port": port, "Meta": meta},
+        })
+        .to_string();
+        write!(
+            stream,
+            "PUT /v1/catalog/register HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .expect("the server reads");
+    }
+    answers.join().expect("all registered");
+    let mut placer = placer(&servers, "p0", 1, "");
+    let ready = placer.start();
+    let mut link = host.greet(&[]);
+    ready(&mut placer);
+    assert_eq!(gauges(&placer)["hosts"], 1);
+    let mut client = placer.client();
+    client.ask(&ask("web-api", "s", "a", 4000), "x");
+    let offer = link.offer();
+    link.send(&Frame::Accepted(offer.attempt, 1));
+    assert_eq!(client.json().1["host"], "h1");
+    let log = std::fs::read_to_string(placer.log()).expect("a log");
+    assert!(log.contains("catalogue entries that can't be used count=100"), "the count that is kept");
+    assert!(!log.contains('\u{1}'), "control characters of names are escaped in the log");
+}
--- a/crates/config/src/inventory.rs
+++ b/crates/config/src/inventory.rs
@@ -69,8 +69,9 @@
         let mut names = BTreeMap::new();
         for (i, host) in inventory.host.iter().enumerate() {
             let key = |field: &str| format!("host[{i}].{field}");
-            let named = !host.name.is_empty() && host.name.len() <= 200;
-            doc.check(named, &key("name"), "a name has 1 to 200 bytes")?;
+            let plain = !host.name.chars().any(char::is_control);
+            let named = !host.name.is_empty() && host.name.len() <= 200 && plain;
+            doc.check(named, &key("name"), "a name has 1 to 200 bytes without control characters")?;
             if let Some(other) = names.insert(&host.name, i) {
                 return Err(doc.error(&key("name"), format!("`{}` is host[{other}] already", host.name)));
             }
--- a/crates/consul/src/catalogue.rs
+++ b/crates/consul/src/catalogue.rs
@@ -77,7 +77,7 @@
 
 /// An entry that can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("entry {number} ({name}): {why}")]
+#[error("entry {number} ({name:?}): {why}")]
 pub struct BadEntry {
     /// Its place in the answer, counted from 0.
     pub number: usize,
