--- a/src/control.rs
+++ b/src/control.rs
@@ -368,10 +368,12 @@
         if scope != Scope::Changes {
             self.machines.values_mut().for_each(|m| m.listing.state = MachineState::Gone);
         }
+        let mut new = scope != Scope::Changes;
         for listing in listings {
             let Some(&size) = self.settings.kinds.get(listing.kind) else {
                 continue;
             };
+            new |= !self.machines.contains_key(&listing.machine);
             let machine = self.machines.entry(listing.machine);
             let machine = machine
                 .or_insert_with(|| Machine::new(*listing, size, self.settings.classes.len(), self.now));
@@ -390,7 +392,11 @@
         self.held.retain(|_, there| there.values().any(|&(count, at)| count > 0 || fresh(at)));
         let held = &self.held;
         self.rates.retain(|(service, ..), _| held.contains_key(service));
-        // Tasks may run where no list had named the machine yet.
+        // Tasks may run where no list had named the machine yet. All attempts are gone through only for
+        // a machine that is new: a storm of changes would else cost milliseconds each.
+        if !new {
+            return;
+        }
         self.machines.values_mut().for_each(|m| m.own = Room::default());
         for attempt in self.attempts.values() {
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
