--- a/crates/consul-standin/src/api.rs
+++ b/crates/consul-standin/src/api.rs
@@ -399,7 +399,9 @@
         let fits = |entry: &Value| {
             self.filter.iter().all(|(selector, value)| {
                 let at = selector.split('.').try_fold(entry, |at, part| at.get(part));
-                at.is_some_and(|at| at.as_str() == Some(value) || at.to_string() == *value)
+                at.is_some_and(|at| {
+                    at.as_str() == Some(value) || at.as_i64().map(|n| n.to_string()).as_ref() == Some(value)
+                })
             })
         };
         let entries: Vec<Value> = entries.into_iter().filter(fits).collect();
--- a/crates/consul-standin/src/server.rs
+++ b/crates/consul-standin/src/server.rs
@@ -47,6 +47,9 @@
     pub frozen: bool,
 }
 
+/// Told of an answer: who asked, its index, whether it was read consistently, its body.
+pub type Watch = Arc<dyn Fn(&str, u64, bool, &[u8]) + Send + Sync>;
+
 /// How to run the servers.
 #[derive(Clone)]
 pub struct Settings {
@@ -61,7 +64,7 @@
     /// Seed of all that is drawn.
     pub seed: u64,
     /// Told of each whole answer to a read of a service's health as it is written: User-Agent, index, whether it was read consistently, body.
-    pub watch: Option<Arc<dyn Fn(&str, u64, bool, &[u8]) + Send + Sync>>,
+    pub watch: Option<Watch>,
 }
 
 impl Settings {
--- a/crates/consul/src/lease.rs
+++ b/crates/consul/src/lease.rs
@@ -285,7 +285,7 @@
         assert_eq!(lease.next(0), None);
         assert!(lease.full() && lease.slot(0).is_none());
         let again = lease.due(0).expect("another look");
-        assert!(again >= S / 2 && again <= 2 * S);
+        assert!((S / 2..=2 * S).contains(&again));
         assert_eq!(lease.next(again), Some(Ask::List));
         lease.told(again, Told::Held([0].into()));
         assert_eq!(lease.next(again), Some(Ask::Acquire(1, "s".into())));
--- a/crates/consul/src/source.rs
+++ b/crates/consul/src/source.rs
@@ -364,7 +364,7 @@
             self.lease_done(now, told);
             return;
         }
-        if !self.loops.get(&purpose).is_some_and(|l| l.call == Some(call)) {
+        if self.loops.get(&purpose).is_none_or(|l| l.call != Some(call)) {
             return;
         }
         if status != 200 {
