--- a/crates/consul-standin/src/lib.rs
+++ b/crates/consul-standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a few Consul servers in one process: a leader and followers that lag, indexes, blocking queries,
 //! checks with TTL, sessions with TTL and lock delay, keys that sessions lock, ACL tokens, and faults on demand. It is
 //! written from the published HTTP API documentation and covers what `docs/consul.md` lists; it is no Consul, stores
-//! nothing and trusts everybody on loopback. [`state`] is what the servers agree on, [`api`] the endpoints.
+//! nothing and trusts everybody on loopback. `state` is what the servers agree on, `api` the endpoints.
 
 #[allow(missing_docs, reason = "an internal vocabulary, named as in the documentation that it follows")]
 mod api;
