Engine drops a host's connection in one place; dead code of the catalogue removed

The same four lines cut a connection in five places: now Engine::cut does. Hosts missing from an inventory are found by a set rather than by a scan for each. Out::Drop, the table of calls behind it and Conn::peer were never used. The stand-in's next leader is a field of its own and no longer hides among renewal times. Behaviour is as it was.

--- a/crates/consul-standin/src/server.rs
+++ b/crates/consul-standin/src/server.rs
@@ -133,6 +133,7 @@
             log: VecDeque::new(),
             log_start: 0,
             leader: Some(0),
+            next_leader: 0,
             leader_back: 0,
             parked: Vec::new(),
             delayed: Timers::default(),
@@ -250,6 +251,7 @@
     log: VecDeque<(u64, Command)>,
     log_start: u64,
     leader: Option<usize>,
+    next_leader: usize,
     leader_back: u64,
     parked: Vec<Parked>,
     delayed: Timers<Answer>,
@@ -298,7 +300,7 @@
                     self.leader_back = self.clock.now() + span;
                     let next = self.leader.map_or(0, |l| (l + 1) % self.servers.len());
                     self.leader = None;
-                    self.renewed.insert("next leader".to_owned(), next as u64);
+                    self.next_leader = next;
                 }
                 Control::Command(command) => self.commit(command),
                 Control::End => self.ended = true,
@@ -331,7 +333,7 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         if self.leader.is_none() && now >= self.leader_back {
-            let next = self.renewed.remove("next leader").unwrap_or(0) as usize;
+            let next = self.next_leader;
             // The new leader has the whole log, and its followers' sessions get a full TTL.
             self.leader = Some(next);
             self.catch_up(next, u64::MAX);
--- a/crates/consul/src/source.rs
+++ b/crates/consul/src/source.rs
@@ -34,8 +34,6 @@
         /// How long to wait.
         within: Micros,
     },
-    /// Nobody waits for this call any more.
-    Drop(CallId),
 }
 
 /// What is new.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -421,9 +421,7 @@
         if waiting > if may_fail { most } else { 2 * most } {
             if !may_fail {
                 tracing::warn!(host = %host.name, "too much waits to be written; connection dropped");
-                let written = host.written;
-                self.outputs.push(Output::CloseHost(id));
-                self.host_closed(self.now, id, written);
+                self.cut(id);
             }
             return None;
         }
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -1,5 +1,6 @@
 //! The host side: connections, greetings, and the frames that hosts send.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use maplethread::{AttemptId, Ending, Event, MachineId, Note, Room, Scope, Task, TaskId, Why};
@@ -30,11 +31,9 @@
     pub fn inventory(&mut self, now: u64, inventory: &Inventory) {
         self.now = self.now.max(now);
         self.listed = true;
-        for id in self.hosts.keys().copied().collect::<Vec<_>>() {
-            let Some(host) = self.hosts.get_mut(&id) else { continue };
-            if !inventory.host.iter().any(|e| *e.name == *host.name) {
-                host.listed = HostState::Gone;
-            }
+        let named: BTreeSet<&str> = inventory.host.iter().map(|e| e.name.as_str()).collect();
+        for host in self.hosts.values_mut().filter(|h| !named.contains(&*h.name)) {
+            host.listed = HostState::Gone;
         }
         for entry in &inventory.host {
             self.take_entry(entry);
@@ -99,9 +98,7 @@
         host.address = entry.address;
         let (link, epoch) = (host.link, host.epoch);
         if moved && link != Link::Down {
-            let written = host.written;
-            self.outputs.push(Output::CloseHost(id));
-            self.host_closed(self.now, id, written);
+            self.cut(id);
         } else if link == Link::Down && entry.state != HostState::Gone && epoch == 0 {
             self.connect_due(id, 0);
         }
@@ -135,9 +132,7 @@
         let Some(host) = self.hosts.get_mut(&id) else { return };
         if host.epoch == epoch && matches!(host.link, Link::Greeting | Link::Naming) {
             tracing::warn!(host = %host.name, "no greeting in time");
-            let written = host.written;
-            self.outputs.push(Output::CloseHost(id));
-            self.host_closed(self.now, id, written);
+            self.cut(id);
         }
     }
 
@@ -153,9 +148,7 @@
         }
         if host.heard + silent * 1000 <= self.now {
             tracing::warn!(host = %host.name, "silent; connection dropped");
-            let written = host.written;
-            self.outputs.push(Output::CloseHost(id));
-            self.host_closed(self.now, id, written);
+            self.cut(id);
             return;
         }
         self.send(id, &Frame::Ping(epoch as u32), true);
@@ -228,6 +221,13 @@
         self.forget_gone(id);
     }
 
+    /// Drops the connection to a host. What the kernel has not taken of it by now is never sent.
+    pub(crate) fn cut(&mut self, id: HostId) {
+        let Some(written) = self.hosts.get(&id).map(|h| h.written) else { return };
+        self.outputs.push(Output::CloseHost(id));
+        self.host_closed(self.now, id, written);
+    }
+
     /// A host that is gone and has no connection holds nothing any more, and its number is never used again.
     fn forget_gone(&mut self, id: HostId) {
         let over = |h: &Host| h.listed == HostState::Gone && h.link == Link::Down;
@@ -282,10 +282,8 @@
     fn drop_host(&mut self, id: HostId, why: &str) {
         let Some(host) = self.hosts.get(&id) else { return };
         tracing::warn!(host = %host.name, why, "breaks the protocol; connection dropped");
-        let written = host.written;
         self.send(id, &Frame::Bye(why.to_owned()), false);
-        self.outputs.push(Output::CloseHost(id));
-        self.host_closed(self.now, id, written);
+        self.cut(id);
     }
 
     fn host_frame(&mut self, id: HostId, frame: Frame) -> Result<(), String> {
--- a/crates/placer/src/catalogue.rs
+++ b/crates/placer/src/catalogue.rs
@@ -28,7 +28,6 @@
     pub source: Source,
     config: Consul,
     calls: HashMap<u64, Call>,
-    by_call: HashMap<CallId, u64>,
     idle: Vec<u64>,
 }
 
@@ -44,8 +43,7 @@
             }
         };
         let source = Source::new(config, consul, token, seed);
-        let (calls, by_call) = (HashMap::new(), HashMap::new());
-        Ok(Some(Catalogue { source, config: consul.clone(), calls, by_call, idle: Vec::new() }))
+        Ok(Some(Catalogue { source, config: consul.clone(), calls: HashMap::new(), idle: Vec::new() }))
     }
 
     /// Whether a token of the poller belongs to one of its connections.
@@ -83,11 +81,6 @@
                             self.source.failed(now, call, &e.to_string());
                         }
                     }
-                    Out::Drop(call) => {
-                        if let Some(token) = self.by_call.remove(&call) {
-                            self.calls.remove(&token);
-                        }
-                    }
                 }
             }
         }
@@ -119,7 +112,6 @@
         if let Some(c) = self.calls.get_mut(&token) {
             c.call = Some((call, until));
             c.conn.out().extend_from_slice(request);
-            self.by_call.insert(call, token);
             c.conn.flush(poller)?;
         }
         Ok(())
@@ -130,7 +122,6 @@
         if let Some(c) = self.calls.remove(&token)
             && let Some((call, _)) = c.call
         {
-            self.by_call.remove(&call);
             self.source.failed(now, call, why);
         }
     }
@@ -168,7 +159,6 @@
                 let call = c.call.take();
                 let keep = message.head.keep_alive() && c.conn.unread().is_empty();
                 if let Some((call, _)) = call {
-                    self.by_call.remove(&call);
                     self.source.answered(now, call, &message);
                 }
                 if keep && outcome == ReadOutcome::Drained && self.idle.len() < MOST_IDLE {
--- a/crates/reactor/src/conn.rs
+++ b/crates/reactor/src/conn.rs
@@ -90,11 +90,6 @@
         self.stream.set_nodelay(true)
     }
 
-    /// The peer's address.
-    pub fn peer(&self) -> Option<SocketAddr> {
-        self.stream.peer_addr().ok()
-    }
-
     /// Reads what is there, up to so many bytes in this turn and in the buffer.
     pub fn fill(&mut self, turn: usize, most: usize) -> ReadOutcome {
         if self.read_from > 0 {
