Nothing to cold hosts for one window after a start or a new number; refusals name why

The module now sends nothing to cold machines for one window after its first turn, and after it takes a number over: what went before is then out of every window, and nothing has to be stored.

The module tells what a held task waits for (Action::Held: size, no host, connection, key group, spread, cold budget, room, by the machine that came nearest), and when to ask again, drawn apart for each task; what no kind of machine could take is refused at once. The API's no_host had stood for all of these.

Engine and daemon are parted into attempts, asks, followers and start.

--- /dev/null
+++ b/crates/engine/src/attempts.rs
@@ -0,0 +1,190 @@
+//! Attempts: offered, called off, stopped, ended, and when an actor of theirs counts as settled.
+
+use std::sync::Arc;
+
+use maplethread::{AttemptId, End, Ending, Event, Micros, Room, TaskId, Why};
+use maplethread_config::Effect;
+use maplethread_wire::frame::{Frame, Load, Offer, Reason};
+
+use crate::engine::{Actor, ActorKey, Attempt, Due, Engine, Stage};
+use crate::sessions::why;
+use crate::{Decide, HostId};
+
+impl<D: Decide> Engine<D> {
+    pub(crate) fn offer(&mut self, task: TaskId, host: HostId, wait: Micros) {
+        let Some(ask) = self.asks.get_mut(&task) else {
+            tracing::warn!(task = task.0, "an offer for a task that is not asked for");
+            return;
+        };
+        let id = AttemptId { task, number: ask.attempts };
+        ask.attempts += 1;
+        ask.lack = None;
+        let wire = self.mark | (self.next_attempt & ((1 << 40) - 1));
+        self.next_attempt += 1;
+        let class = &self.config.class[ask.task.class];
+        let offer = Offer {
+            attempt: wire,
+            number: id.number,
+            service: ask.key.0.to_string(),
+            actor: ask.key.1.to_string(),
+            class: class.name.clone(),
+            request: ask.request.to_string(),
+            asks: Load { cores: ask.task.asks.cores, memory: ask.task.asks.memory },
+            priority: class.priority,
+            copies: ask.copies,
+            life_ms: ask.task.life.unwrap_or(0) / 1000,
+            wait_ms: (wait / 1000).min(u64::from(u32::MAX)) as u32,
+        };
+        let (key, request, class, span) =
+            (ask.key.clone(), ask.request.clone(), ask.task.class, ask.span.clone());
+        let name = self.hosts.get(&host).map(|h| h.name.clone()).unwrap_or_default();
+        let Some(frame_end) = self.send(host, &Frame::Offer(offer), true) else {
+            span.in_scope(|| tracing::debug!(host = %name, attempt = id.number, "no connection"));
+            let end = End { ending: Ending::Unreachable, why: None, closed: false, load: None };
+            self.events.push(Event::Ended(id, end));
+            return;
+        };
+        span.in_scope(|| {
+            tracing::debug!(host = %name, attempt = id.number, wait_ms = wait / 1000, "offered");
+        });
+        self.counters.offers += 1;
+        let (sent, until) = (self.now, self.now + wait);
+        let (stage, runs, called_off, stop) = (Stage::Out, false, false, None);
+        let attempt =
+            Attempt { id, host, key, request, class, sent, until, frame_end, stage, runs, called_off, stop };
+        self.attempts.insert(wire, attempt);
+        if let Some(ask) = self.asks.get_mut(&task) {
+            ask.out = Some(wire);
+            if id.number == 0 {
+                // What is held for want of a host is waited for, not decided on slowly.
+                if ask.fresh {
+                    self.decided.push(ask.asked);
+                } else {
+                    self.counters.held += 1;
+                }
+            }
+        }
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.attempts.insert(wire);
+        }
+        self.timers.set(until, Due::Attempt(wire));
+    }
+
+    pub(crate) fn attempt_due(&mut self, wire: u64) {
+        let Some(attempt) = self.attempts.get(&wire) else { return };
+        if attempt.stage == Stage::Seated || attempt.until > self.now {
+            return;
+        }
+        if !attempt.called_off {
+            let host = attempt.host;
+            self.send(host, &Frame::Cancel(wire), false);
+        }
+        self.end(wire, Ending::TimedOut, None, None, false);
+    }
+
+    /// Nobody waits for this attempt any more.
+    pub(crate) fn call_off(&mut self, wire: u64) {
+        let Some(attempt) = self.attempts.get_mut(&wire) else { return };
+        if std::mem::replace(&mut attempt.called_off, true) {
+            return;
+        }
+        self.counters.called_off += 1;
+        let (host, key, class) = (attempt.host, attempt.key.clone(), attempt.class);
+        self.unsettle(class, key, wire);
+        self.send(host, &Frame::Cancel(wire), false);
+    }
+
+    /// An attempt of an actor that must not run twice may still come to run.
+    fn unsettle(&mut self, class: usize, key: ActorKey, wire: u64) {
+        if self.config.class[class].effect != Effect::Safe {
+            let until = self.now + self.config.api.settle_ms * 1000;
+            self.timers.set(until, Due::Settled);
+            self.unsettled.insert(key.clone(), (until, wire));
+            self.late.insert(wire, key);
+        }
+    }
+
+    /// It is now known that this attempt does not run.
+    pub(crate) fn settle(&mut self, wire: u64) {
+        if let Some(key) = self.late.remove(&wire)
+            && self.unsettled.get(&key).is_some_and(|(_, w)| *w == wire)
+        {
+            self.unsettled.remove(&key);
+        }
+    }
+
+    /// Tells a host to stop a placed task; if it has no connection, once it has.
+    pub(crate) fn stop_attempt(&mut self, wire: u64, why: &'static str) {
+        let Some(attempt) = self.attempts.get_mut(&wire) else { return };
+        attempt.stop = Some(why);
+        let host = attempt.host;
+        self.send(host, &Frame::Stop(wire), false);
+    }
+
+    /// An attempt has its outcome. `known_dead` tells that it surely does not run (any more).
+    pub(crate) fn end(
+        &mut self,
+        wire: u64,
+        ending: Ending,
+        refusal: Option<Reason>,
+        load: Option<Load>,
+        known_dead: bool,
+    ) {
+        let Some(attempt) = self.attempts.remove(&wire) else { return };
+        let why = refusal.and_then(why);
+        let host_name = match self.hosts.get_mut(&attempt.host) {
+            Some(host) => {
+                host.attempts.remove(&wire);
+                host.unnamed.remove(&wire);
+                host.name.clone()
+            }
+            None => Arc::from(""),
+        };
+        let seated = attempt.stage == Stage::Seated;
+        let never_ran = matches!(ending, Ending::Refused | Ending::Unreachable);
+        if known_dead || never_ran {
+            self.settle(wire);
+        } else if !seated {
+            self.unsettle(attempt.class, attempt.key.clone(), wire);
+        }
+        let mut closed = seated;
+        match self.asks.get_mut(&attempt.id.task) {
+            Some(ask) => {
+                ask.out = ask.out.filter(|&w| w != wire);
+                if !seated {
+                    ask.reason = Some(match ending {
+                        Ending::Refused => refusal.map_or("unknown", Reason::name),
+                        Ending::Unreachable | Ending::NotSent => "no_connection",
+                        Ending::Reset => "connection_lost",
+                        Ending::Error => "error",
+                        Ending::TimedOut | Ending::Cancelled | Ending::Done => "no_answer",
+                    });
+                }
+                if !never_ran {
+                    ask.may_run.get_or_insert_with(|| host_name.clone());
+                }
+                ask.span.in_scope(|| {
+                    tracing::debug!(host = %host_name, attempt = attempt.id.number, ?ending, ?why, "ended");
+                });
+            }
+            None => closed = true,
+        }
+        if seated {
+            if self.actors.get(&attempt.key) == Some(&Actor::Placed(wire)) {
+                self.actors.remove(&attempt.key);
+            }
+            let (event, reason) = match (ending, why) {
+                (Ending::Done, _) => ("ended", None),
+                (Ending::Cancelled, _) => (attempt.stop.unwrap_or("stopped"), None),
+                (Ending::Error, _) => ("ended", Some("error")),
+                (_, Some(Why::Evicted)) => ("evicted", Some("memory")),
+                (_, Some(Why::PushedOut)) => ("evicted", Some("pushed_out")),
+                (_, Some(Why::SentAway)) => ("evicted", Some("sent_away")),
+                _ => ("lost", None),
+            };
+            self.tell(event, &attempt.key, host_name, reason, attempt.request.clone());
+        }
+        let load = load.map(|l| Room::new(l.cores, l.memory));
+        self.events.push(Event::Ended(attempt.id, End { ending, why, closed, load }));
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use maplethread::{
-    Action, AttemptId, End, Ending, Event, MachineId, Micros, Room, Settings, Task, TaskId, Why,
-};
-use maplethread_config::{Effect, PlacedWhen, PlacerConfig};
-use maplethread_wire::frame::{self, Copies, Frame, Load, Offer, Reason};
+use maplethread::{Action, AttemptId, Event, Lack, MachineId, Micros, Room, Settings, Task, TaskId};
+use maplethread_config::{PlacedWhen, PlacerConfig};
+use maplethread_wire::frame::{self, Copies, Frame, Load};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::Serialize;
@@ -73,6 +71,10 @@
     pub too_late: u64,
     /// Actors found at hosts that an earlier life had placed.
     pub adopted: u64,
+    /// Asks that the decider left open up to their deadline; the engine answered them in its stead.
+    pub overdue: u64,
+    /// Asks that were held for want of something, by what; one that was held for two counts for both.
+    pub held_for: BTreeMap<&'static str, u64>,
 }
 
 /// When something of the protocols falls due.
@@ -82,6 +84,8 @@
     Wake(u64),
     /// An attempt's time is over.
     Attempt(u64),
+    /// An ask must have its answer by now, whatever the decider does.
+    LastWord(TaskId),
     /// Connect to a host again.
     Connect(HostId, u64),
     /// A connection must be greeted by now.
@@ -113,11 +117,42 @@
     pub copies: Copies,
     pub out: Option<u64>,
     pub attempts: u32,
-    pub reason: Option<Reason>,
+    /// How its last attempt ended, if that was not well.
+    pub reason: Option<&'static str>,
+    /// What it is held for just now, and all that it was ever held for.
+    pub lack: Option<Lack>,
+    pub lacked: BTreeSet<Lack>,
     pub may_run: Option<Arc<str>>,
     pub span: tracing::Span,
 }
 
+impl Ask {
+    /// Why it is refused: what it is held for, or else how its last attempt ended.
+    pub fn refusal(&self) -> &'static str {
+        match (self.lack, self.reason) {
+            // A host that has said so knows better which.
+            (Some(Lack::Room), Some(reason @ ("cores" | "memory" | "line"))) => reason,
+            (Some(lack), _) => lack_name(lack),
+            (None, _) if self.out.is_some() => "no_answer",
+            (None, Some(reason)) => reason,
+            (None, None) => "unknown",
+        }
+    }
+}
+
+/// The API's word for what an ask is held for.
+pub(crate) fn lack_name(lack: Lack) -> &'static str {
+    match lack {
+        Lack::Size => "too_large",
+        Lack::Ready => "no_host",
+        Lack::Link => "no_connection",
+        Lack::Group => "key_group",
+        Lack::Spread => "spread",
+        Lack::Cold => "cold",
+        Lack::Room => "no_room",
+    }
+}
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -163,7 +198,7 @@
     pub(crate) started_ms: u64,
     /// The upper bits of all attempts of this life.
     pub(crate) mark: u64,
-    next_attempt: u64,
+    pub(crate) next_attempt: u64,
     pub(crate) next_task: u64,
     pub(crate) now: Micros,
     pub(crate) turns: u64,
@@ -171,6 +206,10 @@
     pub(crate) taken: usize,
     /// This turn follows a time in which the caller stood still.
     pub(crate) stalled: bool,
+    /// What is read now may have lain unread since then.
+    pub(crate) unread_since: Option<Micros>,
+    /// Asks that must have their answer in this turn.
+    last_words: Vec<TaskId>,
     pub(crate) events: Vec<Event>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) timers: Timers<Due>,
@@ -195,7 +234,7 @@
     pub(crate) counters: Counters,
     pub(crate) stopping: bool,
     /// When the asks were read whose first offer this turn gave.
-    decided: Vec<Micros>,
+    pub(crate) decided: Vec<Micros>,
     pub(crate) fresh: Vec<TaskId>,
     pub(crate) gauges: serde_json::Value,
 }
@@ -220,6 +259,8 @@
             turns: 0,
             taken: 0,
             stalled: false,
+            unread_since: None,
+            last_words: Vec::new(),
             events: Vec::new(),
             outputs: Vec::new(),
             timers: Timers::default(),
@@ -289,6 +330,12 @@
         self.gauges = gauges;
     }
 
+    /// What is read up to the next turn may have lain unread since then: the caller stood still, or was busy. Budgets
+    /// of asks count from there, so that no answer comes after a deadline that passed meanwhile.
+    pub fn unread_since(&mut self, at: Micros) {
+        self.unread_since = Some(at);
+    }
+
     /// Decides on all that was taken in, and carries the decisions out. `stalled` tells that the caller stood
     /// still before this turn, so that silence is its own and not the hosts'.
     pub fn turn(&mut self, now: Micros, stalled: bool) {
@@ -309,6 +356,10 @@
                 self.act(action);
             }
         }
+        for task in std::mem::take(&mut self.last_words) {
+            self.last_word(task);
+        }
+        self.unread_since = None;
         for task in std::mem::take(&mut self.fresh) {
             if let Some(ask) = self.asks.get_mut(&task) {
                 ask.fresh = false;
@@ -322,6 +373,8 @@
         match due {
             Due::Wake(label) => self.events.push(Event::Woken(label)),
             Due::Attempt(wire) => self.attempt_due(wire),
+            // After the decider's own turn, which may have the answer.
+            Due::LastWord(task) => self.last_words.push(task),
             Due::Connect(host, epoch) => self.connect_due(host, epoch),
             Due::Greet(host, epoch) => self.greet_due(host, epoch),
             Due::Ping(host, epoch) => self.ping_due(host, epoch),
@@ -360,7 +413,7 @@
             }
             Action::Refuse(task, come_back) => {
                 let Some(ask) = self.asks.get(&task) else { return };
-                let reason = ask.reason.map_or("no_host", Reason::name);
+                let reason = ask.refusal();
                 let come_back_ms = come_back.unwrap_or(0) / 1000;
                 let (request, attempts) = (ask.request.clone(), ask.attempts);
                 self.answer(task, Answer::Refused { request, reason, come_back_ms, attempts });
@@ -376,6 +429,14 @@
                 let (request, attempts) = (ask.request.clone(), ask.attempts);
                 self.answer(task, Answer::Failed { request, unknown, attempts });
             }
+            Action::Held(task, lack) => {
+                let Some(ask) = self.asks.get_mut(&task) else { return };
+                ask.lack = Some(lack);
+                if ask.lacked.insert(lack) {
+                    *self.counters.held_for.entry(lack_name(lack)).or_default() += 1;
+                }
+                ask.span.in_scope(|| tracing::debug!(held_for = lack_name(lack), "held"));
+            }
             Action::Move(task) => {
                 let wire = self.attempts.iter().find(|(_, a)| a.id.task == task && a.stage == Stage::Seated);
                 if let Some(wire) = wire.map(|(&wire, _)| wire) {
@@ -433,172 +494,6 @@
         Some(end)
     }
 
-    fn offer(&mut self, task: TaskId, host: HostId, wait: Micros) {
-        let Some(ask) = self.asks.get_mut(&task) else {
-            tracing::warn!(task = task.0, "an offer for a task that is not asked for");
-            return;
-        };
-        let id = AttemptId { task, number: ask.attempts };
-        ask.attempts += 1;
-        let wire = self.mark | (self.next_attempt & ((1 << 40) - 1));
-        self.next_attempt += 1;
-        let class = &self.config.class[ask.task.class];
-        let offer = Offer {
-            attempt: wire,
-            number: id.number,
-            service: ask.key.0.to_string(),
-            actor: ask.key.1.to_string(),
-            class: class.name.clone(),
-            request: ask.request.to_string(),
-            asks: Load { cores: ask.task.asks.cores, memory: ask.task.asks.memory },
-            priority: class.priority,
-            copies: ask.copies,
-            life_ms: ask.task.life.unwrap_or(0) / 1000,
-            wait_ms: (wait / 1000).min(u64::from(u32::MAX)) as u32,
-        };
-        let (key, request, class, span) =
-            (ask.key.clone(), ask.request.clone(), ask.task.class, ask.span.clone());
-        let name = self.hosts.get(&host).map(|h| h.name.clone()).unwrap_or_default();
-        let Some(frame_end) = self.send(host, &Frame::Offer(offer), true) else {
-            span.in_scope(|| tracing::debug!(host = %name, attempt = id.number, "no connection"));
-            let end = End { ending: Ending::Unreachable, why: None, closed: false, load: None };
-            self.events.push(Event::Ended(id, end));
-            return;
-        };
-        span.in_scope(|| {
-            tracing::debug!(host = %name, attempt = id.number, wait_ms = wait / 1000, "offered");
-        });
-        self.counters.offers += 1;
-        let (sent, until) = (self.now, self.now + wait);
-        let (stage, runs, called_off, stop) = (Stage::Out, false, false, None);
-        let attempt =
-            Attempt { id, host, key, request, class, sent, until, frame_end, stage, runs, called_off, stop };
-        self.attempts.insert(wire, attempt);
-        if let Some(ask) = self.asks.get_mut(&task) {
-            ask.out = Some(wire);
-            if id.number == 0 {
-                // What is held for want of a host is waited for, not decided on slowly.
-                if ask.fresh {
-                    self.decided.push(ask.asked);
-                } else {
-                    self.counters.held += 1;
-                }
-            }
-        }
-        if let Some(host) = self.hosts.get_mut(&host) {
-            host.attempts.insert(wire);
-        }
-        self.timers.set(until, Due::Attempt(wire));
-    }
-
-    fn attempt_due(&mut self, wire: u64) {
-        let Some(attempt) = self.attempts.get(&wire) else { return };
-        if attempt.stage == Stage::Seated || attempt.until > self.now {
-            return;
-        }
-        if !attempt.called_off {
-            let host = attempt.host;
-            self.send(host, &Frame::Cancel(wire), false);
-        }
-        self.end(wire, Ending::TimedOut, None, None, false);
-    }
-
-    /// Nobody waits for this attempt any more.
-    pub(crate) fn call_off(&mut self, wire: u64) {
-        let Some(attempt) = self.attempts.get_mut(&wire) else { return };
-        if std::mem::replace(&mut attempt.called_off, true) {
-            return;
-        }
-        self.counters.called_off += 1;
-        let (host, key, class) = (attempt.host, attempt.key.clone(), attempt.class);
-        self.unsettle(class, key, wire);
-        self.send(host, &Frame::Cancel(wire), false);
-    }
-
-    /// An attempt of an actor that must not run twice may still come to run.
-    fn unsettle(&mut self, class: usize, key: ActorKey, wire: u64) {
-        if self.config.class[class].effect != Effect::Safe {
-            let until = self.now + self.config.api.settle_ms * 1000;
-            self.timers.set(until, Due::Settled);
-            self.unsettled.insert(key.clone(), (until, wire));
-            self.late.insert(wire, key);
-        }
-    }
-
-    /// It is now known that this attempt does not run.
-    pub(crate) fn settle(&mut self, wire: u64) {
-        if let Some(key) = self.late.remove(&wire)
-            && self.unsettled.get(&key).is_some_and(|(_, w)| *w == wire)
-        {
-            self.unsettled.remove(&key);
-        }
-    }
-
-    /// Tells a host to stop a placed task; if it has no connection, once it has.
-    pub(crate) fn stop_attempt(&mut self, wire: u64, why: &'static str) {
-        let Some(attempt) = self.attempts.get_mut(&wire) else { return };
-        attempt.stop = Some(why);
-        let host = attempt.host;
-        self.send(host, &Frame::Stop(wire), false);
-    }
-
-    /// An attempt has its outcome. `known_dead` tells that it surely does not run (any more).
-    pub(crate) fn end(
-        &mut self,
-        wire: u64,
-        ending: Ending,
-        why: Option<Why>,
-        load: Option<Load>,
-        known_dead: bool,
-    ) {
-        let Some(attempt) = self.attempts.remove(&wire) else { return };
-        let host_name = match self.hosts.get_mut(&attempt.host) {
-            Some(host) => {
-                host.attempts.remove(&wire);
-                host.unnamed.remove(&wire);
-                host.name.clone()
-            }
-            None => Arc::from(""),
-        };
-        let seated = attempt.stage == Stage::Seated;
-        let never_ran = matches!(ending, Ending::Refused | Ending::Unreachable);
-        if known_dead || never_ran {
-            self.settle(wire);
-        } else if !seated {
-            self.unsettle(attempt.class, attempt.key.clone(), wire);
-        }
-        let mut closed = seated;
-        match self.asks.get_mut(&attempt.id.task) {
-            Some(ask) => {
-                ask.out = ask.out.filter(|&w| w != wire);
-                if !never_ran {
-                    ask.may_run.get_or_insert_with(|| host_name.clone());
-                }
-                ask.span.in_scope(|| {
-                    tracing::debug!(host = %host_name, attempt = attempt.id.number, ?ending, ?why, "ended");
-                });
-            }
-            None => closed = true,
-        }
-        if seated {
-            if self.actors.get(&attempt.key) == Some(&Actor::Placed(wire)) {
-                self.actors.remove(&attempt.key);
-            }
-            let (event, reason) = match (ending, why) {
-                (Ending::Done, _) => ("ended", None),
-                (Ending::Cancelled, _) => (attempt.stop.unwrap_or("stopped"), None),
-                (Ending::Error, _) => ("ended", Some("error")),
-                (_, Some(Why::Evicted)) => ("evicted", Some("memory")),
-                (_, Some(Why::PushedOut)) => ("evicted", Some("pushed_out")),
-                (_, Some(Why::SentAway)) => ("evicted", Some("sent_away")),
-                _ => ("lost", None),
-            };
-            self.tell(event, &attempt.key, host_name, reason, attempt.request.clone());
-        }
-        let load = load.map(|l| Room::new(l.cores, l.memory));
-        self.events.push(Event::Ended(attempt.id, End { ending, why, closed, load }));
-    }
-
     pub(crate) fn tell(
         &mut self,
         event: &'static str,
--- /dev/null
+++ b/crates/engine/src/followers.rs
@@ -0,0 +1,103 @@
+//! Followers of life-cycle events: each reads the ring at its own pace.
+
+use maplethread_wire::http;
+use serde_json::json;
+
+use crate::api::Problem;
+use crate::engine::{Due, Engine, Output};
+use crate::{ClientId, Decide};
+
+/// Bytes of events that may wait for a follower to read; more wait in the ring.
+const FOLLOWER_BYTES: usize = 64 << 10;
+/// Followers hear at least this often that the connection lives.
+const BEAT: u64 = 10_000_000;
+
+impl<D: Decide> Engine<D> {
+    pub(crate) fn follow(&mut self, id: ClientId, slot: u64, after: Option<u64>, life: Option<u64>) {
+        let gone = |kind, title, detail: String| Problem::new(410, kind, title, detail);
+        if life.is_some_and(|life| life != self.started_ms) {
+            let detail = format!("this life is {}; list the actors and follow anew", self.started_ms);
+            self.problem(id, slot, gone("other-life", "The events are of another life", detail));
+            return;
+        }
+        let from = after.map_or(self.ring.next(), |after| after.saturating_add(1));
+        if from < self.ring.oldest() || from > self.ring.next() {
+            let detail = format!(
+                "kept are {} to {}; list the actors and follow anew",
+                self.ring.oldest(),
+                self.ring.next()
+            );
+            self.problem(id, slot, gone("fell-behind", "These events are not kept", detail));
+            return;
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.in_hand() > 1 {
+            let detail = "follow events on a connection of its own";
+            self.problem(
+                id,
+                slot,
+                Problem::new(409, "busy-connection", "Other requests are in hand", detail),
+            );
+            return;
+        }
+        client.follows = Some(from);
+        let mut out = Vec::new();
+        http::write_chunked_head(&mut out, 200, "application/x-ndjson", &[]);
+        let hello = json!({"event": "hello", "life": self.started_ms, "next": from});
+        http::write_chunk(&mut out, format!("{hello}\n").as_bytes());
+        client.unread += out.len();
+        self.outputs.push(Output::ToClient(id, out));
+        if self.followers.is_empty() {
+            self.timers.set(self.now + BEAT, Due::Beat);
+        }
+        self.followers.insert(id);
+    }
+
+    /// Gives followers what is new, as far as they read.
+    pub(crate) fn pump(&mut self) {
+        let mut ended = Vec::new();
+        for &id in &self.followers {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            let Some(mut next) = client.follows else { continue };
+            let mut lines = Vec::new();
+            if next < self.ring.oldest() {
+                let behind = json!({"event": "behind", "oldest": self.ring.oldest()});
+                lines.extend(format!("{behind}\n").bytes());
+                ended.push(id);
+            }
+            while client.unread + lines.len() < FOLLOWER_BYTES
+                && let Some(event) = self.ring.get(next)
+            {
+                lines.extend(serde_json::to_vec(event).unwrap_or_default());
+                lines.push(b'\n');
+                next += 1;
+            }
+            client.follows = Some(next);
+            if !lines.is_empty() {
+                let mut out = Vec::with_capacity(lines.len() + 16);
+                http::write_chunk(&mut out, &lines);
+                client.unread += out.len();
+                self.outputs.push(Output::ToClient(id, out));
+            }
+        }
+        for id in ended {
+            self.outputs.push(Output::ToClient(id, b"0\r\n\r\n".to_vec()));
+            self.outputs.push(Output::CloseClient(id));
+            self.client_closed(self.now, id);
+        }
+    }
+
+    pub(crate) fn beat(&mut self) {
+        for &id in &self.followers {
+            if let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread == 0) {
+                let mut out = Vec::new();
+                http::write_chunk(&mut out, b"\n");
+                client.unread += out.len();
+                self.outputs.push(Output::ToClient(id, out));
+            }
+        }
+        if !self.followers.is_empty() {
+            self.timers.set(self.now + BEAT, Due::Beat);
+        }
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,8 +8,11 @@
 
 mod answers;
 mod api;
+mod asks;
+mod attempts;
 mod clients;
 mod engine;
+mod followers;
 mod hosts;
 mod life;
 mod names;
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -13,7 +13,7 @@
 use crate::names::hash;
 use crate::{Decide, HostId};
 
-fn why(reason: Reason) -> Option<Why> {
+pub(crate) fn why(reason: Reason) -> Option<Why> {
     Some(match reason {
         Reason::Cores => Why::Cores,
         Reason::Memory => Why::Memory,
@@ -358,11 +358,7 @@
             }
             Frame::Started(wire, took) if at_this_host(self, &wire) => self.started(wire, took),
             Frame::Refused(wire, reason, load) if at_this_host(self, &wire) => {
-                let task = self.attempts.get(&wire).map(|a| a.id.task);
-                if let Some(ask) = task.and_then(|t| self.asks.get_mut(&t)) {
-                    ask.reason = Some(reason);
-                }
-                self.end(wire, Ending::Refused, why(reason), load, true);
+                self.end(wire, Ending::Refused, Some(reason), load, true);
             }
             Frame::Ended(wire, reason, ran, load) if at_this_host(self, &wire) => {
                 let seated = self.attempts.get(&wire).is_some_and(|a| a.stage == Stage::Seated);
@@ -374,7 +370,7 @@
                     _ if !ran && !seated => Ending::Refused,
                     _ => Ending::Reset,
                 };
-                self.end(wire, ending, why(reason), load, reason != Reason::Error);
+                self.end(wire, ending, Some(reason), load, reason != Reason::Error);
             }
             Frame::Refused(wire, ..) => self.settle(wire),
             Frame::Ended(wire, reason, ..) if reason != Reason::Error => self.settle(wire),
--- a/crates/placer/src/catalogue.rs
+++ b/crates/placer/src/catalogue.rs
@@ -9,7 +9,7 @@
 use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
 use maplethread_wire::http::{Found, Limits, Message, Reader, Role};
 
-use crate::daemon::{Error, io_error};
+use crate::start::{Error, io_error};
 
 /// Idle connections that are kept.
 const MOST_IDLE: usize = 4;
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -4,12 +4,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io::{self, Write};
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use maplethread::SettingsError;
-use maplethread_config::{ConfigError, Doc, Inventory, PlacerConfig};
+use maplethread_config::{Doc, Inventory, PlacerConfig};
 use maplethread_consul::Update;
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
 use maplethread_reactor::{Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
@@ -17,6 +16,7 @@
 use crate::catalogue::Catalogue;
 use crate::clock::Clock;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
+use crate::start::{Error, Options, io_error, load};
 
 const LISTENER: u64 = 0;
 const SIGNALS: u64 = 1;
@@ -39,55 +39,6 @@
 /// The longest inventory file.
 const INVENTORY_BYTES: u64 = 16 << 20;
 
-/// How to run a placer.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Its settings file.
-    pub config: PathBuf,
-}
-
-/// Why a placer could not run.
-#[derive(Debug)]
-pub enum Error {
-    /// The settings file can't be used.
-    Config(ConfigError),
-    /// The decider does not take the settings.
-    Settings(SettingsError),
-    /// A file, socket or signal could not be had.
-    Io(String, io::Error),
-}
-
-impl std::fmt::Display for Error {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Error::Config(e) => write!(f, "{e}"),
-            Error::Settings(e) => write!(f, "{e}"),
-            Error::Io(what, e) => write!(f, "{what}: {e}"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
-pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
-    let what = what.into();
-    move |e| Error::Io(what, e)
-}
-
-/// Reads a settings file; the inventory's path is taken from its folder.
-pub fn load(path: &Path) -> Result<PlacerConfig, Error> {
-    let text = std::fs::read_to_string(path).map_err(io_error(path.display().to_string()))?;
-    let file = path.display().to_string();
-    let mut config = PlacerConfig::parse(Doc { file: &file, text: &text }).map_err(Error::Config)?;
-    if let Some(folder) = path.parent() {
-        config.hosts.inventory = config.hosts.inventory.map(|path| folder.join(path));
-        if let Some(consul) = &mut config.consul {
-            consul.token_file = consul.token_file.take().map(|path| folder.join(path));
-        }
-    }
-    Ok(config)
-}
-
 /// Runs a placer until it is told to stop. `decider` makes what decides from the settings and a seed.
 pub fn run<D: Decide>(
     options: &Options,
@@ -209,6 +160,7 @@
 
     fn serve(&mut self) -> Result<(), Error> {
         let mut ready = Vec::new();
+        let mut last_read = self.clock.now();
         loop {
             let before = self.clock.now();
             let due = self.next_due();
@@ -217,10 +169,14 @@
             ready.clear();
             self.poller.wait(timeout, &mut ready).map_err(io_error("epoll"))?;
             let woke = self.clock.now();
-            let stalled = due.is_some_and(|at| woke > at.max(before) + STALLED);
+            // It stood still while it waited, or since it last read: what lies unread may lie there since then.
+            let overslept = due.is_some_and(|at| woke > at.max(before) + STALLED);
+            let stalled = overslept || before > last_read + STALLED;
+            let unread_since = if before > last_read + STALLED { last_read } else { before };
             if stalled {
-                tracing::warn!(ms = (woke - due.unwrap_or(woke)) / 1000, "stood still");
+                tracing::warn!(ms = (woke - unread_since) / 1000, "stood still");
             }
+            self.engine.unread_since(if stalled { unread_since } else { woke });
             for _ in 0..if stalled { ROUNDS_STALLED } else { ROUNDS } {
                 if ready.is_empty() {
                     break;
@@ -232,6 +188,7 @@
             self.feed_stuffed();
             self.look_up();
             let read = self.clock.now();
+            last_read = read;
             self.engine.turn(read, stalled);
             let decided = self.clock.now();
             self.carry_out();
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -5,7 +5,9 @@
 mod clock;
 mod daemon;
 mod decide_time;
+mod start;
 
 pub use catalogue::Catalogue;
 pub use clock::Clock;
-pub use daemon::{Error, Options, load, run};
+pub use daemon::run;
+pub use start::{Error, Options, load};
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -342,6 +342,8 @@
         Action::Listen(active) => json!(["LISTEN", who, active]),
         Action::Lookup => json!(["LOOKUP", who]),
         Action::Log(text) => json!(["PRINT", who, text]),
+        // The bench asks for no reasons.
+        Action::Held(..) => return,
     };
     push_line(out, &line);
 }
@@ -384,11 +386,13 @@
             (Action::Listen(false), r#"["LISTEN",3,false]"#),
             (Action::Lookup, r#"["LOOKUP",3]"#),
             (Action::Log("two \"known\"".into()), r#"["PRINT",3,"two \"known\""]"#),
+            (Action::Held(TaskId(9), maplethread::Lack::Room), ""),
         ];
         for (action, line) in cases {
             let mut out = String::new();
             encode(&mut out, 3, &action, &hosts);
-            assert_eq!(out, format!("{line}\n"));
+            assert_eq!(out.trim_end(), line);
+            assert_eq!(out.ends_with('\n'), !line.is_empty());
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -151,6 +151,8 @@
     out: bool,
     /// Send and machine of the first attempt that may have run.
     may_run: Option<(Micros, MachineId)>,
+    /// While it is held: what for.
+    lack: Option<Lack>,
 }
 
 /// How a machine has lately served a class.
@@ -260,6 +262,8 @@
     /// Mean time to an answer, and its mean deviation, by class and level.
     waits: BTreeMap<(usize, Level), (f64, f64)>,
     started_up: bool,
+    /// Nothing goes to cold machines up to this time.
+    quiet_until: Micros,
     relisten_at: Option<Micros>,
     tick_at: Option<Micros>,
 }
@@ -285,6 +289,7 @@
             used: Room::new(1.0, 1.0),
             waits: BTreeMap::new(),
             started_up: false,
+            quiet_until: 0,
             relisten_at: None,
             tick_at: None,
         })
@@ -297,7 +302,9 @@
         if !self.started_up && self.settings.discovery == Discovery::Ask {
             actions.push(Action::Listen(true));
         }
-        self.started_up = true;
+        if !std::mem::replace(&mut self.started_up, true) {
+            self.keep_quiet();
+        }
         for event in events {
             self.take(event, actions);
         }
@@ -325,7 +332,12 @@
                     machine.unlinked = !up;
                 }
             }
-            Event::Numbered(number) => self.number = *number,
+            Event::Numbered(number) => {
+                if number.is_some() && *number != self.number {
+                    self.keep_quiet();
+                }
+                self.number = *number;
+            }
             Event::ListUnavailable if self.settings.discovery == Discovery::Ask => {
                 self.relisten_at = self.relisten_at.or(Some(self.now + ASK_AGAIN));
             }
@@ -333,8 +345,8 @@
                 actions.push(Action::Refuse(task.id, None));
             }
             Event::Asked(task) => {
-                let (attempts, out, may_run) = (0, false, None);
-                self.open.entry(task.id).or_insert(Open { task: *task, attempts, out, may_run });
+                let (attempts, out, may_run, lack) = (0, false, None, None);
+                self.open.entry(task.id).or_insert(Open { task: *task, attempts, out, may_run, lack });
                 let last = task.give_up_at.saturating_sub(ANSWER_MARGIN);
                 actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
                 self.waiting.push_back(task.id);
@@ -359,6 +371,13 @@
         }
     }
 
+    /// Rule 4, over a restart: guards against spending this number's part of a cold machine's window twice. What
+    /// an earlier life, or the number's last holder, sent is not known here; once a whole window has gone by, none
+    /// of it counts any more.
+    fn keep_quiet(&mut self) {
+        self.quiet_until = self.now + self.settings.rules.fall_window;
+    }
+
     fn too_late(&self, task: &Task) -> bool {
         task.give_up_at <= self.now + ANSWER_MARGIN
     }
@@ -585,15 +604,18 @@
             self.answer(id, actions);
             return;
         }
-        let Some((machine, level)) = self.pick(&open) else {
-            self.on_hold.push_back(id);
-            return;
+        let (machine, level) = match self.pick(&open) {
+            Ok(found) => found,
+            Err(lack) => {
+                self.hold(id, lack, actions);
+                return;
+            }
         };
         let time_out = self.patience(&open, level, open.task.give_up_at - self.now);
         actions.push(Action::Offer(id, machine, time_out));
         self.bind(AttemptId { task: id, number: open.attempts }, open.task, machine, level, false);
         if let Some(open) = self.open.get_mut(&id) {
-            (open.attempts, open.out) = (open.attempts + 1, true);
+            (open.attempts, open.out, open.lack) = (open.attempts + 1, true, None);
         }
         if let Some(machine) = self.machines.get_mut(&machine) {
             machine.health[open.task.class].unanswered += 1;
@@ -602,6 +624,21 @@
         }
     }
 
+    /// Keeps a task for later, and tells what it waits for when that changes. What no machine can ever take is
+    /// answered at once.
+    fn hold(&mut self, id: TaskId, lack: Lack, actions: &mut Vec<Action>) {
+        if let Some(open) = self.open.get_mut(&id)
+            && open.lack.replace(lack) != Some(lack)
+        {
+            actions.push(Action::Held(id, lack));
+        }
+        if lack == Lack::Size {
+            self.answer(id, actions);
+        } else {
+            self.on_hold.push_back(id);
+        }
+    }
+
     /// How long an attempt may stay without its answer: what answers take, by class and level where they
     /// come with the start. Silence is then known soon, and what must not run twice is given back to its
     /// owner, who learns whether it runs. Harm: where answers are slow or lost, copies.
@@ -627,12 +664,17 @@
     }
 
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
-    fn pick(&mut self, open: &Open) -> Option<(MachineId, Level)> {
+    fn pick(&mut self, open: &Open) -> Result<(MachineId, Level), Lack> {
         let task = &open.task;
-        let all = self.machines.iter().filter(|(_, m)| self.may_get(m, open) && self.has_room(m, task));
-        let mut allowed: Vec<MachineId> = all.map(|(&id, _)| id).collect();
+        let (mut allowed, mut nearest): (Vec<MachineId>, _) = (Vec::new(), Lack::Ready);
+        for (&id, machine) in &self.machines {
+            match self.lacks(machine, open) {
+                None => allowed.push(id),
+                Some(lack) => nearest = nearest.max(lack),
+            }
+        }
         if allowed.is_empty() {
-            return None;
+            return Err(if self.fits_a_kind(task) { nearest } else { Lack::Size });
         }
         self.prefer(&mut allowed, |m| self.healthy(m, task.class));
         let mean = self.mean_asked();
@@ -676,7 +718,7 @@
             scores.retain(|s| s.0 <= least * NEAR_TIE);
         }
         let (_, id, level) = scores[self.draw(scores.len())];
-        Some((id, level))
+        Ok((id, level))
     }
 
     /// Keeps the machines that `likes` likes, if there are any.
@@ -701,12 +743,16 @@
         needed.map(|(_, m)| m.listing.machine).collect()
     }
 
-    /// What the rules, the task's kind and its earlier attempts allow.
-    fn may_get(&self, machine: &Machine, open: &Open) -> bool {
+    /// What keeps a machine from the task, if anything: the rules, its kind, earlier attempts, room. Looked at
+    /// in this order, so the largest over all machines tells what stopped the one that came nearest.
+    fn lacks(&self, machine: &Machine, open: &Open) -> Option<Lack> {
         let class = &self.settings.classes[open.task.class];
         let (at, rules) = (&machine.listing, &self.settings.rules);
-        if !machine.ready() || machine.unlinked || class.kind.is_some_and(|kind| kind != at.kind) {
-            return false;
+        if !machine.ready() || class.kind.is_some_and(|kind| kind != at.kind) {
+            return Some(Lack::Ready);
+        }
+        if machine.unlinked {
+            return Some(Lack::Link);
         }
         // Rule 2: repeats of a key that may have run stay with the machines that know it.
         if let (Some((_, first)), Effect::Keyed { group, .. }) = (open.may_run, class.effect) {
@@ -717,28 +763,40 @@
                 Group::Cell => first.is_some_and(|f| f.cell == at.cell),
             };
             if !same {
-                return false;
+                return Some(Lack::Group);
             }
         }
         // Rule 5: attempts and running tasks of the service in one place.
         if class.spread.is_some_and(|(place, most)| self.held_in(place, at, open.task.service) >= most) {
-            return false;
+            return Some(Lack::Spread);
         }
+        let room = (!self.has_room(machine, &open.task)).then_some(Lack::Room);
         // Rule 4: own part of what a cold machine always bears, in every window, refused offers too. Where
         // placers outnumber those offers, each start opens the machine to only so many placers, which all
         // of them draw alike from its label and start: whenever each was told, no window holds more.
         let Some(start) = at.started.filter(|&start| start + rules.cold_for > self.now) else {
-            return true;
+            return room;
         };
         // Guards against two placers spending one part: whose number is lost sends nothing to cold machines.
-        let Some(number) = self.number else {
-            return false;
+        let Some(number) = self.number.filter(|_| self.quiet_until < self.now) else {
+            return Some(Lack::Cold);
         };
         let (offers, placers) = ((rules.fresh_offers * COLD_SHARE) as u64, u64::from(self.settings.placers));
         let turn = (u64::from(number) + mix(at.label ^ start) % placers) % placers;
         let own = offers / placers + u64::from(turn < offers % placers);
         let sent = machine.sends.iter().filter(|&&at| at + rules.fall_window >= self.now).count();
-        (sent as u64) < own
+        if (sent as u64) < own { room } else { Some(Lack::Cold) }
+    }
+
+    /// Whether some kind of machine, empty, could take the task.
+    fn fits_a_kind(&self, task: &Task) -> bool {
+        let class = &self.settings.classes[task.class];
+        self.settings.kinds.iter().enumerate().any(|(kind, &size)| {
+            let asks = task.asks.of(size);
+            class.kind.is_none_or(|k| k == kind)
+                && asks.cores <= self.settings.admit_cores
+                && asks.memory <= self.settings.admit_memory
+        })
     }
 
     fn held_in(&self, place: Place, at: &Listing, service: ServiceId) -> u32 {
@@ -821,7 +879,19 @@
         if open.out && effect == Effect::Safe && self.settings.limits.cancel {
             actions.push(Action::Cancel(AttemptId { task: id, number: open.attempts - 1 }));
         }
-        actions.push(if harmless { Action::Refuse(id, None) } else { Action::Fail(id) });
+        actions.push(if harmless { Action::Refuse(id, self.come_back(&open)) } else { Action::Fail(id) });
+    }
+
+    /// When to ask again after being held in vain: what it waited for takes about so long to change. Drawn
+    /// apart for each task, so that those refused together do not come back together.
+    fn come_back(&self, open: &Open) -> Option<Micros> {
+        let (most, lack) = (self.settings.limits.come_back?, open.lack?);
+        let about = match lack {
+            Lack::Size => return Some(most),
+            Lack::Cold => self.settings.rules.fall_window,
+            Lack::Ready | Lack::Link | Lack::Group | Lack::Spread | Lack::Room => FULL_FOR,
+        };
+        Some((about / 2 + mix(open.task.id.0) % about.max(1)).min(most))
     }
 
     /// One general reminder: for held tasks and for discovery.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -449,6 +449,26 @@
     },
 }
 
+/// What a held task waits for: that which stopped the machine that came nearest to taking it, later ones being
+/// nearer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Lack {
+    /// A larger machine: no kind that it may run on could ever take it.
+    Size,
+    /// A machine of its kind that takes tasks: all drain, or are gone.
+    Ready,
+    /// A connection to one.
+    Link,
+    /// A machine of the group that knows its key, since an attempt may have run there.
+    Group,
+    /// A place that does not yet hold as many tasks of its service as it may.
+    Spread,
+    /// A share of a cold machine's budget.
+    Cold,
+    /// Room.
+    Room,
+}
+
 /// What a placer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -460,6 +480,8 @@
     Refuse(TaskId, Option<Micros>),
     /// Final answer: not placed, and nothing is promised.
     Fail(TaskId),
+    /// A task is held, from now on for want of this. Nothing is to be done; told once for each change.
+    Held(TaskId, Lack),
     /// Stop a placed task, so that its owner asks again.
     Move(TaskId),
     /// Return [`Event::Woken`] with this label after so long.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -218,8 +218,10 @@
     desk.turn(&[Event::Numbered(None)]);
     assert_eq!(desk.ask(task(1, 1, desk.now + 60 * S)), None);
     assert_eq!(offer(&desk.wait(desk.now + 2 * S, &[0])), None);
-    // With a number again the held task goes there, and no more than that number's part does.
+    // A number's last holder may have spent its part a moment ago: nothing for one window of 3 s.
     desk.turn(&[Event::Numbered(Some(2))]);
+    assert_eq!(offer(&desk.wait(desk.now + 3 * S, &[0])), None);
+    // Then the held task goes there, and no more than that number's part does.
     let mut sent = usize::from(offer(&desk.wait(desk.now + S / 2, &[0])).is_some());
     assert_eq!(sent, 1);
     for n in 2..40 {
@@ -231,3 +233,92 @@
     desk.list(Scope::Full, vec![machine(0)]);
     assert!(desk.ask(task(99, 99, desk.now + 60 * S)).is_some());
 }
+
+#[test]
+fn a_restart_spends_no_cold_budget_twice() {
+    // Lives of one placer, each killed half a second after it began, with more tasks than it may send to one
+    // machine that stays cold: whatever a life does not know of the last one, no window may hold two parts.
+    let mut shared = settings(Effect::Safe);
+    (shared.placers, shared.rules.cold_for) = (4, 60 * S);
+    for life_span in [S / 2, 2 * S, 4 * S, 7 * S] {
+        let (mut now, mut sends) = (5 * S, Vec::new());
+        for life in 0..8u64 {
+            let placer = Placer::new(shared.clone(), life).expect("sound settings");
+            let mut desk = Desk { placer, now };
+            desk.list(Scope::Full, vec![Listing { started: Some(5 * S), ..machine(0) }]);
+            for n in 0..life_span / 20_000 {
+                desk.now += 20_000;
+                if desk.ask(task(n, n, desk.now + 100_000)).is_some() {
+                    sends.push(desk.now);
+                    desk.turn(&[end(n, 0, Ending::Refused, Some(Why::Line)), Event::HungUp(TaskId(n))]);
+                }
+            }
+            now = desk.now;
+        }
+        for &from in &sends {
+            let window = sends.iter().filter(|&&at| at >= from && at < from + 3 * S).count();
+            assert!(window <= 5, "{window} of 20 offers for one of 4 placers, lives of {life_span}");
+        }
+        assert_eq!(sends.is_empty(), life_span < 3 * S, "it does get some once a window has gone by");
+    }
+}
+
+#[test]
+fn a_held_task_names_what_it_waits_for() {
+    let held = |actions: &[Action]| {
+        actions
+            .iter()
+            .filter_map(|a| if let Action::Held(_, lack) = a { Some(*lack) } else { None })
+            .collect()
+    };
+    let ask = |desk: &mut Desk, n: u64| -> Vec<Lack> {
+        let task = task(n, 7, desk.now + 9 * S);
+        held(&desk.turn(&[Event::Asked(task)]))
+    };
+    let mut s = settings(Effect::Safe);
+    s.limits.come_back = Some(60 * S);
+    s.classes[0].spread = Some((Place::Zone, 1));
+    let mut desk = Desk::new(s, 0);
+    assert_eq!(ask(&mut desk, 1), [Lack::Ready]);
+    // Each machine comes nearer than the one before; a change is told, what stays is not told again.
+    let drains = Listing { state: MachineState::Draining, ..machine(0) };
+    assert_eq!(held(&desk.list(Scope::Full, vec![drains])), []);
+    let mut told = Vec::new();
+    let mut steps = vec![vec![Event::Linked(MachineId(1), false)]];
+    steps.push(vec![Event::Running(Task { service: ServiceId(7), ..task(50, 7, 0) }, MachineId(2))]);
+    for (n, events) in steps.into_iter().enumerate() {
+        let place = Listing { zone: n as u32 + 1, ..machine(n as u32 + 1) };
+        desk.list(Scope::Changes, vec![place]);
+        desk.turn(&events);
+        told.extend(held(&desk.wait(desk.now + S / 10, &[0])));
+    }
+    assert_eq!(told, [Lack::Link, Lack::Spread]);
+    let cold = Listing { zone: 4, started: Some(desk.now), ..machine(4) };
+    desk.list(Scope::Changes, vec![cold]);
+    // Within one window of the number the cold machine gets nothing.
+    desk.turn(&[Event::Numbered(None)]);
+    assert_eq!(held(&desk.wait(desk.now + S / 10, &[0])), [Lack::Cold]);
+    // Refused in the end, it is told when to come back; two that were held alike are told different times.
+    ask(&mut desk, 2);
+    let at_last = desk.wait(desk.now + 10 * S, &[2, 3]);
+    let advice: Vec<Micros> = at_last
+        .iter()
+        .filter_map(|a| if let Action::Refuse(_, Some(after)) = a { Some(*after) } else { None })
+        .collect();
+    assert_eq!(advice.len(), 2, "{at_last:?}");
+    assert!(advice[0] != advice[1] && advice.iter().all(|a| (S..5 * S).contains(a)), "{advice:?}");
+}
+
+#[test]
+fn what_no_machine_can_ever_take_is_refused_at_once() {
+    let mut s = settings(Effect::Unsafe);
+    s.limits.come_back = Some(60 * S);
+    let mut desk = Desk::new(s, 3);
+    let large = Task { asks: Room::new(1000.0, 1.0), ..task(1, 1, 9 * S) };
+    let actions = desk.turn(&[Event::Asked(large)]);
+    assert!(actions.contains(&Action::Held(TaskId(1), Lack::Size)), "{actions:?}");
+    assert_eq!(answers(&actions), [Action::Refuse(TaskId(1), Some(60 * S))]);
+    // What one could take if it were empty is held.
+    let full = Task { asks: Room::new(40.0, 1.0), ..task(2, 1, 9 * S) };
+    assert!(offer(&desk.turn(&[Event::Asked(full)])).is_some());
+}
