--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -88,6 +88,12 @@
     /// A scenario file; the standard bad day without one
     #[arg(long, value_name = "FILE")]
     scenario: Option<PathBuf>,
+    /// Draw the day's demand and troubles from the seed
+    #[arg(long, conflicts_with = "scenario")]
+    drawn: bool,
+    /// Write the scenario that is played to this file
+    #[arg(long, value_name = "FILE")]
+    write_scenario: Option<PathBuf>,
     /// Length of the day; troubles are squeezed or stretched with it
     #[arg(long, value_name = "N")]
     seconds: Option<f64>,
@@ -97,7 +103,7 @@
     /// Placers
     #[arg(long, value_name = "N")]
     placers: Option<u32>,
-    /// Stand-in hosts
+    /// Stand-in hosts; services and cells grow with them
     #[arg(long, value_name = "N")]
     hosts: Option<usize>,
     /// Let the random-choice baseline decide
@@ -226,6 +232,7 @@
 
 fn bad_day(args: &BadDayArgs) -> Result<ExitCode, String> {
     let mut scenario = match &args.scenario {
+        None if args.drawn => Scenario::drawn(args.seed),
         None if args.consul => Scenario::standard_with_catalogue(),
         None => Scenario::standard(),
         Some(file) => read_scenario(file)?,
@@ -237,7 +244,13 @@
         scenario = scenario.stretched(seconds);
     }
     scenario.placers = args.placers.unwrap_or(scenario.placers).max(1);
-    scenario.fleet.hosts = args.hosts.unwrap_or(scenario.fleet.hosts).max(1);
+    if let Some(hosts) = args.hosts {
+        scenario = scenario.sized(hosts.max(1));
+    }
+    if let Some(file) = &args.write_scenario {
+        let text = toml::to_string(&scenario).map_err(|e| e.to_string())?;
+        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
     let options = day::Options {
         scenario,
         seed: args.seed,
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -1,209 +1,28 @@
 //! A day: hosts and owners in this process, placers as processes of their own, troubles on time, and the verdict.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::Write as _;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command as Process, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 
-use maplethread_config::{
-    Api, Consul, Damping, HostEntry, HostState, Hosts, Identity, Inventory, Membership, PlacerConfig,
-    Placing, Prices, Reads, Rules as PlacerRules,
-};
+use maplethread_config::{HostState, Inventory};
 use maplethread_consul_standin::{Faults as CatalogueFaults, Servers, Settings as ServerSettings};
-use maplethread_judge::{Broken, ClassRule, Figures, Group, Place, Record, Seen, Verdict, Where, judge};
-use maplethread_wire::frame::Frame;
-use maplethread_wire::http::{self, Found, Limits, Reader, Role};
-use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use maplethread_judge::{Seen, judge};
+use rustix::process::Signal;
 
+use crate::calls::{get_json, register};
 use crate::host::Faults;
-use crate::owners::{Front, Owners, SLACK};
+pub use crate::options::Options;
+use crate::owners::{Front, Owners};
+use crate::plan::{Act, Fault, plan};
+use crate::processes::Placers;
 use crate::rack::{Command, Rack};
-use crate::scenario::{Scenario, Trouble, TroubleKind};
-use crate::world::{Dice, Service, World};
-
-/// How to play a day.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// The day.
-    pub scenario: Scenario,
-    /// Seed of everything drawn.
-    pub seed: u64,
-    /// The program whose `placer` subcommand is run.
-    pub program: PathBuf,
-    /// Use the random-choice decider.
-    pub random: bool,
-    /// Break this rule (1 to 5) on purpose; 0 for none.
-    pub rogue: u8,
-    /// Hosts and placers register in a catalogue, with this way of damping.
-    pub consul: Option<Damping>,
-    /// Tell how it goes, on standard error.
-    pub progress: bool,
-    /// Keep the placers' logs and settings in this folder.
-    pub keep: Option<PathBuf>,
-}
-
-/// What a day came to.
-pub struct Report {
-    /// What the traffic shows.
-    pub verdict: Verdict,
-    /// The worth served over the worth asked for.
-    pub service: Service,
-    /// Seconds that second copies ran.
-    pub double_s: f64,
-    /// Times from an ask to `placed` at the owner, µs, sorted.
-    pub place_us: Vec<u64>,
-    /// Times of decisions, µs, with their counts, of all placers that were up at the end.
-    pub decide_us: BTreeMap<u64, u64>,
-    /// Offers to a host in the second after its health came back: how many returns, the mean and the most.
-    pub returns: (usize, f64, usize),
-    /// The record, for frames that show a broken rule.
-    pub record: Vec<Record>,
-}
-
-impl Report {
-    /// No rule broken, and no ask without its answer.
-    pub fn good(&self) -> bool {
-        self.verdict.broken.is_empty() && self.verdict.unanswered == 0
-    }
-
-    fn decide_quantile(&self, q: f64) -> u64 {
-        let all: u64 = self.decide_us.values().sum();
-        let mut left = (all as f64 * q).ceil() as u64;
-        for (&value, &count) in &self.decide_us {
-            if left <= count {
-                return value;
-            }
-            left -= count;
-        }
-        self.decide_us.keys().last().copied().unwrap_or(0)
-    }
-
-    fn place_quantile(&self, q: f64) -> f64 {
-        let at = ((self.place_us.len() as f64 * q).ceil() as usize).max(1) - 1;
-        self.place_us.get(at.min(self.place_us.len().saturating_sub(1))).copied().unwrap_or(0) as f64 / 1000.0
-    }
-
-    /// The report as one object.
-    pub fn json(&self) -> Value {
-        let v = &self.verdict;
-        let broken: BTreeMap<String, u64> = v.counts().into_iter().map(|(r, n)| (r.to_string(), n)).collect();
-        json!({
-            "asks": v.asks, "placed": v.placed, "refused": v.refused, "failed": v.failed,
-            "turned_away": v.turned_away, "unanswered": v.unanswered, "excused": v.excused,
-            "offers": v.offers, "refused_by": v.refused_by,
-            "service": self.service.whole,
-            "service_worst_10_s": self.service.worst_10_s,
-            "service_worst_class": self.service.worst_class,
-            "double_s": self.double_s,
-            "broken": broken,
-            "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
-            "returns": {"count": self.returns.0, "offers_mean": self.returns.1, "offers_most": self.returns.2},
-            "place_ms": {
-                "p50": self.place_quantile(0.5), "p99": self.place_quantile(0.99), "max": self.place_quantile(1.0),
-            },
-            "decide_us": { "p50": self.decide_quantile(0.5), "p99": self.decide_quantile(0.99) },
-        })
-    }
-
-    fn shown(&self, broken: &Broken) -> Value {
-        let first = self.record.first().map_or(0, |r| r.at);
-        let frames: Vec<String> = broken
-            .shown_by
-            .iter()
-            .take(12)
-            .filter_map(|&i| self.record.get(i))
-            .map(|r| format!("{:.3} s {:?}", (r.at - first) as f64 / 1e6, r.seen))
-            .collect();
-        json!({"rule": broken.rule, "what": broken.what, "records": frames})
-    }
-
-    /// The report for a person.
-    pub fn text(&self) -> String {
-        let v = &self.verdict;
-        let mut out = String::new();
-        let s = &self.service;
-        let _ = writeln!(
-            out,
-            "asks {}: placed {}, refused {}, failed {}, turned away {}; unanswered {}, excused {}",
-            v.asks, v.placed, v.refused, v.failed, v.turned_away, v.unanswered, v.excused
-        );
-        let _ = writeln!(
-            out,
-            "service {:.3} of the worth asked for; worst ten seconds {:.3}, worst-served class {:.3} (simulated work)",
-            s.whole, s.worst_10_s, s.worst_class
-        );
-        let _ = writeln!(
-            out,
-            "ask to placed: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms; decisions: p50 {} us, p99 {} us; {} offers",
-            self.place_quantile(0.5),
-            self.place_quantile(0.99),
-            self.place_quantile(1.0),
-            self.decide_quantile(0.5),
-            self.decide_quantile(0.99),
-            v.offers
-        );
-        for broken in v.broken.iter().take(10) {
-            let _ = writeln!(out, "rule {} broken: {}", broken.rule, broken.what);
-            if let Some(records) = self.shown(broken)["records"].as_array() {
-                for line in records.iter().filter_map(Value::as_str) {
-                    let _ = writeln!(out, "    {line}");
-                }
-            }
-        }
-        if v.broken.len() > 10 {
-            let _ = writeln!(out, "and {} more", v.broken.len() - 10);
-        }
-        let _ = if self.good() {
-            writeln!(out, "all five rules held, and every ask had exactly one answer")
-        } else {
-            writeln!(out, "RULES BROKEN: {:?} (rule: times)", v.counts())
-        };
-        out
-    }
-}
-
-struct PlacerProcess {
-    config: PathBuf,
-    log: PathBuf,
-    child: Option<Child>,
-    paused: bool,
-}
-
-/// Something that happens at a time of the day.
-#[derive(Clone, Debug)]
-enum Act {
-    Host(Command),
-    HostListed(usize, HostState),
-    /// Changes a host's faults.
-    Fault(usize, Fault, bool),
-    Kill(usize),
-    Respawn(usize),
-    Pause(usize),
-    GoOn(usize),
-    Noticed(usize),
-    Garbage(&'static str),
-    Flap(usize, bool),
-    Catalogue(CatalogueFaults),
-    LoseLeader(u64),
-    Overload(f64),
-    HangUps(f64),
-    Late(f64),
-}
-
-#[derive(Clone, Debug)]
-enum Fault {
-    Silent,
-    Errors(f64),
-    Class(String, f64, bool),
-    AnswersLost(f64),
-    Neighbour(f64),
-    Slow(f64),
-}
+use crate::report::{FirstAsks, Report, returns};
+use crate::scenario::Scenario;
+use crate::settings::{self, inventory};
+use crate::world::{Dice, World};
 
 struct Day<'a> {
     options: &'a Options,
@@ -212,7 +31,7 @@
     dice: Dice,
     rack: Rack,
     folder: PathBuf,
-    placers: Vec<PlacerProcess>,
+    placers: Placers,
     acts: Vec<(u64, Act)>,
     /// Host states that the inventory will tell, and when.
     news: Vec<(u64, usize, HostState)>,
@@ -259,7 +78,7 @@
         dice: Dice::new(options.seed, 1),
         rack,
         folder,
-        placers: Vec::new(),
+        placers: Placers::new(),
         acts: Vec::new(),
         news: Vec::new(),
         listed: vec![(HostState::Ready, None); hosts],
@@ -275,14 +94,7 @@
         world,
         scenario,
     };
-    let result = day.run();
-    for placer in &mut day.placers {
-        if let Some(child) = &mut placer.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-    result
+    day.run()
 }
 
 impl Day<'_> {
@@ -296,12 +108,19 @@
             let config = self.write_config(number)?;
             let name = format!("placer-{number}");
             let log = self.folder.join(format!("{name}.log"));
-            self.placers.push(PlacerProcess { config, log, child: None, paused: false });
-            let address = self.spawn(number)?;
+            self.placers.add(config, log);
+            self.placers.spawn(number, self.options)?;
             let zone = self.scenario.fleet.zones[number % self.scenario.fleet.zones.len()].clone();
-            fronts.push(Front { name, zone, address: Some(address), life: 1, down: false });
+            fronts.push(Front { name, zone, address: None, life: 1, down: false });
+        }
+        for _ in 0..fronts.len() {
+            let serves = self.placers.serves(Duration::from_secs(30))?;
+            let (number, address) =
+                serves.ok_or_else(|| io::Error::other("a placer did not start in 30 s"))?;
+            fronts[number].address = Some(address);
+            self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
         }
-        self.plan();
+        self.acts = plan(&self.scenario, &mut self.dice);
         let owners = Owners::start(self.scenario.clone(), self.world.clone(), self.options.seed, fronts)?;
         let start = self.world.clock.now();
         let end = start + (self.scenario.seconds * 1e6) as u64;
@@ -314,6 +133,13 @@
                 let (_, act) = self.acts.remove(0);
                 self.act(act, &owners)?;
             }
+            while let Some((number, address)) = self.placers.serves(Duration::ZERO)? {
+                self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
+                let mut mood = owners.mood();
+                let front = &mut mood.placers[number];
+                (front.address, front.down) = (Some(address), false);
+                front.life += 1;
+            }
             self.tell_news(now)?;
             if now >= end && closing.is_none() {
                 owners.mood().closing = true;
@@ -340,55 +166,15 @@
         }
         let service = self.world.ledger().service(end);
         let double_s = self.world.ledger().double_s;
-        let decide_us = self.decide_times(&owners);
+        let (decide_us, held) = statuses(&owners);
         let mut place_us = owners.end()?;
         place_us.sort_unstable();
-        self.stop_placers();
+        self.placers.stop();
         let record = self.world.take_record();
-        let verdict = judge(&record, &self.figures());
+        let verdict = judge(&record, &settings::figures(&self.scenario));
         let returns = returns(&record, &self.returned);
-        Ok(Report { verdict, service, double_s, place_us, decide_us, returns, record })
-    }
-
-    fn figures(&self) -> Figures {
-        let s = &self.scenario;
-        let class = |c: &crate::scenario::Class| {
-            use maplethread_config as mc;
-            ClassRule {
-                name: c.rules.name.clone(),
-                keyed: c.rules.group.zip(c.rules.window_ms).map(|(group, ms)| {
-                    let group = match group {
-                        mc::Group::All => Group::All,
-                        mc::Group::Zone => Group::Zone,
-                        mc::Group::Cell => Group::Cell,
-                    };
-                    (group, ms * 1000)
-                }),
-                spread: c.rules.spread_over.zip(c.rules.spread_most).map(|(place, most)| {
-                    let place = match place {
-                        mc::Place::Host => Place::Host,
-                        mc::Place::Cell => Place::Cell,
-                        mc::Place::Zone => Place::Zone,
-                    };
-                    (place, most)
-                }),
-            }
-        };
-        let host = |number: usize| {
-            let (zone, cell) = s.place_of(number);
-            Where { host: format!("host-{number:02}").into(), zone: zone.into(), cell: cell.into() }
-        };
-        Figures {
-            classes: s.class.iter().map(class).collect(),
-            hosts: (0..s.fleet.hosts).map(host).collect(),
-            placers: s.placers,
-            drain_grace: s.rules.drain_grace_ms * 1000,
-            cold_for: s.rules.cold_for_ms * 1000,
-            fall_window: s.rules.fall_window_ms * 1000,
-            fresh_offers: s.rules.fresh_offers,
-            lost_after: hosts("").lost_after_ms * 1000,
-            slack: SLACK,
-        }
+        let first = FirstAsks::of(&record);
+        Ok(Report { verdict, first, service, double_s, place_us, decide_us, held, returns, record })
     }
 
     fn started(&self, host: usize) -> u64 {
@@ -396,82 +182,15 @@
     }
 
     fn write_config(&self, number: usize) -> io::Result<PathBuf> {
-        let s = &self.scenario;
-        let zones = &s.fleet.zones;
-        let config = PlacerConfig {
-            placer: Identity {
-                name: format!("placer-{number}"),
-                number: number as u32,
-                placers: s.placers,
-                zone: zones[number % zones.len()].clone(),
-                zones: zones.clone(),
-                seed: Some(self.options.seed.wrapping_mul(1000) + number as u64),
-            },
-            api: api(),
-            hosts: Hosts {
-                inventory: self.servers.is_none().then(|| "hosts.toml".into()),
-                ..hosts("hosts.toml")
-            },
-            consul: self.servers.as_ref().map(|servers| {
-                let membership = Membership {
-                    service: "maplethread-placer".to_owned(),
-                    prefix: "maplethread/slots".to_owned(),
-                    ttl_ms: 2_000,
-                    lock_delay_ms: 1_000,
-                };
-                consul(servers.addresses.clone(), self.options.consul.unwrap_or_default(), Some(membership))
-            }),
-            placing: Placing {
-                placed_when: s.fleet.placed_when,
-                admit_cores: s.fleet.over_cores,
-                admit_memory: s.fleet.over_memory,
-                ..Placing::default()
-            },
-            rules: PlacerRules {
-                ask_within_ms: 10_000,
-                cold_from: s.rules.cold_from,
-                cold_for_ms: s.rules.cold_for_ms,
-                fall_multiple: s.rules.fall_multiple,
-                fall_window_ms: s.rules.fall_window_ms,
-                fresh_offers: s.rules.fresh_offers,
-            },
-            prices: Prices::default(),
-            kind: s.kind.iter().map(|k| k.kind()).collect(),
-            class: s.class.iter().map(|c| c.rules.clone()).collect(),
-        };
+        let servers = self.servers.as_ref().map(|s| s.addresses.as_slice());
+        let servers = servers.zip(self.options.consul);
+        let config = settings::placer(&self.scenario, number, self.options.seed, servers);
         let path = self.folder.join(format!("placer-{number}.toml"));
         let text = config.to_toml().map_err(io::Error::other)?;
         std::fs::write(&path, text)?;
         Ok(path)
     }
 
-    fn spawn(&mut self, number: usize) -> io::Result<SocketAddr> {
-        let placer = &mut self.placers[number];
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&placer.log)?;
-        let mut process = Process::new(&self.options.program);
-        process.arg("placer").arg("--config").arg(&placer.config).arg("--log-format").arg("text");
-        if self.options.keep.is_some() {
-            process.arg("--log").arg("debug");
-        }
-        if self.options.random || self.options.rogue > 0 {
-            process.arg("--decider").arg("random").arg("--rogue").arg(self.options.rogue.to_string());
-        }
-        let mut child = process.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn()?;
-        let out = child.stdout.take();
-        placer.child = Some(child);
-        let mut line = String::new();
-        if let Some(out) = out {
-            BufReader::new(out).read_line(&mut line)?;
-        }
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        let address = address.ok_or_else(|| {
-            let log = std::fs::read_to_string(&self.placers[number].log).unwrap_or_default();
-            io::Error::other(format!("placer {number} did not start: {log}"))
-        })?;
-        self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
-        Ok(address)
-    }
-
     fn replace_inventory(&self, text: &str) -> io::Result<()> {
         replace(&self.folder.join("hosts.toml"), text)
     }
@@ -525,192 +244,6 @@
         self.write_inventory()
     }
 
-    /// Draws the hosts that a trouble strikes.
-    fn struck(&mut self, trouble: &Trouble) -> Vec<usize> {
-        let mut all: Vec<usize> = (0..self.scenario.fleet.hosts).collect();
-        if let Some(zone) = &trouble.zone {
-            all.retain(|&h| self.scenario.place_of(h).0 == *zone);
-            if trouble.reach == 0.0 {
-                return all;
-            }
-        }
-        self.dice.shuffle(&mut all);
-        let n = (all.len() as f64 * trouble.reach).round().max(1.0) as usize;
-        all.truncate(n);
-        all
-    }
-
-    fn struck_placers(&mut self, trouble: &Trouble) -> Vec<usize> {
-        let mut all: Vec<usize> = (0..self.scenario.placers as usize).collect();
-        self.dice.shuffle(&mut all);
-        let n = (all.len() as f64 * trouble.reach).round().max(1.0) as usize;
-        all.truncate(n);
-        all
-    }
-
-    /// Lays out what each trouble does, and when.
-    fn plan(&mut self) {
-        let scenario = self.scenario.clone();
-        for trouble in &scenario.trouble {
-            let at = (trouble.at_s * 1e6) as u64;
-            let until = at + (trouble.for_s * 1e6) as u64;
-            let mut acts: Vec<(u64, Act)> = Vec::new();
-            let size = trouble.size;
-            let both = |acts: &mut Vec<(u64, Act)>, host: usize, fault: Fault| {
-                acts.push((at, Act::Fault(host, fault.clone(), true)));
-                acts.push((until, Act::Fault(host, fault, false)));
-            };
-            match trouble.kind {
-                TroubleKind::HostCrash | TroubleKind::ZoneLoss => {
-                    for host in self.struck(trouble) {
-                        acts.push((at, Act::Host(Command::Crash(host))));
-                        acts.push((at, Act::HostListed(host, HostState::Gone)));
-                        acts.push((until, Act::Host(Command::Start(host))));
-                        acts.push((until + 1, Act::HostListed(host, HostState::Ready)));
-                    }
-                }
-                TroubleKind::Silence => {
-                    for host in self.struck(trouble) {
-                        acts.push((at, Act::Fault(host, Fault::Silent, true)));
-                        acts.push((until, Act::Host(Command::Crash(host))));
-                        acts.push((until + 1, Act::Fault(host, Fault::Silent, false)));
-                        acts.push((until + 300_000, Act::Host(Command::Start(host))));
-                        acts.push((until + 300_001, Act::HostListed(host, HostState::Ready)));
-                    }
-                }
-                TroubleKind::RollingDeploy => {
-                    let hosts = self.struck(trouble);
-                    let batch = ((scenario.fleet.hosts as f64 * size).round() as usize).max(1);
-                    let batches = hosts.len().div_ceil(batch).max(1) as u64;
-                    let step = (until - at) / batches;
-                    for (i, host) in hosts.into_iter().enumerate() {
-                        let at = at + (i / batch) as u64 * step;
-                        acts.push((at, Act::Host(Command::Drain(host))));
-                        acts.push((at, Act::HostListed(host, HostState::Draining)));
-                        acts.push((at + step / 2, Act::Host(Command::Crash(host))));
-                        acts.push((at + step / 2 + 300_000, Act::Host(Command::Start(host))));
-                        acts.push((at + step / 2 + 300_001, Act::HostListed(host, HostState::Ready)));
-                    }
-                }
-                TroubleKind::Shrink => {
-                    for host in self.struck(trouble) {
-                        acts.push((at, Act::Host(Command::Drain(host))));
-                        acts.push((at, Act::HostListed(host, HostState::Draining)));
-                        acts.push((until, Act::Host(Command::Crash(host))));
-                        acts.push((until, Act::HostListed(host, HostState::Gone)));
-                    }
-                }
-                TroubleKind::FastErrors => {
-                    for host in self.struck(trouble) {
-                        both(&mut acts, host, Fault::Errors(size));
-                    }
-                }
-                TroubleKind::ClassErrors | TroubleKind::ClassSilence => {
-                    let errors = trouble.kind == TroubleKind::ClassErrors;
-                    let class = trouble.class.clone().unwrap_or_else(|| scenario.class[0].rules.name.clone());
-                    for host in self.struck(trouble) {
-                        both(&mut acts, host, Fault::Class(class.clone(), size, errors));
-                    }
-                }
-                TroubleKind::AnswersLost => {
-                    for host in self.struck(trouble) {
-                        both(&mut acts, host, Fault::AnswersLost(size));
-                    }
-                }
-                TroubleKind::Neighbour => {
-                    for host in self.struck(trouble) {
-                        both(&mut acts, host, Fault::Neighbour(size));
-                    }
-                }
-                TroubleKind::SlowAnswers => {
-                    for host in self.struck(trouble) {
-                        both(&mut acts, host, Fault::Slow(size));
-                    }
-                }
-                TroubleKind::PlacerKill => {
-                    let notice = scenario.demand.front_notice_ms * 1000;
-                    for placer in self.struck_placers(trouble) {
-                        acts.push((at, Act::Kill(placer)));
-                        acts.push(((at + notice).min(until), Act::Noticed(placer)));
-                        acts.push((until + 1, Act::Respawn(placer)));
-                    }
-                }
-                TroubleKind::PlacerPause => {
-                    for placer in self.struck_placers(trouble) {
-                        acts.push((at, Act::Pause(placer)));
-                        acts.push((until, Act::GoOn(placer)));
-                    }
-                }
-                TroubleKind::ResetMidFrame => {
-                    for host in self.struck(trouble) {
-                        acts.push((at, Act::Host(Command::ResetMidFrame(host))));
-                    }
-                }
-                TroubleKind::InventoryLate => {
-                    acts.push((at, Act::Late(size.max(1.0))));
-                    acts.push((until, Act::Late(1.0)));
-                }
-                TroubleKind::InventoryEmpty => {
-                    acts.push((at, Act::Garbage("")));
-                    acts.push((until, Act::Garbage("sound")));
-                }
-                TroubleKind::InventoryGarbage => {
-                    acts.push((at, Act::Garbage("[[host]]\nname = \"host-00\"\nadress = \"?\u{0}\" [[")));
-                    acts.push((until, Act::Garbage("sound")));
-                }
-                TroubleKind::HealthFlaps => {
-                    let period = ((size.max(0.05)) * 1e6) as u64;
-                    for host in self.struck(trouble) {
-                        let offset = self.dice.below(period as usize) as u64;
-                        let mut at = at + offset;
-                        while at < until {
-                            acts.push((at, Act::Flap(host, false)));
-                            acts.push(((at + period / 2).min(until), Act::Flap(host, true)));
-                            at += period;
-                        }
-                    }
-                }
-                TroubleKind::LeaderLost => acts.push((at, Act::LoseLeader(until - at))),
-                TroubleKind::CatalogueLate
-                | TroubleKind::CatalogueStorm
-                | TroubleKind::CatalogueCut
-                | TroubleKind::CataloguePartial
-                | TroubleKind::CatalogueStale => {
-                    let none = CatalogueFaults::default;
-                    let faults = match trouble.kind {
-                        TroubleKind::CatalogueLate => CatalogueFaults { late: (size * 1e6) as u64, ..none() },
-                        TroubleKind::CatalogueStorm => {
-                            CatalogueFaults { storm: Some((size as u16, 1.0)), ..none() }
-                        }
-                        TroubleKind::CatalogueCut => CatalogueFaults { cut: 0.7, ..none() },
-                        TroubleKind::CataloguePartial => CatalogueFaults { partial: size, ..none() },
-                        _ => CatalogueFaults { index_back: size as u64, ..none() },
-                    };
-                    acts.push((at, Act::Catalogue(faults)));
-                    acts.push((until, Act::Catalogue(none())));
-                }
-                TroubleKind::Overload => {
-                    acts.push((at, Act::Overload(size)));
-                    acts.push((until, Act::Overload(0.0)));
-                }
-                TroubleKind::HangUps => {
-                    acts.push((at, Act::HangUps(size)));
-                    acts.push((until, Act::HangUps(0.0)));
-                }
-            }
-            self.acts.extend(acts);
-        }
-    }
-
-    fn signal(&mut self, number: usize, signal: Signal) -> io::Result<()> {
-        if let Some(child) = &self.placers[number].child
-            && let Some(pid) = Pid::from_raw(child.id() as i32)
-        {
-            kill_process(pid, signal)?;
-        }
-        Ok(())
-    }
-
     fn act(&mut self, act: Act, owners: &Owners) -> io::Result<()> {
         tracing::debug!(?act, "trouble");
         match act {
@@ -739,39 +272,35 @@
             }
             Act::Kill(number) => {
                 let placer: Arc<str> = format!("placer-{number}").into();
-                if self.placers[number].paused {
+                if self.placers.all[number].paused {
                     return Ok(());
                 }
                 self.world.see(Seen::PlacerDown { placer });
-                if let Some(mut child) = self.placers[number].child.take() {
+                if let Some(mut child) = self.placers.all[number].child.take() {
                     child.kill()?;
                     child.wait()?;
                 }
             }
             Act::Noticed(number) => {
-                if self.placers[number].child.is_none() {
+                if self.placers.all[number].child.is_none() {
                     owners.mood().placers[number].down = true;
                 }
             }
             Act::Respawn(number) => {
-                if self.placers[number].child.is_none() {
-                    let address = self.spawn(number)?;
-                    let mut mood = owners.mood();
-                    let front = &mut mood.placers[number];
-                    (front.address, front.down) = (Some(address), false);
-                    front.life += 1;
+                if self.placers.all[number].child.is_none() {
+                    self.placers.spawn(number, self.options)?;
                 }
             }
             Act::Pause(number) => {
-                if self.placers[number].child.is_some() {
+                if self.placers.all[number].child.is_some() {
                     self.world.see(Seen::PlacerPaused { placer: format!("placer-{number}").into() });
-                    self.signal(number, Signal::STOP)?;
-                    self.placers[number].paused = true;
+                    self.placers.signal(number, Signal::STOP)?;
+                    self.placers.all[number].paused = true;
                 }
             }
             Act::GoOn(number) => {
-                if std::mem::take(&mut self.placers[number].paused) {
-                    self.signal(number, Signal::CONT)?;
+                if std::mem::take(&mut self.placers.all[number].paused) {
+                    self.placers.signal(number, Signal::CONT)?;
                     self.world.see(Seen::PlacerGoesOn { placer: format!("placer-{number}").into() });
                 }
             }
@@ -824,7 +353,6 @@
                 self.garbled = true;
                 self.replace_inventory(text)?;
             }
-            Act::Overload(times) => owners.mood().overload = times,
             Act::HangUps(share) => owners.mood().hang_ups = share,
             Act::Late(times) => {
                 self.notice = (self.scenario.fleet.notice_ms as f64 * 1000.0 * times) as u64;
@@ -832,57 +360,25 @@
         }
         Ok(())
     }
+}
 
-    fn decide_times(&self, owners: &Owners) -> BTreeMap<u64, u64> {
-        let mut all = BTreeMap::new();
-        let addresses: Vec<_> = owners.mood().placers.iter().filter_map(|p| p.address).collect();
-        for address in addresses {
-            let Ok(status) = get_json(address, "/v1/status?full") else { continue };
-            let counts = status["gauges"]["decide_us"]["counts"].as_array().cloned().unwrap_or_default();
-            for pair in counts {
-                if let (Some(value), Some(count)) = (pair[0].as_u64(), pair[1].as_u64()) {
-                    *all.entry(value).or_default() += count;
-                }
-            }
-        }
-        all
-    }
-
-    fn stop_placers(&mut self) {
-        for number in 0..self.placers.len() {
-            let _ = self.signal(number, Signal::TERM);
-        }
-        for placer in &mut self.placers {
-            let Some(mut child) = placer.child.take() else { continue };
-            for _ in 0..200 {
-                if matches!(child.try_wait(), Ok(Some(_))) {
-                    break;
-                }
-                std::thread::sleep(Duration::from_millis(10));
+/// What all placers that are up tell of themselves: times of decisions with their counts, and asks held, by what for.
+fn statuses(owners: &Owners) -> (BTreeMap<u64, u64>, BTreeMap<String, u64>) {
+    let (mut times, mut held) = (BTreeMap::new(), BTreeMap::new());
+    let addresses: Vec<_> = owners.mood().placers.iter().filter_map(|p| p.address).collect();
+    for address in addresses {
+        let Ok(status) = get_json(address, "/v1/status?full") else { continue };
+        let counts = status["gauges"]["decide_us"]["counts"].as_array().cloned().unwrap_or_default();
+        for pair in counts {
+            if let (Some(value), Some(count)) = (pair[0].as_u64(), pair[1].as_u64()) {
+                *times.entry(value).or_default() += count;
             }
-            let _ = child.kill();
-            let _ = child.wait();
         }
-    }
-}
-
-/// Offers to hosts in the second after each of these returns: how many returns, the mean and the most.
-fn returns(record: &[Record], returned: &[(u64, Arc<str>)]) -> (usize, f64, usize) {
-    let mut offers: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-    for r in record {
-        if let Seen::FromPlacer { host, frame: Frame::Offer(_), .. } = &r.seen {
-            offers.entry(host).or_default().push(r.at);
+        for (lack, count) in status["counters"]["held_for"].as_object().into_iter().flatten() {
+            *held.entry(lack.clone()).or_default() += count.as_u64().unwrap_or(0);
         }
     }
-    let counts: Vec<usize> = returned
-        .iter()
-        .map(|(at, host)| {
-            let all = offers.get(&**host).map(Vec::as_slice).unwrap_or_default();
-            all.iter().filter(|&&o| o >= *at && o < at + 1_000_000).count()
-        })
-        .collect();
-    let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
-    (counts.len(), mean, counts.iter().copied().max().unwrap_or(0))
+    (times, held)
 }
 
 /// Replaces a file atomically, as operators are told to do with inventories.
@@ -893,29 +389,6 @@
     std::fs::rename(&new, path)
 }
 
-fn inventory(
-    scenario: &Scenario,
-    addresses: &[SocketAddr],
-    listed: &[(HostState, Option<u64>)],
-) -> Inventory {
-    let entry = |number: usize| {
-        let (zone, cell) = scenario.place_of(number);
-        let (state, started_ms) = listed[number];
-        HostEntry {
-            name: format!("host-{number:02}"),
-            address: addresses[number],
-            zone,
-            cell,
-            kind: scenario.kind_of(number).name.clone(),
-            state,
-            started_ms,
-            unasked_cores: None,
-            unasked_memory_gib: None,
-        }
-    };
-    Inventory { host: (0..scenario.fleet.hosts).map(entry).collect() }
-}
-
 /// Runs the stand-in hosts of a scenario at these addresses until the process ends, and writes their inventory.
 pub fn run_hosts(
     scenario: &Arc<Scenario>,
@@ -932,114 +405,3 @@
     println!("{} stand-in hosts listening; inventory in {}", listed.len(), inventory_file.display());
     rack.join()
 }
-
-pub(crate) fn api() -> Api {
-    Api {
-        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        max_clients: 10_000,
-        max_asks: 20_000,
-        max_actors: 200_000,
-        max_body_bytes: 16 << 10,
-        max_unread_bytes: 1 << 20,
-        max_pipelined: 32,
-        max_budget_ms: 600_000,
-        request_within_ms: 10_000,
-        idle_close_ms: 60_000,
-        answers_kept_ms: 30_000,
-        answers_kept: 50_000,
-        events_kept: 50_000,
-        settle_ms: 3_000,
-        stop_within_ms: 10_000,
-    }
-}
-
-pub(crate) fn hosts(inventory: impl AsRef<Path>) -> Hosts {
-    Hosts {
-        inventory: Some(inventory.as_ref().to_owned()),
-        max_hosts: 8192,
-        connect_within_ms: 1000,
-        reconnect_first_ms: 100,
-        reconnect_most_ms: 2000,
-        ping_every_ms: 1000,
-        silent_after_ms: 3000,
-        lost_after_ms: 5000,
-        max_unwritten_bytes: 256 << 10,
-    }
-}
-
-/// Puts what is listed of a host in the catalogue.
-pub(crate) fn register(at: SocketAddr, host: &HostEntry) -> io::Result<()> {
-    let node = format!("node-{}", host.name);
-    if host.state == HostState::Gone {
-        let body = json!({"Node": node, "ServiceID": host.name});
-        return put_json(at, "/v1/catalog/deregister", &body);
-    }
-    let status = if host.state == HostState::Ready { "passing" } else { "critical" };
-    let body = json!({
-        "Node": node, "Address": host.address.ip().to_string(),
-        "Service": {
-            "ID": host.name, "Service": "maplethread-host", "Port": host.address.port(),
-            "Meta": {
-                "zone": host.zone, "cell": host.cell, "kind": host.kind,
-                "started_ms": host.started_ms.unwrap_or(1).to_string(),
-            },
-        },
-        "Checks": [{
-            "CheckID": format!("service:{}", host.name), "Name": "host", "Status": status, "ServiceID": host.name,
-        }],
-    });
-    put_json(at, "/v1/catalog/register", &body)
-}
-
-/// Settings of a placer that reads its hosts from these servers.
-pub(crate) fn consul(servers: Vec<SocketAddr>, damping: Damping, membership: Option<Membership>) -> Consul {
-    Consul {
-        servers,
-        service: "maplethread-host".to_owned(),
-        datacentre: Some("dc1".to_owned()),
-        token_file: None,
-        reads: Reads::Stale,
-        filter: None,
-        wait_ms: 2_000,
-        members_every_ms: 1_000,
-        max_answer_bytes: 32 << 20,
-        damping,
-        membership,
-    }
-}
-
-/// One PUT on a connection of its own.
-fn put_json(address: SocketAddr, target: &str, body: &Value) -> io::Result<()> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    let mut out = Vec::new();
-    http::write_request(&mut out, "PUT", target, &[("Host", "consul")], body.to_string().as_bytes());
-    stream.write_all(&out)?;
-    let mut reader = Reader::new(Role::Responses, Limits::default());
-    let (mut bytes, mut part) = (Vec::new(), [0; 4096]);
-    loop {
-        let (found, used) = reader.read(&bytes).map_err(io::Error::other)?;
-        bytes.drain(..used);
-        if let Found::Message(message) = found {
-            // Without a leader nothing is registered; the day goes on, and what is next tells all that differs.
-            return if message.head.status() == 200 { Ok(()) } else { Err(io::ErrorKind::WouldBlock.into()) };
-        }
-        let n = stream.read(&mut part)?;
-        if n == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        bytes.extend_from_slice(&part[..n]);
-    }
-}
-
-/// One GET on a connection of its own.
-pub fn get_json(address: SocketAddr, target: &str) -> io::Result<Value> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    write!(stream, "GET {target} HTTP/1.1\r\nHost: placer\r\nConnection: close\r\n\r\n")?;
-    let mut bytes = Vec::new();
-    stream.read_to_end(&mut bytes)?;
-    let text = String::from_utf8_lossy(&bytes);
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    serde_json::from_str(body).map_err(io::Error::other)
-}
--- /dev/null
+++ b/crates/standin/src/demand.rs
@@ -0,0 +1,108 @@
+//! What owners want first: drawn from the seed ahead of the day, and the same whoever decides. What comes again, and
+//! when, depends on the answers; each owner draws that from a generator of its own.
+
+use std::sync::Arc;
+
+use crate::scenario::{Scenario, TroubleKind};
+use crate::world::{Dice, Wanted};
+
+/// An owner, as it comes to the cluster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, µs after the day's start.
+    pub at: u64,
+    /// Its class, by number.
+    pub class: usize,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its actor; no other has this name.
+    pub actor: Arc<str>,
+    /// Cores and memory (GiB) that it asks for.
+    pub shape: [f64; 2],
+    /// How long it wants to run from its arrival on, µs.
+    pub life: u64,
+    /// Its zone, by number.
+    pub zone: usize,
+    /// Seed of what it draws later.
+    pub seed: u64,
+}
+
+impl Arrival {
+    /// What is to be served, for a day that starts at `start`.
+    pub fn wanted(&self, scenario: &Scenario, start: u64) -> Wanted {
+        let c = &scenario.class[self.class];
+        let mean = |i: usize| c.shapes.iter().map(|s| s[i]).sum::<f64>() / c.shapes.len() as f64;
+        let size = 0.5 * (self.shape[0] / mean(0) + self.shape[1] / mean(1));
+        let rate = c.rules.worth * size;
+        let bonus = rate * c.rules.start_bonus_s;
+        let from = start + self.at;
+        Wanted {
+            class: self.class,
+            rate,
+            from,
+            until: from + self.life,
+            aim: from + c.rules.aim_ms * 1000,
+            bonus,
+            deadline: from + c.deadline_ms * 1000,
+            late_bonus: bonus * c.late_share,
+        }
+    }
+}
+
+/// All arrivals of a day, in order.
+pub fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let mut dice = Dice::new(seed, 9);
+    let total: f64 = scenario.class.iter().map(|c| c.share).sum();
+    let end = scenario.seconds * 1e6;
+    let (mut all, mut at) = (Vec::new(), 0.0);
+    loop {
+        let rate = scenario.load_at(at / 1e6) * overload(scenario, at / 1e6) * scenario.cores()
+            / scenario.core_seconds();
+        at += dice.exp(1e6 / rate.max(0.01));
+        if at >= end {
+            return all;
+        }
+        let mut left = dice.share() * total;
+        let class = scenario.class.iter().position(|c| {
+            left -= c.share;
+            left < 0.0
+        });
+        let class = class.unwrap_or(0);
+        let c = &scenario.class[class];
+        all.push(Arrival {
+            at: at as u64,
+            class,
+            service: format!("{}-{:02}", c.rules.name, dice.below(c.services)).into(),
+            actor: format!("{}-{}", c.rules.name, all.len()).into(),
+            shape: c.shapes[dice.below(c.shapes.len())],
+            life: ((0.3 + 0.7 * dice.exp(1.0)).min(4.0) * c.life_s * 1e6) as u64,
+            zone: dice.below(scenario.fleet.zones.len()),
+            seed: dice.seed(),
+        });
+    }
+}
+
+/// How many times as much is wanted at a time, by the troubles.
+fn overload(scenario: &Scenario, s: f64) -> f64 {
+    let on = scenario.trouble.iter().filter(|t| t.kind == TroubleKind::Overload);
+    on.filter(|t| (t.at_s..t.at_s + t.for_s).contains(&s)).map(|t| t.size).fold(1.0, f64::max)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_seeds_give_equal_arrivals_and_others_do_not() {
+        let day = Scenario::standard();
+        let first = arrivals(&day, 4);
+        assert_eq!(first, arrivals(&day, 4));
+        assert_ne!(first, arrivals(&day, 5));
+        assert!(first.is_sorted_by_key(|a| a.at));
+        // Their number is what the load calls for, within what chance does.
+        let rate = |s: f64| day.load_at(s) * overload(&day, s) * day.cores() / day.core_seconds();
+        let expected: f64 = (0..300).map(|i| rate(f64::from(i) / 10.0) / 10.0).sum();
+        let share = first.len() as f64 / expected;
+        assert!((0.9..1.1).contains(&share), "{} of {expected}", first.len());
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,18 @@
 //! which can be made to break each rule on purpose.
 
 pub mod baseline;
+mod calls;
 pub mod day;
+pub mod demand;
+mod drawn;
 mod host;
 pub mod load;
+mod options;
 mod owners;
+mod plan;
+mod processes;
 mod rack;
+pub mod report;
 pub mod scenario;
+mod settings;
 mod world;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -25,7 +25,8 @@
 use maplethread_wire::http::{self, Found, Limits, Reader, Role};
 use serde_json::{Value, json};
 
-use crate::day::{api, get_json, hosts};
+use crate::calls::{get_json, register};
+use crate::settings::{api, consul, hosts};
 
 /// What load to make.
 #[derive(Clone, Debug)]
@@ -282,7 +283,7 @@
         Some(_) => {
             let servers = Servers::start(ServerSettings::new(3))?;
             for host in &inventory.host {
-                crate::day::register(servers.addresses[0], host)?;
+                register(servers.addresses[0], host)?;
             }
             Some(servers)
         }
@@ -298,7 +299,7 @@
         },
         api: api(),
         hosts: Hosts { inventory: servers.is_none().then(|| "hosts.toml".into()), ..hosts("hosts.toml") },
-        consul: servers.as_ref().map(|s| crate::day::consul(s.addresses.clone(), Damping::Penalty, None)),
+        consul: servers.as_ref().map(|s| consul(s.addresses.clone(), Damping::Penalty, None)),
         placing: Placing { admit_cores: 1.0, admit_memory: 1.0, ..Placing::default() },
         rules: Rules {
             ask_within_ms: 10_000,
@@ -354,7 +355,7 @@
             for n in 0..(half * rate) as usize {
                 let mut host = hosts[n * 7 % (hosts.len() / 3).max(1)].clone();
                 host.state = if n % 2 == 0 { HostState::Draining } else { HostState::Ready };
-                let _ = crate::day::register(at, &host);
+                let _ = register(at, &host);
                 std::thread::sleep(Duration::from_secs_f64(1.0 / rate));
             }
         })
--- a/crates/standin/src/owners.rs
+++ b/crates/standin/src/owners.rs
@@ -14,8 +14,9 @@
 use maplethread_wire::http::{self, Decoder, Found, Limits, Reader, Role, Step};
 use serde_json::{Value, json};
 
+use crate::demand::{Arrival, arrivals};
 use crate::scenario::Scenario;
-use crate::world::{Dice, Wanted, World};
+use crate::world::{Dice, World};
 
 /// An owner waits this much longer than its deadline before it holds that no answer came, µs: what the reading and
 /// recording may be late by.
@@ -41,8 +42,6 @@
 pub struct Mood {
     /// The placers.
     pub placers: Vec<Front>,
-    /// Demand rises to so many times its share; 0 for as ever.
-    pub overload: f64,
     /// This share of asks is hung up on before the deadline.
     pub hang_ups: f64,
     /// No new tasks, and nobody comes again.
@@ -71,11 +70,12 @@
     ) -> io::Result<Owners> {
         let mood = Arc::new(Mutex::new(Mood { placers, ..Mood::default() }));
         let start = world.clock.now();
+        let arrivals = arrivals(&scenario, seed).into_iter();
         let mut run = Run {
             poller: Poller::new()?,
             scenario,
             world,
-            dice: Dice::new(seed, 9),
+            arrivals,
             mood: mood.clone(),
             start,
             owners: Vec::new(),
@@ -88,7 +88,9 @@
             open: 0,
             place_us: Vec::new(),
         };
-        run.timers.set(start, Due::Arrive(start));
+        if let Some(first) = run.arrivals.as_slice().first() {
+            run.timers.set(start + first.at, Due::Arrive);
+        }
         run.timers.set(start, Due::Follow);
         let thread = std::thread::Builder::new().name("owners".into()).spawn(move || run.run())?;
         Ok(Owners { mood, thread: Some(thread) })
@@ -133,12 +135,14 @@
     failures: u32,
     request: Arc<str>,
     asked: u64,
+    /// What it draws itself.
+    dice: Dice,
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Due {
-    /// A new task; with when it was due, so that a late thread makes up for its delay.
-    Arrive(u64),
+    /// The next new owner.
+    Arrive,
     Ask(usize),
     Deadline(usize, u32),
     EarlyHangUp(usize, u32),
@@ -165,7 +169,8 @@
     poller: Poller,
     scenario: Arc<Scenario>,
     world: World,
-    dice: Dice,
+    /// Those to come.
+    arrivals: std::vec::IntoIter<Arrival>,
     mood: Arc<Mutex<Mood>>,
     start: u64,
     owners: Vec<Owner>,
@@ -209,7 +214,7 @@
 
     fn due(&mut self, now: u64, due: Due) {
         match due {
-            Due::Arrive(due) => self.arrive(now, due),
+            Due::Arrive => self.arrive(now),
             Due::Ask(owner) => self.ask(now, owner),
             Due::Deadline(owner, ask) => {
                 if self.owners[owner].asks == ask {
@@ -227,82 +232,47 @@
         }
     }
 
-    fn arrive(&mut self, now: u64, due: u64) {
-        let (overload, closing) = {
-            let mood = self.mood();
-            (mood.overload, mood.closing)
-        };
-        if closing {
+    fn arrive(&mut self, now: u64) {
+        let Some(arrival) = self.arrivals.next() else { return };
+        if let Some(next) = self.arrivals.as_slice().first() {
+            self.timers.set(self.start + next.at, Due::Arrive);
+        }
+        if self.mood().closing {
             return;
         }
-        let at_s = (due - self.start) as f64 / 1e6;
-        let times = if overload > 0.0 { overload } else { 1.0 };
-        let rate = self.scenario.load_at(at_s) * times * self.scenario.cores() / self.scenario.core_seconds();
-        let wait = self.dice.exp(1e6 / rate.max(0.01));
-        let next = due + wait as u64;
-        self.timers.set(next, Due::Arrive(next));
-        let total: f64 = self.scenario.class.iter().map(|c| c.share).sum();
-        let mut left = self.dice.share() * total;
-        let class = self.scenario.class.iter().position(|c| {
-            left -= c.share;
-            left < 0.0
-        });
-        let class = class.unwrap_or(0);
-        let c = &self.scenario.class[class];
+        let wanted = arrival.wanted(&self.scenario, self.start);
+        self.world.ledger().want(&arrival.actor, wanted);
         let number = self.owners.len();
-        let service = format!("{}-{:02}", c.rules.name, self.dice.below(c.services));
-        let actor: Arc<str> = format!("{}-{number}", c.rules.name).into();
-        let shape = c.shapes[self.dice.below(c.shapes.len())];
-        let mean = |i: usize| c.shapes.iter().map(|s| s[i]).sum::<f64>() / c.shapes.len() as f64;
-        let size = 0.5 * (shape[0] / mean(0) + shape[1] / mean(1));
-        let life = (0.3 + 0.7 * self.dice.exp(1.0)).min(4.0) * c.life_s * 1e6;
-        let rate = c.rules.worth * size;
-        let bonus = rate * c.rules.start_bonus_s;
-        let wanted = Wanted {
-            class,
-            rate,
-            from: now,
-            until: now + life as u64,
-            aim: now + c.rules.aim_ms * 1000,
-            bonus,
-            deadline: now + c.deadline_ms * 1000,
-            late_bonus: bonus * c.late_share,
-        };
-        self.world.ledger().want(&actor, wanted);
-        let zones = &self.scenario.fleet.zones;
-        let zone = zones[self.dice.below(zones.len())].clone();
-        let request: Arc<str> = "".into();
-        self.by_actor.insert(actor.clone(), number);
-        let state = State::Between;
-        let (service, until) = (service.into(), wanted.until);
-        let (asks, failures, asked) = (0, 0, now);
+        self.by_actor.insert(arrival.actor.clone(), number);
         self.owners.push(Owner {
-            service,
-            actor,
-            class,
-            shape,
-            until,
-            zone,
-            state,
-            asks,
-            failures,
-            request,
-            asked,
+            service: arrival.service,
+            actor: arrival.actor,
+            class: arrival.class,
+            shape: arrival.shape,
+            until: wanted.until,
+            zone: self.scenario.fleet.zones[arrival.zone].clone(),
+            state: State::Between,
+            asks: 0,
+            failures: 0,
+            request: "".into(),
+            asked: now,
+            dice: Dice::new(arrival.seed, 10),
         });
         self.ask(now, number);
     }
 
     /// The placer that the front sends an ask to.
-    fn choose(&mut self, zone: &str) -> Option<(usize, SocketAddr, u64)> {
+    fn choose(&mut self, owner: usize) -> Option<(usize, SocketAddr, u64)> {
         let mood = self.mood.clone();
         let mood = mood.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let o = &mut self.owners[owner];
         let up = |f: &&(usize, &Front)| !f.1.down && f.1.address.is_some();
         let all: Vec<(usize, &Front)> = mood.placers.iter().enumerate().collect();
-        let mut some: Vec<&(usize, &Front)> = all.iter().filter(up).filter(|f| f.1.zone == zone).collect();
+        let mut some: Vec<&(usize, &Front)> = all.iter().filter(up).filter(|f| f.1.zone == o.zone).collect();
         if some.is_empty() {
             some = all.iter().filter(up).collect();
         }
-        let &&(number, front) = some.get(self.dice.below(some.len().max(1)))?;
+        let &&(number, front) = some.get(o.dice.below(some.len().max(1)))?;
         Some((number, front.address?, front.life))
     }
 
@@ -310,7 +280,7 @@
         let o = &mut self.owners[owner];
         o.state = State::Between;
         let factor = 1.0 + 0.5 * f64::from(o.failures.min(6).saturating_sub(2));
-        let wait = self.dice.between(after_ms) * factor * 1000.0;
+        let wait = o.dice.between(after_ms) * factor * 1000.0;
         self.timers.set(now + wait as u64, Due::Ask(owner));
     }
 
@@ -324,8 +294,7 @@
             self.owners[owner].state = State::Over;
             return;
         }
-        let zone = o.zone.clone();
-        let Some((placer, address, life)) = self.choose(&zone) else {
+        let Some((placer, address, life)) = self.choose(owner) else {
             self.again(now, owner, [100.0, 300.0]);
             return;
         };
@@ -368,8 +337,9 @@
         self.mood().asked += 1;
         self.timers.set(now + deadline_ms * 1000 + SLACK, Due::Deadline(owner, asks));
         let early = self.mood().hang_ups;
-        if self.dice.chance(early) {
-            let share = self.dice.between([0.02, 0.9]);
+        let dice = &mut self.owners[owner].dice;
+        if dice.chance(early) {
+            let share = dice.between([0.02, 0.9]);
             self.timers
                 .set(now + (deadline_ms as f64 * 1000.0 * share) as u64, Due::EarlyHangUp(owner, asks));
         }
@@ -420,10 +390,11 @@
         if let Some(Link { made: Use::Asks { owner, hung_up, .. }, .. }) = self.conns.get_mut(&token) {
             (*owner, *hung_up) = (None, true);
         }
-        if early && self.dice.chance(0.5) {
+        let odd = self.owners[owner].dice.chance(0.5);
+        if early && odd {
             self.cancel(token, &request);
             self.timers.set(now + 300_000, Due::Close(token));
-        } else if !early && self.dice.chance(0.5) {
+        } else if !early && odd {
             // Left open, to see whether something still comes.
             if let Some(Link { made: Use::Asks { owner: waiting, hung_up, .. }, .. }) =
                 self.conns.get_mut(&token)
--- /dev/null
+++ b/crates/standin/src/plan.rs
@@ -0,0 +1,228 @@
+//! Troubles laid out: what each does to hosts, placers, inventory, catalogue and owners, and when.
+
+use maplethread_config::HostState;
+use maplethread_consul_standin::Faults as CatalogueFaults;
+
+use crate::rack::Command;
+use crate::scenario::{Scenario, Trouble, TroubleKind};
+use crate::world::Dice;
+
+/// Something that happens at a time of the day.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    Host(Command),
+    HostListed(usize, HostState),
+    /// Changes a host's faults.
+    Fault(usize, Fault, bool),
+    Kill(usize),
+    Respawn(usize),
+    Pause(usize),
+    GoOn(usize),
+    Noticed(usize),
+    Garbage(&'static str),
+    Flap(usize, bool),
+    Catalogue(CatalogueFaults),
+    LoseLeader(u64),
+    HangUps(f64),
+    Late(f64),
+}
+
+/// A fault of a host.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    Silent,
+    Errors(f64),
+    Class(String, f64, bool),
+    AnswersLost(f64),
+    Neighbour(f64),
+    Slow(f64),
+}
+
+/// What the troubles of a scenario do, in no order; who is struck is drawn.
+pub(crate) fn plan(scenario: &Scenario, dice: &mut Dice) -> Vec<(u64, Act)> {
+    Plan { scenario, dice }.all()
+}
+
+struct Plan<'a> {
+    scenario: &'a Scenario,
+    dice: &'a mut Dice,
+}
+
+impl Plan<'_> {
+    /// Draws the hosts that a trouble strikes.
+    fn struck(&mut self, trouble: &Trouble) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.scenario.fleet.hosts).collect();
+        if let Some(zone) = &trouble.zone {
+            all.retain(|&h| self.scenario.place_of(h).0 == *zone);
+            if trouble.reach == 0.0 {
+                return all;
+            }
+        }
+        self.dice.shuffle(&mut all);
+        let n = (all.len() as f64 * trouble.reach).round().max(1.0) as usize;
+        all.truncate(n);
+        all
+    }
+
+    fn struck_placers(&mut self, trouble: &Trouble) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.scenario.placers as usize).collect();
+        self.dice.shuffle(&mut all);
+        let n = (all.len() as f64 * trouble.reach).round().max(1.0) as usize;
+        all.truncate(n);
+        all
+    }
+
+    /// What each trouble does, and when.
+    fn all(&mut self) -> Vec<(u64, Act)> {
+        let scenario = self.scenario;
+        let mut all = Vec::new();
+        for trouble in &scenario.trouble {
+            let at = (trouble.at_s * 1e6) as u64;
+            let until = at + (trouble.for_s * 1e6) as u64;
+            let mut acts: Vec<(u64, Act)> = Vec::new();
+            let size = trouble.size;
+            let both = |acts: &mut Vec<(u64, Act)>, host: usize, fault: Fault| {
+                acts.push((at, Act::Fault(host, fault.clone(), true)));
+                acts.push((until, Act::Fault(host, fault, false)));
+            };
+            match trouble.kind {
+                TroubleKind::HostCrash | TroubleKind::ZoneLoss => {
+                    for host in self.struck(trouble) {
+                        acts.push((at, Act::Host(Command::Crash(host))));
+                        acts.push((at, Act::HostListed(host, HostState::Gone)));
+                        acts.push((until, Act::Host(Command::Start(host))));
+                        acts.push((until + 1, Act::HostListed(host, HostState::Ready)));
+                    }
+                }
+                TroubleKind::Silence => {
+                    for host in self.struck(trouble) {
+                        acts.push((at, Act::Fault(host, Fault::Silent, true)));
+                        acts.push((until, Act::Host(Command::Crash(host))));
+                        acts.push((until + 1, Act::Fault(host, Fault::Silent, false)));
+                        acts.push((until + 300_000, Act::Host(Command::Start(host))));
+                        acts.push((until + 300_001, Act::HostListed(host, HostState::Ready)));
+                    }
+                }
+                TroubleKind::RollingDeploy => {
+                    let hosts = self.struck(trouble);
+                    let batch = ((scenario.fleet.hosts as f64 * size).round() as usize).max(1);
+                    let batches = hosts.len().div_ceil(batch).max(1) as u64;
+                    let step = (until - at) / batches;
+                    for (i, host) in hosts.into_iter().enumerate() {
+                        let at = at + (i / batch) as u64 * step;
+                        acts.push((at, Act::Host(Command::Drain(host))));
+                        acts.push((at, Act::HostListed(host, HostState::Draining)));
+                        acts.push((at + step / 2, Act::Host(Command::Crash(host))));
+                        acts.push((at + step / 2 + 300_000, Act::Host(Command::Start(host))));
+                        acts.push((at + step / 2 + 300_001, Act::HostListed(host, HostState::Ready)));
+                    }
+                }
+                TroubleKind::Shrink => {
+                    for host in self.struck(trouble) {
+                        acts.push((at, Act::Host(Command::Drain(host))));
+                        acts.push((at, Act::HostListed(host, HostState::Draining)));
+                        acts.push((until, Act::Host(Command::Crash(host))));
+                        acts.push((until, Act::HostListed(host, HostState::Gone)));
+                    }
+                }
+                TroubleKind::FastErrors => {
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::Errors(size));
+                    }
+                }
+                TroubleKind::ClassErrors | TroubleKind::ClassSilence => {
+                    let errors = trouble.kind == TroubleKind::ClassErrors;
+                    let class = trouble.class.clone().unwrap_or_else(|| scenario.class[0].rules.name.clone());
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::Class(class.clone(), size, errors));
+                    }
+                }
+                TroubleKind::AnswersLost => {
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::AnswersLost(size));
+                    }
+                }
+                TroubleKind::Neighbour => {
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::Neighbour(size));
+                    }
+                }
+                TroubleKind::SlowAnswers => {
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::Slow(size));
+                    }
+                }
+                TroubleKind::PlacerKill => {
+                    let notice = scenario.demand.front_notice_ms * 1000;
+                    for placer in self.struck_placers(trouble) {
+                        acts.push((at, Act::Kill(placer)));
+                        acts.push(((at + notice).min(until), Act::Noticed(placer)));
+                        acts.push((until + 1, Act::Respawn(placer)));
+                    }
+                }
+                TroubleKind::PlacerPause => {
+                    for placer in self.struck_placers(trouble) {
+                        acts.push((at, Act::Pause(placer)));
+                        acts.push((until, Act::GoOn(placer)));
+                    }
+                }
+                TroubleKind::ResetMidFrame => {
+                    for host in self.struck(trouble) {
+                        acts.push((at, Act::Host(Command::ResetMidFrame(host))));
+                    }
+                }
+                TroubleKind::InventoryLate => {
+                    acts.push((at, Act::Late(size.max(1.0))));
+                    acts.push((until, Act::Late(1.0)));
+                }
+                TroubleKind::InventoryEmpty => {
+                    acts.push((at, Act::Garbage("")));
+                    acts.push((until, Act::Garbage("sound")));
+                }
+                TroubleKind::InventoryGarbage => {
+                    acts.push((at, Act::Garbage("[[host]]\nname = \"host-00\"\nadress = \"?\u{0}\" [[")));
+                    acts.push((until, Act::Garbage("sound")));
+                }
+                TroubleKind::HealthFlaps => {
+                    let period = ((size.max(0.05)) * 1e6) as u64;
+                    for host in self.struck(trouble) {
+                        let offset = self.dice.below(period as usize) as u64;
+                        let mut at = at + offset;
+                        while at < until {
+                            acts.push((at, Act::Flap(host, false)));
+                            acts.push(((at + period / 2).min(until), Act::Flap(host, true)));
+                            at += period;
+                        }
+                    }
+                }
+                TroubleKind::LeaderLost => acts.push((at, Act::LoseLeader(until - at))),
+                TroubleKind::CatalogueLate
+                | TroubleKind::CatalogueStorm
+                | TroubleKind::CatalogueCut
+                | TroubleKind::CataloguePartial
+                | TroubleKind::CatalogueStale => {
+                    let none = CatalogueFaults::default;
+                    let faults = match trouble.kind {
+                        TroubleKind::CatalogueLate => CatalogueFaults { late: (size * 1e6) as u64, ..none() },
+                        TroubleKind::CatalogueStorm => {
+                            CatalogueFaults { storm: Some((size as u16, 1.0)), ..none() }
+                        }
+                        TroubleKind::CatalogueCut => CatalogueFaults { cut: 0.7, ..none() },
+                        TroubleKind::CataloguePartial => CatalogueFaults { partial: size, ..none() },
+                        _ => CatalogueFaults { index_back: size as u64, ..none() },
+                    };
+                    acts.push((at, Act::Catalogue(faults)));
+                    acts.push((until, Act::Catalogue(none())));
+                }
+                // It is in the arrivals, which are drawn ahead.
+                TroubleKind::Overload => {}
+                TroubleKind::HangUps => {
+                    acts.push((at, Act::HangUps(size)));
+                    acts.push((until, Act::HangUps(0.0)));
+                }
+            }
+            all.extend(acts);
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/standin/src/processes.rs
@@ -0,0 +1,125 @@
+//! Placers as processes of their own: started, signalled, stopped.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command as Process, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::options::Options;
+
+/// One placer.
+pub(crate) struct PlacerProcess {
+    pub config: PathBuf,
+    pub log: PathBuf,
+    pub child: Option<Child>,
+    pub paused: bool,
+    /// Times that it was started.
+    pub starts: u64,
+}
+
+/// All placers of a day; those that still run when it is dropped are killed.
+pub(crate) struct Placers {
+    pub all: Vec<PlacerProcess>,
+    told: mpsc::Sender<Start>,
+    starting: mpsc::Receiver<Start>,
+}
+
+/// A placer, its start, and where it then listened, if it did.
+type Start = (usize, u64, Option<SocketAddr>);
+
+impl Placers {
+    pub(crate) fn new() -> Placers {
+        let (told, starting) = mpsc::channel();
+        Placers { all: Vec::new(), told, starting }
+    }
+
+    /// Adds a placer that does not run yet.
+    pub(crate) fn add(&mut self, config: PathBuf, log: PathBuf) {
+        self.all.push(PlacerProcess { config, log, child: None, paused: false, starts: 0 });
+    }
+
+    /// Starts a placer.
+    pub(crate) fn spawn(&mut self, number: usize, options: &Options) -> io::Result<()> {
+        let placer = &mut self.all[number];
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&placer.log)?;
+        let mut process = Process::new(&options.program);
+        process.arg("placer").arg("--config").arg(&placer.config).arg("--log-format").arg("text");
+        if options.keep.is_some() {
+            process.arg("--log").arg("debug");
+        }
+        if options.random || options.rogue > 0 {
+            process.arg("--decider").arg("random").arg("--rogue").arg(options.rogue.to_string());
+        }
+        let mut child = process.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn()?;
+        let out = child.stdout.take();
+        placer.child = Some(child);
+        placer.starts += 1;
+        let (start, told) = (placer.starts, self.told.clone());
+        // It serves only once it has read a sound inventory, which may be long in coming.
+        std::thread::Builder::new().name(format!("starts placer-{number}")).spawn(move || {
+            let mut line = String::new();
+            let read = out.map(|out| BufReader::new(out).read_line(&mut line));
+            let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+            let _ = told.send((number, start, address.filter(|_| matches!(read, Some(Ok(_))))));
+        })?;
+        Ok(())
+    }
+
+    /// The next placer that has begun to serve, and where; waits up to `within` for it. One that ended before it served,
+    /// and was not killed, is an error.
+    pub(crate) fn serves(&mut self, within: Duration) -> io::Result<Option<(usize, SocketAddr)>> {
+        while let Ok((number, start, address)) = self.starting.recv_timeout(within) {
+            let placer = &self.all[number];
+            match address {
+                _ if placer.starts != start || placer.child.is_none() => {}
+                Some(address) => return Ok(Some((number, address))),
+                None => {
+                    let log = std::fs::read_to_string(&placer.log).unwrap_or_default();
+                    return Err(io::Error::other(format!("placer {number} did not start: {log}")));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Sends a signal to a placer that runs.
+    pub(crate) fn signal(&self, number: usize, signal: Signal) -> io::Result<()> {
+        if let Some(child) = &self.all[number].child
+            && let Some(pid) = Pid::from_raw(child.id() as i32)
+        {
+            kill_process(pid, signal)?;
+        }
+        Ok(())
+    }
+
+    /// Tells all to stop, and ends those that do not.
+    pub(crate) fn stop(&mut self) {
+        for number in 0..self.all.len() {
+            let _ = self.signal(number, Signal::TERM);
+        }
+        for placer in &mut self.all {
+            let Some(mut child) = placer.child.take() else { continue };
+            for _ in 0..200 {
+                if matches!(child.try_wait(), Ok(Some(_))) {
+                    break;
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Placers {
+    fn drop(&mut self) {
+        for child in self.all.iter_mut().filter_map(|p| p.child.as_mut()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/report.rs
@@ -0,0 +1,201 @@
+//! What a day came to, as JSON and for a person.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+use maplethread_judge::{Broken, Outcome, Record, Seen, Verdict};
+use maplethread_wire::frame::Frame;
+use serde_json::{Value, json};
+
+use crate::world::Service;
+
+/// What a day came to.
+pub struct Report {
+    /// What the traffic shows.
+    pub verdict: Verdict,
+    /// What was asked for first, which no decider changes.
+    pub first: FirstAsks,
+    /// The worth served over the worth asked for.
+    pub service: Service,
+    /// Seconds that second copies ran.
+    pub double_s: f64,
+    /// Times from an ask to `placed` at the owner, µs, sorted.
+    pub place_us: Vec<u64>,
+    /// Times of decisions, µs, with their counts, of all placers that were up at the end.
+    pub decide_us: BTreeMap<u64, u64>,
+    /// Asks that were held, by what for, as told by the lives of placers that were up at the end.
+    pub held: BTreeMap<String, u64>,
+    /// Offers to a host in the second after its health came back: how many returns, the mean and the most.
+    pub returns: (usize, f64, usize),
+    /// The record, for frames that show a broken rule.
+    pub record: Vec<Record>,
+}
+
+impl Report {
+    /// No rule broken, and no ask without its answer.
+    pub fn good(&self) -> bool {
+        self.verdict.broken.is_empty() && self.verdict.unanswered == 0
+    }
+
+    fn decide_quantile(&self, q: f64) -> u64 {
+        let all: u64 = self.decide_us.values().sum();
+        let mut left = (all as f64 * q).ceil() as u64;
+        for (&value, &count) in &self.decide_us {
+            if left <= count {
+                return value;
+            }
+            left -= count;
+        }
+        self.decide_us.keys().last().copied().unwrap_or(0)
+    }
+
+    fn place_quantile(&self, q: f64) -> f64 {
+        let at = ((self.place_us.len() as f64 * q).ceil() as usize).max(1) - 1;
+        self.place_us.get(at.min(self.place_us.len().saturating_sub(1))).copied().unwrap_or(0) as f64 / 1000.0
+    }
+
+    /// The report as one object.
+    pub fn json(&self) -> Value {
+        let v = &self.verdict;
+        let broken: BTreeMap<String, u64> = v.counts().into_iter().map(|(r, n)| (r.to_string(), n)).collect();
+        json!({
+            "asks": v.asks, "placed": v.placed, "refused": v.refused, "failed": v.failed,
+            "turned_away": v.turned_away, "unanswered": v.unanswered, "excused": v.excused,
+            "first_asks": self.first.asks, "first_placed": self.first.placed,
+            "offers": v.offers, "refused_by": v.refused_by, "held_for": self.held,
+            "service": self.service.whole,
+            "service_worst_10_s": self.service.worst_10_s,
+            "service_worst_class": self.service.worst_class,
+            "double_s": self.double_s,
+            "broken": broken,
+            "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
+            "returns": {"count": self.returns.0, "offers_mean": self.returns.1, "offers_most": self.returns.2},
+            "place_ms": {
+                "p50": self.place_quantile(0.5), "p99": self.place_quantile(0.99), "max": self.place_quantile(1.0),
+            },
+            "decide_us": { "p50": self.decide_quantile(0.5), "p99": self.decide_quantile(0.99) },
+        })
+    }
+
+    fn shown(&self, broken: &Broken) -> Value {
+        let first = self.record.first().map_or(0, |r| r.at);
+        let frames: Vec<String> = broken
+            .shown_by
+            .iter()
+            .take(12)
+            .filter_map(|&i| self.record.get(i))
+            .map(|r| format!("{:.3} s {:?}", (r.at - first) as f64 / 1e6, r.seen))
+            .collect();
+        json!({"rule": broken.rule, "what": broken.what, "records": frames})
+    }
+
+    /// The report for a person.
+    pub fn text(&self) -> String {
+        let v = &self.verdict;
+        let mut out = String::new();
+        let share = |n: u64, of: u64| n as f64 / of.max(1) as f64 * 100.0;
+        let first = &self.first;
+        let _ = writeln!(
+            out,
+            "{} asked for the first time, {:.1}% of them placed by that ask; {} asks came again",
+            first.asks,
+            share(first.placed, first.asks),
+            v.asks - first.asks
+        );
+        let list = |counts: &BTreeMap<String, u64>, of: u64| {
+            let one = |(what, &n): (&String, &u64)| format!("{what} {:.1}%", share(n, of));
+            let all: Vec<String> = counts.iter().map(one).collect();
+            if all.is_empty() { "none".to_owned() } else { all.join(", ") }
+        };
+        let _ = writeln!(
+            out,
+            "what bound, in shares of all asks: held for {}; refused by {}",
+            list(&self.held, v.asks),
+            list(&v.refused_by, v.asks)
+        );
+        let s = &self.service;
+        let _ = writeln!(
+            out,
+            "asks {}: placed {}, refused {}, failed {}, turned away {}; unanswered {}, excused {}",
+            v.asks, v.placed, v.refused, v.failed, v.turned_away, v.unanswered, v.excused
+        );
+        let _ = writeln!(
+            out,
+            "service {:.3} of the worth asked for; worst ten seconds {:.3}, worst-served class {:.3} (simulated work)",
+            s.whole, s.worst_10_s, s.worst_class
+        );
+        let _ = writeln!(
+            out,
+            "ask to placed: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms; decisions: p50 {} us, p99 {} us; {} offers",
+            self.place_quantile(0.5),
+            self.place_quantile(0.99),
+            self.place_quantile(1.0),
+            self.decide_quantile(0.5),
+            self.decide_quantile(0.99),
+            v.offers
+        );
+        for broken in v.broken.iter().take(10) {
+            let _ = writeln!(out, "rule {} broken: {}", broken.rule, broken.what);
+            if let Some(records) = self.shown(broken)["records"].as_array() {
+                for line in records.iter().filter_map(Value::as_str) {
+                    let _ = writeln!(out, "    {line}");
+                }
+            }
+        }
+        if v.broken.len() > 10 {
+            let _ = writeln!(out, "and {} more", v.broken.len() - 10);
+        }
+        let _ = if self.good() {
+            writeln!(out, "all five rules held, and every ask had exactly one answer")
+        } else {
+            writeln!(out, "RULES BROKEN: {:?} (rule: times)", v.counts())
+        };
+        out
+    }
+}
+
+/// Asks of owners that had never asked before.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstAsks {
+    /// So many.
+    pub asks: u64,
+    /// So many of them were answered `placed`.
+    pub placed: u64,
+}
+
+impl FirstAsks {
+    /// Those of a record: owners number their asks.
+    pub(crate) fn of(record: &[Record]) -> FirstAsks {
+        let mut first = FirstAsks::default();
+        for r in record {
+            match &r.seen {
+                Seen::Asked { request, .. } if request.ends_with(".1") => first.asks += 1,
+                Seen::Answered { request, outcome: Outcome::Placed(_) } if request.ends_with(".1") => {
+                    first.placed += 1;
+                }
+                _ => {}
+            }
+        }
+        first
+    }
+}
+
+/// Offers to hosts in the second after each of these returns: how many returns, the mean and the most.
+pub(crate) fn returns(record: &[Record], returned: &[(u64, Arc<str>)]) -> (usize, f64, usize) {
+    let mut offers: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for r in record {
+        if let Seen::FromPlacer { host, frame: Frame::Offer(_), .. } = &r.seen {
+            offers.entry(host).or_default().push(r.at);
+        }
+    }
+    let counts: Vec<usize> = returned
+        .iter()
+        .map(|(at, host)| {
+            let all = offers.get(&**host).map(Vec::as_slice).unwrap_or_default();
+            all.iter().filter(|&&o| o >= *at && o < at + 1_000_000).count()
+        })
+        .collect();
+    let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
+    (counts.len(), mean, counts.iter().copied().max().unwrap_or(0))
+}
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -308,6 +308,20 @@
         self
     }
 
+    /// The same day on so many hosts: demand grows with the fleet (`demand.load` is a share of its cores), so services
+    /// grow with it too, and each of them is wanted as much as before; and cells keep their number, as zones do.
+    /// Troubles strike shares of hosts and placers, and need no change.
+    pub fn sized(mut self, hosts: usize) -> Scenario {
+        let by = hosts as f64 / self.fleet.hosts as f64;
+        let grown = |n: usize| ((n as f64 * by).round() as usize).max(1);
+        for class in &mut self.class {
+            class.services = grown(class.services);
+        }
+        self.fleet.cell_size = grown(self.fleet.cell_size);
+        self.fleet.hosts = hosts;
+        self
+    }
+
     /// The share of the fleet that is wanted at a time.
     pub fn load_at(&self, s: f64) -> f64 {
         let points = &self.demand.load;
--- /dev/null
+++ b/crates/standin/src/settings.rs
@@ -0,0 +1,177 @@
+//! What a scenario means for the others: settings of placers, the inventory, and the judge's figures.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use maplethread_config::{
+    Api, Consul, Damping, HostEntry, HostState, Hosts, Identity, Inventory, Membership, PlacerConfig,
+    Placing, Prices, Reads, Rules as PlacerRules,
+};
+use maplethread_judge::{ClassRule, Figures, Group, Place, Where};
+
+use crate::owners::SLACK;
+use crate::scenario::Scenario;
+
+/// Settings of the placer of this number on a day. `servers` are those of its catalogue, if it reads one.
+pub(crate) fn placer(
+    s: &Scenario,
+    number: usize,
+    seed: u64,
+    servers: Option<(&[SocketAddr], Damping)>,
+) -> PlacerConfig {
+    let zones = &s.fleet.zones;
+    PlacerConfig {
+        placer: Identity {
+            name: format!("placer-{number}"),
+            number: number as u32,
+            placers: s.placers,
+            zone: zones[number % zones.len()].clone(),
+            zones: zones.clone(),
+            seed: Some(seed.wrapping_mul(1000) + number as u64),
+        },
+        api: api(),
+        hosts: Hosts { inventory: servers.is_none().then(|| "hosts.toml".into()), ..hosts("hosts.toml") },
+        consul: servers.map(|(servers, damping)| {
+            let membership = Membership {
+                service: "maplethread-placer".to_owned(),
+                prefix: "maplethread/slots".to_owned(),
+                ttl_ms: 2_000,
+                lock_delay_ms: 1_000,
+            };
+            consul(servers.to_vec(), damping, Some(membership))
+        }),
+        placing: Placing {
+            placed_when: s.fleet.placed_when,
+            admit_cores: s.fleet.over_cores,
+            admit_memory: s.fleet.over_memory,
+            ..Placing::default()
+        },
+        rules: PlacerRules {
+            ask_within_ms: 10_000,
+            cold_from: s.rules.cold_from,
+            cold_for_ms: s.rules.cold_for_ms,
+            fall_multiple: s.rules.fall_multiple,
+            fall_window_ms: s.rules.fall_window_ms,
+            fresh_offers: s.rules.fresh_offers,
+        },
+        prices: Prices::default(),
+        kind: s.kind.iter().map(|k| k.kind()).collect(),
+        class: s.class.iter().map(|c| c.rules.clone()).collect(),
+    }
+}
+
+/// Figures of the rules, as the judge takes them.
+pub(crate) fn figures(s: &Scenario) -> Figures {
+    let class = |c: &crate::scenario::Class| {
+        use maplethread_config as mc;
+        ClassRule {
+            name: c.rules.name.clone(),
+            keyed: c.rules.group.zip(c.rules.window_ms).map(|(group, ms)| {
+                let group = match group {
+                    mc::Group::All => Group::All,
+                    mc::Group::Zone => Group::Zone,
+                    mc::Group::Cell => Group::Cell,
+                };
+                (group, ms * 1000)
+            }),
+            spread: c.rules.spread_over.zip(c.rules.spread_most).map(|(place, most)| {
+                let place = match place {
+                    mc::Place::Host => Place::Host,
+                    mc::Place::Cell => Place::Cell,
+                    mc::Place::Zone => Place::Zone,
+                };
+                (place, most)
+            }),
+        }
+    };
+    let host = |number: usize| {
+        let (zone, cell) = s.place_of(number);
+        Where { host: format!("host-{number:02}").into(), zone: zone.into(), cell: cell.into() }
+    };
+    Figures {
+        classes: s.class.iter().map(class).collect(),
+        hosts: (0..s.fleet.hosts).map(host).collect(),
+        placers: s.placers,
+        drain_grace: s.rules.drain_grace_ms * 1000,
+        cold_for: s.rules.cold_for_ms * 1000,
+        fall_window: s.rules.fall_window_ms * 1000,
+        fresh_offers: s.rules.fresh_offers,
+        lost_after: hosts("").lost_after_ms * 1000,
+        slack: SLACK,
+    }
+}
+
+/// The inventory, of hosts at these addresses and as listed.
+pub(crate) fn inventory(
+    scenario: &Scenario,
+    addresses: &[SocketAddr],
+    listed: &[(HostState, Option<u64>)],
+) -> Inventory {
+    let entry = |number: usize| {
+        let (zone, cell) = scenario.place_of(number);
+        let (state, started_ms) = listed[number];
+        HostEntry {
+            name: format!("host-{number:02}"),
+            address: addresses[number],
+            zone,
+            cell,
+            kind: scenario.kind_of(number).name.clone(),
+            state,
+            started_ms,
+            unasked_cores: None,
+            unasked_memory_gib: None,
+        }
+    };
+    Inventory { host: (0..scenario.fleet.hosts).map(entry).collect() }
+}
+
+pub(crate) fn api() -> Api {
+    Api {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        max_clients: 10_000,
+        max_asks: 20_000,
+        max_actors: 200_000,
+        max_body_bytes: 16 << 10,
+        max_unread_bytes: 1 << 20,
+        max_pipelined: 32,
+        max_budget_ms: 600_000,
+        request_within_ms: 10_000,
+        idle_close_ms: 60_000,
+        answers_kept_ms: 30_000,
+        answers_kept: 50_000,
+        events_kept: 50_000,
+        settle_ms: 3_000,
+        stop_within_ms: 10_000,
+    }
+}
+
+pub(crate) fn hosts(inventory: impl AsRef<Path>) -> Hosts {
+    Hosts {
+        inventory: Some(inventory.as_ref().to_owned()),
+        max_hosts: 8192,
+        connect_within_ms: 1000,
+        reconnect_first_ms: 100,
+        reconnect_most_ms: 2000,
+        ping_every_ms: 1000,
+        silent_after_ms: 3000,
+        lost_after_ms: 5000,
+        max_unwritten_bytes: 256 << 10,
+    }
+}
+
+/// Settings of a placer that reads its hosts from these servers.
+pub(crate) fn consul(servers: Vec<SocketAddr>, damping: Damping, membership: Option<Membership>) -> Consul {
+    Consul {
+        servers,
+        service: "maplethread-host".to_owned(),
+        datacentre: Some("dc1".to_owned()),
+        token_file: None,
+        reads: Reads::Stale,
+        filter: None,
+        wait_ms: 2_000,
+        members_every_ms: 1_000,
+        max_answer_bytes: 32 << 20,
+        damping,
+        membership,
+    }
+}
