--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -91,6 +91,9 @@
     /// Draw the day's demand and troubles from the seed
     #[arg(long, conflicts_with = "scenario")]
     drawn: bool,
+    /// Leave troubles of this kind out, such as `rolling_restart`
+    #[arg(long, value_name = "KIND")]
+    without: Vec<String>,
     /// Write the scenario that is played to this file
     #[arg(long, value_name = "FILE")]
     write_scenario: Option<PathBuf>,
@@ -247,6 +250,10 @@
     if let Some(hosts) = args.hosts {
         scenario = scenario.sized(hosts.max(1));
     }
+    for kind in &args.without {
+        let known = serde_json::from_value(kind.as_str().into());
+        scenario = scenario.without(known.map_err(|e| format!("--without {kind}: {e}"))?);
+    }
     if let Some(file) = &args.write_scenario {
         let text = toml::to_string(&scenario).map_err(|e| e.to_string())?;
         std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -91,6 +91,29 @@
     assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
 }
 
+#[test]
+fn placers_that_restart_over_cold_hosts_keep_the_rules() {
+    // With a fresh account after each start this day broke rule 4 every time.
+    let day = concat!(env!("CARGO_MANIFEST_DIR"), "/../standin/scenarios/restarts.toml");
+    let (code, report) = bad_day(&["--scenario", day, "--seed", "5"]);
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+    assert!(report["placed"].as_u64() > Some(200), "{report:#}");
+}
+
+#[test]
+fn a_drawn_day_breaks_no_rule_and_is_written_as_it_is_played() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("drawn.toml");
+    let file = file.to_str().expect("a name");
+    let args = ["--drawn", "--seed", "3", "--seconds", "12", "--placers", "3", "--hosts", "15"];
+    let (code, report) = bad_day(&[&args[..], &["--write-scenario", file]].concat());
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+    // Played from its file it has the same first asks, though another decides.
+    let (_, again) = bad_day(&["--scenario", file, "--seed", "3", "--random"]);
+    assert_eq!(again["first_asks"], report["first_asks"], "{again:#}");
+    assert!(report["first_asks"].as_u64() > Some(200), "{report:#}");
+}
+
 #[test]
 fn a_short_bad_day_with_a_catalogue_breaks_no_rule() {
     let (code, report) =
--- /dev/null
+++ b/crates/engine/tests/deadlines.rs
@@ -0,0 +1,101 @@
+//! Deadlines that hold whatever the decider does, and however long the caller stood still.
+
+use maplethread::{Action, Event, Micros};
+use maplethread_config::{Doc, PlacerConfig};
+use maplethread_engine::{Boot, ClientId, Decide, Engine, Output};
+
+const CONFIG: &str = include_str!("../../../config/placer.toml");
+const NOW: u64 = 1_700_000_000_000_000;
+const CLIENT: ClientId = ClientId(1);
+
+/// Never answers, and can refuse to let the engine do so.
+struct Silent {
+    last_word: bool,
+}
+
+impl Decide for Silent {
+    fn turn(&mut self, _: Micros, _: &[Event], _: &mut Vec<Action>) {}
+
+    fn last_word(&self) -> bool {
+        self.last_word
+    }
+}
+
+fn engine(last_word: bool) -> Engine<Silent> {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let mut engine = Engine::new(config, Silent { last_word }, Boot { started_ms: NOW / 1000, seed: 1 }, NOW);
+    engine.client_opened(NOW, CLIENT);
+    engine
+}
+
+fn ask(budget_ms: u64) -> Vec<u8> {
+    let body = format!(
+        r#"{{"service":"s","actor":"a","class":"web-api","cores":1,"memory_gib":1,"budget_ms":{budget_ms}}}"#
+    );
+    format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
+}
+
+fn said(engine: &mut Engine<Silent>) -> String {
+    let said = engine.outputs().into_iter().filter_map(|o| match o {
+        Output::ToClient(_, bytes) => Some(String::from_utf8_lossy(&bytes).into_owned()),
+        _ => None,
+    });
+    said.collect()
+}
+
+/// Runs all timers up to a time; when the client was told something, and what.
+fn run(engine: &mut Engine<Silent>, until: u64) -> Option<(u64, String)> {
+    while let Some(at) = engine.next_timeout().filter(|&at| at <= until) {
+        engine.turn(at, false);
+        let text = said(engine);
+        if !text.is_empty() {
+            return Some((at, text));
+        }
+    }
+    None
+}
+
+#[test]
+fn what_the_decider_leaves_open_is_answered_before_the_deadline_and_counted() {
+    let mut engine = engine(true);
+    engine.client_bytes(NOW, CLIENT, &ask(1000));
+    engine.turn(NOW, false);
+    let (at, text) = run(&mut engine, NOW + 3_000_000).expect("an answer");
+    assert!(at < NOW + 1_000_000 && at > NOW + 900_000, "{} us after the ask", at - NOW);
+    assert!(text.contains("\"outcome\":\"refused\"") && text.contains("\"reason\":\"unknown\""), "{text}");
+    assert_eq!((engine.counters().overdue, engine.counters().refused, engine.open_asks()), (1, 1, 0));
+    // A decider that is to break the rule is let.
+    let mut rogue = self::engine(false);
+    rogue.client_bytes(NOW, CLIENT, &ask(1000));
+    rogue.turn(NOW, false);
+    assert_eq!(run(&mut rogue, NOW + 3_000_000), None);
+}
+
+#[test]
+fn a_budget_counts_from_when_the_ask_may_have_come() {
+    // Read after a second of standing still, it may have been sent at the beginning of that second.
+    let mut engine = engine(true);
+    engine.unread_since(NOW);
+    engine.client_bytes(NOW + 1_000_000, CLIENT, &ask(1500));
+    engine.turn(NOW + 1_000_000, true);
+    let (at, text) = run(&mut engine, NOW + 5_000_000).expect("an answer");
+    assert!(at < NOW + 1_500_000, "{} us after it may have been sent: {text}", at - NOW);
+    // The next turn's asks are fresh again.
+    engine.client_bytes(at, CLIENT, &ask(1500));
+    engine.turn(at, false);
+    let (next, _) = run(&mut engine, at + 5_000_000).expect("an answer");
+    assert!(next > at + 1_400_000);
+}
+
+#[test]
+fn an_ask_whose_budget_is_over_is_not_taken() {
+    let mut engine = engine(true);
+    engine.unread_since(NOW);
+    engine.client_bytes(NOW + 2_000_000, CLIENT, &ask(1500));
+    engine.turn(NOW + 2_000_000, true);
+    let text = said(&mut engine);
+    assert!(text.starts_with("HTTP/1.1 503") && text.contains("stood-still"), "{text}");
+    assert!(text.contains("Retry-After: 1"), "{text}");
+    assert_eq!((engine.counters().asks, engine.open_asks()), (0, 0));
+}
--- /dev/null
+++ b/crates/judge/tests/excuses.rs
@@ -0,0 +1,75 @@
+//! Rule 1 around absences: what could have been answered is owed, what could not is excused.
+
+use std::sync::Arc;
+
+use maplethread_judge::{Figures, Outcome, Record, Seen, judge};
+
+const S: u64 = 1_000_000;
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+fn figures() -> Figures {
+    Figures {
+        classes: Vec::new(),
+        hosts: Vec::new(),
+        placers: 1,
+        drain_grace: 2 * S,
+        cold_for: 6 * S,
+        fall_window: 2 * S,
+        fresh_offers: 16.0,
+        lost_after: 5 * S,
+        reprieve: S / 2,
+        slack: 150_000,
+    }
+}
+
+/// An ask at 10 s with 3 s to answer, and what happened to its placer; unanswered and excused.
+fn verdict(happened: &[(u64, Seen)]) -> (u64, u64) {
+    let asked = Seen::Asked { request: name("r"), placer: name("p"), class: name("c"), budget_us: 3 * S };
+    let mut records = vec![Record { at: 10 * S, seen: asked }];
+    records.extend(happened.iter().map(|(at, seen)| Record { at: *at, seen: seen.clone() }));
+    records.push(Record { at: 30 * S, seen: Seen::PlacerUp { placer: name("other") } });
+    records.sort_by_key(|r| r.at);
+    let verdict = judge(&records, &figures());
+    assert_eq!(verdict.broken.len() as u64, verdict.unanswered);
+    (verdict.unanswered, verdict.excused)
+}
+
+#[test]
+fn silence_is_excused_only_where_no_answer_could_be_given() {
+    let paused = || Seen::PlacerPaused { placer: name("p") };
+    let goes_on = || Seen::PlacerGoesOn { placer: name("p") };
+    let down = || Seen::PlacerDown { placer: name("p") };
+    let up = || Seen::PlacerUp { placer: name("p") };
+    assert_eq!(verdict(&[]), (1, 0), "it ran all the time");
+    // Half a second of three: the answer is owed.
+    assert_eq!(verdict(&[(10 * S + S / 10, paused()), (10 * S + 6 * S / 10, goes_on())]), (1, 0));
+    assert_eq!(verdict(&[(9 * S, paused()), (11 * S, goes_on())]), (1, 0));
+    // Up to the deadline, or to less than the reprieve before it: excused.
+    assert_eq!(verdict(&[(12 * S, paused()), (14 * S, goes_on())]), (0, 1));
+    assert_eq!(verdict(&[(11 * S, paused()), (12 * S + 6 * S / 10, goes_on())]), (0, 1));
+    assert_eq!(verdict(&[(11 * S, paused()), (12 * S + 4 * S / 10, goes_on())]), (1, 0));
+    // The life that took it died: excused, even if the next one was up in time. One that died before owes nothing
+    // of this, one that died after owed it.
+    assert_eq!(verdict(&[(11 * S, down()), (11 * S + S / 2, up())]), (0, 1));
+    assert_eq!(verdict(&[(5 * S, down()), (6 * S, up())]), (1, 0));
+    assert_eq!(verdict(&[(14 * S, down()), (15 * S, up())]), (1, 0));
+    // A process that was stopped and continued while it was still starting had not come back by that.
+    let starting = [(9 * S, down()), (11 * S, paused()), (11 * S + S / 10, goes_on()), (14 * S, up())];
+    assert_eq!(verdict(&starting), (0, 1));
+}
+
+#[test]
+fn an_answer_is_given_once_and_in_time() {
+    let placed = || Seen::Answered { request: name("r"), outcome: Outcome::Placed("h".to_owned()) };
+    assert_eq!(verdict(&[(12 * S, placed())]), (0, 0));
+    let ask = Seen::Asked { request: name("r"), placer: name("p"), class: name("c"), budget_us: 3 * S };
+    for times in [vec![12 * S, 12 * S + 1], vec![13 * S + 200_000]] {
+        let mut records = vec![Record { at: 10 * S, seen: ask.clone() }];
+        records.extend(times.iter().map(|&at| Record { at, seen: placed() }));
+        let verdict = judge(&records, &figures());
+        assert_eq!(verdict.counts().get(&1), Some(&1), "{times:?}");
+    }
+}
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -160,6 +160,18 @@
                         acts.push((until + 1, Act::Respawn(placer)));
                     }
                 }
+                TroubleKind::RollingRestart => {
+                    let mut placers: Vec<usize> = (0..scenario.placers as usize).collect();
+                    self.dice.shuffle(&mut placers);
+                    let step = (until - at) / placers.len().max(1) as u64;
+                    let notice = (scenario.demand.front_notice_ms * 1000).min(step / 2);
+                    for (i, placer) in placers.into_iter().enumerate() {
+                        let at = at + i as u64 * step;
+                        acts.push((at, Act::Kill(placer)));
+                        acts.push((at + notice, Act::Noticed(placer)));
+                        acts.push((at + step / 2 + 1, Act::Respawn(placer)));
+                    }
+                }
                 TroubleKind::PlacerPause => {
                     for placer in self.struck_placers(trouble) {
                         acts.push((at, Act::Pause(placer)));
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -170,6 +170,8 @@
     Shrink,
     /// Placers are killed and started anew.
     PlacerKill,
+    /// All placers are killed and started anew, one after the other.
+    RollingRestart,
     /// Placers stand still and go on.
     PlacerPause,
     /// Connections are reset in the middle of a frame.
@@ -308,6 +310,12 @@
         self
     }
 
+    /// The same day without troubles of a kind, to see what they cost.
+    pub fn without(mut self, kind: TroubleKind) -> Scenario {
+        self.trouble.retain(|t| t.kind != kind);
+        self
+    }
+
     /// The same day on so many hosts: demand grows with the fleet (`demand.load` is a share of its cores), so services
     /// grow with it too, and each of them is wanted as much as before; and cells keep their number, as zones do.
     /// Troubles strike shares of hosts and placers, and need no change.
