Catalogue at rest: wait for the index alone, read the list when it moves

400 placers at rest read 460 MiB a minute, since each wait that ends sends the whole list. A list that changes under an unchanged index, and servers that do not filter, bring whole lists back.

--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -158,6 +158,9 @@
     /// A filter expression for the hosts' entries.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub filter: Option<String>,
+    /// Between reads of the whole list, wait for its index alone to move.
+    #[serde(default = "d::yes")]
+    pub watch: bool,
     /// A blocking query waits so long for news; at most half of `rules.ask_within_ms`.
     #[serde(default = "d::wait")]
     pub wait_ms: u64,
@@ -405,6 +408,9 @@
 
 /// Defaults.
 mod d {
+    pub fn yes() -> bool {
+        true
+    }
     pub fn one() -> f64 {
         1.0
     }
--- a/crates/consul-standin/src/server.rs
+++ b/crates/consul-standin/src/server.rs
@@ -528,7 +528,9 @@
             all.truncate((all.len() as f64 * faults.partial) as usize);
             body = Value::Array(all).to_string().into_bytes();
         }
-        let watched = matches!(read.what, What::HealthService(..)) && self.settings.watch.is_some();
+        let watched = matches!(read.what, What::HealthService(..))
+            && read.filter.is_empty()
+            && self.settings.watch.is_some();
         let watched = watched.then(|| (who.to_owned(), index, read.consistent, body.clone()));
         self.answer_with(token, server, status, &body, Some(index), watched);
     }
--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod query;
 mod source;
 pub mod trust;
+mod watch;
 
 pub use source::{CallId, Out, Report, Source, Update};
 
--- a/crates/consul/src/source.rs
+++ b/crates/consul/src/source.rs
@@ -15,6 +15,7 @@
 use crate::lease::{Ask, Lease, Told};
 use crate::query::{BackOff, Meta, Mode, Target, escape, next_index};
 use crate::trust::{Belief, Trust};
+use crate::watch::{Next, Watch, nothing};
 
 /// A call, to be told apart from others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -60,6 +61,8 @@
     pub bad_entries: usize,
     /// Answers taken, rejected, and calls that failed.
     pub taken: u64,
+    /// Answers that told that nothing had changed, without the list.
+    pub unchanged: u64,
     /// See `taken`.
     pub rejected: u64,
     /// See `taken`.
@@ -100,6 +103,11 @@
     calls: BTreeMap<CallId, Purpose>,
     loops: BTreeMap<Purpose, Loop>,
     index: u64,
+    watch: Watch,
+    /// The query of the list that is out asks for nothing but the index.
+    watching: bool,
+    /// How late an answer about the list may be.
+    late: Micros,
     trust: Trust,
     /// What was last taken, by name.
     entries: BTreeMap<String, Entry>,
@@ -126,6 +134,10 @@
 const LEAST_BETWEEN: Micros = 30_000;
 /// Calls that do not block are waited for so long.
 const SHORT: Micros = 2_000_000;
+/// An answer about the list that comes so late is still news, where `ask_within` leaves as much.
+const LATE: Micros = 6_000_000;
+/// Left of `ask_within` when a late answer is given up.
+const LATE_MARGIN: Micros = 500_000;
 
 impl Source {
     /// A source by a placer's settings.
@@ -143,6 +155,9 @@
         };
         let lease =
             consul.membership.as_ref().map(|m| Lease::new(placer.placer.placers, m.ttl_ms * 1000, seed ^ 1));
+        let wait = consul.wait_ms * 1000;
+        let left = (placer.rules.ask_within_ms * 1000).saturating_sub(wait + wait / 16 + LATE_MARGIN);
+        let late = left.min(LATE);
         let mut source = Source {
             known,
             who: format!("maplethread ({})", placer.placer.name),
@@ -152,6 +167,9 @@
             calls: BTreeMap::new(),
             loops: BTreeMap::new(),
             index: 0,
+            watch: Watch::new(consul.watch),
+            watching: false,
+            late: late.max(SHORT),
             trust: Trust::new(consul.datacentre.clone()),
             entries: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -241,7 +259,7 @@
         self.tell(now, released);
         for purpose in [Purpose::Health, Purpose::Members, Purpose::Register, Purpose::Pass] {
             if self.loops.get(&purpose).is_some_and(|l| l.call.is_none() && l.due <= now) {
-                self.call(purpose);
+                self.call(now, purpose);
             }
         }
         self.lease_step(now);
@@ -261,9 +279,9 @@
         Target::new(path).maybe("dc", self.config.datacentre.as_deref())
     }
 
-    fn health(&self, mode: Mode) -> Target {
+    fn health(&self, mode: Mode, filter: Option<&str>) -> Target {
         let path = format!("/v1/health/service/{}", escape(&self.config.service));
-        self.target(path).maybe("filter", self.config.filter.as_deref()).mode(mode)
+        self.target(path).maybe("filter", filter).mode(mode)
     }
 
     fn send(&mut self, purpose: Purpose, server: usize, request: Vec<u8>, within: Micros) -> CallId {
@@ -274,7 +292,7 @@
         call
     }
 
-    fn call(&mut self, purpose: Purpose) {
+    fn call(&mut self, now: Micros, purpose: Purpose) {
         let wait = self.config.wait_ms;
         let mode = match self.config.reads {
             Reads::Default => Mode::Default,
@@ -283,16 +301,21 @@
         };
         let (target, method, body, within) = match purpose {
             Purpose::Health => {
-                let mut target = self.health(mode);
-                let mut within = SHORT;
-                if self.index > 0 {
+                let next = if self.index > 0 { self.watch.next(now) } else { Next::Whole };
+                self.watching = next == Next::Watch;
+                let empty = self.watching.then(|| nothing(self.config.filter.as_deref()));
+                let mut target = self.health(mode, empty.as_deref().or(self.config.filter.as_deref()));
+                let mut within = self.late;
+                if next != Next::Whole {
                     target = target.with("index", &self.index.to_string()).with("wait", &format!("{wait}ms"));
                     // The server adds up to a sixteenth of the wait.
                     within += (wait + wait / 16) * 1000;
                 }
                 (target, "GET", Value::Null, within)
             }
-            Purpose::Confirm => (self.health(Mode::Consistent), "GET", Value::Null, SHORT),
+            Purpose::Confirm => {
+                (self.health(Mode::Consistent, self.config.filter.as_deref()), "GET", Value::Null, SHORT)
+            }
             Purpose::Members => (Target::new("/v1/agent/members"), "GET", Value::Null, SHORT),
             Purpose::Register => {
                 let Some((name, address)) = &self.own else { return };
@@ -365,6 +388,9 @@
         if self.loops.get(&purpose).is_none_or(|l| l.call != Some(call)) {
             return;
         }
+        if purpose == Purpose::Health && self.watching && status == 400 {
+            self.watch.refused();
+        }
         if status != 200 {
             let why = String::from_utf8_lossy(&message.body[..message.body.len().min(120)]).into_owned();
             self.fail(now, purpose, &format!("status {status}: {why}"));
@@ -375,6 +401,9 @@
         }
         let meta = Meta::of(message);
         match purpose {
+            Purpose::Health if self.watching && message.body.trim_ascii() == b"[]" => {
+                self.at_rest(now, meta);
+            }
             Purpose::Health | Purpose::Confirm => match catalogue::read(&message.body, &self.known) {
                 Ok(listed) => self.listing(now, purpose, meta, listed),
                 Err(why) => {
@@ -455,9 +484,28 @@
         self.fail_over(purpose);
     }
 
+    /// The watch's answer: nothing but the index. Any other index is news, whichever way it went.
+    fn at_rest(&mut self, now: Micros, meta: Meta) {
+        let moved = meta.index != self.index;
+        self.watch.told(moved);
+        if moved {
+            self.again(Purpose::Health, now);
+        } else {
+            self.heard = Some(now);
+            self.report.unchanged += 1;
+            self.again(Purpose::Health, now + LEAST_BETWEEN);
+        }
+    }
+
     fn listing(&mut self, now: Micros, purpose: Purpose, meta: Meta, listed: Listed) {
         let consistent = purpose == Purpose::Confirm || self.config.reads == Reads::Consistent;
         if purpose == Purpose::Health {
+            if std::mem::take(&mut self.watching) {
+                self.watch.refused();
+            }
+            let unannounced = meta.index == self.index && listed.entries != self.entries;
+            let drawn = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+            self.watch.whole(now, unannounced && listed.bad.is_empty(), drawn);
             self.index = next_index(self.index, meta.index);
             self.again(purpose, now + LEAST_BETWEEN);
         } else {
@@ -513,7 +561,7 @@
         let l = self.loops.entry(Purpose::Confirm).or_insert(Loop { server, ..Loop::default() });
         if l.call.is_none() {
             (l.due, l.server) = (now, server);
-            self.call(Purpose::Confirm);
+            self.call(now, Purpose::Confirm);
         }
     }
 
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -169,6 +169,7 @@
         token_file: None,
         reads: Reads::Stale,
         filter: None,
+        watch: true,
         wait_ms: 2_000,
         members_every_ms: 1_000,
         max_answer_bytes: 32 << 20,
