--- a/crates/engine/src/answers.rs
+++ b/crates/engine/src/answers.rs
@@ -25,6 +25,18 @@
     Failed { request: Arc<str>, unknown: String, attempts: u32 },
 }
 
+impl Answer {
+    /// The same answer to another request.
+    pub fn named(&self, id: Arc<str>) -> Answer {
+        let mut named = self.clone();
+        let (Answer::Placed { request, .. }
+        | Answer::Refused { request, .. }
+        | Answer::Failed { request, .. }) = &mut named;
+        *request = id;
+        named
+    }
+}
+
 /// What an Idempotency-Key stands for.
 #[derive(Clone, Debug)]
 pub enum Known {
--- a/crates/engine/src/asks.rs
+++ b/crates/engine/src/asks.rs
@@ -43,8 +43,10 @@
 
     pub(crate) fn forget_ask(&mut self, task: TaskId) -> Option<Ask> {
         let ask = self.asks.remove(&task)?;
-        if self.by_request.get(&ask.request) == Some(&task) {
-            self.by_request.remove(&ask.request);
+        for id in ask.waiters.iter().map(|w| &w.2).chain([&ask.request]) {
+            if self.by_request.get(id) == Some(&task) {
+                self.by_request.remove(id);
+            }
         }
         if self.actors.get(&ask.key) == Some(&Actor::Asking(task)) {
             self.actors.remove(&ask.key);
@@ -85,7 +87,9 @@
                 let detail = "64 requests wait for this ask already";
                 return Err(Problem::busy("too-many-waiters", "Too many requests for one ask", detail));
             }
-            ask.waiters.push((client, slot));
+            let id = request.map_or_else(|| ask.request.clone(), Arc::from);
+            ask.waiters.push((client, slot, id.clone()));
+            self.by_request.entry(id).or_insert(ask.task.id);
             let task = ask.task.id;
             self.waits(client, task, true);
             return Ok(());
@@ -166,7 +170,7 @@
         }
         self.by_request.insert(request.clone(), id);
         self.actors.insert(key.clone(), Actor::Asking(id));
-        let waiters = vec![(client, slot)];
+        let waiters = vec![(client, slot, request.clone())];
         let (asked, out, attempts, reason, lack, may_run) = (self.now, None, 0, None, None, None);
         let ask = Ask {
             task,
@@ -236,7 +240,7 @@
         if let Some(key) = &ask.idempotency {
             self.answers.answered(key, self.now, bytes.clone().into());
         }
-        for (client, slot) in ask.waiters {
+        for (client, slot, id) in ask.waiters {
             self.waits(client, task, false);
             if late {
                 // Its owner gave up: nothing is said after the deadline, and the silence is made plain.
@@ -244,7 +248,9 @@
                 self.outputs.push(Output::CloseClient(client));
                 self.client_closed(self.now, client);
             } else {
-                self.reply(client, slot, bytes.clone(), false);
+                // Each request that waited has the answer under its own id.
+                let own = if id == ask.request { bytes.clone() } else { api::answer(200, &answer.named(id)) };
+                self.reply(client, slot, own, false);
             }
         }
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -113,7 +113,8 @@
     pub key: ActorKey,
     pub request: Arc<str>,
     pub idempotency: Option<Arc<str>>,
-    pub waiters: Vec<(ClientId, u64)>,
+    /// Who waits for the answer: the connection, the request's place on it, and its id.
+    pub waiters: Vec<(ClientId, u64, Arc<str>)>,
     pub copies: Copies,
     pub out: Option<u64>,
     pub attempts: u32,
@@ -215,6 +216,9 @@
     pub(crate) timers: Timers<Due>,
     pub(crate) hosts: BTreeMap<HostId, Host>,
     pub(crate) by_name: BTreeMap<Arc<str>, HostId>,
+    /// Hosts that are gone: their number, connections so far, and since when. One that comes back is the same host:
+    /// what it was sent a moment ago still counts.
+    pub(crate) gone: BTreeMap<Arc<str>, (HostId, u64, Micros)>,
     pub(crate) cells: Numbers,
     pub(crate) next_host: u32,
     pub(crate) listed: bool,
@@ -266,6 +270,7 @@
             timers: Timers::default(),
             hosts: BTreeMap::new(),
             by_name: BTreeMap::new(),
+            gone: BTreeMap::new(),
             cells: Numbers::default(),
             next_host: 0,
             listed: false,
--- a/crates/engine/src/hosts.rs
+++ b/crates/engine/src/hosts.rs
@@ -37,6 +37,8 @@
     pub link: Link,
     /// Counts connections, so that timers of an old one are known as such.
     pub epoch: u64,
+    /// Connections of before it was last gone; their timers mean nothing to it.
+    pub born: u64,
     /// Tries to connect since the last success.
     pub tries: u32,
     /// Bytes queued on this connection since it was made, and those that the kernel took.
@@ -75,6 +77,7 @@
             drains: false,
             link: Link::Down,
             epoch: 0,
+            born: 0,
             tries: 0,
             queued: 0,
             written: 0,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
 
-/// A host, numbered by the engine and never used again.
+/// A host, numbered by the engine; no other host gets its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HostId(pub u32);
 
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -104,8 +104,15 @@
         self.followers.remove(&id);
         for task in client.waits {
             let Some(ask) = self.asks.get_mut(&task) else { continue };
-            ask.waiters.retain(|w| w.0 != id);
-            if ask.waiters.is_empty() {
+            let left: Vec<_> = ask.waiters.extract_if(.., |w| w.0 == id).collect();
+            let nobody = ask.waiters.is_empty();
+            if !nobody {
+                // Ids under which nobody waits any more can't be cancelled.
+                for (_, _, request) in left.into_iter().filter(|l| ask.waiters.iter().all(|w| w.2 != l.2)) {
+                    self.by_request.remove(&request);
+                }
+            }
+            if nobody {
                 self.hang_up(task);
             }
         }
@@ -167,9 +174,15 @@
             }
             Call::CancelAsk(request) => match self.by_request.get(request.as_str()).copied() {
                 Some(task) => {
-                    let waiters = self.asks.get(&task).map(|a| a.waiters.clone()).unwrap_or_default();
-                    self.hang_up(task);
-                    for (client, waiting) in waiters {
+                    // Others who ask for the same actor go on waiting.
+                    let Some(ask) = self.asks.get_mut(&task) else { return };
+                    let cancelled: Vec<_> = ask.waiters.extract_if(.., |w| *w.2 == *request).collect();
+                    let nobody = ask.waiters.is_empty();
+                    self.by_request.remove(request.as_str());
+                    if nobody {
+                        self.hang_up(task);
+                    }
+                    for (client, waiting, _) in cancelled {
                         self.waits(client, task, false);
                         let problem =
                             Problem::new(410, "cancelled", "The ask was cancelled", "by DELETE /v1/asks");
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -77,9 +77,15 @@
         let id = match self.by_name.get(entry.name.as_str()) {
             Some(&id) => id,
             None => {
-                let id = HostId(self.next_host);
-                self.next_host += 1;
-                let host = Host::new(id, entry, hash(&entry.name), self.now);
+                let (id, epoch) = match self.gone.remove(entry.name.as_str()) {
+                    Some((id, epoch, _)) => (id, epoch),
+                    None => {
+                        self.next_host += 1;
+                        (HostId(self.next_host - 1), 0)
+                    }
+                };
+                let mut host = Host::new(id, entry, hash(&entry.name), self.now);
+                (host.epoch, host.born) = (epoch, epoch);
                 self.by_name.insert(host.name.clone(), id);
                 self.hosts.insert(id, host);
                 id
@@ -96,11 +102,11 @@
         (host.listed, host.listed_start) = (entry.state, entry.started_ms);
         let moved = host.address != entry.address;
         host.address = entry.address;
-        let (link, epoch) = (host.link, host.epoch);
+        let (link, epoch, born) = (host.link, host.epoch, host.born);
         if moved && link != Link::Down {
             self.cut(id);
-        } else if link == Link::Down && entry.state != HostState::Gone && epoch == 0 {
-            self.connect_due(id, 0);
+        } else if link == Link::Down && entry.state != HostState::Gone && epoch == born {
+            self.connect_due(id, epoch);
         }
         id
     }
@@ -228,13 +234,21 @@
         self.host_closed(self.now, id, written);
     }
 
-    /// A host that is gone and has no connection holds nothing any more, and its number is never used again.
+    /// A host that is gone and has no connection holds nothing any more. Its number is kept for its return, for as many
+    /// hosts as there may be; beyond that the one that is gone for longest is forgotten.
     fn forget_gone(&mut self, id: HostId) {
         let over = |h: &Host| h.listed == HostState::Gone && h.link == Link::Down;
         if self.hosts.get(&id).is_some_and(over) {
             self.lose_all(id);
             if let Some(host) = self.hosts.remove(&id) {
                 self.by_name.remove(&host.name);
+                self.gone.insert(host.name, (id, host.epoch, self.now));
+                if self.gone.len() > self.config.hosts.max_hosts
+                    && let Some(oldest) =
+                        self.gone.iter().min_by_key(|(_, g)| g.2).map(|(name, _)| name.clone())
+                {
+                    self.gone.remove(&oldest);
+                }
             }
         }
     }
@@ -242,7 +256,7 @@
     pub(crate) fn lost_due(&mut self, id: HostId, epoch: u64) {
         // A connection made since has its own say on what the host still holds.
         let back = |h: &Host| matches!(h.link, Link::Naming | Link::Up);
-        if self.hosts.get(&id).is_some_and(|h| h.epoch >= epoch && !back(h)) {
+        if self.hosts.get(&id).is_some_and(|h| h.epoch >= epoch && epoch > h.born && !back(h)) {
             self.lose_all(id);
         }
     }
--- a/crates/engine/tests/deadlines.rs
+++ b/crates/engine/tests/deadlines.rs
@@ -88,6 +88,59 @@
     assert!(next > at + 1_400_000);
 }
 
+#[test]
+fn requests_that_join_an_ask_have_its_answer_under_their_own_ids() {
+    // An owner whose first ask lay unread in a stopped placer asks again; both are read in one turn.
+    let mut engine = engine(true);
+    let second = ClientId(2);
+    engine.client_opened(NOW, second);
+    let with_id = |id: &str| {
+        let text = String::from_utf8(ask(1000)).expect("text");
+        text.replace("Host: p\r\n", &format!("Host: p\r\nX-Request-Id: {id}\r\n")).into_bytes()
+    };
+    engine.client_bytes(NOW, CLIENT, &with_id("first"));
+    engine.client_bytes(NOW, second, &with_id("second"));
+    engine.turn(NOW, false);
+    let mut told = std::collections::BTreeMap::new();
+    while let Some(at) = engine.next_timeout().filter(|&at| at < NOW + 2_000_000) {
+        engine.turn(at, false);
+        for output in engine.outputs() {
+            if let Output::ToClient(client, bytes) = output {
+                told.insert(client, String::from_utf8_lossy(&bytes).into_owned());
+            }
+        }
+    }
+    assert!(told[&CLIENT].contains("\"request\":\"first\""), "{told:?}");
+    assert!(told[&second].contains("\"request\":\"second\""), "{told:?}");
+    assert_eq!(engine.counters().asks, 1);
+}
+
+#[test]
+fn one_of_two_requests_for_an_actor_is_cancelled_alone() {
+    let mut engine = engine(true);
+    let (second, third) = (ClientId(2), ClientId(3));
+    engine.client_opened(NOW, second);
+    engine.client_opened(NOW, third);
+    let with_id = |id: &str| {
+        let text = String::from_utf8(ask(1000)).expect("text");
+        text.replace("Host: p\r\n", &format!("Host: p\r\nX-Request-Id: {id}\r\n")).into_bytes()
+    };
+    engine.client_bytes(NOW, CLIENT, &with_id("first"));
+    engine.client_bytes(NOW, second, &with_id("second"));
+    let cancel = |id: &str| format!("DELETE /v1/asks/{id} HTTP/1.1\r\nHost: p\r\n\r\n").into_bytes();
+    engine.client_bytes(NOW, third, &cancel("second"));
+    engine.turn(NOW, false);
+    let text = said(&mut engine);
+    assert!(text.contains("410") && text.contains("202"), "{text}");
+    assert_eq!(engine.open_asks(), 1, "the first one still waits");
+    engine.client_bytes(NOW, third, &cancel("first"));
+    engine.turn(NOW, false);
+    assert_eq!((engine.open_asks(), engine.counters().hung_up), (0, 1));
+    engine.client_bytes(NOW, third, &cancel("first"));
+    engine.turn(NOW, false);
+    assert!(said(&mut engine).contains("404"));
+}
+
 #[test]
 fn an_ask_whose_budget_is_over_is_not_taken() {
     let mut engine = engine(true);
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -7,7 +7,7 @@
 
 use crate::figures::Figures;
 use crate::record::{Outcome, Record, Seen, Where};
-use crate::rule_1::{Absences, absences};
+use crate::rule_1::{Absences, absences, unreadable};
 use crate::verdict::{Broken, Verdict};
 
 pub(crate) type Name = Arc<str>;
@@ -88,6 +88,8 @@
     pub(crate) doubles: VecDeque<(u64, u64, Name, Vec<usize>)>,
     /// Times in which a placer stood still or was down.
     pub(crate) absences: BTreeMap<Name, Absences>,
+    /// Times in which the inventory could not be read.
+    pub(crate) unreadable: Vec<(u64, u64)>,
 }
 
 /// Reads a record, in the order of its times, and tells which rules were broken.
@@ -118,6 +120,7 @@
         orphans: VecDeque::new(),
         doubles: VecDeque::new(),
         absences: absences(records),
+        unreadable: unreadable(records),
     };
     for (number, record) in records.iter().enumerate() {
         (judge.at, judge.number) = (record.at, number);
@@ -225,7 +228,10 @@
                 self.catalogue.retain(|(p, _), _| p != placer);
                 self.told_index.remove(placer);
             }
-            Seen::PlacerDown { .. } | Seen::PlacerPaused { .. } | Seen::PlacerGoesOn { .. } => {}
+            Seen::InventoryUnreadable
+            | Seen::PlacerDown { .. }
+            | Seen::PlacerPaused { .. }
+            | Seen::PlacerGoesOn { .. } => {}
         }
     }
 
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -54,6 +54,8 @@
     HungUp { request: Arc<str> },
     /// A sound inventory was put in place: hosts that take tasks, with their start, and those that do not.
     Inventory { ready: Vec<(Arc<str>, Option<u64>)> },
+    /// The inventory can't be read from now on, until a sound one is put in place.
+    InventoryUnreadable,
     /// A catalogue's answer went out to a placer: its index, whether it was read consistently, and its bytes.
     Catalogue { placer: Arc<str>, index: u64, consistent: bool, body: Arc<[u8]> },
     /// A placer's process is up and told its address.
--- a/crates/judge/src/rule_1.rs
+++ b/crates/judge/src/rule_1.rs
@@ -43,7 +43,38 @@
     all
 }
 
+/// Times in which the inventory could not be read.
+pub(crate) fn unreadable(records: &[Record]) -> Vec<(u64, u64)> {
+    let mut spans: Vec<(u64, u64)> = Vec::new();
+    for record in records {
+        let open = spans.last_mut().filter(|s| s.1 == u64::MAX);
+        match (&record.seen, open) {
+            (Seen::InventoryUnreadable, None) => spans.push((record.at, u64::MAX)),
+            (Seen::Inventory { .. }, Some(span)) => span.1 = record.at,
+            _ => {}
+        }
+    }
+    spans
+}
+
 impl Judge<'_> {
+    /// When news of the inventory can have reached a placer that was away, or that had no time to read it before the
+    /// file became unreadable.
+    pub(crate) fn inventory_reached(&self, placer: &Name, at: u64) -> u64 {
+        let mut told = at;
+        loop {
+            let here = self.reached(placer, told);
+            // One that is there reads it within the slack.
+            let late = if here == told { here + self.figures.slack } else { here };
+            let span = self.unreadable.iter().find(|&&(a, b)| a <= late && here < b);
+            let next = span.map_or(here, |s| s.1);
+            if next == told || next == u64::MAX {
+                return next;
+            }
+            told = next;
+        }
+    }
+
     /// Whether an ask could not be answered: the life that it was asked of was dead, or died, before the deadline; or
     /// it stood still at the deadline, or went on too short a time before it.
     fn could_not(&self, placer: &Name, asked: u64, deadline: u64) -> bool {
--- a/crates/judge/tests/excuses.rs
+++ b/crates/judge/tests/excuses.rs
@@ -73,3 +73,51 @@
         assert_eq!(verdict.counts().get(&1), Some(&1), "{times:?}");
     }
 }
+
+#[test]
+fn news_counts_from_when_it_could_be_read() {
+    use maplethread_judge::Where;
+    use maplethread_wire::frame::{Copies, Frame, Load, Offer};
+    let (host, placer) = (name("h"), name("p"));
+    let offer = Offer {
+        attempt: 1,
+        number: 0,
+        service: "s".into(),
+        actor: "a".into(),
+        class: "c".into(),
+        request: "r".into(),
+        asks: Load { cores: 1.0, memory: 1.0 },
+        priority: 0,
+        copies: Copies::Safe,
+        life_ms: 0,
+        wait_ms: 100,
+    };
+    // Removed at 10 s, offered to at 14 s, with a grace of 2 s.
+    let broken = |happened: &[(u64, Seen)]| {
+        let link = Seen::Link { host: host.clone(), link: 1, placer: placer.clone(), life: 1 };
+        let frame = Frame::Offer(offer.clone());
+        let mut records = vec![
+            Record { at: S, seen: link },
+            Record { at: 2 * S, seen: Seen::Inventory { ready: vec![(host.clone(), None)] } },
+            Record { at: 10 * S, seen: Seen::Inventory { ready: vec![] } },
+            Record { at: 14 * S, seen: Seen::FromPlacer { host: host.clone(), link: 1, frame } },
+        ];
+        records.extend(happened.iter().map(|(at, seen)| Record { at: *at, seen: seen.clone() }));
+        records.sort_by_key(|r| r.at);
+        let there = Where { host: host.clone(), zone: name("z"), cell: name("c") };
+        let verdict = judge(&records, &Figures { hosts: vec![there], ..figures() });
+        verdict.counts().contains_key(&3)
+    };
+    let paused = |at| (at, Seen::PlacerPaused { placer: placer.clone() });
+    let goes_on = |at| (at, Seen::PlacerGoesOn { placer: placer.clone() });
+    let garbled = |at| (at, Seen::InventoryUnreadable);
+    let sound = |at| (at, Seen::Inventory { ready: vec![] });
+    assert!(broken(&[]));
+    assert!(!broken(&[paused(9 * S), goes_on(13 * S)]), "it stood still until then");
+    assert!(broken(&[paused(9 * S), goes_on(11 * S)]), "the grace is over since it went on");
+    assert!(!broken(&[paused(9 * S), garbled(10 * S + S / 2), goes_on(11 * S)]), "it could not read it then");
+    assert!(!broken(&[paused(9 * S), garbled(10 * S + S / 2), goes_on(11 * S), sound(13 * S)]));
+    assert!(broken(&[paused(9 * S), garbled(10 * S + S / 5), goes_on(10 * S + S / 2), sound(11 * S)]));
+    assert!(broken(&[garbled(11 * S)]), "it had read it by then");
+    assert!(!broken(&[garbled(10 * S + 1000)]), "nobody reads that fast");
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -351,6 +351,7 @@
             }
             Act::Garbage(text) => {
                 self.garbled = true;
+                self.world.see(Seen::InventoryUnreadable);
                 self.replace_inventory(text)?;
             }
             Act::HangUps(share) => owners.mood().hang_ups = share,
