--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod fault;
 mod settings;
 mod wire;
 
@@ -11,10 +12,11 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
+use fault::WireError;
 use maplethread::{Event, MachineId, Micros, Placer, Settings};
 use serde_json::Value;
 use settings::Reports;
-use wire::{Incoming, Row, WireError};
+use wire::{Incoming, Row};
 
 /// One placer, the host names it has heard, and its events of the batch at hand.
 struct Instance {
--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -6,7 +6,7 @@
 };
 use serde_json::Value;
 
-use crate::wire::{WireError, micros};
+use crate::fault::{WireError, micros};
 
 /// Which of an instance's numbers carry room.
 #[derive(Clone, Copy)]
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,36 +1,15 @@
 //! The lines of the wire, both ways.
 
-use std::fmt;
-
 use maplethread::{
     Action, AttemptId, End, Ending, Event, Listing, MachineState, Micros, Note, Room, Scope, ServiceId,
     Settings, Task, TaskId, Why,
 };
 use serde_json::{Value, json};
 
+use crate::fault::{WireError, micros};
 use crate::settings::{self, Reports};
 use crate::{Adapter, Hosts};
 
-/// What was wrong with a line.
-#[derive(Debug)]
-pub(crate) struct WireError {
-    message: String,
-    field: String,
-    expected: String,
-}
-
-impl WireError {
-    pub(crate) fn new(message: &str, field: &str, expected: String) -> Self {
-        WireError { message: message.to_owned(), field: field.to_owned(), expected }
-    }
-}
-
-impl fmt::Display for WireError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "message {}, field {}: expected {}", self.message, self.field, self.expected)
-    }
-}
-
 /// A line, decoded.
 pub(crate) enum Incoming {
     Turn { now: Micros, batch: u64 },
@@ -118,11 +97,6 @@
     }
 }
 
-/// Milliseconds to microseconds.
-pub(crate) fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round().max(0.0) as Micros
-}
-
 fn ms(span: Micros) -> f64 {
     span as f64 / 1000.0
 }
