--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -38,6 +38,30 @@
     Slow(f64),
 }
 
+/// One wave of a host that is truly poor: what ails it begins a tenth of the period before its health shows it, and
+/// ends a quarter of the period after its health is back.
+fn sick_wave(acts: &mut Vec<(u64, Act)>, n: usize, host: usize, from: u64, period: u64) {
+    let (bad, good, well) = (from + period / 10, from + period / 2, from + period * 3 / 4);
+    acts.push((bad, Act::Flap(host, false)));
+    acts.push((good, Act::Flap(host, true)));
+    let mut ails = |fault: Fault| {
+        acts.push((from, Act::Fault(host, fault.clone(), true)));
+        acts.push((well, Act::Fault(host, fault, false)));
+    };
+    match n % 3 {
+        0 => ails(Fault::Errors(0.7)),
+        1 => {
+            ails(Fault::Slow(40.0));
+            acts.push((from, Act::Host(Command::ResetMidFrame(host))));
+            acts.push((good + period / 8, Act::Host(Command::ResetMidFrame(host))));
+        }
+        _ => {
+            acts.push((from, Act::Host(Command::Crash(host))));
+            acts.push((good, Act::Host(Command::Start(host))));
+        }
+    }
+}
+
 /// What the troubles of a scenario do, in no order; who is struck is drawn.
 pub(crate) fn plan(scenario: &Scenario, dice: &mut Dice) -> Vec<(u64, Act)> {
     Plan { scenario, dice }.all()
@@ -207,6 +231,16 @@
                         }
                     }
                 }
+                TroubleKind::SickFlaps => {
+                    let period = (size.max(0.2) * 1e6) as u64;
+                    for (n, host) in self.struck(trouble).into_iter().enumerate() {
+                        let mut from = at + self.dice.below(period as usize) as u64;
+                        while from < until {
+                            sick_wave(&mut acts, n, host, from, period);
+                            from += period;
+                        }
+                    }
+                }
                 TroubleKind::LeaderLost => acts.push((at, Act::LoseLeader(until - at))),
                 TroubleKind::CatalogueLate
                 | TroubleKind::CatalogueStorm
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -188,6 +188,9 @@
     HangUps,
     /// The health of hosts goes back and forth, every so many seconds.
     HealthFlaps,
+    /// Hosts are truly poor while their health flaps, every so many seconds: they fail starts, answer slowly or lose
+    /// connections from a little before their health shows it until well after it is back; a third of them die.
+    SickFlaps,
     /// The catalogue answers so many seconds late.
     CatalogueLate,
     /// The catalogue answers with this status.
