--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -258,6 +258,9 @@
         let text = toml::to_string(&scenario).map_err(|e| e.to_string())?;
         std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
     }
+    if scenario.slots.is_some_and(|slots| slots < scenario.placers) && !args.consul {
+        return Err("fewer slots than placers: numbers have to be leased, with --consul".to_owned());
+    }
     let options = day::Options {
         scenario,
         seed: args.seed,
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -13,6 +13,9 @@
     pub seconds: f64,
     /// Placers.
     pub placers: u32,
+    /// Placer numbers to be leased in a catalogue, where they are fewer than placers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
     /// Hosts and how they behave.
     pub fleet: Fleet,
     /// Figures of the rules.
@@ -262,6 +265,7 @@
         let above = |key: &str, x: f64| doc.check(x.is_finite() && x > 0.0, key, "must be above 0");
         above("seconds", self.seconds)?;
         doc.check(self.placers >= 1, "placers", "at least 1")?;
+        doc.check(self.numbers() >= 1, "slots", "at least 1")?;
         doc.check(self.fleet.hosts >= 1, "fleet.hosts", "at least 1")?;
         doc.check(self.fleet.cell_size >= 1, "fleet.cell_size", "at least 1")?;
         doc.check(!self.fleet.zones.is_empty(), "fleet.zones", "at least one")?;
@@ -313,6 +317,11 @@
         self
     }
 
+    /// Among how many placers a cold host's budget is parted.
+    pub fn numbers(&self) -> u32 {
+        self.slots.unwrap_or(self.placers)
+    }
+
     /// The same day without troubles of a kind, to see what they cost.
     pub fn without(mut self, kind: TroubleKind) -> Scenario {
         self.trouble.retain(|t| t.kind != kind);
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -23,8 +23,9 @@
     PlacerConfig {
         placer: Identity {
             name: format!("placer-{number}"),
-            number: number as u32,
-            placers: s.placers,
+            // Where numbers are leased this one counts for nothing.
+            number: number as u32 % s.numbers(),
+            placers: s.numbers(),
             zone: zones[number % zones.len()].clone(),
             zones: zones.clone(),
             seed: Some(seed.wrapping_mul(1000) + number as u64),
@@ -91,7 +92,7 @@
     Figures {
         classes: s.class.iter().map(class).collect(),
         hosts: (0..s.fleet.hosts).map(host).collect(),
-        placers: s.placers,
+        placers: s.numbers(),
         drain_grace: s.rules.drain_grace_ms * 1000,
         cold_for: s.rules.cold_for_ms * 1000,
         fall_window: s.rules.fall_window_ms * 1000,
