--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -121,3 +121,11 @@
     assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
     assert!(report["placed"].as_u64() > Some(200), "{report:#}");
 }
+
+#[test]
+fn a_leader_lost_during_a_rolling_deploy_breaks_no_rule() {
+    let day = concat!(env!("CARGO_MANIFEST_DIR"), "/../standin/scenarios/leader-lost.toml");
+    let (code, report) = bad_day(&["--consul", "--scenario", day, "--seed", "4"]);
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+    assert!(report["placed"].as_u64() > Some(200), "{report:#}");
+}
