--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -119,7 +119,7 @@
     #[arg(long)]
     consul: bool,
     /// With --consul: how good news after repeated changes is held back
-    #[arg(long, value_enum, default_value_t = DampingArg::Penalty, requires = "consul")]
+    #[arg(long, value_enum, default_value_t = DampingArg::Off, requires = "consul")]
     damping: DampingArg,
     /// Print one JSON object
     #[arg(long)]
--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -196,9 +196,9 @@
 #[serde(rename_all = "snake_case")]
 pub enum Damping {
     /// By a penalty that decays.
-    #[default]
     Penalty,
     /// Not at all.
+    #[default]
     Off,
     /// Always for three seconds; for comparison.
     Hold,
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -299,7 +299,7 @@
         },
         api: api(),
         hosts: Hosts { inventory: servers.is_none().then(|| "hosts.toml".into()), ..hosts("hosts.toml") },
-        consul: servers.as_ref().map(|s| consul(s.addresses.clone(), Damping::Penalty, None)),
+        consul: servers.as_ref().map(|s| consul(s.addresses.clone(), Damping::Off, None)),
         placing: Placing { admit_cores: 1.0, admit_memory: 1.0, ..Placing::default() },
         rules: Rules {
             ask_within_ms: 10_000,
