--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -49,9 +49,22 @@
         });
         self.counters.offers += 1;
         let (sent, until) = (self.now, self.now + wait);
-        let (stage, runs, called_off, stop) = (Stage::Out, false, false, None);
-        let attempt =
-            Attempt { id, host, key, request, class, sent, until, frame_end, stage, runs, called_off, stop };
+        let (stage, runs, called_off, stop, unwanted) = (Stage::Out, false, false, None, false);
+        let attempt = Attempt {
+            id,
+            host,
+            key,
+            request,
+            class,
+            sent,
+            until,
+            frame_end,
+            stage,
+            runs,
+            called_off,
+            stop,
+            unwanted,
+        };
         self.attempts.insert(wire, attempt);
         if let Some(ask) = self.asks.get_mut(&task) {
             ask.out = Some(wire);
@@ -169,7 +182,7 @@
             }
             None => closed = true,
         }
-        if seated {
+        if seated && !attempt.unwanted {
             if self.actors.get(&attempt.key) == Some(&Actor::Placed(wire)) {
                 self.actors.remove(&attempt.key);
             }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -181,6 +181,8 @@
     pub called_off: bool,
     /// It is to stop, because a client or the decider said so.
     pub stop: Option<&'static str>,
+    /// Its actor is told as ended or lost, or placed elsewhere: nobody hears of its end.
+    pub unwanted: bool,
 }
 
 /// Where an actor stands.
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -484,12 +484,10 @@
             tracing::warn!(host = %self.host_name(id), class = offer.class, "holds a task of no known class");
             return;
         };
-        // An attempt of this life that ended without being placed, or another copy: it is not wanted.
+        // An attempt of this life that ended or was told as lost, or another copy: it is not wanted. It runs until the
+        // host has stopped it, and counts as long.
         let own = wire & !((1 << 40) - 1) == self.mark;
-        if own || matches!(self.actors.get(&key), Some(Actor::Placed(_))) {
-            self.send(id, &Frame::Stop(wire), false);
-            return;
-        }
+        let unwanted = own || matches!(self.actors.get(&key), Some(Actor::Placed(_)));
         self.next_task += 1;
         let task = Task {
             id: TaskId(self.next_task),
@@ -513,14 +511,19 @@
             stage: Stage::Seated,
             runs,
             called_off: false,
-            stop: None,
+            stop: unwanted.then_some("unwanted"),
+            unwanted,
         };
         self.attempts.insert(wire, attempt);
         if let Some(host) = self.hosts.get_mut(&id) {
             host.attempts.insert(wire);
         }
-        self.counters.adopted += 1;
         self.events.push(Event::Running(task, MachineId(id.0)));
+        if unwanted {
+            self.send(id, &Frame::Stop(wire), false);
+            return;
+        }
+        self.counters.adopted += 1;
         let before = self.actors.insert(key.clone(), Actor::Placed(wire));
         let name = self.host_name(id);
         self.tell("adopted", &key, name.clone(), None, request);
--- a/crates/engine/tests/returning_hosts.rs
+++ b/crates/engine/tests/returning_hosts.rs
@@ -6,19 +6,31 @@
 
 use maplethread::{Action, Event, MachineId, Micros};
 use maplethread_config::{Doc, HostEntry, HostState, PlacerConfig};
-use maplethread_engine::{Boot, Decide, Engine, Output};
+use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
+use maplethread_wire::frame::{self, Frame, Reason};
 
 const CONFIG: &str = include_str!("../../../config/placer.toml");
 const NOW: u64 = 1_700_000_000_000_000;
 
-/// Notes all machines that it is told of.
-struct Noting(Rc<RefCell<BTreeSet<MachineId>>>);
+/// Notes all machines that it is told of, and what runs; offers each ask to the first machine.
+#[derive(Default)]
+struct Seen {
+    machines: BTreeSet<MachineId>,
+    running: i32,
+}
+
+struct Noting(Rc<RefCell<Seen>>);
 
 impl Decide for Noting {
-    fn turn(&mut self, _: Micros, events: &[Event], _: &mut Vec<Action>) {
+    fn turn(&mut self, _: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        let mut seen = self.0.borrow_mut();
         for event in events {
-            if let Event::Listed { machines, .. } = event {
-                self.0.borrow_mut().extend(machines.iter().map(|m| m.machine));
+            match event {
+                Event::Listed { machines, .. } => seen.machines.extend(machines.iter().map(|m| m.machine)),
+                Event::Asked(task) => actions.push(Action::Offer(task.id, MachineId(0), 1_000_000)),
+                Event::Seated(..) | Event::Running(..) => seen.running += 1,
+                Event::Ended(..) => seen.running -= 1,
+                _ => {}
             }
         }
     }
@@ -41,7 +53,7 @@
 #[test]
 fn a_host_keeps_its_number_over_its_absence_and_is_connected_to_anew() {
     let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
-    let seen = Rc::new(RefCell::new(BTreeSet::new()));
+    let seen = Rc::new(RefCell::new(Seen::default()));
     let boot = Boot { started_ms: NOW / 1000, seed: 1 };
     let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
     let mut now = NOW;
@@ -60,9 +72,73 @@
         engine.outputs();
         now += 10_000;
     }
-    assert_eq!(seen.borrow().len(), 1, "one host, one number: {:?}", seen.borrow());
+    assert_eq!(seen.borrow().machines.len(), 1, "one host, one number: {:?}", seen.borrow().machines);
     // Another host has another number.
     engine.hosts_changed(now, &[entry(1, HostState::Ready), entry(2, HostState::Ready)]);
     let connects = engine.outputs().into_iter().filter(|o| matches!(o, Output::Connect(..))).count();
     assert_eq!(connects, 2);
 }
+
+/// The frames that the engine sends to hosts.
+fn frames(engine: &mut Engine<Noting>) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    for output in engine.outputs() {
+        if let Output::ToHost(_, bytes) = output {
+            frames.extend(frame::decode(&bytes).expect("sound").0);
+        }
+    }
+    frames
+}
+
+fn says(engine: &mut Engine<Noting>, now: u64, frames: &[Frame]) {
+    let mut bytes = Vec::new();
+    frames.iter().for_each(|f| frame::encode(f, &mut bytes));
+    assert_eq!(engine.host_bytes(now, HostId(0), &bytes), bytes.len());
+}
+
+#[test]
+fn what_was_told_as_lost_counts_until_its_returning_host_has_stopped_it() {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
+    let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
+    let started_ms = NOW / 1000;
+    let hello = || Frame::Hello {
+        major: frame::MAJOR,
+        minor: frame::MINOR,
+        name: "h1".into(),
+        started_ms,
+        most_offers: 0,
+    };
+    engine.hosts_changed(NOW, &[entry(1, HostState::Ready)]);
+    engine.host_connected(NOW, HostId(0));
+    says(&mut engine, NOW, &[hello(), Frame::HeldEnd]);
+    engine.turn(NOW, false);
+    engine.client_opened(NOW, ClientId(1));
+    let body = r#"{"service":"s","actor":"a","class":"web-api","cores":1,"memory_gib":1,"budget_ms":2000}"#;
+    let ask = format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    engine.client_bytes(NOW, ClientId(1), ask.as_bytes());
+    engine.turn(NOW, false);
+    let offer =
+        frames(&mut engine).into_iter().find_map(|f| if let Frame::Offer(o) = f { Some(o) } else { None });
+    let offer = offer.expect("an offer");
+    says(&mut engine, NOW + 1000, &[Frame::Accepted(offer.attempt, 1), Frame::Started(offer.attempt, 1)]);
+    engine.turn(NOW + 1000, false);
+    assert_eq!(seen.borrow().running, 1);
+    // Its connection is lost, and the inventory says that it is gone: the task is lost.
+    engine.host_closed(NOW + 2000, HostId(0), u64::MAX);
+    engine.hosts_changed(NOW + 3000, &[entry(1, HostState::Gone)]);
+    engine.turn(NOW + 3000, false);
+    assert_eq!(seen.borrow().running, 0);
+    // It is back, with the same process, and the task still runs there.
+    engine.hosts_changed(NOW + 4000, &[entry(1, HostState::Ready)]);
+    engine.host_connected(NOW + 5000, HostId(0));
+    says(&mut engine, NOW + 5000, &[hello(), Frame::Held(offer.clone(), true), Frame::HeldEnd]);
+    engine.turn(NOW + 5000, false);
+    let told = frames(&mut engine);
+    assert!(told.contains(&Frame::Stop(offer.attempt)), "{told:?}");
+    assert_eq!(seen.borrow().running, 1, "it counts while it runs");
+    says(&mut engine, NOW + 6000, &[Frame::Ended(offer.attempt, Reason::Stopped, true, None)]);
+    engine.turn(NOW + 6000, false);
+    assert_eq!(seen.borrow().running, 0);
+}
