--- a/crates/engine/tests/deadlines.rs
+++ b/crates/engine/tests/deadlines.rs
@@ -36,6 +36,12 @@
         .into_bytes()
 }
 
+/// The same, with a second to answer, under this id.
+fn ask_as(id: &str) -> Vec<u8> {
+    let text = String::from_utf8(ask(1000)).expect("text");
+    text.replace("Host: p\r\n", &format!("Host: p\r\nX-Request-Id: {id}\r\n")).into_bytes()
+}
+
 fn said(engine: &mut Engine<Silent>) -> String {
     let said = engine.outputs().into_iter().filter_map(|o| match o {
         Output::ToClient(_, bytes) => Some(String::from_utf8_lossy(&bytes).into_owned()),
@@ -94,12 +100,8 @@
     let mut engine = engine(true);
     let second = ClientId(2);
     engine.client_opened(NOW, second);
-    let with_id = |id: &str| {
-        let text = String::from_utf8(ask(1000)).expect("text");
-        text.replace("Host: p\r\n", &format!("Host: p\r\nX-Request-Id: {id}\r\n")).into_bytes()
-    };
-    engine.client_bytes(NOW, CLIENT, &with_id("first"));
-    engine.client_bytes(NOW, second, &with_id("second"));
+    engine.client_bytes(NOW, CLIENT, &ask_as("first"));
+    engine.client_bytes(NOW, second, &ask_as("second"));
     engine.turn(NOW, false);
     let mut told = std::collections::BTreeMap::new();
     while let Some(at) = engine.next_timeout().filter(|&at| at < NOW + 2_000_000) {
@@ -121,12 +123,8 @@
     let (second, third) = (ClientId(2), ClientId(3));
     engine.client_opened(NOW, second);
     engine.client_opened(NOW, third);
-    let with_id = |id: &str| {
-        let text = String::from_utf8(ask(1000)).expect("text");
-        text.replace("Host: p\r\n", &format!("Host: p\r\nX-Request-Id: {id}\r\n")).into_bytes()
-    };
-    engine.client_bytes(NOW, CLIENT, &with_id("first"));
-    engine.client_bytes(NOW, second, &with_id("second"));
+    engine.client_bytes(NOW, CLIENT, &ask_as("first"));
+    engine.client_bytes(NOW, second, &ask_as("second"));
     let cancel = |id: &str| format!("DELETE /v1/asks/{id} HTTP/1.1\r\nHost: p\r\n\r\n").into_bytes();
     engine.client_bytes(NOW, third, &cancel("second"));
     engine.turn(NOW, false);
