An older loss of a host's connection no longer shortens a later one

Timers now count from the loss of the last connection that was greeted. The judge takes what a host without connection held as lost once the inventory tells it as gone.

--- a/crates/engine/src/hosts.rs
+++ b/crates/engine/src/hosts.rs
@@ -39,6 +39,8 @@
     pub epoch: u64,
     /// Connections of before it was last gone; their timers mean nothing to it.
     pub born: u64,
+    /// The last connection that was greeted: how long tasks are waited for counts from its loss, not an older one's.
+    pub greeted: u64,
     /// Tries to connect since the last success.
     pub tries: u32,
     /// Bytes queued on this connection since it was made, and those that the kernel took.
@@ -78,6 +80,7 @@
             link: Link::Down,
             epoch: 0,
             born: 0,
+            greeted: 0,
             tries: 0,
             queued: 0,
             written: 0,
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -256,7 +256,7 @@
     pub(crate) fn lost_due(&mut self, id: HostId, epoch: u64) {
         // A connection made since has its own say on what the host still holds.
         let back = |h: &Host| matches!(h.link, Link::Naming | Link::Up);
-        if self.hosts.get(&id).is_some_and(|h| h.epoch >= epoch && epoch > h.born && !back(h)) {
+        if self.hosts.get(&id).is_some_and(|h| epoch >= h.greeted && epoch > h.born && !back(h)) {
             self.lose_all(id);
         }
     }
@@ -317,7 +317,7 @@
                     // A new process: what the old one said of itself is over.
                     (host.told_start, host.drains) = (Some(started_ms), false);
                 }
-                host.link = Link::Naming;
+                (host.link, host.greeted) = (Link::Naming, host.epoch);
                 let seated = |w: &u64| self.attempts.get(w).is_some_and(|a| a.stage == Stage::Seated);
                 host.unnamed = host.attempts.iter().copied().filter(seated).collect();
                 let (epoch, every) = (host.epoch, self.config.hosts.ping_every_ms * 1000);
--- a/crates/engine/tests/returning_hosts.rs
+++ b/crates/engine/tests/returning_hosts.rs
@@ -142,3 +142,61 @@
     engine.turn(NOW + 6000, false);
     assert_eq!(seen.borrow().running, 0);
 }
+
+#[test]
+fn an_older_loss_of_the_connection_does_not_shorten_a_later_one() {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
+    let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
+    let started_ms = NOW / 1000;
+    let hello = || Frame::Hello {
+        major: frame::MAJOR,
+        minor: frame::MINOR,
+        name: "h1".into(),
+        started_ms,
+        most_offers: 0,
+    };
+    engine.hosts_changed(NOW, &[entry(1, HostState::Ready)]);
+    engine.host_connected(NOW, HostId(0));
+    says(&mut engine, NOW, &[hello(), Frame::HeldEnd]);
+    engine.turn(NOW, false);
+    engine.client_opened(NOW, ClientId(1));
+    let body = r#"{"service":"s","actor":"a","class":"web-api","cores":1,"memory_gib":1,"budget_ms":2000}"#;
+    let ask = format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    engine.client_bytes(NOW, ClientId(1), ask.as_bytes());
+    engine.turn(NOW, false);
+    let offer =
+        frames(&mut engine).into_iter().find_map(|f| if let Frame::Offer(o) = f { Some(o) } else { None });
+    let offer = offer.expect("an offer");
+    says(&mut engine, NOW + 1000, &[Frame::Accepted(offer.attempt, 1), Frame::Started(offer.attempt, 1)]);
+    engine.turn(NOW + 1000, false);
+    assert_eq!(seen.borrow().running, 1);
+    // Its connection is lost and made anew, and the host names the task; lost again 4 s after the first loss.
+    engine.host_closed(NOW + 2000, HostId(0), u64::MAX);
+    let mut connected = false;
+    while let Some(at) = engine.next_timeout().filter(|&at| at <= NOW + 4_000_000) {
+        engine.turn(at, false);
+        if !connected && engine.outputs().iter().any(|o| matches!(o, Output::Connect(..))) {
+            connected = true;
+            engine.host_connected(at, HostId(0));
+            says(&mut engine, at, &[hello(), Frame::Held(offer.clone(), true), Frame::HeldEnd]);
+        }
+        if connected {
+            says(&mut engine, at, &[Frame::Pong(0)]);
+        }
+    }
+    assert!(connected);
+    engine.host_closed(NOW + 4_000_000, HostId(0), u64::MAX);
+    let until_lost = |engine: &mut Engine<Noting>, until: u64| {
+        while let Some(at) = engine.next_timeout().filter(|&at| at <= until) {
+            engine.turn(at, false);
+            engine.outputs();
+        }
+    };
+    // `hosts.lost_after_ms` is 5 s: not over for the second loss when it is for the first.
+    until_lost(&mut engine, NOW + 6_000_000);
+    assert_eq!(seen.borrow().running, 1, "it may still run");
+    until_lost(&mut engine, NOW + 9_500_000);
+    assert_eq!(seen.borrow().running, 0);
+}
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -82,6 +82,8 @@
     pub(crate) spreads: VecDeque<(u64, String, u32, Vec<u64>)>,
     /// What a placer holds at a host, and the host has not named since it greeted, by host and connection.
     pub(crate) unnamed: BTreeMap<(Name, u64), BTreeSet<u64>>,
+    /// Hosts that the inventory tells as gone.
+    pub(crate) gone: BTreeSet<Name>,
     /// Tasks on lost connections, until when they count.
     pub(crate) orphans: VecDeque<(u64, Name, u64, Name)>,
     /// Offers sent while an earlier one was out: broken, unless that turns out to be over by this time.
@@ -118,6 +120,7 @@
         spreads: VecDeque::new(),
         unnamed: BTreeMap::new(),
         orphans: VecDeque::new(),
+        gone: BTreeSet::new(),
         doubles: VecDeque::new(),
         absences: absences(records),
         unreadable: unreadable(records),
@@ -175,7 +178,9 @@
                 unanswered.into_iter().for_each(|wire| self.release(wire));
                 self.unnamed.remove(&(host.clone(), *link));
                 if let Some((placer, _)) = self.links.remove(&(host.clone(), *link)) {
-                    self.orphans.push_back((at + self.figures.lost_after, host.clone(), *link, placer));
+                    let after = if self.gone.contains(host) { 0 } else { self.figures.lost_after };
+                    self.orphans.push_back((at + after, host.clone(), *link, placer));
+                    self.orphans.make_contiguous().sort_by_key(|o| o.0);
                 }
             }
             Seen::FromPlacer { host, link, frame } => self.placer_frame(host, *link, frame),
@@ -205,7 +210,13 @@
                     ask.hung_up = ask.hung_up.or(Some(at));
                 }
             }
-            Seen::Inventory { ready } => {
+            Seen::Inventory { ready, gone } => {
+                // What a host without a connection held is lost as soon as it is told as gone.
+                self.gone = gone.iter().cloned().collect();
+                for orphan in self.orphans.iter_mut().filter(|o| self.gone.contains(&o.1)) {
+                    orphan.0 = at;
+                }
+                self.orphans.make_contiguous().sort_by_key(|o| o.0);
                 let listed: BTreeSet<&Name> = ready.iter().map(|(host, _)| host).collect();
                 for host in self.places.keys() {
                     if listed.contains(host) {
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -52,8 +52,8 @@
     Cut { request: Arc<str> },
     /// A client gave up.
     HungUp { request: Arc<str> },
-    /// A sound inventory was put in place: hosts that take tasks, with their start, and those that do not.
-    Inventory { ready: Vec<(Arc<str>, Option<u64>)> },
+    /// A sound inventory was put in place: hosts that take tasks, with their start, and those that are gone.
+    Inventory { ready: Vec<(Arc<str>, Option<u64>)>, gone: Vec<Arc<str>> },
     /// The inventory can't be read from now on, until a sound one is put in place.
     InventoryUnreadable,
     /// A catalogue's answer went out to a placer: its index, whether it was read consistently, and its bytes.
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -222,9 +222,11 @@
         either.extend(
             self.told_ready.iter().filter(|(host, _)| !ready.iter().any(|(h, _)| h == host)).cloned(),
         );
-        self.world.see(Seen::Inventory { ready: either });
+        let gone = inventory.host.iter().filter(|h| h.state == HostState::Gone);
+        let gone: Vec<Arc<str>> = gone.map(|h| h.name.as_str().into()).collect();
+        self.world.see(Seen::Inventory { ready: either, gone: gone.clone() });
         self.replace_inventory(&text)?;
-        self.world.see(Seen::Inventory { ready: ready.clone() });
+        self.world.see(Seen::Inventory { ready: ready.clone(), gone });
         self.told_ready = ready;
         Ok(())
     }
