--- a/crates/engine/tests/returning_hosts.rs
+++ b/crates/engine/tests/returning_hosts.rs
@@ -7,7 +7,7 @@
 use maplethread::{Action, Event, MachineId, Micros};
 use maplethread_config::{Doc, HostEntry, HostState, PlacerConfig};
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
-use maplethread_wire::frame::{self, Frame, Reason};
+use maplethread_wire::frame::{self, Frame, Offer, Reason};
 
 const CONFIG: &str = include_str!("../../../config/placer.toml");
 const NOW: u64 = 1_700_000_000_000_000;
@@ -96,20 +96,23 @@
     assert_eq!(engine.host_bytes(now, HostId(0), &bytes), bytes.len());
 }
 
-#[test]
-fn what_was_told_as_lost_counts_until_its_returning_host_has_stopped_it() {
-    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
-    let seen = Rc::new(RefCell::new(Seen::default()));
-    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
-    let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
-    let started_ms = NOW / 1000;
-    let hello = || Frame::Hello {
+/// The host's greeting, always of one process.
+fn hello() -> Frame {
+    Frame::Hello {
         major: frame::MAJOR,
         minor: frame::MINOR,
         name: "h1".into(),
-        started_ms,
+        started_ms: NOW / 1000,
         most_offers: 0,
-    };
+    }
+}
+
+/// An engine that has placed one task on the host, what its decider has seen, and the offer.
+fn placed() -> (Engine<Noting>, Rc<RefCell<Seen>>, Offer) {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
+    let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
     engine.hosts_changed(NOW, &[entry(1, HostState::Ready)]);
     engine.host_connected(NOW, HostId(0));
     says(&mut engine, NOW, &[hello(), Frame::HeldEnd]);
@@ -125,6 +128,12 @@
     says(&mut engine, NOW + 1000, &[Frame::Accepted(offer.attempt, 1), Frame::Started(offer.attempt, 1)]);
     engine.turn(NOW + 1000, false);
     assert_eq!(seen.borrow().running, 1);
+    (engine, seen, offer)
+}
+
+#[test]
+fn what_was_told_as_lost_counts_until_its_returning_host_has_stopped_it() {
+    let (mut engine, seen, offer) = placed();
     // Its connection is lost, and the inventory says that it is gone: the task is lost.
     engine.host_closed(NOW + 2000, HostId(0), u64::MAX);
     engine.hosts_changed(NOW + 3000, &[entry(1, HostState::Gone)]);
@@ -145,33 +154,7 @@
 
 #[test]
 fn an_older_loss_of_the_connection_does_not_shorten_a_later_one() {
-    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
-    let seen = Rc::new(RefCell::new(Seen::default()));
-    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
-    let mut engine = Engine::new(config, Noting(seen.clone()), boot, NOW);
-    let started_ms = NOW / 1000;
-    let hello = || Frame::Hello {
-        major: frame::MAJOR,
-        minor: frame::MINOR,
-        name: "h1".into(),
-        started_ms,
-        most_offers: 0,
-    };
-    engine.hosts_changed(NOW, &[entry(1, HostState::Ready)]);
-    engine.host_connected(NOW, HostId(0));
-    says(&mut engine, NOW, &[hello(), Frame::HeldEnd]);
-    engine.turn(NOW, false);
-    engine.client_opened(NOW, ClientId(1));
-    let body = r#"{"service":"s","actor":"a","class":"web-api","cores":1,"memory_gib":1,"budget_ms":2000}"#;
-    let ask = format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    engine.client_bytes(NOW, ClientId(1), ask.as_bytes());
-    engine.turn(NOW, false);
-    let offer =
-        frames(&mut engine).into_iter().find_map(|f| if let Frame::Offer(o) = f { Some(o) } else { None });
-    let offer = offer.expect("an offer");
-    says(&mut engine, NOW + 1000, &[Frame::Accepted(offer.attempt, 1), Frame::Started(offer.attempt, 1)]);
-    engine.turn(NOW + 1000, false);
-    assert_eq!(seen.borrow().running, 1);
+    let (mut engine, seen, offer) = placed();
     // Its connection is lost and made anew, and the host names the task; lost again 4 s after the first loss.
     engine.host_closed(NOW + 2000, HostId(0), u64::MAX);
     let mut connected = false;
