--- a/src/control.rs
+++ b/src/control.rs
@@ -371,9 +371,9 @@
         }
     }
 
-    /// Rule 4, over a restart: guards against spending this number's part of a cold machine's window twice. What
-    /// an earlier life, or the number's last holder, sent is not known here; once a whole window has gone by, none
-    /// of it counts any more.
+    /// Rule 4, over a restart: guards against spending this number's part of a cold machine's window
+    /// twice. What an earlier life, or the number's last holder, sent is not known here; once a whole
+    /// window has gone by, none of it counts any more.
     fn keep_quiet(&mut self) {
         self.quiet_until = self.now + self.settings.rules.fall_window;
     }
@@ -624,8 +624,8 @@
         }
     }
 
-    /// Keeps a task for later, and tells what it waits for when that changes. What no machine can ever take is
-    /// answered at once.
+    /// Keeps a task for later, and tells what it waits for when that changes. What no machine can ever
+    /// take is answered at once.
     fn hold(&mut self, id: TaskId, lack: Lack, actions: &mut Vec<Action>) {
         if let Some(open) = self.open.get_mut(&id)
             && open.lack.replace(lack) != Some(lack)
@@ -743,8 +743,8 @@
         needed.map(|(_, m)| m.listing.machine).collect()
     }
 
-    /// What keeps a machine from the task, if anything: the rules, its kind, earlier attempts, room. Looked at
-    /// in this order, so the largest over all machines tells what stopped the one that came nearest.
+    /// What keeps a machine from the task, if anything: the rules, its kind, earlier attempts, room.
+    /// Looked at in this order, so the largest over all machines tells what stopped the nearest one.
     fn lacks(&self, machine: &Machine, open: &Open) -> Option<Lack> {
         let class = &self.settings.classes[open.task.class];
         let (at, rules) = (&machine.listing, &self.settings.rules);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -408,11 +408,12 @@
         /// The machines.
         machines: Vec<Listing>,
     },
-    /// Which of the placers this one is from now on, where that is leased rather than set. Without a number it has
-    /// no part of a cold machine's budget.
+    /// Which of the placers this one is from now on, where that is leased rather than set. Without a
+    /// number it has no part of a cold machine's budget.
     Numbered(Option<u32>),
-    /// Whether the caller has a connection to a machine. Told only by callers that keep connections: without one
-    /// an offer is [`Ending::Unreachable`] at once. A machine of which nothing was told counts as connected.
+    /// Whether the caller has a connection to a machine. Told only by callers that keep connections:
+    /// without one an offer is [`Ending::Unreachable`] at once. A machine of which nothing was told
+    /// counts as connected.
     Linked(MachineId, bool),
     /// A call to discovery failed, or the subscription broke.
     ListUnavailable,
@@ -449,8 +450,8 @@
     },
 }
 
-/// What a held task waits for: that which stopped the machine that came nearest to taking it, later ones being
-/// nearer.
+/// What a held task waits for: that which stopped the machine that came nearest to taking it, later
+/// ones being nearer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Lack {
     /// A larger machine: no kind that it may run on could ever take it.
