Lists of the catalogue are read in steps, and unchanged entries are not parsed again

A list of 5,000 hosts took 34 to 38 ms of the deciding thread. It is now read row by row in turns of about a millisecond; a row that stands as it did in the last list costs a comparison of bytes. Changes are told in turns too, bad news first. A placer that stood still catches up before it decides. Source is parted into lists and slots.

--- a/crates/consul-standin/examples/measure.rs
+++ b/crates/consul-standin/examples/measure.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use maplethread_config::{Doc, PlacerConfig};
-use maplethread_consul::Update;
 use maplethread_consul::catalogue::{Known, read};
+use maplethread_consul::{Out, Source, Update};
 use maplethread_consul_standin::{Servers, Settings};
 use maplethread_placer::{Catalogue, Clock};
 use maplethread_reactor::{Poller, Readiness};
-use maplethread_wire::http::{self, Found, Limits, Reader, Role};
+use maplethread_wire::http::{self, Found, Limits, Message, Reader, Role};
 use serde_json::json;
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -117,6 +117,60 @@
     }
 }
 
+/// An answer with this body, as it comes off a connection.
+fn answer(body: &[u8], index: u64) -> Result<Message> {
+    let head =
+        format!("HTTP/1.1 200 OK\r\nX-Consul-Index: {index}\r\nContent-Length: {}\r\n\r\n", body.len());
+    let limits = Limits { body: 64 << 20, ..Limits::default() };
+    let bytes = [head.as_bytes(), body].concat();
+    match Reader::new(Role::Responses, limits).read(&bytes)?.0 {
+        Found::Message(message) => Ok(message),
+        found => Err(format!("{found:?}").into()),
+    }
+}
+
+/// How long a source takes to read and tell lists, as a whole and at most in one turn.
+fn turns(config: &PlacerConfig, body: &[u8]) -> Result<()> {
+    let Some(consul) = &config.consul else { return Ok(()) };
+    let mut source = Source::new(config, consul, None, 1);
+    let text = String::from_utf8_lossy(body).into_owned();
+    let all_critical = text.replace("\"passing\"", "\"critical\"");
+    let one_critical = text.replacen("\"passing\"", "\"critical\"", 1);
+    let lists = [
+        ("the first", &text),
+        ("unchanged", &text),
+        ("one changed", &one_critical),
+        ("all changed", &all_critical),
+        ("unchanged", &all_critical),
+    ];
+    let mut now = 0;
+    for (index, (what, list)) in lists.iter().enumerate() {
+        now += 300_000_000;
+        source.tick(now);
+        for Out::Call { call, request, .. } in source.outputs() {
+            if request.starts_with(b"GET /v1/health") {
+                source.answered(now, call, answer(list.as_bytes(), index as u64 + 5)?);
+            } else {
+                source.failed(now, call, "not asked here");
+            }
+        }
+        let (mut whole, mut longest, mut turns, mut told) = (Duration::ZERO, Duration::ZERO, 0, 0);
+        while source.busy() {
+            let from = Instant::now();
+            source.tick(now);
+            let updates = source.updates();
+            let took = from.elapsed();
+            (whole, longest, turns) = (whole + took, longest.max(took), turns + 1);
+            told += updates
+                .iter()
+                .map(|u| if let Update::Hosts(hosts) = u { hosts.len() } else { 0 })
+                .sum::<usize>();
+        }
+        println!("  {what}: {whole:?} in {turns} turns, the longest {longest:?}; {told} hosts told");
+    }
+    Ok(())
+}
+
 /// How long readers at rest are counted, s: whole lists are read once in that time.
 const SPAN: u64 = 60;
 
@@ -144,6 +198,7 @@
         }
         let parse = from.elapsed() / rounds;
         println!("{hosts} hosts: an answer of {} KiB is read in {parse:?}", body.len() / 1024);
+        turns(&config(&servers, false)?, &body)?;
         for watch in [false, true] {
             let mut readers = Readers::new(&config(&servers, watch)?, 1)?;
             readers.run(Duration::from_millis(1500), None)?;
--- a/crates/consul/src/catalogue.rs
+++ b/crates/consul/src/catalogue.rs
@@ -1,11 +1,14 @@
 //! From catalogue entries to hosts: what each status means, and plain errors for entries that can't be used.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use maplethread_config::{HostEntry, HostState};
 use serde::Deserialize;
-use serde_json::value::RawValue;
+
+use crate::rows::{Reading, Rows};
 
 /// The status of a check, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -87,11 +90,14 @@
     pub why: String,
 }
 
+/// Hosts by name. An entry that stands as it did in the last answer is the same one.
+pub type Entries = BTreeMap<String, Arc<Entry>>;
+
 /// What an answer holds.
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
     /// Hosts by name.
-    pub entries: BTreeMap<String, Entry>,
+    pub entries: Entries,
     /// What could not be used.
     pub bad: Vec<BadEntry>,
     /// The datacentres that entries name.
@@ -172,49 +178,145 @@
 /// A start later than this is a mistake (the year 2100, Unix time in ms).
 const LATEST_START: u64 = 4_102_444_800_000;
 
-/// Reads the body of `/v1/health/service/:name`. An error means that the body as a whole is no list.
-pub fn read(body: &[u8], known: &Known) -> Result<Listed, String> {
-    let raw: Vec<&RawValue> =
-        serde_json::from_slice(body).map_err(|e| format!("not a list of entries: {e}"))?;
-    if raw.len() > known.most {
-        return Err(format!("{} entries, {} are taken at most", raw.len(), known.most));
+/// What a row of an answer came to.
+#[derive(Debug)]
+pub struct Parsed {
+    datacentre: String,
+    /// The entry, or its service id, as far as it can be read, and what is wrong.
+    entry: Result<Arc<Entry>, (String, String)>,
+}
+
+/// The rows of the last answer.
+pub type Answer = Rows<Arc<Parsed>>;
+
+/// The body of `/v1/health/service/:name` on its way in.
+#[derive(Debug)]
+pub struct Listing {
+    rows: Reading<Arc<Parsed>>,
+    listed: Listed,
+}
+
+impl Listing {
+    /// Begins to read an answer; rows that stand as they did in the last one are not parsed again.
+    pub fn new(body: Vec<u8>, last: Answer, known: &Known) -> Listing {
+        Listing { rows: Reading::new(body, last, known.most), listed: Listed::default() }
+    }
+
+    /// Reads on for as much work as is left, and tells whether that was all. An error means that the body as a whole
+    /// is no list.
+    pub fn step(&mut self, work: &mut usize, known: &Known) -> Result<bool, String> {
+        let listed = &mut self.listed;
+        self.rows.step(work, |raw| Arc::new(parsed(raw, known)), |number, row| listed.add(number, row))
     }
-    let mut listed = Listed::default();
-    for (number, raw) in raw.iter().enumerate() {
-        let result = serde_json::from_str::<RawEntry>(raw.get())
-            .map_err(|e| e.to_string())
-            .and_then(|entry| host(entry, known, &mut listed.datacentres));
-        let why = match result {
-            Ok(entry) if listed.entries.contains_key(&entry.host.name) => {
-                let other = &listed.entries[&entry.host.name];
-                // Two say that they are this host. Neither can be told to be right, so the name gets nothing new.
-                let why = format!("its id stands on {} already", other.node);
-                if let Some(other) = listed.entries.get_mut(&entry.host.name) {
+
+    /// What the answer holds, and its rows for the next one to be compared with. Of an answer that was no list, the
+    /// rows are those of the one before.
+    pub fn finish(self) -> (Listed, Answer) {
+        (self.listed, self.rows.into_rows())
+    }
+}
+
+/// Reads the body of `/v1/health/service/:name` at once.
+pub fn read(body: &[u8], known: &Known) -> Result<Listed, String> {
+    let mut listing = Listing::new(body.to_vec(), Answer::default(), known);
+    let mut work = usize::MAX;
+    while !listing.step(&mut work, known)? {}
+    Ok(listing.finish().0)
+}
+
+impl Listed {
+    fn add(&mut self, number: usize, row: &Parsed) {
+        if !row.datacentre.is_empty()
+            && self.datacentres.len() < 16
+            && !self.datacentres.contains(&row.datacentre)
+        {
+            self.datacentres.insert(row.datacentre.clone());
+        }
+        let (name, why) = match &row.entry {
+            Ok(entry) => match self.entries.get_mut(&entry.host.name) {
+                Some(other) => {
+                    // Two say that they are this host. Neither can be told to be right, so it gets nothing new.
+                    let why = format!("its id stands on {} already", other.node);
+                    let other = Arc::make_mut(other);
                     other.status = Status::Critical;
                     other.host.state = HostState::Draining;
+                    (&entry.host.name, why)
                 }
-                why
-            }
-            Ok(entry) => {
-                listed.entries.insert(entry.host.name.clone(), entry);
-                continue;
-            }
-            Err(why) => why,
+                None => {
+                    self.entries.insert(entry.host.name.clone(), entry.clone());
+                    return;
+                }
+            },
+            Err((name, why)) => (name, why.clone()),
         };
-        if listed.bad.len() < MOST_BAD {
-            let name =
-                serde_json::from_str::<NameOnly>(raw.get()).map_or_else(|_| "?".to_owned(), |n| n.service.id);
-            let name = name.chars().take(MOST_TEXT).collect();
-            listed.bad.push(BadEntry { number, name, why: why.chars().take(MOST_TEXT).collect() });
+        if self.bad.len() < MOST_BAD {
+            self.bad.push(BadEntry { number, name: name.clone(), why });
         }
     }
-    Ok(listed)
 }
 
-fn host(raw: RawEntry, known: &Known, datacentres: &mut BTreeSet<String>) -> Result<Entry, String> {
-    if !raw.node.datacenter.is_empty() && datacentres.len() < 16 {
-        datacentres.insert(raw.node.datacenter.clone());
+fn parsed(raw: &str, known: &Known) -> Parsed {
+    let mut datacentre = String::new();
+    let entry = serde_json::from_str::<RawEntry>(raw).map_err(|e| e.to_string()).and_then(|entry| {
+        datacentre.clone_from(&entry.node.datacenter);
+        host(entry, known)
+    });
+    let short = |text: &str| text.chars().take(MOST_TEXT).collect();
+    let entry = entry.map(Arc::new).map_err(|why| {
+        let name = serde_json::from_str::<NameOnly>(raw).map_or_else(|_| "?".to_owned(), |n| n.service.id);
+        (short(&name), short(&why))
+    });
+    Parsed { datacentre: short(&datacentre), entry }
+}
+
+/// How a list differs from one before, host by host.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Differences {
+    /// Hosts that are gone, or changed and now get nothing new.
+    pub worse: Vec<String>,
+    /// Others that are new or changed.
+    pub other: Vec<String>,
+    /// How many are gone.
+    pub gone: usize,
+}
+
+impl Differences {
+    /// Walks through both lists.
+    pub fn between(before: &Entries, after: &Entries) -> Differences {
+        let same = |a: &Arc<Entry>, b: &Arc<Entry>| Arc::ptr_eq(a, b) || a == b;
+        let (mut before, mut after) = (before.iter().peekable(), after.iter().peekable());
+        let mut found = Differences::default();
+        loop {
+            let order = match (before.peek(), after.peek()) {
+                (Some(a), Some(b)) => a.0.cmp(b.0),
+                (Some(_), None) => Ordering::Less,
+                (None, Some(_)) => Ordering::Greater,
+                (None, None) => return found,
+            };
+            let old = if order == Ordering::Greater { None } else { before.next() };
+            let new = if order == Ordering::Less { None } else { after.next() };
+            match (old, new) {
+                (Some((_, a)), Some((_, b))) if same(a, b) => {}
+                (_, Some((name, new))) if new.host.state == HostState::Ready => {
+                    found.other.push(name.clone());
+                }
+                (_, Some((name, _))) => found.worse.push(name.clone()),
+                (Some((name, _)), None) => {
+                    found.worse.push(name.clone());
+                    found.gone += 1;
+                }
+                (None, None) => {}
+            }
+        }
+    }
+
+    /// Whether the lists say the same.
+    pub fn none(&self) -> bool {
+        self.worse.is_empty() && self.other.is_empty()
     }
+}
+
+fn host(raw: RawEntry, known: &Known) -> Result<Entry, String> {
     let named = |what: &str, text: &str| {
         let fine = !text.is_empty() && text.len() <= MOST_TEXT && !text.chars().any(char::is_control);
         if fine { Ok(()) } else { Err(format!("{what}: 1 to {MOST_TEXT} bytes without control characters")) }
@@ -285,16 +387,41 @@
     status: i64,
 }
 
-/// Reads the body of `/v1/agent/members`: nodes that are not alive.
-pub fn read_members(body: &[u8], most: usize) -> Result<BTreeMap<String, Member>, String> {
-    let raw: Vec<&RawValue> =
-        serde_json::from_slice(body).map_err(|e| format!("not a list of members: {e}"))?;
-    if raw.len() > most {
-        return Err(format!("{} members, {most} are taken at most", raw.len()));
+/// The rows of the last list of members: those that are not alive.
+pub type MemberRows = Rows<Option<Arc<(String, Member)>>>;
+
+/// The body of `/v1/agent/members` on its way in.
+#[derive(Debug)]
+pub struct Members {
+    rows: Reading<Option<Arc<(String, Member)>>>,
+    members: BTreeMap<String, Member>,
+}
+
+impl Members {
+    /// Begins to read an answer of at most so many members.
+    pub fn new(body: Vec<u8>, last: MemberRows, most: usize) -> Members {
+        Members { rows: Reading::new(body, last, most), members: BTreeMap::new() }
+    }
+
+    /// Reads on for as much work as is left, and tells whether that was all.
+    pub fn step(&mut self, work: &mut usize) -> Result<bool, String> {
+        let parse = |raw: &str| {
+            let member = serde_json::from_str::<RawMember>(raw).ok()?;
+            let state = Member::from_number(member.status);
+            (state != Member::Alive).then(|| Arc::new((member.name, state)))
+        };
+        let members = &mut self.members;
+        self.rows.step(work, parse, |_, row| {
+            if let Some(row) = row {
+                members.insert(row.0.clone(), row.1);
+            }
+        })
+    }
+
+    /// Nodes that are not alive, and the rows for the next answer to be compared with.
+    pub fn finish(self) -> (BTreeMap<String, Member>, MemberRows) {
+        (self.members, self.rows.into_rows())
     }
-    let read = raw.iter().filter_map(|r| serde_json::from_str::<RawMember>(r.get()).ok());
-    let members = read.map(|m| (m.name, Member::from_number(m.status)));
-    Ok(members.filter(|(_, member)| *member != Member::Alive).collect())
 }
 
 #[cfg(test)]
@@ -398,16 +525,39 @@
         assert_eq!(listed.bad[0].why, "its id stands on node-h already");
     }
 
+    #[test]
+    fn lists_differ_where_entries_came_changed_or_went() {
+        let list =
+            |rows: &[String]| read(format!("[{}]", rows.join(",")).as_bytes(), &known()).expect("a list");
+        let old = list(&[entry("a", ""), entry("b", ""), entry("c", ""), entry("d", "")]);
+        let new =
+            list(&[entry("b", ""), entry("c", &check("x", "critical")), entry("d", ""), entry("e", "")]);
+        let differences = Differences::between(&old.entries, &new.entries);
+        assert_eq!(
+            (&differences.worse[..], &differences.other[..]),
+            (&["a", "c"].map(String::from)[..], &["e".into()][..])
+        );
+        assert_eq!(differences.gone, 1);
+        let back = Differences::between(&new.entries, &old.entries);
+        assert_eq!(
+            (&back.worse[..], &back.other[..]),
+            (&["e".into()][..], &["a", "c"].map(String::from)[..])
+        );
+        assert!(Differences::between(&old.entries, &old.entries).none());
+    }
+
     #[test]
     fn bodies_that_are_no_list_are_refused() {
         for body in ["", "{}", "[", "\u{0}", "[1,]", "null"] {
             assert!(read(body.as_bytes(), &known()).is_err(), "{body}");
         }
         let many = format!("[{}1]", "1,".repeat(100));
-        assert!(read(many.as_bytes(), &known()).expect_err("too many").contains("101 entries"));
+        assert!(read(many.as_bytes(), &known()).expect_err("too many").contains("more than 100 entries"));
         let members =
             br#"[{"Name":"n1","Status":1},{"Name":"n2","Status":4},{"Name":3},{"Name":"n3","Status":3}]"#;
-        let members = read_members(members, 10).expect("a list");
+        let mut reading = Members::new(members.to_vec(), MemberRows::default(), 10);
+        while !reading.step(&mut 1).expect("a list") {}
+        let (members, _) = reading.finish();
         assert_eq!(
             members.into_iter().collect::<Vec<_>>(),
             [("n2".into(), Member::Failed), ("n3".into(), Member::Left)]
--- /dev/null
+++ b/crates/consul/src/rows.rs
@@ -0,0 +1,241 @@
+//! Long lists in steps: a JSON array taken in row by row, so that a list of thousands never holds up the thread that
+//! decides, and so that rows that stand as they did in the last list cost a comparison of bytes and no parsing.
+
+use serde_json::value::RawValue;
+
+/// What one step may cost, in units of what an unchanged row costs. On the machine of `docs/measurements.md` a step
+/// takes about a millisecond.
+pub const STEP: usize = 4_000;
+/// A parsed row costs so many units, and one more for so many bytes.
+const PARSED: usize = 8;
+/// See [`PARSED`].
+const PARSED_BYTES: usize = 40;
+/// How many rows of the last list are looked at for one that is the same, from the place reached there.
+const WINDOW: usize = 64;
+
+/// A row's place in the body, and what it came to.
+#[derive(Clone, Copy, Debug)]
+struct Row<T> {
+    from: usize,
+    to: usize,
+    value: T,
+}
+
+/// The last list, with which the next is compared.
+#[derive(Debug)]
+pub struct Rows<T> {
+    body: Vec<u8>,
+    rows: Vec<Row<T>>,
+}
+
+impl<T> Default for Rows<T> {
+    fn default() -> Rows<T> {
+        Rows { body: Vec::new(), rows: Vec::new() }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Before the opening bracket.
+    Start,
+    /// After it: a row or the end.
+    Opened,
+    /// After a row: a comma or the end.
+    After,
+    /// After a comma: a row.
+    Row,
+    /// After the closing bracket.
+    End,
+}
+
+/// A list on its way in.
+#[derive(Debug)]
+pub struct Reading<T> {
+    now: Rows<T>,
+    last: Rows<T>,
+    /// The next row of the last list that has not come up.
+    cursor: usize,
+    at: usize,
+    place: Place,
+    most: usize,
+}
+
+impl<T: Clone> Reading<T> {
+    /// Begins a list that may have so many rows.
+    pub fn new(body: Vec<u8>, last: Rows<T>, most: usize) -> Reading<T> {
+        let rows = Vec::with_capacity(last.rows.len().min(most));
+        Reading { now: Rows { body, rows }, last, cursor: 0, at: 0, place: Place::Start, most }
+    }
+
+    /// Takes in rows for as much work as is left, which it lessens. `parse` makes a value of a row that is new or has changed;
+    /// `take` gets every row with its number. Returns whether the list is at its end; an error means that it is none,
+    /// and names the place.
+    pub fn step(
+        &mut self,
+        work: &mut usize,
+        mut parse: impl FnMut(&str) -> T,
+        mut take: impl FnMut(usize, &T),
+    ) -> Result<bool, String> {
+        while *work > 0 {
+            let body = &self.now.body;
+            self.at += body[self.at..].iter().take_while(|b| b" \t\r\n".contains(b)).count();
+            let octet = body.get(self.at);
+            self.place = match (self.place, octet) {
+                (Place::End, None) => return Ok(true),
+                (Place::Start, Some(b'[')) => Place::Opened,
+                (Place::Opened | Place::After, Some(b']')) => Place::End,
+                (Place::After, Some(b',')) => Place::Row,
+                (Place::Opened | Place::Row, Some(_)) => {
+                    let number = self.now.rows.len();
+                    if number == self.most {
+                        return Err(format!("more than {} entries", self.most));
+                    }
+                    let (row, cost) = self.row(number, &mut parse)?;
+                    take(number, &row.value);
+                    self.at = row.to;
+                    self.now.rows.push(row);
+                    *work = work.saturating_sub(cost);
+                    Place::After
+                }
+                (_, Some(&octet)) => {
+                    return Err(format!("octet {}: {:?} is out of place", self.at, char::from(octet)));
+                }
+                (_, None) => return Err(format!("octet {}: it ends too early", self.at)),
+            };
+            if self.place != Place::After {
+                self.at += 1;
+            }
+        }
+        Ok(false)
+    }
+
+    fn row(&mut self, number: usize, parse: &mut impl FnMut(&str) -> T) -> Result<(Row<T>, usize), String> {
+        let (from, rest) = (self.at, &self.now.body[self.at..]);
+        let window = self.last.rows.iter().enumerate().skip(self.cursor).take(WINDOW);
+        // An object tells its own end, so what begins with the same object is that object.
+        let same =
+            |old: &Row<T>| rest.first() == Some(&b'{') && rest.starts_with(&self.last.body[old.from..old.to]);
+        if let Some((at, old)) = window.clone().find(|(_, old)| same(old)) {
+            self.cursor = at + 1;
+            let (value, to) = (old.value.clone(), from + (old.to - old.from));
+            return Ok((Row { from, to, value }, 1));
+        }
+        let mut values = serde_json::Deserializer::from_slice(rest).into_iter::<&RawValue>();
+        let raw = match values.next() {
+            Some(Ok(raw)) => raw,
+            Some(Err(e)) => return Err(format!("entry {number}, from octet {from}: {e}")),
+            None => return Err(format!("octet {from}: it ends too early")),
+        };
+        let length = values.byte_offset();
+        let value = parse(raw.get());
+        // A row that stands in the place of the next old one has most likely replaced it; if it was put in before it,
+        // the old one is found further on in the new list and the cursor with it.
+        if window.clone().next().is_some_and(|(_, old)| self.replaces(old, rest)) {
+            self.cursor += 1;
+        }
+        Ok((Row { from, to: from + length, value }, PARSED + length / PARSED_BYTES))
+    }
+
+    /// Whether a row begins as an old one did for as long as two rows of different things hardly do.
+    fn replaces(&self, old: &Row<T>, rest: &[u8]) -> bool {
+        let old = &self.last.body[old.from..old.to];
+        let alike = old.iter().zip(rest).take_while(|(a, b)| a == b).count();
+        alike * 4 >= old.len()
+    }
+
+    /// The list with which the next one is compared: this one if it came to its end, else the last.
+    pub fn into_rows(self) -> Rows<T> {
+        if self.place == Place::End { self.now } else { self.last }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use serde_json::Value;
+
+    /// Reads a body in steps of so much work; returns the rows and how many were parsed.
+    fn read(
+        body: &str,
+        last: Rows<String>,
+        work: usize,
+    ) -> (Result<Vec<String>, String>, usize, usize, Rows<String>) {
+        let mut reading = Reading::new(body.as_bytes().to_vec(), last, 1000);
+        let (mut rows, mut parsed, mut steps) = (Vec::new(), 0, 0);
+        let result = loop {
+            steps += 1;
+            let parse = |raw: &str| {
+                parsed += 1;
+                raw.to_owned()
+            };
+            let take = |number: usize, value: &String| {
+                assert_eq!(number, rows.len());
+                rows.push(value.clone());
+            };
+            match reading.step(&mut work.clone(), parse, take) {
+                Ok(false) => {}
+                Ok(true) => break Ok(rows),
+                Err(e) => break Err(e),
+            }
+        };
+        (result, parsed, steps, reading.into_rows())
+    }
+
+    fn body(rows: &[(u32, u32)]) -> String {
+        let row = |(id, value): &(u32, u32)| {
+            format!("{{\"id\":\"{id}\",\"more\":[1,{{\"}}\":\"]\"}}],\"value\":{value}}}")
+        };
+        format!("[{}]", rows.iter().map(row).collect::<Vec<_>>().join(", "))
+    }
+
+    #[test]
+    fn unchanged_rows_are_not_parsed_and_long_lists_take_steps() {
+        let mut rows: Vec<(u32, u32)> = (0..500).map(|id| (id, 0)).collect();
+        let (first, parsed, steps, last) = read(&body(&rows), Rows::default(), 100);
+        assert_eq!((first.expect("a list").len(), parsed), (500, 500));
+        assert!(steps >= 10, "{steps} steps");
+        let (again, parsed, steps, last) = read(&body(&rows), last, 100);
+        assert_eq!((again.expect("a list").len(), parsed, steps), (500, 0, 6));
+        // Changed, removed, and put in.
+        rows[17].1 = 1;
+        rows.drain(100..140);
+        rows.insert(300, (9999, 5));
+        let (news, parsed, _, last) = read(&body(&rows), last, 100);
+        assert_eq!(news.expect("a list").len(), 461);
+        assert_eq!(parsed, 2);
+        // What is no list changes nothing of what the next is compared with.
+        let (broken, .., last) = read(&body(&rows).replace("9999\"", "9999"), last, 100);
+        assert!(broken.expect_err("no list").contains("entry 300"));
+        assert_eq!(read(&body(&rows), last, 100).1, 0);
+    }
+
+    #[test]
+    fn numbers_do_not_pass_for_their_beginnings() {
+        let (_, _, _, last) = read("[1, 2]", Rows::default(), 9);
+        assert_eq!(read("[12, 2]", last, 9).0.expect("a list"), ["12", "2"]);
+        let many = format!("[{}1]", "1,".repeat(1000));
+        assert_eq!(read(&many, Rows::default(), 9).0.expect_err("too many"), "more than 1000 entries");
+    }
+
+    proptest! {
+        #[test]
+        fn it_takes_what_a_public_parser_takes(text in "[ \\[\\],{}\"a1:]{0,12}", step in 1usize..4) {
+            let well = serde_json::from_str::<Vec<Value>>(&text).ok().map(|rows| rows.len());
+            let got = read(&text, Rows::default(), step).0.ok().map(|rows| rows.len());
+            // The rows' own contents are only checked for their shape here.
+            prop_assert_eq!(got, well);
+        }
+
+        #[test]
+        fn whatever_came_before_it_reads_the_same(
+            a in prop::collection::vec((0u32..40, 0u32..3), 0..60),
+            b in prop::collection::vec((0u32..40, 0u32..3), 0..60),
+        ) {
+            let (_, _, _, last) = read(&body(&a), Rows::default(), 50);
+            let fresh = read(&body(&b), Rows::default(), 50).0;
+            let compared = read(&body(&b), last, 50).0;
+            prop_assert_eq!(fresh, compared);
+        }
+    }
+}
--- a/crates/consul/src/source.rs
+++ b/crates/consul/src/source.rs
@@ -1,8 +1,8 @@
 //! The source of hosts and slots: what is to be asked of Consul, and what its answers come to.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 
-use maplethread_config::{Consul, Damping as DampingKind, HostEntry, HostState, PlacerConfig, Reads};
+use maplethread_config::{Consul, Damping as DampingKind, HostEntry, PlacerConfig, Reads};
 use maplethread_damping::{Damping, Policy};
 use maplethread_wire::http::Message;
 use rand_pcg::Pcg64Mcg;
@@ -10,13 +10,18 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use self::lists::{Reading, Unread};
 use crate::Micros;
-use crate::catalogue::{self, Entry, Known, Listed, Member};
+use crate::catalogue::{Answer, Entries, Known, Listed, Member, MemberRows};
 use crate::lease::{Ask, Lease, Told};
-use crate::query::{BackOff, Meta, Mode, Target, escape, next_index};
-use crate::trust::{Belief, Trust};
+
+use crate::query::{BackOff, Meta, Mode, Target, escape};
+use crate::trust::Trust;
 use crate::watch::{Next, Watch, nothing};
 
+mod lists;
+mod slots;
+
 /// A call, to be told apart from others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
@@ -109,8 +114,16 @@
     /// How late an answer about the list may be.
     late: Micros,
     trust: Trust,
+    /// Answers that wait to be read, one of each kind at most.
+    unread: VecDeque<Unread>,
+    reading: Option<Reading>,
+    /// The last answers as they were read.
+    answer: Answer,
+    member_rows: MemberRows,
+    /// Hosts of which there is news that was not yet told.
+    untold: VecDeque<String>,
     /// What was last taken, by name.
-    entries: BTreeMap<String, Entry>,
+    entries: Entries,
     /// Hosts as they were last told.
     told: BTreeMap<String, HostEntry>,
     members: BTreeMap<String, Member>,
@@ -171,7 +184,12 @@
             watching: false,
             late: late.max(SHORT),
             trust: Trust::new(consul.datacentre.clone()),
-            entries: BTreeMap::new(),
+            unread: VecDeque::new(),
+            reading: None,
+            answer: Answer::default(),
+            member_rows: MemberRows::default(),
+            untold: VecDeque::new(),
+            entries: Entries::new(),
             told: BTreeMap::new(),
             members: BTreeMap::new(),
             damping: Damping::new(policy, most, seed ^ 2),
@@ -243,7 +261,14 @@
             self.loops.iter().filter(|(p, l)| l.call.is_none() && **p != Purpose::Lease).map(|(_, l)| l.due);
         let lease = self.lease.as_ref().and_then(|l| l.due(now));
         let own = self.lease.as_ref().and_then(Lease::until).filter(|&u| u > now && self.slot.is_some());
-        loops.chain(lease).chain(own).chain(self.damping.next()).chain(self.trust.due()).min()
+        let busy = self.busy().then_some(now);
+        busy.into_iter()
+            .chain(loops)
+            .chain(lease)
+            .chain(own)
+            .chain(self.damping.next())
+            .chain(self.trust.due())
+            .min()
     }
 
     /// Does what is due.
@@ -255,6 +280,7 @@
             // No leader has contradicted it in time: the rules win.
             self.take(now, listed);
         }
+        self.digest(now);
         let released = self.damping.due(now);
         self.tell(now, released);
         for purpose in [Purpose::Health, Purpose::Members, Purpose::Register, Purpose::Pass] {
@@ -265,16 +291,6 @@
         self.lease_step(now);
     }
 
-    /// The slot is lost by the own clock: told before anything else happens.
-    fn fence(&mut self, now: Micros) {
-        let slot = self.lease.as_ref().and_then(|l| l.slot(now));
-        if self.lease.is_some() && slot != self.slot {
-            tracing::info!(?slot, "placer number");
-            self.slot = slot;
-            self.updates.push(Update::Slot(slot));
-        }
-    }
-
     fn target(&self, path: String) -> Target {
         Target::new(path).maybe("dc", self.config.datacentre.as_deref())
     }
@@ -343,38 +359,8 @@
         self.loops.entry(purpose).or_default().call = Some(call);
     }
 
-    fn lease_step(&mut self, now: Micros) {
-        let Some(lease) = &mut self.lease else { return };
-        let Some(ask) = lease.next(now) else { return };
-        let Some(m) = &self.config.membership else { return };
-        let key = |slot: u32| format!("/v1/kv/{}/{slot}", escape(&m.prefix));
-        let (target, method, body) = match &ask {
-            Ask::Create => {
-                let body = json!({
-                    "Name": self.who, "TTL": format!("{}ms", m.ttl_ms),
-                    "LockDelay": format!("{}ms", self.lock_delay_ms), "Behavior": "release",
-                    // A session of its own TTL only: the health of the node it is made on must not end it.
-                    "NodeChecks": [], "ServiceChecks": [],
-                });
-                (self.target("/v1/session/create".to_owned()), "PUT", body.to_string())
-            }
-            Ask::Renew(id) => {
-                (self.target(format!("/v1/session/renew/{}", escape(id))), "PUT", String::new())
-            }
-            Ask::List => {
-                let path = format!("/v1/kv/{}/", escape(&m.prefix));
-                (self.target(path).with("recurse", "").mode(Mode::Consistent), "GET", String::new())
-            }
-            Ask::Acquire(slot, id) => (self.target(key(*slot)).with("acquire", id), "PUT", self.who.clone()),
-        };
-        let request = target.request(method, &self.who, self.token.as_deref(), body.as_bytes());
-        let server = self.loops.get(&Purpose::Lease).map_or(0, |l| l.server);
-        let call = self.send(Purpose::Lease, server, request, SHORT);
-        self.lease_ask = Some((call, ask));
-    }
-
     /// A call's answer.
-    pub fn answered(&mut self, now: Micros, call: CallId, message: &Message) {
+    pub fn answered(&mut self, now: Micros, call: CallId, message: Message) {
         let Some(purpose) = self.calls.remove(&call) else { return };
         let status = message.head.status();
         if purpose == Purpose::Lease {
@@ -399,32 +385,17 @@
         if let Some(l) = self.loops.get_mut(&purpose) {
             l.call = None;
         }
-        let meta = Meta::of(message);
+        let meta = Meta::of(&message);
         match purpose {
             Purpose::Health if self.watching && message.body.trim_ascii() == b"[]" => {
                 self.at_rest(now, meta);
             }
-            Purpose::Health | Purpose::Confirm => match catalogue::read(&message.body, &self.known) {
-                Ok(listed) => self.listing(now, purpose, meta, listed),
-                Err(why) => {
-                    self.fail(now, purpose, &why);
-                    return;
-                }
-            },
-            Purpose::Members => match catalogue::read_members(&message.body, self.known.most * 4) {
-                Ok(members) => {
-                    let nodes: BTreeSet<&String> = members.keys().chain(self.members.keys()).collect();
-                    let touched = |e: &&Entry| nodes.contains(&e.node);
-                    let names = self.entries.values().filter(touched).map(|e| e.host.name.clone()).collect();
-                    self.members = members;
-                    self.tell(now, names);
-                    self.again(purpose, now + self.config.members_every_ms * 1000);
-                }
-                Err(why) => {
-                    self.fail(now, purpose, &why);
-                    return;
-                }
-            },
+            Purpose::Health | Purpose::Confirm | Purpose::Members => {
+                // The next one is asked for when this one is read.
+                self.again(purpose, Micros::MAX);
+                self.unread.push_back(Unread { purpose, meta, body: message.body });
+                return;
+            }
             Purpose::Register => {
                 let server = self.loops.remove(&purpose).map_or(0, |l| l.server);
                 self.loops.insert(Purpose::Pass, Loop { server, due: now, ..Loop::default() });
@@ -435,6 +406,10 @@
             }
             Purpose::Lease => {}
         }
+        self.well(purpose);
+    }
+
+    fn well(&mut self, purpose: Purpose) {
         if let Some(l) = self.loops.get_mut(&purpose) {
             l.back_off.well();
         }
@@ -483,177 +458,4 @@
         }
         self.fail_over(purpose);
     }
-
-    /// The watch's answer: nothing but the index. Any other index is news, whichever way it went.
-    fn at_rest(&mut self, now: Micros, meta: Meta) {
-        let moved = meta.index != self.index;
-        self.watch.told(moved);
-        if moved {
-            self.again(Purpose::Health, now);
-        } else {
-            self.heard = Some(now);
-            self.report.unchanged += 1;
-            self.again(Purpose::Health, now + LEAST_BETWEEN);
-        }
-    }
-
-    fn listing(&mut self, now: Micros, purpose: Purpose, meta: Meta, listed: Listed) {
-        let consistent = purpose == Purpose::Confirm || self.config.reads == Reads::Consistent;
-        if purpose == Purpose::Health {
-            if std::mem::take(&mut self.watching) {
-                self.watch.refused();
-            }
-            let unannounced = meta.index == self.index && listed.entries != self.entries;
-            let drawn = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-            self.watch.whole(now, unannounced && listed.bad.is_empty(), drawn);
-            self.index = next_index(self.index, meta.index);
-            self.again(purpose, now + LEAST_BETWEEN);
-        } else {
-            self.again(purpose, Micros::MAX);
-        }
-        for bad in listed.bad.iter().take(5) {
-            tracing::debug!(%bad, "bad catalogue entry");
-        }
-        if listed.bad.len() != self.report.bad_entries {
-            self.report.bad_entries = listed.bad.len();
-            if let Some(first) = listed.bad.first() {
-                tracing::warn!(count = listed.bad.len(), %first, "catalogue entries that can't be used");
-            }
-        }
-        match self.trust.judge(now, meta, consistent, &listed, &self.entries) {
-            Belief::Take => self.take(now, listed),
-            Belief::Confirm => {
-                tracing::warn!(
-                    listed = listed.entries.len(),
-                    have = self.entries.len(),
-                    "a great loss; asking a leader"
-                );
-                // Bad news of hosts that it does list is not held up.
-                let mut worse = Vec::new();
-                for (name, entry) in &listed.entries {
-                    if entry.host.state != HostState::Ready
-                        && let Some(have) = self.entries.get_mut(name)
-                    {
-                        (have.host.state, have.status) = (entry.host.state, entry.status);
-                        worse.push(name.clone());
-                    }
-                }
-                self.tell(now, worse);
-                self.doubted = Some(listed);
-                self.confirm(now);
-            }
-            Belief::Reject(why) => {
-                self.report.rejected += 1;
-                tracing::debug!(why, index = meta.index, highest = self.trust.highest(), "answer not taken");
-                if purpose == Purpose::Health {
-                    // Another server is asked, from the beginning; and a leader, in case all went back.
-                    self.fail_over(purpose);
-                    self.index = 0;
-                    self.again(purpose, now + 4 * LEAST_BETWEEN);
-                    self.confirm(now);
-                }
-            }
-        }
-    }
-
-    fn confirm(&mut self, now: Micros) {
-        let server = self.loops.get(&Purpose::Health).map_or(0, |l| l.server);
-        let l = self.loops.entry(Purpose::Confirm).or_insert(Loop { server, ..Loop::default() });
-        if l.call.is_none() {
-            (l.due, l.server) = (now, server);
-            self.call(now, Purpose::Confirm);
-        }
-    }
-
-    /// A listing counts.
-    fn take(&mut self, now: Micros, listed: Listed) {
-        self.doubted = None;
-        self.report.taken += 1;
-        self.heard = Some(now);
-        let mut names: BTreeSet<String> = self.entries.keys().cloned().collect();
-        // An entry that can't be used any more does not lose its host, but nothing new goes there.
-        let mut entries = listed.entries;
-        for bad in &listed.bad {
-            if let Some(have) = self.entries.get(&bad.name)
-                && !entries.contains_key(&bad.name)
-            {
-                let mut kept = have.clone();
-                kept.host.state = HostState::Draining;
-                entries.insert(bad.name.clone(), kept);
-            }
-        }
-        names.extend(entries.keys().cloned());
-        names.retain(|name| self.entries.get(name) != entries.get(name));
-        self.entries = entries;
-        let first = !std::mem::replace(&mut self.began, true);
-        let names = if first { self.entries.keys().cloned().collect() } else { names.into_iter().collect() };
-        self.tell(now, names);
-        if first && self.entries.is_empty() {
-            self.updates.push(Update::Hosts(Vec::new()));
-        }
-    }
-
-    /// Tells what these hosts now count as, if that changed.
-    fn tell(&mut self, now: Micros, names: Vec<String>) {
-        let mut changed = Vec::new();
-        for name in names {
-            let Some(entry) = self.entries.get(&name) else {
-                self.damping.told(now, &name, false);
-                if let Some(gone) = self.told.remove(&name) {
-                    changed.push(HostEntry { state: HostState::Gone, ..gone });
-                }
-                continue;
-            };
-            let member = self.members.get(&entry.node).map_or(HostState::Ready, |m| m.state());
-            let good = entry.host.state == HostState::Ready && member == HostState::Ready;
-            let counts = self.damping.told(now, &name, good);
-            let state = if counts { HostState::Ready } else { HostState::Draining };
-            let told = HostEntry { state, ..entry.host.clone() };
-            if self.told.get(&name).is_none_or(|t| *t != told) {
-                changed.push(told.clone());
-                self.told.insert(name, told);
-            }
-        }
-        if !changed.is_empty() {
-            self.updates.push(Update::Hosts(changed));
-        }
-    }
-
-    fn lease_told(&self, call: CallId, status: u16, body: &[u8]) -> Told {
-        let Some((asked, ask)) = &self.lease_ask else { return Told::Failed };
-        if *asked != call {
-            return Told::Failed;
-        }
-        let json: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-        match (ask, status) {
-            (Ask::Create, 200) => match json["ID"].as_str() {
-                Some(id) => Told::Created(id.to_owned()),
-                None => Told::Failed,
-            },
-            (Ask::Renew(_), 200) => Told::Renewed,
-            (Ask::Renew(_), 404) => Told::Gone,
-            // No key was ever locked.
-            (Ask::List, 404) => Told::Held(BTreeSet::new()),
-            (Ask::List, 200) => {
-                let Some(all) = json.as_array() else { return Told::Failed };
-                let held = all.iter().filter(|k| k["Session"].as_str().is_some_and(|s| !s.is_empty()));
-                let slot = |k: &Value| k["Key"].as_str()?.rsplit('/').next()?.parse().ok();
-                Told::Held(held.filter_map(slot).collect())
-            }
-            (Ask::Acquire(..), 200) => match json.as_bool() {
-                Some(acquired) => Told::Acquired(acquired),
-                None => Told::Failed,
-            },
-            _ => Told::Failed,
-        }
-    }
-
-    fn lease_done(&mut self, now: Micros, told: Told) {
-        self.lease_ask = None;
-        if let Some(lease) = &mut self.lease {
-            lease.told(now, told);
-        }
-        self.fence(now);
-        self.lease_step(now);
-    }
 }
--- a/crates/consul/src/trust.rs
+++ b/crates/consul/src/trust.rs
@@ -6,10 +6,8 @@
 //! verified itself answers; where that answer does not come within [`CONFIRM_WITHIN`], the loss counts, since it may
 //! be true (rule 3 wins). What an unconfirmed answer says of hosts that it does list counts at once if it is bad.
 
-use std::collections::BTreeMap;
-
 use crate::Micros;
-use crate::catalogue::{Entry, Listed};
+use crate::catalogue::Listed;
 use crate::query::Meta;
 
 /// A loss waits so long to be confirmed, well within any grace of rule 3.
@@ -56,14 +54,15 @@
         self.doubt.map(|since| since + CONFIRM_WITHIN)
     }
 
-    /// Judges an answer; `consistent` tells that it was read in that mode.
+    /// Judges an answer; `consistent` tells that it was read in that mode. Of `had` hosts before, so many are `gone`.
     pub fn judge(
         &mut self,
         now: Micros,
         meta: Meta,
         consistent: bool,
         listed: &Listed,
-        have: &BTreeMap<String, Entry>,
+        had: usize,
+        gone: usize,
     ) -> Belief {
         if let Some(own) = &self.datacentre
             && listed.datacentres.iter().any(|dc| dc != own)
@@ -79,9 +78,7 @@
         if self.datacentre.is_none() {
             self.datacentre = listed.datacentres.first().cloned();
         }
-        let kept = have.keys().filter(|name| listed.entries.contains_key(*name)).count();
-        let lost = have.len() - kept;
-        let much = lost >= LOST_LEAST && (kept as f64) < LOST_SHARE * have.len() as f64;
+        let much = gone >= LOST_LEAST && ((had - gone) as f64) < LOST_SHARE * had as f64;
         let overdue = self.due().is_some_and(|due| due <= now);
         if much && !consistent && !overdue {
             self.doubt.get_or_insert(now);
@@ -97,7 +94,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::catalogue::{Known, read};
+    use crate::catalogue::{Differences, Known, read};
 
     fn list(names: &[&str], dc: &str) -> Listed {
         let entry = |n: &&str| {
@@ -111,6 +108,20 @@
             .expect("a list")
     }
 
+    /// Judges a list of these hosts, by one that had others.
+    fn judge(
+        trust: &mut Trust,
+        now: Micros,
+        meta: Meta,
+        consistent: bool,
+        (names, dc): (&[&str], &str),
+        had: &[&str],
+    ) -> Belief {
+        let listed = list(names, dc);
+        let gone = Differences::between(&list(had, dc).entries, &listed.entries).gone;
+        trust.judge(now, meta, consistent, &listed, had.len(), gone)
+    }
+
     fn meta(index: u64) -> Meta {
         Meta { index, known_leader: Some(true), last_contact_ms: 0 }
     }
@@ -120,46 +131,44 @@
     #[test]
     fn lagging_servers_and_other_datacentres_do_not_count() {
         let mut trust = Trust::new(Some("dc1".into()));
-        let have = list(&ALL, "dc1").entries;
-        assert_eq!(trust.judge(0, meta(50), false, &list(&ALL, "dc1"), &have), Belief::Take);
-        assert!(matches!(trust.judge(1, meta(49), false, &list(&ALL, "dc1"), &have), Belief::Reject(_)));
-        assert!(matches!(trust.judge(1, meta(60), false, &list(&ALL, "dc2"), &have), Belief::Reject(_)));
-        assert!(matches!(trust.judge(1, meta(60), true, &list(&ALL, "dc2"), &have), Belief::Reject(_)));
-        assert_eq!(trust.judge(2, meta(50), false, &list(&ALL[1..], "dc1"), &have), Belief::Take);
+        assert_eq!(judge(&mut trust, 0, meta(50), false, (&ALL[..], "dc1"), &ALL), Belief::Take);
+        assert!(matches!(judge(&mut trust, 1, meta(49), false, (&ALL[..], "dc1"), &ALL), Belief::Reject(_)));
+        assert!(matches!(judge(&mut trust, 1, meta(60), false, (&ALL[..], "dc2"), &ALL), Belief::Reject(_)));
+        assert!(matches!(judge(&mut trust, 1, meta(60), true, (&ALL[..], "dc2"), &ALL), Belief::Reject(_)));
+        assert_eq!(judge(&mut trust, 2, meta(50), false, (&ALL[1..], "dc1"), &ALL), Belief::Take);
         // A cluster restored from a snapshot: its leader says so, and from then on its indexes count.
-        assert_eq!(trust.judge(3, meta(7), true, &list(&ALL, "dc1"), &have), Belief::Take);
-        assert_eq!(trust.judge(4, meta(8), false, &list(&ALL, "dc1"), &have), Belief::Take);
+        assert_eq!(judge(&mut trust, 3, meta(7), true, (&ALL[..], "dc1"), &ALL), Belief::Take);
+        assert_eq!(judge(&mut trust, 4, meta(8), false, (&ALL[..], "dc1"), &ALL), Belief::Take);
         // Without a name in the settings the first answer gives it.
         let mut trust = Trust::new(None);
-        assert_eq!(trust.judge(0, meta(1), false, &list(&ALL, "dc9"), &have), Belief::Take);
-        assert!(matches!(trust.judge(0, meta(2), false, &list(&ALL, "dc1"), &have), Belief::Reject(_)));
+        assert_eq!(judge(&mut trust, 0, meta(1), false, (&ALL[..], "dc9"), &ALL), Belief::Take);
+        assert!(matches!(judge(&mut trust, 0, meta(2), false, (&ALL[..], "dc1"), &ALL), Belief::Reject(_)));
     }
 
     #[test]
     fn a_great_loss_is_confirmed_or_counts_in_time() {
-        let have = list(&ALL, "dc1").entries;
         for less in [&ALL[..0], &ALL[..2]] {
             let mut trust = Trust::new(None);
-            assert_eq!(trust.judge(100, meta(5), false, &list(less, "dc1"), &have), Belief::Confirm);
+            assert_eq!(judge(&mut trust, 100, meta(5), false, (less, "dc1"), &ALL), Belief::Confirm);
             assert_eq!(trust.due(), Some(100 + CONFIRM_WITHIN));
             // The same again does not begin the wait anew, and when it is over the loss counts.
-            assert_eq!(trust.judge(200, meta(6), false, &list(less, "dc1"), &have), Belief::Confirm);
+            assert_eq!(judge(&mut trust, 200, meta(6), false, (less, "dc1"), &ALL), Belief::Confirm);
             assert_eq!(
-                trust.judge(100 + CONFIRM_WITHIN, meta(6), false, &list(less, "dc1"), &have),
+                judge(&mut trust, 100 + CONFIRM_WITHIN, meta(6), false, (less, "dc1"), &ALL),
                 Belief::Take
             );
             // Confirmed by a leader it counts at once.
             let mut trust = Trust::new(None);
-            assert_eq!(trust.judge(100, meta(5), false, &list(less, "dc1"), &have), Belief::Confirm);
-            assert_eq!(trust.judge(101, meta(5), true, &list(less, "dc1"), &have), Belief::Take);
+            assert_eq!(judge(&mut trust, 100, meta(5), false, (less, "dc1"), &ALL), Belief::Confirm);
+            assert_eq!(judge(&mut trust, 101, meta(5), true, (less, "dc1"), &ALL), Belief::Take);
             assert_eq!(trust.due(), None);
             // A consistent answer without a leader confirms nothing.
             let mut trust = Trust::new(None);
             let none = Meta { known_leader: Some(false), ..meta(5) };
-            assert!(matches!(trust.judge(1, none, true, &list(less, "dc1"), &have), Belief::Reject(_)));
+            assert!(matches!(judge(&mut trust, 1, none, true, (less, "dc1"), &ALL), Belief::Reject(_)));
         }
         // Few lost hosts are plain news.
         let mut trust = Trust::new(None);
-        assert_eq!(trust.judge(0, meta(5), false, &list(&ALL[..4], "dc1"), &have), Belief::Take);
+        assert_eq!(judge(&mut trust, 0, meta(5), false, (&ALL[..4], "dc1"), &ALL), Belief::Take);
     }
 }
--- a/crates/placer/src/catalogue.rs
+++ b/crates/placer/src/catalogue.rs
@@ -11,6 +11,10 @@
 
 use crate::start::{Error, io_error};
 
+/// Bytes of an answer that are read in one round.
+const READ_ROUND: usize = 256 << 10;
+/// Bytes of one connection that may wait to be understood.
+const READ_MOST: usize = 512 << 10;
 /// Idle connections that are kept.
 const MOST_IDLE: usize = 4;
 
@@ -145,7 +149,7 @@
         if !r.read {
             return;
         }
-        let outcome = c.conn.fill(1 << 20, 2 << 20);
+        let outcome = c.conn.fill(READ_ROUND, READ_MOST);
         let answer: Result<Option<Message>, String> = match c.reader.read(c.conn.unread()) {
             Ok((found, used)) => {
                 c.conn.take(used);
@@ -159,7 +163,7 @@
                 let call = c.call.take();
                 let keep = message.head.keep_alive() && c.conn.unread().is_empty();
                 if let Some((call, _)) = call {
-                    self.source.answered(now, call, &message);
+                    self.source.answered(now, call, message);
                 }
                 if keep && outcome == ReadOutcome::Drained && self.idle.len() < MOST_IDLE {
                     self.idle.push(token);
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -186,7 +186,7 @@
                 self.poller.wait(Some(Duration::ZERO), &mut ready).map_err(io_error("epoll"))?;
             }
             self.feed_stuffed();
-            self.look_up();
+            self.look_up(stalled);
             let read = self.clock.now();
             last_read = read;
             self.engine.turn(read, stalled);
@@ -205,9 +205,12 @@
     }
 
     /// Lets the catalogue do what is due, and gives what is new to the engine.
-    fn look_up(&mut self) {
+    fn look_up(&mut self, stalled: bool) {
         let Some(catalogue) = &mut self.catalogue else { return };
         let now = self.clock.now();
+        if stalled {
+            catalogue.source.catch_up(now);
+        }
         for update in catalogue.tick(now, &self.poller, &mut self.next_token) {
             match update {
                 Update::Hosts(hosts) => {
