The judge follows leased numbers by their locks; a lock whose answer was lost is found again

A placer whose answer to a lock was lost could hold that number and take a second one; the list of locks now tells it its own. The judge no longer takes the placers' word for numbers: the stand-in tells of locks as its leader takes them in, an offer to a cold host by a placer that holds none breaks rule 4, so do two holders, and the report tells how long numbers that fell free waited.

--- a/crates/consul-standin/src/lib.rs
+++ b/crates/consul-standin/src/lib.rs
@@ -9,4 +9,4 @@
 #[allow(missing_docs, reason = "an internal vocabulary, named as in the documentation that it follows")]
 mod state;
 
-pub use server::{Faults, Servers, Settings, Watch};
+pub use server::{Faults, LockNews, Locks, Servers, Settings, Watch};
--- a/crates/consul-standin/src/server.rs
+++ b/crates/consul-standin/src/server.rs
@@ -50,6 +50,18 @@
 /// Told of an answer: who asked, its index, whether it was read consistently, its body.
 pub type Watch = Arc<dyn Fn(&str, u64, bool, &[u8]) + Send + Sync>;
 
+/// What becomes of a key's lock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LockNews<'a> {
+    /// A session of this name has locked the key.
+    Locked(&'a str, &'a str),
+    /// The key is free, and can be locked again after so long, µs.
+    Free(&'a str, u64),
+}
+
+/// Told of locks as the leader takes them in.
+pub type Locks = Arc<dyn Fn(LockNews<'_>) + Send + Sync>;
+
 /// How to run the servers.
 #[derive(Clone)]
 pub struct Settings {
@@ -65,6 +77,8 @@
     pub seed: u64,
     /// Told of each whole answer to a read of a service's health as it is written: User-Agent, index, whether it was read consistently, body.
     pub watch: Option<Watch>,
+    /// Told of what becomes of keys' locks.
+    pub locks: Option<Locks>,
 }
 
 impl Settings {
@@ -78,6 +92,7 @@
             tokens: Vec::new(),
             seed: 1,
             watch: None,
+            locks: None,
         }
     }
 }
@@ -315,8 +330,11 @@
     /// The leader takes a command in at once, followers after their lag.
     fn commit(&mut self, command: Command) {
         let now = self.clock.now();
-        self.log.push_back((now, command));
         let leader = self.leader.unwrap_or(0);
+        if let Some(locks) = &self.settings.locks {
+            self.servers[leader].state.lock_news(&command, &**locks);
+        }
+        self.log.push_back((now, command));
         self.catch_up(leader, u64::MAX);
     }
 
--- a/crates/consul-standin/src/state.rs
+++ b/crates/consul-standin/src/state.rs
@@ -4,6 +4,8 @@
 
 use serde_json::{Map, Value, json};
 
+use crate::server::LockNews;
+
 /// A change.
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -241,6 +243,25 @@
         }
     }
 
+    /// Tells what a command that is about to be applied does to locks.
+    pub fn lock_news(&self, command: &Command, tell: &dyn Fn(LockNews<'_>)) {
+        match command {
+            Command::Put { key, lock: Lock::Acquire(session), .. } if !self.holds(key, session) => {
+                if let Some((session, _)) = self.sessions.get(session) {
+                    tell(LockNews::Locked(key, &session.name));
+                }
+            }
+            Command::Put { key, lock: Lock::Release(_), .. } => tell(LockNews::Free(key, 0)),
+            Command::End { session, .. } => {
+                let delay = self.sessions.get(session).map_or(0, |(s, _)| s.lock_delay);
+                for key in self.keys.keys().filter(|key| self.holds(key, session)) {
+                    tell(LockNews::Free(key, delay));
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn touch(&mut self, service: &str) {
         self.service_index.insert(service.to_owned(), self.index);
     }
--- a/crates/consul/src/lease.rs
+++ b/crates/consul/src/lease.rs
@@ -35,8 +35,8 @@
     Renewed,
     /// It does not exist any more.
     Gone,
-    /// These slots are held by some session.
-    Held(BTreeSet<u32>),
+    /// These slots are held by other sessions, and perhaps one by this placer's.
+    Held(BTreeSet<u32>, Option<u32>),
     /// Whether the slot is this placer's now.
     Acquired(bool),
     /// No answer, or one that tells nothing.
@@ -170,7 +170,12 @@
                 // The slot is lost with it, whatever the own clock says.
                 (self.session, self.slot, self.held, self.until) = (None, None, None, 0);
             }
-            (Ask::List, Told::Held(held)) => {
+            // Locked by an ask whose answer was lost: without this, one placer would keep two slots from others.
+            (Ask::List, Told::Held(_, Some(own))) if own < self.slots => {
+                (self.slot, self.held, self.full) = (Some(own), None, false);
+                self.back_off.well();
+            }
+            (Ask::List, Told::Held(held, _)) => {
                 (self.held, self.full) = (Some(held), false);
                 self.back_off.well();
             }
@@ -184,7 +189,7 @@
             }
             (ask, _) => {
                 self.not_before = now + self.back_off.failed(&mut self.rng);
-                if ask == Ask::List {
+                if matches!(ask, Ask::List | Ask::Acquire(..)) {
                     self.held = None;
                 }
                 // A session that can't be renewed any more is given up for a new one.
@@ -211,7 +216,7 @@
         assert_eq!(lease.next(0), Some(Ask::Create));
         lease.told(0, Told::Created("s".into()));
         assert_eq!(lease.next(0), Some(Ask::List));
-        lease.told(0, Told::Held([0, 1, 3].into()));
+        lease.told(0, Told::Held([0, 1, 3].into(), None));
         assert_eq!(lease.next(0), Some(Ask::Acquire(2, "s".into())));
         lease.told(0, Told::Acquired(true));
         (lease, 2)
@@ -275,19 +280,36 @@
         }
     }
 
+    #[test]
+    fn a_slot_whose_answer_was_lost_is_found_again() {
+        let mut lease = Lease::new(4, 10 * S, 7);
+        lease.next(0);
+        lease.told(0, Told::Created("s".into()));
+        lease.next(0);
+        lease.told(0, Told::Held([0, 1, 3].into(), None));
+        assert_eq!(lease.next(0), Some(Ask::Acquire(2, "s".into())));
+        lease.told(0, Told::Failed);
+        assert_eq!(lease.slot(0), None, "not known to be its own");
+        let again = lease.due(0).expect("another look");
+        assert_eq!(lease.next(again), Some(Ask::List));
+        lease.told(again, Told::Held([0, 1, 3].into(), Some(2)));
+        assert_eq!(lease.slot(again), Some(2));
+        assert_eq!(lease.next(again), None, "one is enough");
+    }
+
     #[test]
     fn with_all_slots_held_it_waits_and_looks_again() {
         let mut lease = Lease::new(2, 10 * S, 7);
         lease.next(0);
         lease.told(0, Told::Created("s".into()));
         lease.next(0);
-        lease.told(0, Told::Held([0, 1].into()));
+        lease.told(0, Told::Held([0, 1].into(), None));
         assert_eq!(lease.next(0), None);
         assert!(lease.full() && lease.slot(0).is_none());
         let again = lease.due(0).expect("another look");
         assert!((S / 2..=2 * S).contains(&again));
         assert_eq!(lease.next(again), Some(Ask::List));
-        lease.told(again, Told::Held([0].into()));
+        lease.told(again, Told::Held([0].into(), None));
         assert_eq!(lease.next(again), Some(Ask::Acquire(1, "s".into())));
         // Somebody was quicker: not tried again until listed anew.
         lease.told(again, Told::Acquired(false));
--- a/crates/consul/src/source/slots.rs
+++ b/crates/consul/src/source/slots.rs
@@ -6,7 +6,7 @@
 
 use super::{CallId, Purpose, SHORT, Source, Update};
 use crate::Micros;
-use crate::lease::{Ask, Told};
+use crate::lease::{Ask, Lease, Told};
 use crate::query::{Mode, escape};
 
 impl Source {
@@ -64,12 +64,22 @@
             (Ask::Renew(_), 200) => Told::Renewed,
             (Ask::Renew(_), 404) => Told::Gone,
             // No key was ever locked.
-            (Ask::List, 404) => Told::Held(BTreeSet::new()),
+            (Ask::List, 404) => Told::Held(BTreeSet::new(), None),
             (Ask::List, 200) => {
                 let Some(all) = json.as_array() else { return Told::Failed };
-                let held = all.iter().filter(|k| k["Session"].as_str().is_some_and(|s| !s.is_empty()));
-                let slot = |k: &Value| k["Key"].as_str()?.rsplit('/').next()?.parse().ok();
-                Told::Held(held.filter_map(slot).collect())
+                let own = self.lease.as_ref().and_then(Lease::session);
+                let (mut held, mut mine) = (BTreeSet::new(), None);
+                for key in all {
+                    let slot = key["Key"].as_str().and_then(|k| k.rsplit('/').next()?.parse().ok());
+                    match (slot, key["Session"].as_str()) {
+                        (Some(slot), session) if session.is_some() && session == own => mine = Some(slot),
+                        (Some(slot), Some(session)) if !session.is_empty() => {
+                            held.insert(slot);
+                        }
+                        _ => {}
+                    }
+                }
+                Told::Held(held, mine)
             }
             (Ask::Acquire(..), 200) => match json.as_bool() {
                 Some(acquired) => Told::Acquired(acquired),
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -6,6 +6,7 @@
 use maplethread_wire::frame::{Copies, Frame, Reason};
 
 use crate::figures::Figures;
+use crate::numbers::Numbers;
 use crate::record::{Outcome, Record, Seen, Where};
 use crate::rule_1::{Absences, absences, unreadable};
 use crate::verdict::{Broken, Verdict};
@@ -92,6 +93,8 @@
     pub(crate) absences: BTreeMap<Name, Absences>,
     /// Times in which the inventory could not be read.
     pub(crate) unreadable: Vec<(u64, u64)>,
+    /// Numbers that are leased.
+    pub(crate) numbers: Numbers,
 }
 
 /// Reads a record, in the order of its times, and tells which rules were broken.
@@ -124,6 +127,7 @@
         doubles: VecDeque::new(),
         absences: absences(records),
         unreadable: unreadable(records),
+        numbers: Numbers::default(),
     };
     for (number, record) in records.iter().enumerate() {
         (judge.at, judge.number) = (record.at, number);
@@ -136,6 +140,7 @@
     judge.settle_spreads(u64::MAX);
     judge.settle_doubles(u64::MAX);
     judge.close(end);
+    judge.close_numbers(end);
     judge.verdict
 }
 
@@ -235,14 +240,18 @@
                 self.catalogue_told(placer, *index, *consistent, body);
             }
             Seen::PlacerUp { placer } => {
+                self.number_seen(seen);
                 // A new life knows nothing of what the old one was told.
                 self.catalogue.retain(|(p, _), _| p != placer);
                 self.told_index.remove(placer);
             }
-            Seen::InventoryUnreadable
+            Seen::NumberLocked { .. }
+            | Seen::NumberFree { .. }
+            | Seen::NoLeader { .. }
             | Seen::PlacerDown { .. }
             | Seen::PlacerPaused { .. }
-            | Seen::PlacerGoesOn { .. } => {}
+            | Seen::PlacerGoesOn { .. } => self.number_seen(seen),
+            Seen::InventoryUnreadable => {}
         }
     }
 
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod figures;
 mod judge;
+mod numbers;
 mod record;
 mod rule_1;
 mod rule_2;
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -58,6 +58,12 @@
     InventoryUnreadable,
     /// A catalogue's answer went out to a placer: its index, whether it was read consistently, and its bytes.
     Catalogue { placer: Arc<str>, index: u64, consistent: bool, body: Arc<[u8]> },
+    /// A placer's session has locked a number, as the catalogue's leader took it in.
+    NumberLocked { number: Arc<str>, placer: Arc<str> },
+    /// A number is free; nobody may lock it before so long.
+    NumberFree { number: Arc<str>, after_us: u64 },
+    /// The catalogue has no leader for so long.
+    NoLeader { for_us: u64 },
     /// A placer's process is up and told its address.
     PlacerUp { placer: Arc<str> },
     /// It was killed.
--- a/crates/judge/src/rule_4.rs
+++ b/crates/judge/src/rule_4.rs
@@ -12,6 +12,9 @@
         // Told by the host itself over this connection, or by the inventory.
         let told = self.told_start.contains_key(&(placer.clone(), host.clone()))
             || self.listed_start.get(host) == Some(&start);
+        if told {
+            self.number_needed(placer, host);
+        }
         // Offers further apart than the window when they were sent may be read closer together.
         let window = self.figures.fall_window.saturating_sub(self.figures.slack);
         let fresh = self.figures.fresh_offers;
--- a/crates/judge/src/verdict.rs
+++ b/crates/judge/src/verdict.rs
@@ -37,6 +37,9 @@
     pub excused: u64,
     /// Offers.
     pub offers: u64,
+    /// How long each leased number that fell free waited for a holder, µs, in order: the time in which it could be
+    /// locked, the catalogue had a leader, and as many placers wanted a number as were free.
+    pub number_waits: Vec<u64>,
     /// Broken rules.
     pub broken: Vec<Broken>,
 }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use maplethread_config::{HostState, Inventory};
-use maplethread_consul_standin::{Faults as CatalogueFaults, Servers, Settings as ServerSettings};
+use maplethread_consul_standin::{Faults as CatalogueFaults, LockNews, Servers, Settings as ServerSettings};
 use maplethread_judge::{Seen, judge};
 use rustix::process::Signal;
 
@@ -63,13 +63,28 @@
     let servers = match options.consul {
         None => None,
         Some(_) => {
-            let world = world.clone();
+            // Placers name themselves `maplethread (placer-3)`.
+            let placer = |who: &str| -> Arc<str> { who.split(['(', ')']).nth(1).unwrap_or("").into() };
+            let seen = world.clone();
             let watch = move |who: &str, index: u64, consistent: bool, body: &[u8]| {
-                let placer = who.split(['(', ')']).nth(1).unwrap_or("").into();
-                world.see(Seen::Catalogue { placer, index, consistent, body: body.into() });
+                seen.see(Seen::Catalogue { placer: placer(who), index, consistent, body: body.into() });
+            };
+            let seen = world.clone();
+            let locks = move |news: LockNews<'_>| {
+                let number = |key: &str| -> Arc<str> { key.rsplit('/').next().unwrap_or("").into() };
+                seen.see(match news {
+                    LockNews::Locked(key, who) => {
+                        Seen::NumberLocked { number: number(key), placer: placer(who) }
+                    }
+                    LockNews::Free(key, after_us) => Seen::NumberFree { number: number(key), after_us },
+                });
+            };
+            let settings = ServerSettings {
+                seed: options.seed,
+                watch: Some(Arc::new(watch)),
+                locks: Some(Arc::new(locks)),
+                ..ServerSettings::new(3)
             };
-            let settings =
-                ServerSettings { seed: options.seed, watch: Some(Arc::new(watch)), ..ServerSettings::new(3) };
             Some(Servers::start(settings)?)
         }
     };
@@ -333,6 +348,7 @@
             }
             Act::LoseLeader(span) => {
                 if let Some(servers) = &self.servers {
+                    self.world.see(Seen::NoLeader { for_us: span });
                     servers.lose_leader(span);
                 }
             }
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -51,8 +51,11 @@
     }
 
     fn place_quantile(&self, q: f64) -> f64 {
-        let at = ((self.place_us.len() as f64 * q).ceil() as usize).max(1) - 1;
-        self.place_us.get(at.min(self.place_us.len().saturating_sub(1))).copied().unwrap_or(0) as f64 / 1000.0
+        quantile_ms(&self.place_us, q)
+    }
+
+    fn number_wait(&self, q: f64) -> f64 {
+        quantile_ms(&self.verdict.number_waits, q)
     }
 
     /// The report as one object.
@@ -70,6 +73,11 @@
             "double_s": self.double_s,
             "broken": broken,
             "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
+            "numbers": {
+                "taken": v.number_waits.len(), "wait_ms": {
+                    "p50": self.number_wait(0.5), "p99": self.number_wait(0.99), "max": self.number_wait(1.0),
+                },
+            },
             "returns": {"count": self.returns.0, "offers_mean": self.returns.1, "offers_most": self.returns.2},
             "place_ms": {
                 "p50": self.place_quantile(0.5), "p99": self.place_quantile(0.99), "max": self.place_quantile(1.0),
@@ -135,6 +143,16 @@
             self.decide_quantile(0.99),
             v.offers
         );
+        if !v.number_waits.is_empty() {
+            let _ = writeln!(
+                out,
+                "{} numbers fell free; until one was taken: p50 {:.0} ms, p99 {:.0} ms, max {:.0} ms",
+                v.number_waits.len(),
+                self.number_wait(0.5),
+                self.number_wait(0.99),
+                self.number_wait(1.0)
+            );
+        }
         for broken in v.broken.iter().take(10) {
             let _ = writeln!(out, "rule {} broken: {}", broken.rule, broken.what);
             if let Some(records) = self.shown(broken)["records"].as_array() {
@@ -155,6 +173,12 @@
     }
 }
 
+/// A quantile of sorted times in µs, in ms; 0 of none.
+fn quantile_ms(sorted: &[u64], q: f64) -> f64 {
+    let at = ((sorted.len() as f64 * q).ceil() as usize).max(1) - 1;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0) as f64 / 1000.0
+}
+
 /// Asks of owners that had never asked before.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FirstAsks {
