--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -129,3 +129,22 @@
     assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
     assert!(report["placed"].as_u64() > Some(200), "{report:#}");
 }
+
+#[test]
+fn numbers_under_fire_have_one_holder_and_are_taken_when_they_fall_free() {
+    let day = concat!(env!("CARGO_MANIFEST_DIR"), "/../standin/scenarios/membership.toml");
+    let mut day: toml::Table =
+        toml::from_str(&std::fs::read_to_string(day).expect("a scenario")).expect("TOML");
+    (day["placers"], day["slots"]) = (6.into(), 4.into());
+    day["fleet"]["hosts"] = 9.into();
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("membership.toml");
+    std::fs::write(&file, day.to_string()).expect("a file");
+    let file = file.to_str().expect("a name");
+    let (code, report) = bad_day(&["--consul", "--scenario", file, "--seconds", "20", "--seed", "6"]);
+    assert_eq!((code, &report["broken"]), (Some(0), &serde_json::json!({})), "{report:#}");
+    // Numbers fall free when their holders are killed or stopped for longer than their sessions last.
+    let numbers = &report["numbers"];
+    assert!(numbers["taken"].as_u64() > Some(1), "none changed hands: {report:#}");
+    assert!(numbers["wait_ms"]["max"].as_f64().is_some_and(|ms| ms < 5000.0), "{report:#}");
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -885,11 +885,12 @@
     /// When to ask again after being held in vain: what it waited for takes about so long to change. Drawn
     /// apart for each task, so that those refused together do not come back together.
     fn come_back(&self, open: &Open) -> Option<Micros> {
-        let (most, lack) = (self.settings.limits.come_back?, open.lack?);
-        let about = match lack {
-            Lack::Size => return Some(most),
-            Lack::Cold => self.settings.rules.fall_window,
-            Lack::Ready | Lack::Link | Lack::Group | Lack::Spread | Lack::Room => FULL_FOR,
+        let most = self.settings.limits.come_back?;
+        let about = match open.lack {
+            Some(Lack::Size) => return Some(most),
+            Some(Lack::Cold) => self.settings.rules.fall_window,
+            // Never held, but its attempts are used up: those that were full stay so for about as long.
+            None | Some(_) => FULL_FOR,
         };
         Some((about / 2 + mix(open.task.id.0) % about.max(1)).min(most))
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -322,3 +322,26 @@
     let full = Task { asks: Room::new(40.0, 1.0), ..task(2, 1, 9 * S) };
     assert!(offer(&desk.turn(&[Event::Asked(full)])).is_some());
 }
+
+#[test]
+fn a_refusal_after_used_up_attempts_tells_when_to_come_back() {
+    let mut s = settings(Effect::Unsafe);
+    s.limits.come_back = Some(60 * S);
+    let attempts = s.limits.max_attempts;
+    let mut desk = Desk::new(s, 40);
+    let mut advice = Vec::new();
+    for id in 1..4 {
+        desk.ask(task(id, 1, desk.now + 9 * S));
+        for number in 0..attempts {
+            let actions = desk.turn(&[end(id, number, Ending::Refused, Some(Why::Cores))]);
+            advice.extend(
+                answers(&actions)
+                    .into_iter()
+                    .filter_map(|a| if let Action::Refuse(_, after) = a { after } else { None }),
+            );
+        }
+    }
+    // Without this they came back at once, all together.
+    assert_eq!(advice.len(), 3, "each is refused, and told when");
+    assert!(advice.windows(2).all(|w| w[0] != w[1]) && advice.iter().all(|a| (S / 2..2 * S).contains(a)));
+}
