Placers write trace files, off the deciding thread; trace info, cat, cut, summary, verify, repair, replay, diff

The deciding thread puts turns and notes of asks into a bounded queue and never waits; a thread of its own writes, rotates, keeps under a ceiling, and counts in a gap what was lost: to a slow writer, a full disk, a folder that can't be written or that vanished (a test each).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
 
 mod hosts;
+mod trace;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -62,6 +63,9 @@
     },
     /// Put one placer under an open-loop load of asks, against stand-in hosts that accept all at once
     Load(LoadArgs),
+    /// Read, cut, sum up and replay the trace files of placers
+    #[command(subcommand)]
+    Trace(trace::TraceCommand),
 }
 
 #[derive(Args)]
@@ -127,6 +131,9 @@
     /// Keep the placers' settings and debug logs in this folder
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
+    /// Let the placers write trace files into this folder
+    #[arg(long, value_name = "FOLDER")]
+    trace: Option<PathBuf>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -182,6 +189,7 @@
         Command::Host { config } => host(&config),
         Command::BadDay(args) => bad_day(&args),
         Command::Load(args) => load(&args),
+        Command::Trace(command) => trace::run(&command),
         Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
     };
     result.unwrap_or_else(fail)
@@ -274,6 +282,12 @@
         }),
         progress: !args.json,
         keep: args.keep.clone(),
+        trace: args
+            .trace
+            .as_ref()
+            .map(std::path::absolute)
+            .transpose()
+            .map_err(|e| format!("--trace: {e}"))?,
     };
     let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
     if args.json {
--- a/crates/config/src/checks.rs
+++ b/crates/config/src/checks.rs
@@ -4,6 +4,7 @@
 
 use crate::error::{ConfigErrors, Doc};
 use crate::placer::{Class, Consul, Effect, PlacerConfig};
+use crate::trace::Trace;
 
 /// Collects faults.
 struct Faults<'a> {
@@ -42,6 +43,9 @@
         let mut faults = Faults { doc, found: ConfigErrors(Vec::new()) };
         self.identity(&mut faults);
         self.limits(&mut faults);
+        if let Some(trace) = &self.trace {
+            trace.faults(&mut faults);
+        }
         if let Some(consul) = &self.consul {
             consul.faults(self.rules.ask_within_ms, &mut faults);
         }
@@ -154,6 +158,17 @@
     }
 }
 
+impl Trace {
+    fn faults(&self, faults: &mut Faults<'_>) {
+        faults.check(!self.folder.as_os_str().is_empty(), "trace.folder", "a folder is needed");
+        faults.least("trace.rotate_mib", self.rotate_mib, 1);
+        faults.least("trace.rotate_s", self.rotate_s, 1);
+        let allowed = "at least trace.rotate_mib";
+        faults.given(self.keep_mib >= self.rotate_mib, "trace.keep_mib", self.keep_mib, allowed);
+        faults.least("trace.queue_records", self.queue_records as u64, 64);
+    }
+}
+
 impl Consul {
     fn faults(&self, ask_within_ms: u64, faults: &mut Faults<'_>) {
         faults.check(!self.servers.is_empty(), "consul.servers", "at least one is needed");
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,10 +3,13 @@
 //! their own files with [`parse`], so that all complaints read alike.
 
 mod checks;
+mod defaults;
 mod error;
 mod inventory;
 mod placer;
+mod trace;
 
 pub use error::{ConfigError, ConfigErrors, Doc, parse};
 pub use inventory::{HostEntry, HostState, Inventory};
 pub use placer::*;
+pub use trace::Trace;
--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -6,7 +6,9 @@
 use maplethread as mt;
 use serde::{Deserialize, Serialize};
 
+use crate::defaults as d;
 use crate::error::{ConfigErrors, Doc, parse};
+use crate::trace::Trace;
 
 /// A placer's settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,6 +23,9 @@
     /// Consul as the source of hosts, in place of an inventory file.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub consul: Option<Consul>,
+    /// Trace files of all that it sees and decides; none without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trace: Option<Trace>,
     /// What hosts admit and tell.
     #[serde(default)]
     pub placing: Placing,
@@ -406,112 +411,6 @@
     pub spread_most: Option<u32>,
 }
 
-/// Defaults.
-mod d {
-    pub fn yes() -> bool {
-        true
-    }
-    pub fn one() -> f64 {
-        1.0
-    }
-    pub fn max_clients() -> usize {
-        10_000
-    }
-    pub fn max_asks() -> usize {
-        20_000
-    }
-    pub fn max_actors() -> usize {
-        200_000
-    }
-    pub fn max_body() -> usize {
-        16 << 10
-    }
-    pub fn max_unread() -> usize {
-        1 << 20
-    }
-    pub fn max_pipelined() -> usize {
-        32
-    }
-    pub fn max_budget() -> u64 {
-        600_000
-    }
-    pub fn request_within() -> u64 {
-        10_000
-    }
-    pub fn idle() -> u64 {
-        60_000
-    }
-    pub fn answers_kept_ms() -> u64 {
-        30_000
-    }
-    pub fn answers_kept() -> usize {
-        50_000
-    }
-    pub fn events_kept() -> usize {
-        50_000
-    }
-    pub fn settle() -> u64 {
-        3_000
-    }
-    pub fn stop_within() -> u64 {
-        10_000
-    }
-    pub fn max_hosts() -> usize {
-        8_192
-    }
-    pub fn host_service() -> String {
-        "maplethread-host".to_owned()
-    }
-    pub fn placer_service() -> String {
-        "maplethread-placer".to_owned()
-    }
-    pub fn slots_prefix() -> String {
-        "maplethread/slots".to_owned()
-    }
-    pub fn wait() -> u64 {
-        5_000
-    }
-    pub fn members_every() -> u64 {
-        2_000
-    }
-    pub fn max_answer() -> usize {
-        32 << 20
-    }
-    pub fn ttl() -> u64 {
-        10_000
-    }
-    pub fn lock_delay() -> u64 {
-        5_000
-    }
-    pub fn connect_within() -> u64 {
-        1_000
-    }
-    pub fn reconnect_first() -> u64 {
-        100
-    }
-    pub fn reconnect_most() -> u64 {
-        2_000
-    }
-    pub fn ping_every() -> u64 {
-        1_000
-    }
-    pub fn silent_after() -> u64 {
-        3_000
-    }
-    pub fn lost_after() -> u64 {
-        5_000
-    }
-    pub fn max_unwritten() -> usize {
-        256 << 10
-    }
-    pub fn max_attempts() -> u32 {
-        3
-    }
-    pub fn ask_within() -> u64 {
-        10_000
-    }
-}
-
 const MS: u64 = 1000;
 
 impl PlacerConfig {
--- a/crates/engine/src/asks.rs
+++ b/crates/engine/src/asks.rs
@@ -9,6 +9,7 @@
 use crate::api::{self, Place, Problem};
 use crate::engine::{Actor, ActorKey, Ask, Due, Engine, Output, Stage};
 use crate::names::hash;
+use crate::notes::{Ending, Kept};
 use crate::sessions::copies;
 use crate::{ClientId, Decide};
 
@@ -20,6 +21,8 @@
     pub(crate) fn hang_up(&mut self, task: TaskId) {
         let Some(ask) = self.forget_ask(task) else { return };
         self.counters.hung_up += 1;
+        let after = self.now.saturating_sub(ask.asked);
+        self.notes.add(|| Kept::Answered { task, ending: Ending::HungUp, attempts: ask.attempts, after });
         ask.span.in_scope(|| tracing::debug!("hung up"));
         if let Some(key) = &ask.idempotency {
             self.answers.forget(key);
@@ -170,6 +173,14 @@
         }
         self.by_request.insert(request.clone(), id);
         self.actors.insert(key.clone(), Actor::Asking(id));
+        self.notes.add(|| Kept::Asked {
+            task: id,
+            service: task.service,
+            key: key.clone(),
+            class,
+            request: request.clone(),
+            idempotency: idempotency.clone(),
+        });
         let waiters = vec![(client, slot, request.clone())];
         let (asked, out, attempts, reason, lack, may_run) = (self.now, None, 0, None, None, None);
         let ask = Ask {
@@ -234,6 +245,8 @@
         if let Some(wire) = out {
             self.call_off(wire);
         }
+        let after = self.now.saturating_sub(ask.asked);
+        self.notes.add(|| Kept::Answered { task, ending: ending(&answer), attempts: ask.attempts, after });
         let late = ask.task.give_up_at <= self.now;
         ask.span.in_scope(|| tracing::debug!(attempts = ask.attempts, late, "{name}"));
         let bytes = api::answer(200, &answer);
@@ -255,3 +268,11 @@
         }
     }
 }
+
+fn ending(answer: &Answer) -> Ending {
+    match answer {
+        Answer::Placed { host, .. } => Ending::Placed(host.clone()),
+        Answer::Refused { reason, come_back_ms, .. } => Ending::Refused(reason, *come_back_ms),
+        Answer::Failed { .. } => Ending::Failed,
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -16,6 +16,7 @@
 use crate::hosts::{Host, Link};
 use crate::life::{LifeEvent, Ring};
 use crate::names::{Numbers, hash};
+use crate::notes::{Kept, Notes};
 use crate::timers::Timers;
 use crate::{ClientId, Decide, HostId};
 
@@ -243,6 +244,7 @@
     pub(crate) decided: Vec<Micros>,
     pub(crate) fresh: Vec<TaskId>,
     pub(crate) gauges: serde_json::Value,
+    pub(crate) notes: Notes,
 }
 
 /// Rounds of decisions in one turn: an offer that can't be sent is decided on anew at once, so often.
@@ -293,6 +295,7 @@
             decided: Vec::new(),
             fresh: Vec::new(),
             gauges: serde_json::Value::Null,
+            notes: Notes::default(),
             config,
         }
     }
@@ -332,6 +335,16 @@
         std::mem::take(&mut self.decided)
     }
 
+    /// Keeps notes of names and asks from now on, for a recorder; to be taken by [`Engine::notes`] around each turn.
+    pub fn keep_notes(&mut self) {
+        self.notes.want();
+    }
+
+    /// Notes since the last call.
+    pub fn notes(&mut self) -> Vec<Kept> {
+        self.notes.take()
+    }
+
     /// What the caller has measured, to be shown with the status.
     pub fn set_gauges(&mut self, gauges: serde_json::Value) {
         self.gauges = gauges;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,11 +16,13 @@
 mod hosts;
 mod life;
 mod names;
+mod notes;
 mod serve;
 mod sessions;
 mod timers;
 
 pub use engine::{Boot, Counters, Engine, Output};
+pub use notes::{Ending, Kept};
 pub use timers::Timers;
 
 use maplethread::{Action, Event, Micros, Placer};
@@ -43,12 +45,21 @@
     fn last_word(&self) -> bool {
         true
     }
+
+    /// Whether it is the module itself, so that a record of its turns can be replayed.
+    fn is_module(&self) -> bool {
+        false
+    }
 }
 
 impl Decide for Placer {
     fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         Placer::turn(self, now, events, actions);
     }
+
+    fn is_module(&self) -> bool {
+        true
+    }
 }
 
 impl<D: Decide + ?Sized> Decide for Box<D> {
@@ -59,4 +70,8 @@
     fn last_word(&self) -> bool {
         (**self).last_word()
     }
+
+    fn is_module(&self) -> bool {
+        (**self).is_module()
+    }
 }
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -11,6 +11,7 @@
 use crate::engine::{Actor, Attempt, Due, Engine, Output, Stage};
 use crate::hosts::{Host, Link};
 use crate::names::hash;
+use crate::notes::Kept;
 use crate::{Decide, HostId};
 
 pub(crate) fn why(reason: Reason) -> Option<Why> {
@@ -86,6 +87,8 @@
                 };
                 let mut host = Host::new(id, entry, hash(&entry.name), self.now);
                 (host.epoch, host.born) = (epoch, epoch);
+                let place = [&entry.zone, &entry.cell, &entry.kind].map(|p| p.as_str().into());
+                self.notes.add(|| Kept::Host { machine: id.0, name: host.name.clone(), place });
                 self.by_name.insert(host.name.clone(), id);
                 self.hosts.insert(id, host);
                 id
@@ -498,6 +501,7 @@
             give_up_at: self.now,
             again: false,
         };
+        self.notes.add(|| Kept::Service(task.service, key.0.clone()));
         let request: Arc<str> = offer.request.as_str().into();
         let attempt = Attempt {
             id: AttemptId { task: task.id, number: 0 },
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -16,6 +16,8 @@
 use crate::catalogue::Catalogue;
 use crate::clock::Clock;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
+use crate::recorder::Recorder;
+use crate::recording::{Item, Recorded};
 use crate::start::{Error, Options, io_error, load};
 
 const LISTENER: u64 = 0;
@@ -52,8 +54,17 @@
     let listener =
         TcpListener::bind(config.api.listen).map_err(io_error(format!("{}", config.api.listen)))?;
     let deciding = Rc::new(Cell::new(Span::default()));
-    let decider = Timed { inner: decider, spent: deciding.clone() };
+    let recorder = Recorder::start(&config, seed, started_ms, decider.is_module())
+        .map_err(io_error("thread of the trace"))?;
+    // Recording is no part of the decision's time.
+    let timed = Timed { inner: decider, spent: deciding.clone() };
+    let decider = Recorded { inner: timed, queue: recorder.as_ref().map(Recorder::queue) };
     let mut daemon = Daemon::new(config, decider, deciding, Boot { started_ms, seed }, clock, listener)?;
+    if recorder.is_some() {
+        daemon.engine.keep_notes();
+        daemon.recorder = recorder;
+    }
+    daemon.read_inventory();
     daemon.serve()
 }
 
@@ -95,6 +106,7 @@
     deciding: Rc<Cell<Span>>,
     gauges_at: u64,
     stop_by: Option<u64>,
+    recorder: Option<Recorder>,
 }
 
 impl<D: Decide> Daemon<D> {
@@ -145,8 +157,8 @@
             deciding,
             gauges_at: 0,
             stop_by: None,
+            recorder: None,
         };
-        daemon.read_inventory();
         if daemon.config.consul.as_ref().is_some_and(|c| c.membership.is_some()) {
             daemon.engine.numbered(None);
         }
@@ -189,7 +201,9 @@
             self.look_up(stalled);
             let read = self.clock.now();
             last_read = read;
+            self.keep_notes(read);
             self.engine.turn(read, stalled);
+            self.keep_notes(read);
             let decided = self.clock.now();
             self.carry_out();
             self.spent.read.add(read - woke);
@@ -204,6 +218,13 @@
         }
     }
 
+    /// Gives the recorder what the engine has noted.
+    fn keep_notes(&mut self, now: u64) {
+        let Some(recorder) = &self.recorder else { return };
+        let queue = recorder.queue();
+        self.engine.notes().into_iter().for_each(|note| queue.push(now, Item::Note(note)));
+    }
+
     /// Lets the catalogue do what is due, and gives what is new to the engine.
     fn look_up(&mut self, stalled: bool) {
         let Some(catalogue) = &mut self.catalogue else { return };
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -5,6 +5,8 @@
 mod clock;
 mod daemon;
 mod decide_time;
+mod recorder;
+mod recording;
 mod start;
 
 pub use catalogue::Catalogue;
--- /dev/null
+++ b/crates/placer/src/recorder.rs
@@ -0,0 +1,578 @@
+//! Writes trace files on a thread of its own: rotation, the ceiling on the disk used, and what happens when the disk
+//! does not take what it is given. A block is written about once a second, and a file is synced when it is closed; so
+//! a killed placer loses a second at most, a machine that fails what its kernel had not written.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use maplethread::Micros;
+use maplethread_config::{PlacerConfig, Trace};
+use maplethread_engine::{Ending, Kept};
+use maplethread_trace::{Header, Outcome, Record, Stamped, TraceError, Writer, module_hash};
+
+use crate::recording::{Item, Queue, Waiting};
+
+/// How often the queue is emptied.
+const LOOK: Duration = Duration::from_millis(20);
+/// How often what is written so far is made a block.
+const FLUSH: Duration = Duration::from_secs(1);
+/// After a failure the next file is tried so much later.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// The writing side, joined when dropped.
+pub(crate) struct Recorder {
+    queue: Arc<Queue>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Recorder {
+    /// Begins to record, if the settings want it: the module's seed, when the process started, and whether the module
+    /// decides.
+    pub fn start(
+        config: &PlacerConfig,
+        seed: u64,
+        started_ms: u64,
+        module: bool,
+    ) -> io::Result<Option<Recorder>> {
+        let Some(trace) = &config.trace else { return Ok(None) };
+        let header = Header {
+            writer: concat!("maplethread ", env!("CARGO_PKG_VERSION")).to_owned(),
+            module: module_hash(),
+            placer: config.placer.name.clone(),
+            started_ms,
+            seed,
+            settings: module.then(|| config.settings()),
+            classes: config.class.iter().map(|c| c.name.clone()).collect(),
+            part: 0,
+            changed: Vec::new(),
+        };
+        let queue = Arc::new(Queue::new(trace.queue_records));
+        let (waiting, settings) = (queue.clone(), trace.clone());
+        // Another run's files are never written to.
+        let open = |path: &Path| -> io::Result<Box<dyn Sink>> {
+            Ok(Box::new(OpenOptions::new().write(true).create_new(true).open(path)?))
+        };
+        let run = move || Files::new(settings, header, open).run(&waiting);
+        let thread = std::thread::Builder::new().name("trace".to_owned()).spawn(run)?;
+        Ok(Some(Recorder { queue, thread: Some(thread) }))
+    }
+
+    /// Where the deciding thread puts what is to be kept.
+    pub fn queue(&self) -> Arc<Queue> {
+        self.queue.clone()
+    }
+}
+
+impl Drop for Recorder {
+    fn drop(&mut self) {
+        self.queue.stop();
+        if let Some(thread) = self.thread.take() {
+            thread.thread().unpark();
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Where a trace file goes.
+trait Sink: Write + Send {
+    /// Waits until all of it is on the disk.
+    fn sync(&self) -> io::Result<()>;
+}
+
+impl Sink for File {
+    fn sync(&self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+struct Files<O> {
+    open: O,
+    settings: Trace,
+    header: Header,
+    writer: Option<Writer<Box<dyn Sink>>>,
+    path: PathBuf,
+    opened: Instant,
+    flushed: Instant,
+    /// Not tried before.
+    not_before: Instant,
+    complained: bool,
+    /// Turns and records lost since the last gap was written, and why.
+    lost: (u64, u64),
+    why: &'static str,
+    /// Hosts by name, and the names of services, as they were last told.
+    hosts: BTreeMap<String, u32>,
+    names: Vec<Stamped>,
+    services: BTreeSet<u64>,
+    /// The time of the last record.
+    last: Micros,
+}
+
+impl<O: FnMut(&Path) -> io::Result<Box<dyn Sink>>> Files<O> {
+    fn new(settings: Trace, header: Header, open: O) -> Files<O> {
+        let now = Instant::now();
+        Files {
+            open,
+            settings,
+            header,
+            writer: None,
+            path: PathBuf::new(),
+            opened: now,
+            flushed: now,
+            not_before: now,
+            complained: false,
+            lost: (0, 0),
+            why: "",
+            hosts: BTreeMap::new(),
+            names: Vec::new(),
+            services: BTreeSet::new(),
+            last: 0,
+        }
+    }
+
+    fn run(mut self, queue: &Queue) {
+        loop {
+            let waiting = queue.take();
+            let stop = waiting.stop;
+            self.write(waiting, stop);
+            if stop {
+                // What came in between the last look and the word to stop is in it.
+                self.close();
+                return;
+            }
+            std::thread::park_timeout(LOOK);
+        }
+    }
+
+    fn write(&mut self, waiting: Waiting, stop: bool) {
+        for (at, item) in waiting.items {
+            self.last = at;
+            for record in self.records(item) {
+                self.push(Stamped { at, record });
+            }
+        }
+        if waiting.lost.1 > 0 {
+            self.lose(waiting.lost, "the writer could not keep up");
+        }
+        if stop {
+            self.push(Stamped { at: self.last, record: Record::Stopped });
+        }
+        let now = Instant::now();
+        if self.flushed + FLUSH <= now {
+            self.flushed = now;
+            let result = self.writer.as_mut().map_or(Ok(()), Writer::flush);
+            self.check(result, (0, 0));
+            self.still_there();
+        }
+        let full = self.writer.as_ref().is_some_and(|w| w.totals().octets >= self.settings.rotate_mib << 20);
+        if self.writer.is_some() && (full || self.opened + Duration::from_secs(self.settings.rotate_s) <= now)
+        {
+            self.close();
+        }
+    }
+
+    fn records(&mut self, item: Item) -> Vec<Record> {
+        let service = |n: u64, name: &str| Record::Service { service: n, name: name.to_owned() };
+        match item {
+            Item::Turn(turn) => vec![Record::Turn(turn)],
+            Item::Note(Kept::Host { machine, name, place: [zone, cell, kind] }) => {
+                self.hosts.insert(name.to_string(), machine);
+                let record = Record::Host {
+                    machine,
+                    name: name.to_string(),
+                    zone: zone.to_string(),
+                    cell: cell.to_string(),
+                    kind: kind.to_string(),
+                };
+                self.names.push(Stamped { at: 0, record: record.clone() });
+                vec![record]
+            }
+            Item::Note(Kept::Service(number, name)) => {
+                if self.services.insert(number.0) {
+                    vec![service(number.0, &name)]
+                } else {
+                    Vec::new()
+                }
+            }
+            Item::Note(Kept::Asked { task, service: number, key, class, request, idempotency }) => {
+                let mut records = Vec::with_capacity(2);
+                if self.services.insert(number.0) {
+                    records.push(service(number.0, &key.0));
+                }
+                records.push(Record::Asked {
+                    task: task.0,
+                    service: number.0,
+                    actor: key.1.to_string(),
+                    class: class as u32,
+                    request: request.to_string(),
+                    key: idempotency.map(|k| k.to_string()),
+                    read: 0,
+                });
+                records
+            }
+            Item::Note(Kept::Answered { task, ending, attempts, after }) => {
+                let outcome = match ending {
+                    Ending::Placed(host) => {
+                        Outcome::Placed { host: self.hosts.get(&*host).copied().unwrap_or(u32::MAX) }
+                    }
+                    Ending::Refused(reason, come_back_ms) => {
+                        Outcome::Refused { reason: reason.to_owned(), come_back_ms }
+                    }
+                    Ending::Failed => Outcome::Failed,
+                    Ending::HungUp => Outcome::HungUp,
+                };
+                vec![Record::Answered { task: task.0, outcome, attempts, after }]
+            }
+        }
+    }
+
+    fn push(&mut self, mut stamped: Stamped) {
+        if let Record::Asked { read, .. } = &mut stamped.record {
+            *read = stamped.at;
+        }
+        let cost = (u64::from(matches!(stamped.record, Record::Turn(_))), 1);
+        if !self.open(stamped.at) {
+            self.lose(cost, "the file could not be written");
+            return;
+        }
+        let Some(writer) = &mut self.writer else { return };
+        let gap = self.lost.1 > 0;
+        let (turns, records) = self.lost;
+        let why = self.why.to_owned();
+        let result = if gap {
+            let gap = Stamped { at: stamped.at, record: Record::Gap { turns, records, why } };
+            writer.push(&gap).and_then(|()| writer.push(&stamped))
+        } else {
+            writer.push(&stamped)
+        };
+        if self.check(result, cost) && gap {
+            self.lost = (0, 0);
+        }
+    }
+
+    fn lose(&mut self, lost: (u64, u64), why: &'static str) {
+        self.lost = (self.lost.0 + lost.0, self.lost.1 + lost.1);
+        self.why = why;
+    }
+
+    /// Whether a write went well; else the file is left as it is, and another one is tried later.
+    fn check(&mut self, result: Result<(), TraceError>, cost: (u64, u64)) -> bool {
+        let Err(e) = result else { return true };
+        if !std::mem::replace(&mut self.complained, true) {
+            tracing::error!(folder = %self.settings.folder.display(), error = %e, "trace can't be written; placing goes on");
+        }
+        // What the open block held is lost with it.
+        let block = self.writer.take().map_or((0, 0), |w| w.waiting());
+        self.lose((cost.0 + block.0, cost.1 + block.1), "the file could not be written");
+        self.not_before = Instant::now() + AGAIN;
+        false
+    }
+
+    /// Whether a file is open to write to.
+    fn open(&mut self, at: Micros) -> bool {
+        if self.writer.is_some() {
+            return true;
+        }
+        let now = Instant::now();
+        if now < self.not_before {
+            return false;
+        }
+        self.make_room();
+        let result = self.next_file(at);
+        self.opened = now;
+        match result {
+            Ok(writer) => {
+                self.writer = Some(writer);
+                self.header.part += 1;
+                if std::mem::take(&mut self.complained) {
+                    tracing::info!(folder = %self.settings.folder.display(), "trace is written again");
+                }
+                true
+            }
+            Err(e) => self.check(Err(e), (0, 0)),
+        }
+    }
+
+    /// A file that somebody has removed is no place to go on in: what it held is lost, and the next one is begun.
+    fn still_there(&mut self) {
+        let Some(writer) = &self.writer else { return };
+        if !self.path.exists() {
+            let held = (writer.totals().turns, writer.totals().records);
+            tracing::warn!(file = %self.path.display(), "trace file removed while it was written");
+            self.writer = None;
+            self.lose(held, "the file was removed");
+        }
+    }
+
+    fn next_file(&mut self, at: Micros) -> Result<Writer<Box<dyn Sink>>, TraceError> {
+        std::fs::create_dir_all(&self.settings.folder)?;
+        self.path = self.path(self.header.part);
+        let file = (self.open)(&self.path);
+        let file = match file {
+            Err(e) if e.kind() == io::ErrorKind::AlreadyExists => {
+                self.header.part += 1;
+                return Err(e.into());
+            }
+            file => file?,
+        };
+        let mut writer = Writer::new(file, &self.header)?;
+        for name in &self.names {
+            writer.know(&Stamped { at, record: name.record.clone() });
+        }
+        // Services are said again as they are asked for.
+        self.services.clear();
+        Ok(writer)
+    }
+
+    fn path(&self, part: u32) -> PathBuf {
+        let name = format!("{}-{}-{part:05}.mtrace", self.stem(), self.header.started_ms);
+        self.settings.folder.join(name)
+    }
+
+    /// The placer's name as a file may be called.
+    fn stem(&self) -> String {
+        let plain = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' };
+        let name: String = self.header.placer.chars().map(plain).take(100).collect();
+        format!("trace-{name}")
+    }
+
+    fn close(&mut self) {
+        let Some(mut writer) = self.writer.take() else { return };
+        let result = writer.finish().and_then(|_| Ok(writer.get_ref().sync()?));
+        if let Err(e) = result {
+            tracing::error!(error = %e, "trace file not closed; it can be read up to its last whole block");
+        }
+    }
+
+    /// Removes this placer's oldest files until a whole new one fits under the ceiling.
+    fn make_room(&self) {
+        let Ok(entries) = std::fs::read_dir(&self.settings.folder) else { return };
+        let stem = format!("{}-", self.stem());
+        let mut files: Vec<(std::time::SystemTime, PathBuf, u64)> = entries
+            .filter_map(|e| {
+                let e = e.ok()?;
+                let name = e.file_name().into_string().ok()?;
+                let meta = e.metadata().ok()?;
+                let own = name.strip_prefix(&stem)?.strip_suffix(".mtrace")?;
+                let (run, part) = own.split_once('-')?;
+                let number = |text: &str| text.bytes().all(|b| b.is_ascii_digit());
+                (number(run) && number(part)).then_some((meta.modified().ok()?, e.path(), meta.len()))
+            })
+            .collect();
+        files.sort();
+        let mut used: u64 = files.iter().map(|f| f.2).sum();
+        let most = (self.settings.keep_mib - self.settings.rotate_mib) << 20;
+        for (_, path, octets) in files {
+            if used <= most {
+                break;
+            }
+            if std::fs::remove_file(&path).is_ok() {
+                tracing::info!(file = %path.display(), "old trace file removed");
+                used -= octets;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplethread::{Event, ServiceId, TaskId};
+    use maplethread_trace::{Part, Reader, Turn};
+    use std::sync::atomic::{AtomicBool, Ordering};
+
+    fn settings(folder: &Path) -> Trace {
+        Trace {
+            folder: folder.to_owned(),
+            rotate_mib: 1,
+            rotate_s: 3600,
+            keep_mib: 3,
+            queue_records: 1 << 20,
+        }
+    }
+
+    fn header() -> Header {
+        Header {
+            writer: "test".into(),
+            module: module_hash(),
+            placer: "p/0".into(),
+            started_ms: 17,
+            seed: 1,
+            settings: None,
+            classes: vec!["web".into()],
+            part: 0,
+            changed: Vec::new(),
+        }
+    }
+
+    fn turn(n: u64) -> (Micros, Item) {
+        (n, Item::Turn(Turn { now: n, events: vec![Event::Woken(n)], actions: Vec::new() }))
+    }
+
+    fn waiting(items: Vec<(Micros, Item)>) -> Waiting {
+        let queue = Queue::new(1 << 20);
+        items.into_iter().for_each(|(at, item)| queue.push(at, item));
+        queue.take()
+    }
+
+    /// The labels of all turns in a folder's files, in order, and what gaps tell: turns, and why.
+    fn written(folder: &Path) -> (Vec<u64>, Vec<(u64, String)>) {
+        let mut paths: Vec<PathBuf> =
+            std::fs::read_dir(folder).expect("a folder").map(|e| e.expect("an entry").path()).collect();
+        paths.sort();
+        let (mut turns, mut gaps) = (Vec::new(), Vec::new());
+        for path in paths {
+            let Ok(mut reader) = Reader::open(File::open(path).expect("a file")) else { continue };
+            while let Some(part) = reader.next_part().expect("no fault") {
+                let Part::Block { records, .. } = part else { continue };
+                for r in records {
+                    match r.record {
+                        Record::Turn(turn) => turns.push(turn.now),
+                        Record::Gap { turns, why, .. } => gaps.push((turns, why)),
+                        _ => {}
+                    }
+                }
+            }
+        }
+        (turns, gaps)
+    }
+
+    fn plain(path: &Path) -> io::Result<Box<dyn Sink>> {
+        Ok(Box::new(OpenOptions::new().write(true).create_new(true).open(path)?))
+    }
+
+    #[test]
+    fn files_rotate_by_size_and_the_oldest_go() {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join("trace-p_0-x.mtrace"), vec![0; 9 << 20]).expect("a file of others");
+        let mut files = Files::new(settings(folder.path()), header(), plain);
+        for round in 0..30 {
+            // Logs that can't be packed, some 300 KiB a round.
+            let noise = |n: u64| blake(round * 10_000 + n);
+            let log = |n| maplethread::Action::Log(noise(n));
+            let items = (0..5000)
+                .map(|n| (n, Item::Turn(Turn { now: round, events: Vec::new(), actions: vec![log(n)] })));
+            files.write(waiting(items.collect()), false);
+        }
+        files.write(waiting(Vec::new()), true);
+        files.close();
+        let sizes: Vec<(String, u64)> = std::fs::read_dir(folder.path())
+            .expect("a folder")
+            .map(|e| e.expect("an entry"))
+            .map(|e| (e.file_name().into_string().expect("a name"), e.metadata().expect("data").len()))
+            .filter(|(name, _)| name.starts_with("trace-p_0-17-"))
+            .collect();
+        let all: u64 = sizes.iter().map(|s| s.1).sum();
+        assert!((2..=4).contains(&sizes.len()) && all <= 4 << 20, "{sizes:?}");
+        assert!(folder.path().join("trace-p_0-x.mtrace").exists(), "files of others are left alone");
+        assert!(!sizes.iter().any(|(name, _)| name.ends_with("-00000.mtrace")), "the first is gone");
+    }
+
+    fn blake(n: u64) -> String {
+        use std::hash::{DefaultHasher, Hash, Hasher};
+        (0..8)
+            .map(|i| {
+                let mut hasher = DefaultHasher::new();
+                (n, i).hash(&mut hasher);
+                format!("{:x}", hasher.finish())
+            })
+            .collect()
+    }
+
+    #[test]
+    fn a_disk_that_is_full_costs_a_gap_that_counts() {
+        static FULL: AtomicBool = AtomicBool::new(false);
+        struct Disk(File);
+        impl Write for Disk {
+            fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+                if FULL.load(Ordering::Relaxed) {
+                    // Half of it fits, as on a real disk.
+                    self.0.write_all(&bytes[..bytes.len() / 2])?;
+                    return Err(io::ErrorKind::StorageFull.into());
+                }
+                self.0.write(bytes)
+            }
+
+            fn flush(&mut self) -> io::Result<()> {
+                self.0.flush()
+            }
+        }
+        impl Sink for Disk {
+            fn sync(&self) -> io::Result<()> {
+                self.0.sync_data()
+            }
+        }
+        let folder = tempfile::tempdir().expect("a folder");
+        let open = |path: &Path| -> io::Result<Box<dyn Sink>> {
+            Ok(Box::new(Disk(OpenOptions::new().write(true).create_new(true).open(path)?)))
+        };
+        let mut files = Files::new(settings(folder.path()), header(), open);
+        let late = |files: &mut Files<_>| files.flushed = Instant::now() - FLUSH;
+        late(&mut files);
+        files.write(waiting((0..10).map(turn).collect()), false);
+        FULL.store(true, Ordering::Relaxed);
+        late(&mut files);
+        files.write(waiting((10..20).map(turn).collect()), false);
+        files.write(waiting((20..30).map(turn).collect()), false);
+        FULL.store(false, Ordering::Relaxed);
+        files.not_before = Instant::now();
+        files.write(waiting((30..40).map(turn).collect()), true);
+        files.close();
+        let (turns, gaps) = written(folder.path());
+        assert_eq!(turns, (0..10).chain(30..40).collect::<Vec<u64>>());
+        assert_eq!(gaps, [(20, "the file could not be written".to_owned())]);
+    }
+
+    #[test]
+    fn a_folder_that_can_not_be_written_or_vanishes_is_tried_again() {
+        let place = tempfile::tempdir().expect("a folder");
+        let folder = place.path().join("traces");
+        // A file stands where the folder should be.
+        std::fs::write(&folder, "x").expect("a file");
+        let mut files = Files::new(settings(&folder), header(), plain);
+        files.write(waiting((0..10).map(turn).collect()), false);
+        std::fs::remove_file(&folder).expect("gone");
+        files.not_before = Instant::now();
+        files.write(waiting((10..20).map(turn).collect()), false);
+        // The folder vanishes while it is written to.
+        std::fs::remove_dir_all(&folder).expect("gone");
+        files.flushed = Instant::now() - FLUSH;
+        files.write(waiting((20..30).map(turn).collect()), false);
+        files.write(waiting((30..40).map(turn).collect()), true);
+        files.close();
+        let (turns, gaps) = written(&folder);
+        assert_eq!(turns, (30..40).collect::<Vec<u64>>());
+        // What the vanished file told of its own gap is lost with it.
+        assert_eq!(gaps, [(20, "the file was removed".to_owned())]);
+    }
+
+    #[test]
+    fn what_the_queue_had_no_room_for_is_a_gap() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut files = Files::new(settings(folder.path()), header(), plain);
+        let queue = Queue::new(16);
+        for n in 0..20 {
+            let (at, item) = turn(n);
+            queue.push(at, item);
+        }
+        files.write(queue.take(), false);
+        let asked = Kept::Asked {
+            task: TaskId(1),
+            service: ServiceId(5),
+            key: ("s".into(), "a".into()),
+            class: 0,
+            request: "r".into(),
+            idempotency: None,
+        };
+        queue.push(30, Item::Note(asked));
+        files.write(queue.take(), true);
+        files.close();
+        let (turns, gaps) = written(folder.path());
+        assert_eq!(turns, (0..8).collect::<Vec<u64>>());
+        assert_eq!(gaps, [(12, "the writer could not keep up".to_owned())]);
+    }
+}
--- /dev/null
+++ b/crates/placer/src/recording.rs
@@ -0,0 +1,108 @@
+//! The deciding thread's side of a recording: turns and notes are put in a bounded queue, and nothing ever waits.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use maplethread::{Action, Event, Micros};
+use maplethread_engine::{Decide, Kept};
+use maplethread_trace::Turn;
+
+/// Something to be kept.
+pub(crate) enum Item {
+    Turn(Turn),
+    Note(Kept),
+}
+
+/// What waits to be written.
+#[derive(Default)]
+pub(crate) struct Waiting {
+    pub items: Vec<(Micros, Item)>,
+    /// What the items weigh: events, actions and notes.
+    weight: usize,
+    /// Turns and records that found no room since the items before.
+    pub lost: (u64, u64),
+    pub stop: bool,
+}
+
+/// The queue between the deciding thread and the writer.
+pub(crate) struct Queue {
+    waiting: Mutex<Waiting>,
+    most: usize,
+}
+
+impl Queue {
+    pub fn new(most: usize) -> Queue {
+        Queue { waiting: Mutex::default(), most }
+    }
+
+    /// The lock is held for a few instructions on either side.
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds an item; once one was lost, all are until the writer has taken what waits, so that there is one gap.
+    pub fn push(&self, at: Micros, item: Item) {
+        let weight = match &item {
+            Item::Turn(turn) => 1 + turn.events.len() + turn.actions.len(),
+            Item::Note(_) => 1,
+        };
+        let mut waiting = self.lock();
+        if waiting.lost.1 > 0 || waiting.weight + weight > self.most {
+            waiting.lost.0 += u64::from(matches!(item, Item::Turn(_)));
+            waiting.lost.1 += 1;
+            return;
+        }
+        waiting.weight += weight;
+        waiting.items.push((at, item));
+    }
+
+    /// Takes what waits.
+    pub fn take(&self) -> Waiting {
+        let mut waiting = self.lock();
+        let stop = waiting.stop;
+        std::mem::replace(&mut *waiting, Waiting { stop, ..Waiting::default() })
+    }
+
+    pub fn stop(&self) {
+        self.lock().stop = true;
+    }
+}
+
+/// A decider whose turns are kept, if anybody wants them.
+pub(crate) struct Recorded<D> {
+    pub inner: D,
+    pub queue: Option<Arc<Queue>>,
+}
+
+impl<D: Decide> Decide for Recorded<D> {
+    fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        let before = actions.len();
+        self.inner.turn(now, events, actions);
+        if let Some(queue) = &self.queue {
+            let turn = Turn { now, events: events.to_vec(), actions: actions[before..].to_vec() };
+            queue.push(now, Item::Turn(turn));
+        }
+    }
+
+    fn last_word(&self) -> bool {
+        self.inner.last_word()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_finds_no_room_is_counted_and_nothing_waits() {
+        let queue = Queue::new(10);
+        let turn = || Item::Turn(Turn { now: 1, events: vec![Event::Woken(1); 3], actions: Vec::new() });
+        for at in 0..5 {
+            queue.push(at, turn());
+        }
+        let waiting = queue.take();
+        // Two of weight four fit; the rest is one gap, also what would have fitted.
+        assert_eq!((waiting.items.len(), waiting.lost), (2, (3, 3)));
+        queue.push(9, turn());
+        assert_eq!((queue.take().items.len(), queue.take().lost), (1, (0, 0)));
+    }
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -199,7 +199,8 @@
     fn write_config(&self, number: usize) -> io::Result<PathBuf> {
         let servers = self.servers.as_ref().map(|s| s.addresses.as_slice());
         let servers = servers.zip(self.options.consul);
-        let config = settings::placer(&self.scenario, number, self.options.seed, servers);
+        let mut config = settings::placer(&self.scenario, number, self.options.seed, servers);
+        config.trace = self.options.trace.clone().map(settings::trace);
         let path = self.folder.join(format!("placer-{number}.toml"));
         let text = config.to_toml().map_err(io::Error::other)?;
         std::fs::write(&path, text)?;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -310,6 +310,7 @@
             fresh_offers: 20.0,
         },
         prices: Prices::default(),
+        trace: None,
         kind: vec![Kind { name: "std".to_owned(), cores: 1e6, memory_gib: 1e6 }],
         class: vec![Class {
             name: "web-api".to_owned(),
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -25,4 +25,6 @@
     pub progress: bool,
     /// Keep the placers' logs and settings in this folder.
     pub keep: Option<PathBuf>,
+    /// Placers write trace files into this folder.
+    pub trace: Option<PathBuf>,
 }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -5,13 +5,18 @@
 
 use maplethread_config::{
     Api, Consul, Damping, HostEntry, HostState, Hosts, Identity, Inventory, Membership, PlacerConfig,
-    Placing, Prices, Reads, Rules as PlacerRules,
+    Placing, Prices, Reads, Rules as PlacerRules, Trace,
 };
 use maplethread_judge::{ClassRule, Figures, Group, Place, Where};
 
 use crate::owners::SLACK;
 use crate::scenario::Scenario;
 
+/// Trace files of a day: all of it is kept.
+pub(crate) fn trace(folder: std::path::PathBuf) -> Trace {
+    Trace { folder, rotate_mib: 256, rotate_s: 86_400, keep_mib: 16 << 10, queue_records: 1 << 18 }
+}
+
 /// Settings of the placer of this number on a day. `servers` are those of its catalogue, if it reads one.
 pub(crate) fn placer(
     s: &Scenario,
@@ -56,6 +61,7 @@
             fresh_offers: s.rules.fresh_offers,
         },
         prices: Prices::default(),
+        trace: None,
         kind: s.kind.iter().map(|k| k.kind()).collect(),
         class: s.class.iter().map(|c| c.rules.clone()).collect(),
     }
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -14,6 +14,9 @@
 /// Seconds of which counts are kept, a day and a half; what comes later counts in the last.
 const MOST_SECONDS: usize = 1 << 17;
 
+/// Times beyond it count as this long, µs.
+const LONGEST: u64 = 3_600_000_000;
+
 /// Counts of one class.
 #[derive(Clone, Debug, Default)]
 struct Class {
@@ -29,6 +32,7 @@
     offers: u64,
     seated: u64,
     ended: BTreeMap<String, u64>,
+    ready: bool,
     draining_since: Option<u64>,
     drains: u64,
     after_drain: u64,
@@ -79,7 +83,7 @@
             seconds: Vec::new(),
             begin: None,
             end: 0,
-            after: Histogram::new(3).expect("three figures are supported"),
+            after: Histogram::new_with_bounds(1, LONGEST, 3).expect("bounds in range"),
             held: BTreeMap::new(),
             turns: 0,
             records: 0,
@@ -164,11 +168,13 @@
                 Event::Listed { machines, .. } => {
                     for listing in machines {
                         let host = self.hosts.entry(listing.machine.0).or_default();
-                        if listing.state == MachineState::Ready {
+                        let ready = listing.state == MachineState::Ready;
+                        if ready {
                             host.draining_since = None;
-                        } else if host.draining_since.is_none() {
+                        } else if host.ready {
                             (host.draining_since, host.drains) = (Some(at), host.drains + 1);
                         }
+                        host.ready = ready;
                     }
                 }
                 Event::Seated(id, _) => {
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -71,6 +71,8 @@
     any_service: bool,
     outcomes: [u32; 4],
     totals: Totals,
+    /// As of the last block that was written.
+    flushed: Totals,
 }
 
 impl<W: Write> Writer<W> {
@@ -91,13 +93,22 @@
             any_service: false,
             outcomes: [0; 4],
             totals: Totals { octets: at, ..Totals::default() },
+            flushed: Totals::default(),
         })
     }
 
-    /// Goes on in another file of the same run, with the names that are known.
-    pub fn next(self, out: W, header: &Header) -> Result<Writer<W>, TraceError> {
-        let (machines, services, tasks) = (self.machines, self.services, self.tasks);
-        Ok(Writer { machines, services, tasks, ..Writer::new(out, header)? })
+    /// Takes in a name without writing it: it is said once something names its number.
+    pub fn know(&mut self, name: &Stamped) {
+        match &name.record {
+            Record::Host { machine, .. } => drop(self.machines.insert(*machine, name.record.clone())),
+            Record::Service { service, .. } => drop(self.services.insert(*service, name.record.clone())),
+            _ => {}
+        }
+    }
+
+    /// Turns and records of the present block, which are not yet written.
+    pub fn waiting(&self) -> (u64, u64) {
+        (self.totals.turns - self.flushed.turns, self.totals.records - self.flushed.records)
     }
 
     /// What was written so far; what waits in the present block is not in the octets on disk.
@@ -148,8 +159,12 @@
             self.totals.turns += 1;
             for event in &turn.events {
                 match event {
-                    Event::Running(task, _) => drop(self.tasks.insert(task.id.0, task.service.0)),
-                    Event::Ended(id, end) if end.closed => drop(self.tasks.remove(&id.task.0)),
+                    Event::Asked(task) | Event::Running(task, _) => {
+                        self.tasks.insert(task.id.0, task.service.0);
+                    }
+                    Event::Ended(id, end) if end.closed => {
+                        self.tasks.remove(&id.task.0);
+                    }
                     _ => {}
                 }
             }
@@ -204,6 +219,7 @@
         self.at += octets as u64;
         self.totals.octets = self.at;
         self.totals.raw += u64::from(info.raw);
+        self.flushed = self.totals;
     }
 
     /// Writes what waits and the index; returns what was written to.
