--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -166,6 +166,9 @@
     /// Look for the highest rate that is sustained (p99 of due-to-answer under 50 ms), starting from --rate
     #[arg(long)]
     max: bool,
+    /// Let the placer write trace files into this folder
+    #[arg(long, value_name = "FOLDER")]
+    trace: Option<PathBuf>,
     /// Print one JSON object a run
     #[arg(long)]
     json: bool,
@@ -226,6 +229,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// The folder of traces, for placers that run elsewhere.
+fn absolute(folder: &Option<PathBuf>) -> Result<Option<PathBuf>, String> {
+    folder.as_ref().map(std::path::absolute).transpose().map_err(|e| format!("--trace: {e}"))
+}
+
 fn read_scenario(file: &Path) -> Result<Scenario, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
@@ -282,12 +290,7 @@
         }),
         progress: !args.json,
         keep: args.keep.clone(),
-        trace: args
-            .trace
-            .as_ref()
-            .map(std::path::absolute)
-            .transpose()
-            .map_err(|e| format!("--trace: {e}"))?,
+        trace: absolute(&args.trace)?,
     };
     let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
     if args.json {
@@ -303,6 +306,7 @@
         return Err("--rate, --seconds and --hosts: above 0".to_owned());
     }
     let program = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+    let trace = absolute(&args.trace)?;
     let measure = |rate: f64| {
         let options = maplethread_standin::load::Options {
             program: program.clone(),
@@ -313,6 +317,7 @@
             life_ms: args.life_ms,
             seed: 1,
             storm: args.storm,
+            trace: trace.clone(),
         };
         let measured = maplethread_standin::load::run(&options).map_err(|e| format!("load: {e}"))?;
         if args.json {
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::io::{self, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use maplethread::SettingsError;
 use maplethread_config::{Doc, Inventory, PlacerConfig};
@@ -58,7 +58,10 @@
         .map_err(io_error("thread of the trace"))?;
     // Recording is no part of the decision's time.
     let timed = Timed { inner: decider, spent: deciding.clone() };
-    let decider = Recorded { inner: timed, queue: recorder.as_ref().map(Recorder::queue) };
+    let recording = Rc::new(Cell::new(Span::default()));
+    let queue = recorder.as_ref().map(Recorder::queue);
+    let decider = Recorded { inner: timed, queue, spent: recording.clone() };
+    let deciding = [deciding, recording];
     let mut daemon = Daemon::new(config, decider, deciding, Boot { started_ms, seed }, clock, listener)?;
     if recorder.is_some() {
         daemon.engine.keep_notes();
@@ -103,7 +106,8 @@
     dirty: BTreeSet<u64>,
     decide_time: DecideTime,
     spent: Spent,
-    deciding: Rc<Cell<Span>>,
+    /// What deciding took, and recording.
+    deciding: [Rc<Cell<Span>>; 2],
     gauges_at: u64,
     stop_by: Option<u64>,
     recorder: Option<Recorder>,
@@ -113,7 +117,7 @@
     fn new(
         config: PlacerConfig,
         decider: D,
-        deciding: Rc<Cell<Span>>,
+        deciding: [Rc<Cell<Span>>; 2],
         boot: Boot,
         clock: Clock,
         listener: TcpListener,
@@ -221,8 +225,12 @@
     /// Gives the recorder what the engine has noted.
     fn keep_notes(&mut self, now: u64) {
         let Some(recorder) = &self.recorder else { return };
+        let from = Instant::now();
         let queue = recorder.queue();
         self.engine.notes().into_iter().for_each(|note| queue.push(now, Item::Note(note)));
+        let mut spent = self.deciding[1].get();
+        spent.add_nanos(from.elapsed().as_nanos() as u64);
+        self.deciding[1].set(spent);
     }
 
     /// Lets the catalogue do what is due, and gives what is new to the engine.
@@ -489,7 +497,7 @@
         }
         if now >= self.gauges_at {
             self.gauges_at = now + 250_000;
-            self.spent.decide = self.deciding.get();
+            (self.spent.decide, self.spent.record) = (self.deciding[0].get(), self.deciding[1].get());
             let mut gauges = self.decide_time.json_with(&self.spent);
             if let Some(catalogue) = &self.catalogue {
                 gauges["catalogue"] = serde_json::json!(catalogue.source.report(now));
--- a/crates/placer/src/decide_time.rs
+++ b/crates/placer/src/decide_time.rs
@@ -53,9 +53,10 @@
     pub turn: Span,
     pub write: Span,
     pub decide: Span,
+    pub record: Span,
 }
 
-/// One kind of work.
+/// One kind of work, ns.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Span {
     all: u64,
@@ -64,17 +65,21 @@
 
 impl Span {
     pub fn add(&mut self, micros: u64) {
-        self.all += micros;
-        self.longest = self.longest.max(micros);
+        self.add_nanos(micros * 1000);
+    }
+
+    pub fn add_nanos(&mut self, nanos: u64) {
+        self.all += nanos;
+        self.longest = self.longest.max(nanos);
     }
 }
 
 impl Spent {
     fn json(&self) -> Value {
-        let span = |s: Span| json!({"all": s.all, "longest": s.longest});
+        let span = |s: Span| json!({"all": s.all / 1000, "longest": s.longest / 1000});
         json!({
             "reading": span(self.read), "turn": span(self.turn), "deciding": span(self.decide),
-            "writing": span(self.write),
+            "recording": span(self.record), "writing": span(self.write),
         })
     }
 }
@@ -90,7 +95,7 @@
         let from = Instant::now();
         self.inner.turn(now, events, actions);
         let mut spent = self.spent.get();
-        spent.add(from.elapsed().as_micros() as u64);
+        spent.add_nanos(from.elapsed().as_nanos() as u64);
         self.spent.set(spent);
     }
 
--- a/crates/placer/src/recording.rs
+++ b/crates/placer/src/recording.rs
@@ -1,11 +1,16 @@
 //! The deciding thread's side of a recording: turns and notes are put in a bounded queue, and nothing ever waits.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use maplethread::{Action, Event, Micros};
 use maplethread_engine::{Decide, Kept};
 use maplethread_trace::Turn;
 
+use crate::decide_time::Span;
+
 /// Something to be kept.
 pub(crate) enum Item {
     Turn(Turn),
@@ -71,6 +76,8 @@
 pub(crate) struct Recorded<D> {
     pub inner: D,
     pub queue: Option<Arc<Queue>>,
+    /// What keeping them takes of the deciding thread.
+    pub spent: Rc<Cell<Span>>,
 }
 
 impl<D: Decide> Decide for Recorded<D> {
@@ -78,8 +85,12 @@
         let before = actions.len();
         self.inner.turn(now, events, actions);
         if let Some(queue) = &self.queue {
+            let from = Instant::now();
             let turn = Turn { now, events: events.to_vec(), actions: actions[before..].to_vec() };
             queue.push(now, Item::Turn(turn));
+            let mut spent = self.spent.get();
+            spent.add_nanos(from.elapsed().as_nanos() as u64);
+            self.spent.set(spent);
         }
     }
 
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -48,6 +48,8 @@
     /// The hosts come from a catalogue, and in the second half of the run the health of a third of them changes so
     /// often a second.
     pub storm: Option<f64>,
+    /// The placer writes trace files into this folder.
+    pub trace: Option<PathBuf>,
 }
 
 /// What a run measured.
@@ -104,10 +106,11 @@
             )
         };
         let spent = format!(
-            "spent an ask (longest turn): reading {}, turns {} of which deciding {}, writing {}\n",
+            "spent an ask (longest turn): reading {}, turns {} of which deciding {} and recording {}, writing {}\n",
             spent("reading"),
             spent("turn"),
             spent("deciding"),
+            spent("recording"),
             spent("writing")
         );
         let text = format!(
@@ -310,7 +313,7 @@
             fresh_offers: 20.0,
         },
         prices: Prices::default(),
-        trace: None,
+        trace: options.trace.clone().map(crate::settings::trace),
         kind: vec![Kind { name: "std".to_owned(), cores: 1e6, memory_gib: 1e6 }],
         class: vec![Class {
             name: "web-api".to_owned(),
