--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,5 +1,7 @@
 //! The tools for trace files. All go through a file block by block, in memory that does not grow with it.
 
+mod hide;
+
 use std::fs::File;
 use std::io::{self, BufReader, BufWriter, IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -59,6 +61,8 @@
         #[arg(long)]
         build_differs: bool,
     },
+    /// Copy with all names, ids, keys and free text replaced by keyed hashes, and look for any of them in the copy
+    Anonymise(hide::AnonymiseArgs),
     /// Compare two traces record by record; exit code 1 at a difference
     Diff {
         /// One
@@ -103,6 +107,7 @@
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
         TraceCommand::Replay { files, build_differs } => replay(files, *build_differs),
+        TraceCommand::Anonymise(args) => hide::anonymise(args),
         TraceCommand::Diff { a, b } => diff(a, b),
     }
 }
--- /dev/null
+++ b/crates/cli/src/trace/hide.rs
@@ -0,0 +1,121 @@
+//! `trace anonymise`: the copy, and the search of it for anything that should not be in it.
+
+use std::io::BufWriter;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use aho_corasick::AhoCorasick;
+use clap::Args;
+use maplethread_trace::anonymise::{Anonymiser, Identifiers};
+use maplethread_trace::{Part, Record, Stamped, Writer};
+
+use super::{create, each, named, open};
+
+/// Identifiers of which the copy is searched in one pass; with more, it is searched again.
+const AT_ONCE: usize = 1 << 18;
+
+#[derive(Args)]
+pub struct AnonymiseArgs {
+    /// The trace file
+    file: PathBuf,
+    /// The new file, which must not be there yet
+    out: PathBuf,
+    /// Also write the key to this file, which must not be there yet; otherwise nobody has it afterwards
+    #[arg(long, value_name = "FILE")]
+    keep_key: Option<PathBuf>,
+    /// Shift all times by so many seconds
+    #[arg(long, default_value_t = 0.0, allow_negative_numbers = true, value_name = "S")]
+    shift_s: f64,
+    /// Round asked cores and memory up to multiples of this
+    #[arg(long, default_value_t = 0.0, value_name = "X")]
+    round: f64,
+}
+
+pub fn anonymise(args: &AnonymiseArgs) -> Result<ExitCode, String> {
+    let mut key = [0; 32];
+    getrandom::fill(&mut key).map_err(|e| format!("no random key: {e}"))?;
+    if let Some(file) = &args.keep_key {
+        let hex: String = key.iter().map(|b| format!("{b:02x}")).collect();
+        use std::io::Write;
+        writeln!(create(file)?, "{hex}").map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    let shift = (args.shift_s * 1e6) as i64 as u64;
+    let hide = Anonymiser::new(key, shift, args.round);
+    let mut trace = open(&args.file)?;
+    let out = BufWriter::new(create(&args.out)?);
+    let mut writer = Writer::new(out, &hide.header(&trace.header)).map_err(named(&args.out))?;
+    each(&args.file, &mut trace, |part| match part {
+        Part::Block { records, .. } => {
+            records.iter().try_for_each(|r| writer.push(&hide.record(r)).map_err(named(&args.out)))
+        }
+        Part::Damaged { octets, .. } => {
+            let record = Record::Gap { turns: 1, records: 1, why: "other".to_owned() };
+            eprintln!("{octets} damaged octets left out");
+            writer.push(&Stamped { at: 0, record }).map_err(named(&args.out))
+        }
+    })?;
+    let totals = writer.finish().map_err(named(&args.out))?;
+    drop(writer);
+    let (looked, found) = search(&args.file, &args.out)?;
+    println!(
+        "{} records copied; looked for {looked} identifiers of the original: {} found",
+        totals.records,
+        found.len()
+    );
+    for found in found.iter().take(10) {
+        println!("  {found:?}");
+    }
+    if found.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    std::fs::remove_file(&args.out).map_err(|e| format!("{}: {e}", args.out.display()))?;
+    Err("the copy was removed: it held what it should hide".to_owned())
+}
+
+/// Looks in the copy for what the original names: as values of their own, and anywhere in the unpacked octets. Returns
+/// how many identifiers were looked for, and those found.
+fn search(original: &Path, copy: &Path) -> Result<(usize, Vec<String>), String> {
+    let (mut looked, mut found) = (0, Vec::new());
+    let mut identifiers = Identifiers::default();
+    identifiers.of_header(&open(original)?.header);
+    let mut trace = open(original)?;
+    each(original, &mut trace, |part| {
+        if let Part::Block { records, .. } = part {
+            records.iter().for_each(|r| identifiers.of_record(r));
+            if identifiers.len() >= AT_ONCE {
+                let all = std::mem::take(&mut identifiers);
+                looked += all.len();
+                found.extend(pass(&all, copy)?);
+            }
+        }
+        Ok(())
+    })?;
+    looked += identifiers.len();
+    found.extend(pass(&identifiers, copy)?);
+    Ok((looked, found))
+}
+
+fn pass(identifiers: &Identifiers, copy: &Path) -> Result<Vec<String>, String> {
+    let long: Vec<&str> = identifiers.long().collect();
+    let any = AhoCorasick::new(&long).map_err(|e| e.to_string())?;
+    let mut trace = open(copy)?;
+    // Its values; its keys are the format's own.
+    let header = [&[trace.header.placer.clone()], &trace.header.classes[..]].concat().join("\n");
+    let mut found: Vec<String> =
+        any.find_iter(&header).map(|m| long[m.pattern().as_usize()].to_owned()).collect();
+    let mut blocks = Vec::new();
+    each(copy, &mut trace, |part| {
+        if let Part::Block { at, records, .. } = part {
+            found.extend(records.iter().filter_map(|r| identifiers.found_in(r)));
+            blocks.push(at);
+        }
+        Ok(())
+    })?;
+    for at in blocks {
+        let octets = trace.octets(at).map_err(named(copy))?;
+        found.extend(any.find_iter(&octets).map(|m| long[m.pattern().as_usize()].to_owned()));
+    }
+    found.sort();
+    found.dedup();
+    Ok(found)
+}
--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -39,8 +39,8 @@
     assert!(report["service"].as_f64().is_some_and(|s| (0.2..=1.0).contains(&s)), "{report:#}");
     // Every life of every placer, killed ones up to their last whole block, decided as the module does.
     let mut asked = 0;
-    for entry in std::fs::read_dir(traces.path()).expect("a folder") {
-        let file = entry.expect("an entry").path();
+    let entries = std::fs::read_dir(traces.path()).expect("a folder").map(|e| e.expect("an entry").path());
+    for file in entries.collect::<Vec<_>>() {
         let trace = |tool: &[&str]| {
             let mut program = Command::new(env!("CARGO_BIN_EXE_maplethread"));
             let out = program.arg("trace").args(tool).arg(&file).output().expect("the program starts");
@@ -53,6 +53,13 @@
         let classes = summary["classes"].as_object().expect("classes");
         asked += classes.values().filter_map(|c| c["asked"].as_u64()).sum::<u64>();
         assert_eq!(summary["lost"]["octets"], 0, "{summary:#}");
+        // A copy that hides all names is searched for them.
+        let copy = traces.path().join("hidden");
+        let copy = copy.to_str().expect("a name");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_maplethread"));
+        let hidden = program.args(["trace", "anonymise"]).arg(&file).arg(copy).output().expect("it starts");
+        assert!(hidden.status.success(), "{hidden:?}");
+        std::fs::remove_file(copy).expect("the copy");
     }
     // A killed placer loses its last second, and some asks never reached theirs.
     assert!((n("asks") * 8 / 10..=n("asks")).contains(&asked), "{asked} of {}", n("asks"));
--- a/crates/trace/src/block.rs
+++ b/crates/trace/src/block.rs
@@ -137,12 +137,15 @@
     }
 }
 
+/// The octets of a payload, unpacked.
+pub fn octets(info: &Info, payload: &[u8]) -> Result<Vec<u8>, &'static str> {
+    let raw = zstd::bulk::decompress(payload, info.raw as usize).map_err(|_| "a block can't be unpacked")?;
+    if raw.len() == info.raw as usize { Ok(raw) } else { Err("a block is shorter than its head tells") }
+}
+
 /// Records out of a payload; kinds that are not known are counted, not given.
 pub fn unpack(info: &Info, payload: &[u8]) -> Result<(Vec<Stamped>, u32), &'static str> {
-    let raw = zstd::bulk::decompress(payload, info.raw as usize).map_err(|_| "a block can't be unpacked")?;
-    if raw.len() != info.raw as usize {
-        return Err("a block is shorter than its head tells");
-    }
+    let raw = octets(info, payload)?;
     let mut at = 0;
     let mut time = info.first.wrapping_add(get(&raw, &mut at).ok_or("a block is cut off")?);
     let (mut records, mut unknown) = (Vec::with_capacity((info.records as usize).min(raw.len())), 0);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! A file is a header, blocks of records that stand alone, and an index. [`record`] is what is kept, [`block`] how
 //! records are packed and checked, [`writer`] and [`reader`] go through files, [`replay`] feeds a trace to a fresh
-//! module, [`summary`] answers what on-call asks, and [`cut`] copies a part. The format is in `docs/trace-format.md`.
+//! module, [`summary`] answers what on-call asks, [`cut`] copies a part,
+//! and [`anonymise`] hides whom it is about. The format is in `docs/trace-format.md`.
 //! Nothing here reads a clock or starts a thread; files are given as `Read`, `Write` and `Seek`.
 
+pub mod anonymise;
 pub mod block;
 pub mod cut;
 mod error;
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Seek, SeekFrom};
 
 use crate::TraceError;
-use crate::block::{HEAD, Info, MAGIC, MOST_RAW, unpack};
+use crate::block::{self, HEAD, Info, MAGIC, MOST_RAW, unpack};
 use crate::header::{Header, MINOR};
 use crate::record::Stamped;
 use crate::writer::{END, Entry, INDEX};
@@ -112,6 +112,18 @@
 
     /// The block that begins at this octet.
     pub fn block(&mut self, at: u64) -> Result<Part, TraceError> {
+        let (info, payload) = self.payload(at)?;
+        let (records, unknown) = unpack(&info, &payload).map_err(|why| TraceError::Damaged { at, why })?;
+        Ok(Part::Block { at, info, records, unknown })
+    }
+
+    /// The octets of the block that begins at this octet, unpacked.
+    pub fn octets(&mut self, at: u64) -> Result<Vec<u8>, TraceError> {
+        let (info, payload) = self.payload(at)?;
+        block::octets(&info, &payload).map_err(|why| TraceError::Damaged { at, why })
+    }
+
+    fn payload(&mut self, at: u64) -> Result<(Info, Vec<u8>), TraceError> {
         let damaged = |why| TraceError::Damaged { at, why };
         if at + HEAD as u64 > self.length {
             return Err(damaged("the file ends in a block's head"));
@@ -126,8 +138,7 @@
         if info.check(&payload) != check {
             return Err(damaged("a block's checksum does not fit"));
         }
-        let (records, unknown) = unpack(&info, &payload).map_err(damaged)?;
-        Ok(Part::Block { at, info, records, unknown })
+        Ok((info, payload))
     }
 
     /// Begins again with the first block.
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -372,3 +372,72 @@
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/v1.0.mtrace");
     std::fs::write(path, write(&run(20, 2))).expect("a file");
 }
+
+#[test]
+fn hostile_names_are_hidden_alike_within_a_file_and_apart_across_files() {
+    use maplethread_trace::anonymise::{Anonymiser, Identifiers};
+    let long = "n".repeat(5000);
+    let names =
+        ["", "a", "ledger", "ledger-1", "edge", &long, "../../etc", "\u{0}\u{7f}", "Überweisung", "host~"];
+    let mut records = run(20, 3);
+    let at = records[0].at;
+    for (n, name) in names.iter().enumerate() {
+        let n = n as u64;
+        records.push(Stamped { at, record: Record::Service { service: 1000 + n, name: (*name).to_owned() } });
+        let asked = Record::Asked {
+            task: 1000 + n,
+            service: 1000 + n,
+            actor: (*name).to_owned(),
+            class: 0,
+            request: (*name).to_owned(),
+            key: Some((*name).to_owned()),
+            read: at,
+        };
+        records.push(Stamped { at, record: asked });
+        let why = (*name).to_owned();
+        records.push(Stamped { at, record: Record::Gap { turns: 0, records: 1, why } });
+        let told = Event::Told { from: 1, bytes: name.as_bytes().to_vec() };
+        let log = Action::Log((*name).to_owned());
+        let turn = Turn { now: at, events: vec![told], actions: vec![log] };
+        records.push(Stamped { at, record: Record::Turn(turn) });
+    }
+    let mut identifiers = Identifiers::default();
+    identifiers.of_header(&header());
+    records.iter().for_each(|r| identifiers.of_record(r));
+    let copies = [[1; 32], [2; 32]].map(|key| {
+        let hide = Anonymiser::new(key, 7 * S, 0.5);
+        let head = hide.header(&header());
+        assert!(head.settings.is_none() && head.seed == 0 && !head.placer.contains("p0"));
+        records.iter().map(|r| hide.record(r)).collect::<Vec<_>>()
+    });
+    for copy in &copies {
+        for (old, new) in records.iter().zip(copy) {
+            assert_eq!(identifiers.found_in(new), None, "{new:?}");
+            assert_eq!(new.at, old.at + 7 * S);
+        }
+        let octets = {
+            let bytes = write(copy);
+            let mut reader = Reader::open(Cursor::new(bytes)).expect("a file");
+            let index = reader.index().expect("no fault").expect("an index");
+            index.iter().flat_map(|e| reader.octets(e.at).expect("a block")).collect::<Vec<u8>>()
+        };
+        for text in identifiers.long() {
+            let found = octets.windows(text.len()).any(|w| w == text.as_bytes());
+            assert!(!found, "{text} stands in the copy");
+        }
+        // The same name is the same hash wherever it stands, and other names are others.
+        let services: std::collections::BTreeSet<u64> = copy
+            .iter()
+            .filter_map(|r| if let Record::Service { service, .. } = r.record { Some(service) } else { None })
+            .collect();
+        assert_eq!(services.len(), 3 + names.len());
+        let mut sums = [Summary::new(&header()), Summary::new(&header())];
+        records.iter().for_each(|r| sums[0].feed(r));
+        copy.iter().for_each(|r| sums[1].feed(r));
+        let [old, new] = sums.map(|s| s.json());
+        assert_eq!((&old["classes"], &old["held_for"]), (&new["classes"], &new["held_for"]));
+    }
+    assert!(copies[0].iter().zip(&copies[1]).any(|(a, b)| a != b), "each file has a key of its own");
+    // The search finds what was not hidden.
+    assert!(records.iter().any(|r| identifiers.found_in(r).is_some()));
+}
