--- a/crates/judge/tests/excuses.rs
+++ b/crates/judge/tests/excuses.rs
@@ -74,6 +74,23 @@
     }
 }
 
+#[test]
+fn an_ask_that_lay_unread_beyond_its_deadline_is_turned_away() {
+    let ask = Seen::Asked { request: name("r"), placer: name("p"), class: name("c"), budget_us: 3 * S };
+    let late = |stood_still: bool, outcome: Outcome| {
+        let mut records = vec![Record { at: 10 * S, seen: ask.clone() }];
+        if stood_still {
+            records.insert(0, Record { at: 9 * S, seen: Seen::PlacerPaused { placer: name("p") } });
+            records.push(Record { at: 13 * S, seen: Seen::PlacerGoesOn { placer: name("p") } });
+        }
+        records.push(Record { at: 13 * S + 152_000, seen: Seen::Answered { request: name("r"), outcome } });
+        judge(&records, &figures()).counts().contains_key(&1)
+    };
+    assert!(!late(true, Outcome::Turned(503)), "it never took it");
+    assert!(late(true, Outcome::Failed), "an answer after the deadline");
+    assert!(late(false, Outcome::Turned(503)), "it was there all the time");
+}
+
 #[test]
 fn news_counts_from_when_it_could_be_read() {
     use maplethread_judge::Where;
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -10,7 +10,7 @@
 use crate::record::{Outcome, Record, Stamped, Turn};
 
 /// Asks that are open at a time; beyond it the oldest count as without an answer.
-const MOST_OPEN: usize = 1 << 20;
+const MOST_OPEN: usize = 1 << 18;
 /// Seconds of which counts are kept, a day and a half; what comes later counts in the last.
 const MOST_SECONDS: usize = 1 << 17;
 
