--- /dev/null
+++ b/fuzz/fuzz_targets/trace.rs
@@ -0,0 +1,55 @@
+//! Whatever octets follow a sound header, the reader of traces neither panics nor goes on for ever, and what it takes for
+//! records can be summed up. With the first octet odd, a sound block is damaged instead.
+
+#![no_main]
+
+use std::io::Cursor;
+
+use libfuzzer_sys::fuzz_target;
+use maplethread_trace::summary::Summary;
+use maplethread_trace::{Header, Part, Reader, Record, Stamped, Writer};
+
+fuzz_target!(|data: &[u8]| {
+    let header = Header {
+        writer: String::new(),
+        module: String::new(),
+        placer: "p".into(),
+        started_ms: 1,
+        seed: 1,
+        settings: None,
+        classes: vec!["c".into()],
+        part: 0,
+        changed: Vec::new(),
+    };
+    let mut bytes = Vec::new();
+    let mut writer = Writer::new(&mut bytes, &header).expect("a header");
+    let damage = data.first().is_some_and(|b| b % 2 == 1);
+    if damage {
+        for at in 0..9 {
+            writer.push(&Stamped { at, record: Record::Stopped }).expect("a record");
+        }
+        writer.finish().expect("an index");
+    }
+    drop(writer);
+    if damage {
+        for change in data[1..].chunks_exact(3) {
+            let at = usize::from(u16::from_le_bytes([change[0], change[1]])) % bytes.len();
+            bytes[at] ^= change[2];
+        }
+    } else {
+        bytes.extend_from_slice(data);
+    }
+    let Ok(mut reader) = Reader::open(Cursor::new(&bytes)) else { return };
+    let _ = reader.index();
+    let mut summary = Summary::new(&reader.header);
+    while let Some(part) = reader.next_part().expect("only damage") {
+        match part {
+            Part::Block { records, .. } => {
+                assert!(records.len() <= 9);
+                records.iter().for_each(|r| summary.feed(r));
+            }
+            Part::Damaged { octets, .. } => assert!(octets > 0),
+        }
+    }
+    let _ = summary.json();
+});
