trace merge: parts, runs and placers whose clocks differ, whatever the order or grouping

Offsets come from first sights of the same start of the same host and stand in the header with the residual error. Hosts, classes and tasks are numbered anew. Format 1.1; a file of 1.0 is read, and what a newer minor version adds is passed over (tests).

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -9,6 +9,7 @@
 
 use clap::{Args, Subcommand};
 use maplethread_trace::cut::{Chosen, Wanted};
+use maplethread_trace::merge::Merge;
 use maplethread_trace::replay::Replay;
 use maplethread_trace::summary::Summary;
 use maplethread_trace::{Part, Reader, Record, Stamped, TraceError, Writer, module_hash};
@@ -61,6 +62,14 @@
         #[arg(long)]
         build_differs: bool,
     },
+    /// Make one trace of several: parts of a run, runs, placers whose clocks differ, merged ones
+    Merge {
+        /// The new file, which must not be there yet
+        out: PathBuf,
+        /// The trace files
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Copy with all names, ids, keys and free text replaced by keyed hashes, and look for any of them in the copy
     Anonymise(hide::AnonymiseArgs),
     /// Compare two traces record by record; exit code 1 at a difference
@@ -107,6 +116,7 @@
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
         TraceCommand::Replay { files, build_differs } => replay(files, *build_differs),
+        TraceCommand::Merge { out, files } => merge(out, files),
         TraceCommand::Anonymise(args) => hide::anonymise(args),
         TraceCommand::Diff { a, b } => diff(a, b),
     }
@@ -308,6 +318,27 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn merge(out: &Path, files: &[PathBuf]) -> Result<ExitCode, String> {
+    let mut inputs = files.iter().map(|f| open(f)).collect::<Result<Vec<_>, _>>()?;
+    let plan = Merge::plan(&mut inputs).map_err(|e| e.to_string())?;
+    drop(inputs);
+    let mut writer = Writer::new(BufWriter::new(create(out)?), plan.header()).map_err(named(out))?;
+    let again = |n: usize| Reader::open(BufReader::new(File::open(&files[n])?));
+    plan.write(again, &mut writer).map_err(|e| e.to_string())?;
+    let totals = writer.finish().map_err(named(out))?;
+    println!("{} records of {} runs", totals.records, plan.header().sources.len());
+    for source in &plan.header().sources {
+        let error =
+            source.error_us.map_or("unknown".to_owned(), |us| format!("{:.3} ms", us as f64 / 1000.0));
+        let offset = source.offset_us as f64 / 1000.0;
+        println!(
+            "  {} started {}: offset {offset:.3} ms, residual error {error}",
+            source.placer, source.started_ms
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn summary(files: &[PathBuf], as_json: bool) -> Result<ExitCode, String> {
     let mut summary = None;
     for file in files {
--- a/crates/placer/src/recorder.rs
+++ b/crates/placer/src/recorder.rs
@@ -50,6 +50,7 @@
             classes: config.class.iter().map(|c| c.name.clone()).collect(),
             part: 0,
             changed: Vec::new(),
+            sources: Vec::new(),
         };
         let queue = Arc::new(Queue::new(trace.queue_records));
         let (waiting, settings) = (queue.clone(), trace.clone());
@@ -406,6 +407,7 @@
             classes: vec!["web".into()],
             part: 0,
             changed: Vec::new(),
+            sources: Vec::new(),
         }
     }
 
--- a/crates/trace/examples/large.rs
+++ b/crates/trace/examples/large.rs
@@ -25,6 +25,7 @@
         classes: vec!["web-api".into()],
         part: 0,
         changed: Vec::new(),
+        sources: Vec::new(),
     };
     let mut writer = Writer::new(BufWriter::new(File::create_new(file)?), &header)?;
     let mut at = header.started_ms * 1000;
--- a/crates/trace/src/anonymise.rs
+++ b/crates/trace/src/anonymise.rs
@@ -9,7 +9,7 @@
     Action, AttemptId, End, Event, Listing, MachineId, Micros, Note, Room, ServiceId, Task, TaskId,
 };
 
-use crate::header::Header;
+use crate::header::{Header, Source};
 use crate::record::{Outcome, Record, Stamped, Turn};
 
 /// Reasons of refusals that say nothing of whom they concern.
@@ -77,8 +77,18 @@
 
     /// The header; a trace whose names are hidden can't be replayed, since hosts are ranked by their names' hashes.
     pub fn header(&self, header: &Header) -> Header {
-        let Header { writer, module, placer, started_ms, seed: _, settings: _, classes, part, changed: _ } =
-            header;
+        let Header {
+            writer,
+            module,
+            placer,
+            started_ms,
+            seed: _,
+            settings: _,
+            classes,
+            part,
+            changed: _,
+            sources,
+        } = header;
         let plain = |c: char| c.is_ascii_digit() || c == '.';
         let known = writer.strip_prefix("maplethread ").is_some_and(|v| v.len() < 20 && v.chars().all(plain));
         let hex = module.len() == 64 && module.bytes().all(|b| b.is_ascii_hexdigit());
@@ -92,6 +102,19 @@
             classes: classes.iter().map(|c| self.name("class", c)).collect(),
             part: *part,
             changed: vec!["anonymise".to_owned()],
+            sources: sources.iter().map(|s| self.source(s)).collect(),
+        }
+    }
+
+    fn source(&self, source: &Source) -> Source {
+        let Source { placer, started_ms, module: _, parts, offset_us, error_us } = source;
+        Source {
+            placer: self.name("placer", placer),
+            started_ms: self.time(started_ms.wrapping_mul(1000)) / 1000,
+            module: String::new(),
+            parts: parts.clone(),
+            offset_us: *offset_us,
+            error_us: *error_us,
         }
     }
 
@@ -144,6 +167,7 @@
                 Record::Gap { turns: *turns, records: *records, why }
             }
             Record::Stopped => Record::Stopped,
+            Record::Source(source) => Record::Source(*source),
         };
         Stamped { at: self.time(*at), record }
     }
@@ -253,6 +277,7 @@
     /// Takes in what a header names.
     pub fn of_header(&mut self, header: &Header) {
         self.add(&header.placer);
+        header.sources.iter().for_each(|s| self.add(&s.placer));
         header.classes.iter().for_each(|c| self.add(c));
     }
 
@@ -328,7 +353,7 @@
         }
         Record::Answered { outcome: Outcome::Refused { reason, .. }, .. } => see(reason),
         Record::Gap { why, .. } => see(why),
-        Record::Answered { .. } | Record::Stopped => {}
+        Record::Answered { .. } | Record::Stopped | Record::Source(_) => {}
     }
 }
 
--- a/crates/trace/src/cut.rs
+++ b/crates/trace/src/cut.rs
@@ -123,9 +123,11 @@
                 return self.has(wanted, *task).then(|| stamped.clone());
             }
             // Names come again with what names them; gaps concern all.
-            Record::Host { .. } | Record::Service { .. } | Record::Gap { .. } | Record::Stopped => {
-                stamped.record.clone()
-            }
+            Record::Host { .. }
+            | Record::Service { .. }
+            | Record::Gap { .. }
+            | Record::Stopped
+            | Record::Source(_) => stamped.record.clone(),
         };
         Some(Stamped { at: stamped.at, record })
     }
--- a/crates/trace/src/header.rs
+++ b/crates/trace/src/header.rs
@@ -10,7 +10,7 @@
 /// A reader refuses files of another major version.
 pub const MAJOR: u16 = 1;
 /// Files of a newer minor version hold kinds of records that this one passes over.
-pub const MINOR: u16 = 0;
+pub const MINOR: u16 = 1;
 const MAGIC: &[u8; 8] = b"MAPLETRC";
 /// The longest header.
 const MOST: u32 = 16 << 20;
@@ -38,6 +38,26 @@
     /// What was done to the file since it was written: `cut`, `repair`.
     #[serde(default)]
     pub changed: Vec<String>,
+    /// The runs of placers that a merged trace is of; none in any other. Since 1.1.
+    #[serde(default)]
+    pub sources: Vec<Source>,
+}
+
+/// One run of one placer in a merged trace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// The placer's name.
+    pub placer: String,
+    /// When its process started, Unix time in ms.
+    pub started_ms: u64,
+    /// The hash of the module's text.
+    pub module: String,
+    /// Which files of the run are in it.
+    pub parts: Vec<u32>,
+    /// What was added to its times.
+    pub offset_us: i64,
+    /// How far nine in ten of its sights then still lie from those of others; none if no other shared one.
+    pub error_us: Option<u64>,
 }
 
 /// The hash of the text of the module that this program decides with.
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cut;
 mod error;
 pub mod header;
+pub mod merge;
 pub mod reader;
 pub mod record;
 pub mod replay;
@@ -19,7 +20,7 @@
 
 pub use block::Info;
 pub use error::TraceError;
-pub use header::{Header, module_hash};
+pub use header::{Header, Source, module_hash};
 pub use reader::{Part, Reader};
 pub use record::{Outcome, Record, Stamped, Turn};
 pub use writer::{Totals, Writer};
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -113,6 +113,8 @@
     },
     /// The placer was told to stop.
     Stopped,
+    /// In a merged trace: what follows is of this one of the header's sources. Said again in each block. Since 1.1.
+    Source(u32),
 }
 
 /// A record with its time.
@@ -156,7 +158,7 @@
                     names.machines.insert(*host);
                 }
             }
-            Record::Gap { .. } | Record::Stopped => {}
+            Record::Gap { .. } | Record::Stopped | Record::Source(_) => {}
         }
         names
     }
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -136,7 +136,7 @@
             Record::Gap { turns, records, .. } => {
                 self.gaps = (self.gaps.0 + turns, self.gaps.1 + records);
             }
-            Record::Service { .. } | Record::Stopped => {}
+            Record::Service { .. } | Record::Stopped | Record::Source(_) => {}
         }
     }
 
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -70,6 +70,8 @@
     services_named: BTreeSet<u64>,
     any_service: bool,
     outcomes: [u32; 4],
+    /// Of which source a merged trace's records are just now.
+    source: Option<u32>,
     totals: Totals,
     /// As of the last block that was written.
     flushed: Totals,
@@ -92,6 +94,7 @@
             services_named: BTreeSet::new(),
             any_service: false,
             outcomes: [0; 4],
+            source: None,
             totals: Totals { octets: at, ..Totals::default() },
             flushed: Totals::default(),
         })
@@ -134,8 +137,14 @@
                 self.tasks.insert(*task, *service);
             }
             Record::Answered { outcome, .. } => self.outcomes[place(outcome)] += 1,
+            Record::Source(source) => self.source = Some(*source),
             _ => {}
         }
+        if let Some(source) = self.source.filter(|_| self.packer.is_empty())
+            && !matches!(stamped.record, Record::Source(_))
+        {
+            self.add(&Stamped { at: stamped.at, record: Record::Source(source) })?;
+        }
         let names = stamped.record.names();
         for &machine in &names.machines {
             if self.said.machines.insert(machine)
--- a/fuzz/fuzz_targets/trace.rs
+++ b/fuzz/fuzz_targets/trace.rs
@@ -20,6 +20,7 @@
         classes: vec!["c".into()],
         part: 0,
         changed: Vec::new(),
+        sources: Vec::new(),
     };
     let mut bytes = Vec::new();
     let mut writer = Writer::new(&mut bytes, &header).expect("a header");
