--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,6 +1,7 @@
 //! The tools for trace files. All go through a file block by block, in memory that does not grow with it.
 
 mod hide;
+mod timeline;
 
 use std::fs::File;
 use std::io::{self, BufReader, BufWriter, IsTerminal, Write};
@@ -40,6 +41,9 @@
         /// Print one JSON object
         #[arg(long)]
         json: bool,
+        /// Also draw what happened second by second, as SVG
+        #[arg(long, value_name = "FILE")]
+        svg: Option<PathBuf>,
     },
     /// Read every block, and tell what is damaged; exit code 1 if anything is
     Verify {
@@ -112,7 +116,7 @@
         TraceCommand::Info { file } => info(file),
         TraceCommand::Cat { files } => cat(files),
         TraceCommand::Cut(args) => cut(args),
-        TraceCommand::Summary { files, json } => summary(files, *json),
+        TraceCommand::Summary { files, json, svg } => summary(files, *json, svg.as_deref()),
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
         TraceCommand::Replay { files, build_differs } => replay(files, *build_differs),
@@ -339,7 +343,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn summary(files: &[PathBuf], as_json: bool) -> Result<ExitCode, String> {
+fn summary(files: &[PathBuf], as_json: bool, svg: Option<&Path>) -> Result<ExitCode, String> {
     let mut summary = None;
     for file in files {
         let mut trace = open(file)?;
@@ -356,6 +360,9 @@
         })?;
     }
     let Some(summary) = summary else { return Err("no file is given".to_owned()) };
+    if let Some(svg) = svg {
+        timeline::draw(svg, summary.seconds())?;
+    }
     if as_json {
         println!("{}", summary.json())
     } else {
--- /dev/null
+++ b/crates/cli/src/trace/timeline.rs
@@ -0,0 +1,101 @@
+//! A trace second by second, as SVG: answers above, offers and drains below, on one axis of time.
+
+use std::error::Error;
+use std::path::Path;
+
+use maplethread_trace::summary::Second;
+use plotters::prelude::*;
+
+const SIZE: (u32, u32) = (1200, 640);
+/// Points of a line; longer traces are drawn in steps of several seconds, each with its mean.
+const MOST_POINTS: usize = 1200;
+
+/// Colours that stay apart for people who see few of them (Okabe and Ito).
+const ASKED: RGBColor = RGBColor(120, 120, 120);
+const PLACED: RGBColor = RGBColor(0, 158, 115);
+const REFUSED: RGBColor = RGBColor(230, 159, 0);
+const FAILED: RGBColor = RGBColor(213, 94, 0);
+const OFFERS: RGBColor = RGBColor(0, 114, 178);
+const DRAINS: RGBColor = RGBColor(204, 121, 167);
+
+type Line = (&'static str, RGBColor, fn(&Second) -> u32);
+
+pub fn draw(file: &Path, seconds: &[Second]) -> Result<(), String> {
+    try_draw(file, seconds).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+fn try_draw(file: &Path, seconds: &[Second]) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let (above, below) = area.split_vertically(SIZE.1 as i32 * 3 / 5);
+    let answers: [Line; 4] = [
+        ("asked", ASKED, |s| s.asked),
+        ("placed", PLACED, |s| s.placed),
+        ("refused", REFUSED, |s| s.refused),
+        ("failed", FAILED, |s| s.failed),
+    ];
+    panel(&above, "asks and answers a second", seconds, &answers)?;
+    panel(
+        &below,
+        "offers a second, and hosts that began to drain",
+        seconds,
+        &[("offers", OFFERS, |s| s.offers), ("drains", DRAINS, |s| s.drains)],
+    )?;
+    area.present()?;
+    Ok(())
+}
+
+fn panel(
+    area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
+    title: &str,
+    seconds: &[Second],
+    lines: &[Line],
+) -> Result<(), Box<dyn Error>> {
+    let step = seconds.len().div_ceil(MOST_POINTS).max(1);
+    let points = |of: fn(&Second) -> u32| -> Vec<(f64, f64)> {
+        let mean = |(n, chunk): (usize, &[Second])| {
+            let sum: u32 = chunk.iter().map(of).sum();
+            ((n * step) as f64, f64::from(sum) / chunk.len() as f64)
+        };
+        seconds.chunks(step).enumerate().map(mean).collect()
+    };
+    let most = lines.iter().flat_map(|l| points(l.2)).map(|p| p.1).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..seconds.len().max(1) as f64, 0.0..most * 1.05)?;
+    chart.configure_mesh().light_line_style(WHITE).x_desc("s since the first record").draw()?;
+    for &(name, colour, of) in lines {
+        chart
+            .draw_series(LineSeries::new(points(of), colour.stroke_width(2)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(ASKED).draw()?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_long_day_and_an_empty_one_are_drawn() {
+        let folder = std::env::temp_dir().join(format!("maplethread-timeline-{}", std::process::id()));
+        let file = folder.with_extension("svg");
+        for seconds in [0, 1, 86_400] {
+            let one = Second { asked: 10, placed: 9, refused: 1, ..Second::default() };
+            draw(&file, &vec![one; seconds]).expect("a drawing");
+            let text = std::fs::read_to_string(&file).expect("a file");
+            assert!(
+                text.starts_with("<svg") && text.contains("refused") && text.len() < 1 << 20,
+                "{seconds}"
+            );
+            // A line has a point for each second, up to the most.
+            assert_eq!(text.matches(',').count() > 6 * 1000, seconds > 1000, "{seconds}");
+        }
+        std::fs::remove_file(&file).expect("the file");
+    }
+}
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -85,7 +85,9 @@
         let pieces = pieces(inputs)?;
         let mut named: Vec<Named> = inputs.iter().map(|_| Named::default()).collect();
         let mut services: BTreeMap<u64, String> = BTreeMap::new();
-        // First sight of each host's start, by source.
+        // First sight of each host's start, by source; and when each source begins, for what was there before it was
+        // seen by it late.
+        let mut begins: BTreeMap<usize, u64> = BTreeMap::new();
         let mut seen: BTreeMap<(String, u64), BTreeMap<usize, u64>> = BTreeMap::new();
         for (n, input) in inputs.iter_mut().enumerate() {
             let of: BTreeMap<u32, usize> = pieces
@@ -109,6 +111,8 @@
                             let offset = offsets.get(now as usize).copied().unwrap_or(0);
                             let at = at.wrapping_sub(offset as u64);
                             if let Some(&source) = of.get(&now) {
+                                let begin = begins.entry(source).or_insert(at);
+                                *begin = at.min(*begin);
                                 witness(&turn, at, source, &named[n], &mut seen);
                             }
                         }
@@ -117,6 +121,9 @@
                 }
             }
         }
+        for ((_, started), times) in &mut seen {
+            times.retain(|source, _| begins[source] <= *started);
+        }
         let offsets = offsets(&seen, pieces.len());
         let mut all_hosts: BTreeMap<&String, [&String; 3]> = BTreeMap::new();
         for [name, zone, cell, kind] in named.iter().flat_map(|n| n.hosts.values()) {
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -40,13 +40,20 @@
 }
 
 /// Counts of one second.
-#[derive(Clone, Copy, Debug, Default)]
-struct Second {
-    asked: u32,
-    placed: u32,
-    refused: u32,
-    failed: u32,
-    offers: u32,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Second {
+    /// Asks taken.
+    pub asked: u32,
+    /// Answered `placed`.
+    pub placed: u32,
+    /// Answered `refused`.
+    pub refused: u32,
+    /// Answered `failed`.
+    pub failed: u32,
+    /// Offers sent.
+    pub offers: u32,
+    /// Hosts that began to drain, or went.
+    pub drains: u32,
 }
 
 /// A summary on its way.
@@ -163,12 +170,14 @@
 
     fn turn(&mut self, at: u64, turn: &Turn) {
         self.turns += 1;
+        let mut drained = 0;
         for event in &turn.events {
             match event {
                 Event::Listed { machines, .. } => {
                     for listing in machines {
                         let host = self.hosts.entry(listing.machine.0).or_default();
                         let ready = listing.state == MachineState::Ready;
+                        drained += u32::from(!ready && host.ready);
                         if ready {
                             host.draining_since = None;
                         } else if host.ready {
@@ -197,6 +206,9 @@
                 _ => {}
             }
         }
+        if drained > 0 {
+            self.second(at).drains += drained;
+        }
         for action in &turn.actions {
             match action {
                 Action::Offer(task, machine, _) => {
@@ -233,6 +245,11 @@
         windows.filter_map(share).min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
+    /// Counts of each second since the first record.
+    pub fn seconds(&self) -> &[Second] {
+        &self.seconds
+    }
+
     /// The summary as one object. Times are in the units their names tell.
     pub fn json(&self) -> Value {
         let q = |q: f64| self.after.value_at_quantile(q) as f64 / 1000.0;
@@ -260,8 +277,11 @@
                 (name, value)
             })
             .collect();
-        let seconds: Vec<Value> =
-            self.seconds.iter().map(|s| json!([s.asked, s.placed, s.refused, s.failed, s.offers])).collect();
+        let seconds: Vec<Value> = self
+            .seconds
+            .iter()
+            .map(|s| json!([s.asked, s.placed, s.refused, s.failed, s.offers, s.drains]))
+            .collect();
         json!({
             "seconds": self.end.saturating_sub(self.begin.unwrap_or(self.end)) as f64 / 1e6,
             "records": self.records, "turns": self.turns,
@@ -269,7 +289,7 @@
             "classes": classes, "hosts": hosts, "held_for": self.held, "unanswered": self.open.len(),
             "ask_to_placed_ms": {"p50": q(0.5), "p99": q(0.99), "max": q(1.0)},
             "worst_10_s": self.worst().map(|(at, share)| json!({"from_s": at, "placed_share": share})),
-            "by_second": {"columns": ["asked", "placed", "refused", "failed", "offers"], "rows": seconds},
+            "by_second": {"columns": ["asked", "placed", "refused", "failed", "offers", "drains"], "rows": seconds},
         })
     }
 
