--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -32,13 +32,18 @@
     offers: u64,
     seated: u64,
     ended: BTreeMap<String, u64>,
-    ready: bool,
-    draining_since: Option<u64>,
     drains: u64,
     after_drain: u64,
     latest_after_drain: u64,
 }
 
+/// What one run of a placer was last told of one host.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    ready: bool,
+    draining_since: Option<u64>,
+}
+
 /// Counts of one second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Second {
@@ -60,6 +65,9 @@
 pub struct Summary {
     classes: Vec<(String, Class)>,
     hosts: BTreeMap<u32, Host>,
+    /// By source and host: each run is told for itself.
+    told: BTreeMap<(u32, u32), Told>,
+    source: u32,
     names: BTreeMap<u32, String>,
     open: HashMap<u64, usize>,
     offered: HashMap<(u64, u32), u32>,
@@ -83,6 +91,8 @@
         Summary {
             classes: names,
             hosts: BTreeMap::new(),
+            told: BTreeMap::new(),
+            source: 0,
             names: BTreeMap::new(),
             open: HashMap::new(),
             offered: HashMap::new(),
@@ -143,7 +153,8 @@
             Record::Gap { turns, records, .. } => {
                 self.gaps = (self.gaps.0 + turns, self.gaps.1 + records);
             }
-            Record::Service { .. } | Record::Stopped | Record::Source(_) => {}
+            Record::Source(source) => self.source = *source,
+            Record::Service { .. } | Record::Stopped => {}
         }
     }
 
@@ -176,14 +187,15 @@
                 Event::Listed { machines, .. } => {
                     for listing in machines {
                         let host = self.hosts.entry(listing.machine.0).or_default();
+                        let told = self.told.entry((self.source, listing.machine.0)).or_default();
                         let ready = listing.state == MachineState::Ready;
-                        drained += u32::from(!ready && host.ready);
+                        drained += u32::from(!ready && told.ready);
                         if ready {
-                            host.draining_since = None;
-                        } else if host.ready {
-                            (host.draining_since, host.drains) = (Some(at), host.drains + 1);
+                            told.draining_since = None;
+                        } else if told.ready {
+                            (told.draining_since, host.drains) = (Some(at), host.drains + 1);
                         }
-                        host.ready = ready;
+                        told.ready = ready;
                     }
                 }
                 Event::Seated(id, _) => {
@@ -221,7 +233,8 @@
                     *number += 1;
                     let host = self.hosts.entry(machine.0).or_default();
                     host.offers += 1;
-                    if let Some(since) = host.draining_since {
+                    let told = self.told.get(&(self.source, machine.0));
+                    if let Some(since) = told.and_then(|t| t.draining_since) {
                         host.after_drain += 1;
                         host.latest_after_drain = host.latest_after_drain.max(at - since);
                     }
