--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 use maplethread_engine::Decide;
 use maplethread_standin::baseline::RandomChoice;
 use maplethread_standin::day;
+use maplethread_standin::recorded::{self, Recorded};
 use maplethread_standin::scenario::Scenario;
 
 #[derive(Parser)]
@@ -98,6 +99,13 @@
     /// Leave troubles of this kind out, such as `rolling_restart`
     #[arg(long, value_name = "KIND")]
     without: Vec<String>,
+    /// Play the demand and the troubles that these trace files tell, and report beside what was recorded; --scenario
+    /// gives the hosts' and the classes' behaviour
+    #[arg(long, value_name = "FILE", num_args = 1.., conflicts_with_all = ["drawn", "seconds", "hosts", "placers"])]
+    from_trace: Vec<PathBuf>,
+    /// With --from-trace: so many times as fast
+    #[arg(long, default_value_t = 1.0, value_name = "X", requires = "from_trace")]
+    speed: f64,
     /// Write the scenario that is played to this file
     #[arg(long, value_name = "FILE")]
     write_scenario: Option<PathBuf>,
@@ -266,6 +274,13 @@
     if let Some(hosts) = args.hosts {
         scenario = scenario.sized(hosts.max(1));
     }
+    let recorded = match args.from_trace.as_slice() {
+        [] => None,
+        files => Some(read_traces(files, &scenario, args)?),
+    };
+    if let Some(recorded) = &recorded {
+        scenario = recorded.scenario.clone();
+    }
     for kind in &args.without {
         let known = serde_json::from_value(kind.as_str().into());
         scenario = scenario.without(known.map_err(|e| format!("--without {kind}: {e}"))?);
@@ -291,16 +306,53 @@
         progress: !args.json,
         keep: args.keep.clone(),
         trace: absolute(&args.trace)?,
+        arrivals: recorded.as_ref().map(|r| r.arrivals.clone()),
     };
     let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
     if args.json {
-        println!("{}", report.json());
+        let mut json = report.json();
+        if let Some(recorded) = &recorded {
+            json["recorded"] = recorded.summary.clone();
+        }
+        println!("{json}");
     } else {
+        if let Some(recorded) = &recorded {
+            print!("{}", beside(&recorded.summary, &report.json()));
+        }
         print!("{}", report.text());
     }
     Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+fn read_traces(files: &[PathBuf], base: &Scenario, args: &BadDayArgs) -> Result<Recorded, String> {
+    if !(args.speed.is_finite() && (0.01..=1000.0).contains(&args.speed)) {
+        return Err("--speed: 0.01 to 1000".to_owned());
+    }
+    let mut traces = files.iter().map(|f| trace::open(f)).collect::<Result<Vec<_>, _>>()?;
+    recorded::read(&mut traces, base, args.speed, args.seed).map_err(|e| format!("--from-trace: {e}"))
+}
+
+/// Answers of the recorded day and of the one that was played.
+fn beside(recorded: &serde_json::Value, played: &serde_json::Value) -> String {
+    let of_classes = |outcome: &str| -> u64 {
+        let classes = recorded["classes"].as_object().into_iter().flatten();
+        classes.filter_map(|(_, c)| c["outcomes"][outcome].as_u64()).sum()
+    };
+    let mut text = String::from("what asks came to, returns among them: recorded, played\n");
+    for outcome in ["placed", "refused", "failed"] {
+        text += &format!("  {outcome}: {}, {}\n", of_classes(outcome), played[outcome]);
+    }
+    let (then, now) = (&recorded["ask_to_placed_ms"], &played["place_ms"]);
+    text += &format!(
+        "  ask to placed, p50 and p99 in ms (at the placer, at the owner): {} {}, {:.1} {:.1}\n",
+        then["p50"],
+        then["p99"],
+        now["p50"].as_f64().unwrap_or(0.0),
+        now["p99"].as_f64().unwrap_or(0.0)
+    );
+    text
+}
+
 fn load(args: &LoadArgs) -> Result<ExitCode, String> {
     if !(args.rate > 0.0 && args.seconds > 0.0 && args.hosts > 0) {
         return Err("--rate, --seconds and --hosts: above 0".to_owned());
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -16,7 +16,7 @@
 use maplethread_trace::{Part, Reader, Record, Stamped, TraceError, Writer, module_hash};
 use serde_json::json;
 
-type Trace = Reader<BufReader<File>>;
+pub type Trace = Reader<BufReader<File>>;
 
 #[derive(Subcommand)]
 pub enum TraceCommand {
@@ -130,7 +130,7 @@
     move |e| format!("{}: {e}", file.display())
 }
 
-fn open(file: &Path) -> Result<Trace, String> {
+pub fn open(file: &Path) -> Result<Trace, String> {
     let opened = File::open(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let trace = Reader::open(BufReader::new(opened)).map_err(named(file))?;
     if trace.newer() {
--- a/crates/consul-standin/examples/measure.rs
+++ b/crates/consul-standin/examples/measure.rs
@@ -171,8 +171,8 @@
     Ok(())
 }
 
-/// How long readers at rest are counted, s: whole lists are read once in that time.
-const SPAN: u64 = 60;
+/// How long readers at rest are counted, s: each reads one or two whole lists in that time.
+const SPAN: u64 = 120;
 
 /// What this process has used of the cores, readers and servers together, in ticks of 10 ms.
 fn cpu_ticks() -> Result<u64> {
@@ -182,7 +182,9 @@
 }
 
 fn main() -> Result<()> {
-    for hosts in [130, 5000] {
+    // With `rest` only the cost of readers at rest is measured.
+    let all = std::env::args().nth(1).is_none_or(|what| what != "rest");
+    for hosts in [130, 5000].into_iter().filter(|_| all) {
         let servers = Servers::start(Settings::new(3))?;
         let mut http = Http::new(servers.addresses[0])?;
         for n in 0..hosts {
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -13,6 +13,7 @@
 use rustix::process::Signal;
 
 use crate::calls::{get_json, register};
+use crate::demand::arrivals;
 use crate::host::Faults;
 pub use crate::options::Options;
 use crate::owners::{Front, Owners};
@@ -136,7 +137,9 @@
             self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
         }
         self.acts = plan(&self.scenario, &mut self.dice);
-        let owners = Owners::start(self.scenario.clone(), self.world.clone(), self.options.seed, fronts)?;
+        let arrivals =
+            self.options.arrivals.clone().unwrap_or_else(|| arrivals(&self.scenario, self.options.seed));
+        let owners = Owners::start(self.scenario.clone(), self.world.clone(), arrivals, fronts)?;
         let start = self.world.clock.now();
         let end = start + (self.scenario.seconds * 1e6) as u64;
         let mut told = 0;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod processes;
 mod rack;
+pub mod recorded;
 pub mod report;
 pub mod scenario;
 mod settings;
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -4,6 +4,7 @@
 
 use maplethread_config::Damping;
 
+use crate::demand::Arrival;
 use crate::scenario::Scenario;
 
 /// How to play a day.
@@ -27,4 +28,6 @@
     pub keep: Option<PathBuf>,
     /// Placers write trace files into this folder.
     pub trace: Option<PathBuf>,
+    /// First asks of a recorded day, in place of those that the scenario draws.
+    pub arrivals: Option<Vec<Arrival>>,
 }
--- a/crates/standin/src/owners.rs
+++ b/crates/standin/src/owners.rs
@@ -14,7 +14,7 @@
 use maplethread_wire::http::{self, Decoder, Found, Limits, Reader, Role, Step};
 use serde_json::{Value, json};
 
-use crate::demand::{Arrival, arrivals};
+use crate::demand::Arrival;
 use crate::scenario::Scenario;
 use crate::world::{Dice, World};
 
@@ -65,12 +65,12 @@
     pub fn start(
         scenario: Arc<Scenario>,
         world: World,
-        seed: u64,
+        arrivals: Vec<Arrival>,
         placers: Vec<Front>,
     ) -> io::Result<Owners> {
         let mood = Arc::new(Mutex::new(Mood { placers, ..Mood::default() }));
         let start = world.clock.now();
-        let arrivals = arrivals(&scenario, seed).into_iter();
+        let arrivals = arrivals.into_iter();
         let mut run = Run {
             poller: Poller::new()?,
             scenario,
--- /dev/null
+++ b/crates/standin/src/recorded.rs
@@ -0,0 +1,369 @@
+//! A recorded day as a scenario: the demand and the troubles that placers' traces tell, to be played through real
+//! placers again.
+//!
+//! First asks are played as they were recorded: time, service, class, size, life. What comes again depends on the
+//! answers, as on any day. Of the troubles a trace tells those that placers saw: hosts that started anew (by themselves,
+//! or a zone together) and placers that were killed or restarted. How long a host was away before its start is not in
+//! it; it is taken to be [`AWAY_S`].
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io::{Read, Seek};
+
+use maplethread::Event;
+use maplethread_trace::summary::Summary;
+use maplethread_trace::{Part, Reader, Record};
+use serde_json::Value;
+
+use crate::demand::Arrival;
+use crate::scenario::{Scenario, Trouble, TroubleKind};
+use crate::world::Dice;
+
+/// How long a host is away before it starts anew, s.
+pub const AWAY_S: f64 = 1.5;
+/// Starts within so long of one another are one trouble, µs.
+const TOGETHER: u64 = 1_000_000;
+/// A zone is lost if so large a share of its hosts starts anew together, and so many of them.
+const ZONE_SHARE: f64 = 0.8;
+/// See [`ZONE_SHARE`].
+const ZONE_LEAST: usize = 3;
+/// First asks that are taken of a recording.
+const MOST_ASKS: usize = 1 << 22;
+
+/// A recorded day.
+pub struct Recorded {
+    /// The day, with the troubles that were seen.
+    pub scenario: Scenario,
+    /// Its first asks.
+    pub arrivals: Vec<Arrival>,
+    /// What the recording came to, as `trace summary` tells.
+    pub summary: Value,
+}
+
+/// One first ask as it was recorded.
+struct Ask {
+    at: u64,
+    class: String,
+    service: String,
+    actor: String,
+    shape: [f64; 2],
+    life: Option<u64>,
+    placer: String,
+}
+
+/// What the traces tell.
+#[derive(Default)]
+struct Told {
+    asks: Vec<Ask>,
+    /// Hosts' zones, and when they started.
+    hosts: BTreeMap<String, String>,
+    starts: BTreeSet<(u64, String)>,
+    /// For each placer, when its runs began and when their records end.
+    runs: BTreeMap<String, BTreeMap<u64, u64>>,
+}
+
+/// Reads traces; the day is played on `base`, grown to as many hosts and placers as were recorded, `speed` times as fast.
+pub fn read<R: Read + Seek>(
+    traces: &mut [Reader<R>],
+    base: &Scenario,
+    speed: f64,
+    seed: u64,
+) -> Result<Recorded, String> {
+    let mut told = Told::default();
+    let mut summary = None;
+    for trace in traces {
+        let summary = summary.get_or_insert_with(|| Summary::new(&trace.header));
+        told.read(trace, summary)?;
+    }
+    let summary = summary.ok_or("no trace is given")?.json();
+    told.day(base, speed, seed).map(|(scenario, arrivals)| Recorded { scenario, arrivals, summary })
+}
+
+impl Told {
+    fn read<R: Read + Seek>(&mut self, trace: &mut Reader<R>, summary: &mut Summary) -> Result<(), String> {
+        let header = trace.header.clone();
+        let mut run = (header.placer.clone(), header.started_ms * 1000);
+        let mut services: BTreeMap<u64, String> = BTreeMap::new();
+        let mut names: BTreeMap<u32, String> = BTreeMap::new();
+        let mut open: HashMap<u64, (u64, String, u64, u32)> = HashMap::new();
+        while let Some(part) = trace.next_part().map_err(|e| e.to_string())? {
+            let Part::Block { records, .. } = part else { continue };
+            for r in &records {
+                summary.feed(r);
+                let ends = self.runs.entry(run.0.clone()).or_default().entry(run.1).or_insert(run.1);
+                *ends = r.at.max(*ends);
+                match &r.record {
+                    Record::Source(n) => {
+                        let source =
+                            header.sources.get(*n as usize).ok_or("a source that no header names")?;
+                        run = (source.placer.clone(), source.started_ms * 1000);
+                    }
+                    Record::Service { service, name } => drop(services.insert(*service, name.clone())),
+                    Record::Host { machine, name, zone, .. } => {
+                        names.insert(*machine, name.clone());
+                        self.hosts.insert(name.clone(), zone.clone());
+                    }
+                    Record::Asked { task, service, actor, class, read, .. } => {
+                        open.insert(*task, (*service, actor.clone(), *read, *class));
+                    }
+                    Record::Turn(turn) => {
+                        for event in &turn.events {
+                            match event {
+                                Event::Asked(task) => {
+                                    let Some((service, actor, at, class)) = open.remove(&task.id.0) else {
+                                        continue;
+                                    };
+                                    if task.again || self.asks.len() >= MOST_ASKS {
+                                        continue;
+                                    }
+                                    let class = header.classes.get(class as usize).cloned();
+                                    self.asks.push(Ask {
+                                        at,
+                                        class: class.ok_or("a class that no header names")?,
+                                        service: services.get(&service).cloned().unwrap_or_default(),
+                                        actor,
+                                        shape: [task.asks.cores, task.asks.memory],
+                                        life: task.life,
+                                        placer: run.0.clone(),
+                                    });
+                                }
+                                Event::Listed { machines, .. } => {
+                                    for listing in machines {
+                                        if let Some(at) = listing.started
+                                            && let Some(name) = names.get(&listing.machine.0)
+                                        {
+                                            self.starts.insert((at, name.clone()));
+                                        }
+                                    }
+                                }
+                                _ => {}
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn day(mut self, base: &Scenario, speed: f64, seed: u64) -> Result<(Scenario, Vec<Arrival>), String> {
+        self.asks.sort_by(|a, b| (a.at, &a.service, &a.actor).cmp(&(b.at, &b.service, &b.actor)));
+        let begin = self.asks.first().ok_or("no first ask is recorded")?.at;
+        let end = self.asks.last().map_or(begin, |a| a.at);
+        let after = |at: u64| at.saturating_sub(begin) as f64 / speed;
+        let mut scenario = base.clone().sized(self.hosts.len().max(1));
+        scenario.name = "recorded".to_owned();
+        scenario.seconds = (after(end) / 1e6).max(1.0);
+        scenario.placers = self.runs.len().max(1) as u32;
+        scenario.trouble = self.troubles(begin, end, speed, scenario.placers, base);
+        let zones = &scenario.fleet.zones;
+        let placers: Vec<&String> = self.runs.keys().collect();
+        let mut dice = Dice::new(seed, 9);
+        let mut seen = BTreeSet::new();
+        let mut arrivals = Vec::new();
+        for ask in &self.asks {
+            // An owner that went on to another placer asks for the same again.
+            if !seen.insert((&ask.service, &ask.actor)) {
+                continue;
+            }
+            let class = scenario.class.iter().position(|c| c.rules.name == ask.class).ok_or_else(|| {
+                format!("class {:?} was recorded and is not in the scenario {:?}", ask.class, base.name)
+            })?;
+            let life = ask.life.unwrap_or((scenario.class[class].life_s * 1e6) as u64);
+            arrivals.push(Arrival {
+                at: after(ask.at) as u64,
+                class,
+                service: ask.service.as_str().into(),
+                actor: ask.actor.as_str().into(),
+                shape: ask.shape,
+                life,
+                // Owners ask a placer of their zone first, so that of the placer that was asked is theirs.
+                zone: placers.iter().position(|p| **p == ask.placer).unwrap_or(0) % zones.len(),
+                seed: dice.seed(),
+            });
+        }
+        Ok((scenario, arrivals))
+    }
+
+    fn troubles(&self, begin: u64, end: u64, speed: f64, placers: u32, base: &Scenario) -> Vec<Trouble> {
+        let at_s = |at: u64| at.saturating_sub(begin) as f64 / 1e6 / speed;
+        let trouble = |kind, at_s: f64, for_s, reach| Trouble {
+            kind,
+            at_s: at_s.max(0.0),
+            for_s,
+            reach,
+            size: 0.0,
+            class: None,
+            zone: None,
+        };
+        let mut all = Vec::new();
+        // Starts from a little after the first ask on; those before it are what the day began with.
+        let mut starts: Vec<&(u64, String)> =
+            self.starts.iter().filter(|(at, _)| (begin + TOGETHER..end).contains(at)).collect();
+        while let Some(&&(first, _)) = starts.first() {
+            let count = starts.iter().take_while(|(at, _)| *at < first + TOGETHER).count();
+            let mut together: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+            for (_, name) in starts.drain(..count) {
+                let zone = self.hosts.get(name).map_or("", String::as_str);
+                together.entry(zone).or_default().insert(name);
+            }
+            let mut alone = 0;
+            for (zone, hosts) in together {
+                let whole = self.hosts.values().filter(|z| *z == zone).count();
+                let lost = hosts.len() >= ZONE_LEAST && hosts.len() as f64 >= ZONE_SHARE * whole as f64;
+                if lost && base.fleet.zones.iter().any(|z| z == zone) {
+                    let loss = trouble(TroubleKind::ZoneLoss, at_s(first) - AWAY_S, AWAY_S, 1.0);
+                    all.push(Trouble { zone: Some(zone.to_owned()), ..loss });
+                } else {
+                    alone += hosts.len();
+                }
+            }
+            if alone > 0 {
+                let reach = alone as f64 / self.hosts.len().max(1) as f64;
+                all.push(trouble(TroubleKind::HostCrash, at_s(first) - AWAY_S, AWAY_S, reach));
+            }
+        }
+        for runs in self.runs.values() {
+            let mut earlier: Option<u64> = None;
+            for (&began, &ended) in runs {
+                if let Some(died) = earlier {
+                    let for_s = began.saturating_sub(died) as f64 / 1e6;
+                    let reach = 1.0 / f64::from(placers);
+                    all.push(trouble(TroubleKind::PlacerKill, at_s(died), for_s, reach));
+                }
+                earlier = Some(ended);
+            }
+        }
+        all.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::io::Cursor;
+
+    use maplethread::{Listing, MachineId, MachineState, Room, Scope, ServiceId, Task, TaskId};
+    use maplethread_trace::{Header, Stamped, Turn, Writer};
+
+    use super::*;
+
+    const S: u64 = 1_000_000;
+    const START: u64 = 1_700_000_000 * S;
+
+    /// A run of a placer that began so many seconds after the start, with asks at these seconds and hosts that start.
+    fn run(placer: &str, began: u64, asks: &[(u64, &str, bool)], starts: &[(u64, u32)]) -> Vec<u8> {
+        let header = Header {
+            writer: "test".into(),
+            module: String::new(),
+            placer: placer.into(),
+            started_ms: (START + began * S) / 1000,
+            seed: 1,
+            settings: None,
+            classes: vec!["statements".into(), "web-api".into()],
+            part: 0,
+            changed: Vec::new(),
+            sources: Vec::new(),
+        };
+        let mut bytes = Vec::new();
+        let mut writer = Writer::new(&mut bytes, &header).expect("a header");
+        for n in 0..12u32 {
+            let zone = ["hall-a", "hall-b", "hall-c"][n as usize % 3].to_owned();
+            let record =
+                Record::Host { machine: n, name: format!("h{n}"), zone, cell: "c".into(), kind: "k".into() };
+            writer.push(&Stamped { at: START + began * S, record }).expect("a record");
+        }
+        writer.know(&Stamped { at: 0, record: Record::Service { service: 3, name: "web-api-03".into() } });
+        for (n, &(at, actor, again)) in asks.iter().enumerate() {
+            let (at, task) = (START + at * S, n as u64);
+            let asked = Record::Asked {
+                task,
+                service: 3,
+                actor: actor.into(),
+                class: 1,
+                request: format!("r{n}"),
+                key: None,
+                read: at,
+            };
+            let task = Task {
+                id: TaskId(task),
+                service: ServiceId(3),
+                class: 1,
+                asks: Room::new(0.5, 2.0),
+                life: Some(7 * S),
+                give_up_at: at + S,
+                again,
+            };
+            let turn = Turn { now: at, events: vec![Event::Asked(task)], actions: Vec::new() };
+            writer.push(&Stamped { at, record: asked }).expect("a record");
+            writer.push(&Stamped { at, record: Record::Turn(turn) }).expect("a record");
+        }
+        for &(at, host) in starts {
+            let at = START + at * S;
+            let listing = Listing {
+                machine: MachineId(host),
+                label: 0,
+                zone: 0,
+                cell: 0,
+                kind: 0,
+                state: MachineState::Ready,
+                started: Some(at),
+                unasked: None,
+            };
+            let listed = Event::Listed { scope: Scope::Changes, machines: vec![listing] };
+            let turn = Turn { now: at, events: vec![listed], actions: Vec::new() };
+            writer.push(&Stamped { at, record: Record::Turn(turn) }).expect("a record");
+        }
+        writer.finish().expect("an index");
+        bytes
+    }
+
+    fn read_all(files: &[&[u8]], speed: f64) -> Result<Recorded, String> {
+        let mut traces: Vec<_> =
+            files.iter().map(|f| Reader::open(Cursor::new(*f)).expect("a file")).collect();
+        read(&mut traces, &Scenario::standard(), speed, 5)
+    }
+
+    #[test]
+    fn a_recorded_day_has_the_asks_and_the_troubles_that_were_seen() {
+        // A zone of four comes back together, and a host alone; placer p0 has two runs.
+        let zone: Vec<(u64, u32)> = (0..4).map(|n| (10, n * 3 + 1)).chain([(20, 0)]).collect();
+        let first = run("p0", 0, &[(1, "a", false), (2, "b", false), (3, "a", true)], &zone);
+        let second = run("p0", 22, &[(30, "c", false)], &[]);
+        let other = run("p1", 0, &[(4, "b", false), (8, "d", false)], &zone);
+        let day = read_all(&[&first, &second, &other], 1.0).expect("a day");
+        let asks: Vec<(&str, u64)> = day.arrivals.iter().map(|a| (&*a.actor, a.at / S)).collect();
+        assert_eq!(asks, [("a", 0), ("b", 1), ("d", 7), ("c", 29)], "first asks only, each owner once");
+        let one = &day.arrivals[0];
+        assert_eq!((&*one.service, one.shape, one.life), ("web-api-03", [0.5, 2.0], 7 * S));
+        assert_eq!(day.scenario.class[one.class].rules.name, "web-api");
+        let s = &day.scenario;
+        assert_eq!((s.fleet.hosts, s.placers, s.seconds), (12, 2, 29.0));
+        let troubles: Vec<(TroubleKind, f64)> = s.trouble.iter().map(|t| (t.kind, t.at_s)).collect();
+        let expected = [
+            (TroubleKind::ZoneLoss, 9.0 - AWAY_S),
+            (TroubleKind::HostCrash, 19.0 - AWAY_S),
+            (TroubleKind::PlacerKill, 19.0),
+        ];
+        assert_eq!(troubles, expected);
+        assert_eq!(s.trouble[0].zone.as_deref(), Some("hall-b"));
+        assert_eq!(day.summary["classes"]["web-api"]["asked"], 6);
+        // Twice as fast: the same asks in half the time.
+        let fast = read_all(&[&first, &second, &other], 2.0).expect("a day");
+        assert_eq!(fast.arrivals.iter().map(|a| a.at).collect::<Vec<_>>(), [0, S / 2, 7 * S / 2, 29 * S / 2]);
+    }
+
+    #[test]
+    fn what_can_not_be_played_is_named() {
+        assert_eq!(
+            read_all(&[&run("p0", 0, &[], &[])], 1.0).err().as_deref(),
+            Some("no first ask is recorded")
+        );
+        let file = run("p0", 0, &[(1, "a", false)], &[]);
+        let mut base = Scenario::standard();
+        base.class.retain(|c| c.rules.name != "web-api");
+        let mut traces = [Reader::open(Cursor::new(&file)).expect("a file")];
+        let error = read(&mut traces, &base, 1.0, 5).err().expect("no such class");
+        assert!(error.contains("class \"web-api\" was recorded"), "{error}");
+    }
+}
