--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -62,9 +62,12 @@
         /// The trace files of one run, in order, from its first part on
         #[arg(required = true)]
         files: Vec<PathBuf>,
-        /// Go on though the module's text is not the one that decided
+        /// Go on though the module's text is not the one that decided, and tell what it would do instead
         #[arg(long)]
         build_differs: bool,
+        /// What if: with the settings of this placer's file in place of the recorded ones
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
     },
     /// Make one trace of several: parts of a run, runs, placers whose clocks differ, merged ones
     Merge {
@@ -119,7 +122,9 @@
         TraceCommand::Summary { files, json, svg } => summary(files, *json, svg.as_deref()),
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
-        TraceCommand::Replay { files, build_differs } => replay(files, *build_differs),
+        TraceCommand::Replay { files, build_differs, settings } => {
+            replay(files, *build_differs, settings.as_deref())
+        }
         TraceCommand::Merge { out, files } => merge(out, files),
         TraceCommand::Anonymise(args) => hide::anonymise(args),
         TraceCommand::Diff { a, b } => diff(a, b),
@@ -425,7 +430,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn replay(files: &[PathBuf], build_differs: bool) -> Result<ExitCode, String> {
+fn replay(files: &[PathBuf], build_differs: bool, settings: Option<&Path>) -> Result<ExitCode, String> {
     let first = files.first().ok_or("no file is given")?;
     let header = open(first)?.header;
     let named_first = |e: String| format!("{}: {e}", first.display());
@@ -436,7 +441,14 @@
         }
         eprintln!("{}", named_first(text.to_owned()));
     }
-    let mut replay = Replay::new(&header).map_err(named_first)?;
+    let what_if = match settings {
+        None => None,
+        Some(file) => Some(maplethread_placer::load(file).map_err(|e| e.to_string())?.settings()),
+    };
+    if let Some(file) = settings {
+        println!("WHAT IF: settings of {} in place of the recorded ones", file.display());
+    }
+    let mut replay = Replay::with(&header, what_if).map_err(named_first)?;
     let begun = std::time::Instant::now();
     let (mut from, mut until) = (u64::MAX, 0);
     for (n, file) in files.iter().enumerate() {
@@ -462,6 +474,12 @@
         "{} turns, {} actions compared, {} turns differ, {} turns after a gap not compared; {span:.1} s in {took:.2} s",
         found.turns, found.actions, found.differing, found.after_gap
     );
+    if build_differs || settings.is_some() {
+        println!("on the recorded events: recorded, replayed");
+        for (kind, [recorded, replayed]) in &found.kinds {
+            println!("  {kind}: {recorded}, {replayed}");
+        }
+    }
     if let Some(first) = &found.first {
         println!("first difference: turn {} at {} us", first.turn, first.at);
         println!("  recorded: {:?}", first.recorded);
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -1,6 +1,8 @@
 //! Feeds a trace to a fresh module and compares all that it does.
 
-use maplethread::{Action, Placer};
+use std::collections::BTreeMap;
+
+use maplethread::{Action, Placer, Settings};
 
 use crate::header::Header;
 use crate::record::{Record, Stamped, Turn};
@@ -29,6 +31,9 @@
     pub differing: u64,
     /// The first of them.
     pub first: Option<Difference>,
+    /// Actions by what they are: recorded, and replayed. What the module would do on the recorded events; events that
+    /// its other decisions would have led to are not in them.
+    pub kinds: BTreeMap<&'static str, [u64; 2]>,
     /// Turns that could not be compared, since the trace has a gap before them.
     pub after_gap: u64,
 }
@@ -45,10 +50,16 @@
 impl Replay {
     /// A fresh module with the settings and the seed of the trace; why it can't be had.
     pub fn new(header: &Header) -> Result<Replay, String> {
+        Replay::with(header, None)
+    }
+
+    /// The same with other settings, for a what-if.
+    pub fn with(header: &Header, settings: Option<Settings>) -> Result<Replay, String> {
         if header.part != 0 {
             return Err(format!("this is part {} of its run; a replay begins with part 0", header.part));
         }
-        let settings = header.settings.clone().ok_or("something else than the module decided here")?;
+        let recorded = header.settings.clone().ok_or("something else than the module decided here")?;
+        let settings = settings.unwrap_or(recorded);
         let module = Placer::new(settings, header.seed).map_err(|e| e.to_string())?;
         Ok(Replay { module, actions: Vec::new(), gap: false, found: Replayed::default() })
     }
@@ -71,6 +82,11 @@
     fn turn(&mut self, at: u64, turn: &Turn) {
         self.actions.clear();
         self.module.turn(turn.now, &turn.events, &mut self.actions);
+        for (which, actions) in [&turn.actions, &self.actions].into_iter().enumerate() {
+            for action in actions {
+                self.found.kinds.entry(kind(action)).or_default()[which] += 1;
+            }
+        }
         let same = turn.actions.iter().zip(&self.actions).take_while(|(a, b)| a == b).count();
         let number = self.found.turns;
         self.found.turns += 1;
@@ -86,3 +102,21 @@
         }
     }
 }
+
+fn kind(action: &Action) -> &'static str {
+    match action {
+        Action::Offer(..) => "offer",
+        Action::Cancel(_) => "cancel",
+        Action::Refuse(..) => "refuse",
+        Action::Fail(_) => "fail",
+        Action::Held(..) => "held",
+        Action::Move(_) => "move",
+        Action::Wake(..) => "wake",
+        Action::Probe(_) => "probe",
+        Action::CloseIdle(_) => "close_idle",
+        Action::Tell { .. } => "tell",
+        Action::Listen(_) => "listen",
+        Action::Lookup => "lookup",
+        Action::Log(_) => "log",
+    }
+}
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -186,6 +186,12 @@
     assert!(replay.found.differing > 0);
     let first = replay.found.first.expect("a difference");
     assert!(first.recorded != first.replayed && first.at >= records[0].at);
+    // What if: machines too small for any of it.
+    let small = Settings { kinds: vec![Room::new(0.001, 0.001)], ..settings() };
+    let mut replay = Replay::with(&header(), Some(small)).expect("a module");
+    got.iter().for_each(|r| replay.feed(r));
+    let refused = replay.found.kinds.get("refuse").copied().unwrap_or_default();
+    assert!(replay.found.differing > 0 && refused == [0, 300], "{:?}", replay.found.kinds);
     // A gap ends what can be compared.
     let gap = Stamped { at: 1, record: Record::Gap { turns: 1, records: 1, why: "slow disk".into() } };
     let mut replay = Replay::new(&header()).expect("a module");
