--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -288,6 +288,9 @@
                     Fault::AnswersLost(share) => faults.answers_lost = if on { share } else { 0.0 },
                     Fault::Neighbour(share) => faults.neighbour = if on { share } else { 0.0 },
                     Fault::Slow(times) => faults.slow = if on { times } else { 0.0 },
+                    Fault::HeavyTail(class, share) => faults.heavy = on.then_some((class, share)),
+                    Fault::HotServices(share) => faults.hot = if on { share } else { 0.0 },
+                    Fault::ProgramsLost => faults.programs_lost = on,
                 }
                 self.rack.command(Command::Faults(host, faults.clone()));
             }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -25,6 +25,12 @@
     pub neighbour: f64,
     /// Looking at an ask takes so many times as long; 0 for as long as ever.
     pub slow: f64,
+    /// Share of one class's new tasks that use three times the cores and twice the memory that they would.
+    pub heavy: Option<(String, f64)>,
+    /// Share of the services all of whose tasks use twice the cores that they asked for.
+    pub hot: f64,
+    /// The programs that were kept are gone.
+    pub programs_lost: bool,
 }
 
 /// What a host has to do later.
@@ -59,6 +65,13 @@
     noted: u64,
 }
 
+/// What a task uses while so large a share of the services is hot: all hosts see the same ones so.
+fn cores_of(task: &Task, hot: f64) -> f64 {
+    let place = task.offer.service.bytes().fold(11, |h: u32, b| h.wrapping_mul(16_777_619) ^ u32::from(b));
+    let is_hot = f64::from(place % 1000) < hot * 1000.0;
+    if is_hot { task.cores.max(2.0 * task.offer.asks.cores) } else { task.cores }
+}
+
 /// The kind of a host and where it stands.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -74,7 +87,7 @@
 pub struct Host {
     pub spec: Spec,
     pub started: u64,
-    pub faults: Faults,
+    faults: Faults,
     scenario: Arc<Scenario>,
     world: World,
     admission: Admission,
@@ -140,6 +153,19 @@
         self.asked.clear();
     }
 
+    /// What ails it from now on.
+    pub fn ail(&mut self, faults: Faults) {
+        if faults.programs_lost && !self.faults.programs_lost {
+            self.admission.flush();
+        }
+        self.faults = faults;
+    }
+
+    /// Whether it reads and never answers.
+    pub fn silent(&self) -> bool {
+        self.faults.silent
+    }
+
     /// Lets go of keys that it let stand.
     pub fn forget_keys(&mut self, keys: &mut KeyTable) {
         for attempt in self.tasks.keys().copied().collect::<Vec<_>>() {
@@ -264,9 +290,14 @@
                     .find(|c| c.rules.name == offer.class)
                     .map_or([1.0; 2], |c| c.uses);
                 let swing = self.dice.between([0.6, 1.4]);
+                let heavy = match self.faults.heavy.clone() {
+                    Some((class, share)) if class == offer.class && self.dice.chance(share) => [3.0, 2.0],
+                    _ => [1.0, 1.0],
+                };
+                let memory = offer.asks.memory * uses[1] * self.dice.between([0.8, 1.2]);
                 let task = Task {
-                    cores: (offer.asks.cores * uses[0] * swing).max(0.0),
-                    memory: (offer.asks.memory * uses[1] * self.dice.between([0.8, 1.2])).max(0.0),
+                    cores: (offer.asks.cores * uses[0] * swing * heavy[0]).max(0.0),
+                    memory: (memory * heavy[1]).max(0.0),
                     offer,
                     placer: placer.clone(),
                     read: now,
@@ -426,7 +457,7 @@
             .tasks
             .values()
             .filter(|t| t.runs_since.is_some())
-            .map(|t| (t.offer.priority, t.cores))
+            .map(|t| (t.offer.priority, cores_of(t, self.faults.hot)))
             .collect();
         let starting: f64 = self.admission.taken().filter(|t| t.1 == Stage::Starting).map(|_| 0.5).sum();
         let mut worst: BTreeMap<Arc<str>, (u64, f64)> = BTreeMap::new();
@@ -449,7 +480,10 @@
             }
             if task.noted + 2_000_000 <= now {
                 task.noted = now;
-                notes.push((task.placer.clone(), Frame::Note(attempt, NoteKind::Cores, task.cores)));
+                notes.push((
+                    task.placer.clone(),
+                    Frame::Note(attempt, NoteKind::Cores, cores_of(task, self.faults.hot)),
+                ));
                 notes.push((task.placer.clone(), Frame::Note(attempt, NoteKind::Memory, memory_of(task))));
             }
         }
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -36,6 +36,9 @@
     AnswersLost(f64),
     Neighbour(f64),
     Slow(f64),
+    HeavyTail(String, f64),
+    HotServices(f64),
+    ProgramsLost,
 }
 
 /// One wave of a host that is truly poor: what ails it begins a tenth of the period before its health shows it, and
@@ -202,6 +205,34 @@
                         acts.push((until, Act::GoOn(placer)));
                     }
                 }
+                TroubleKind::PlacerStalls => {
+                    let still = (size.max(0.05) * 1e6) as u64;
+                    for placer in self.struck_placers(trouble) {
+                        // Apart from one another; as long again and a second lie between two.
+                        let mut from = at + self.dice.below(still as usize) as u64;
+                        while from < until {
+                            acts.push((from, Act::Pause(placer)));
+                            acts.push(((from + still).min(until), Act::GoOn(placer)));
+                            from += 2 * still + 1_000_000;
+                        }
+                    }
+                }
+                TroubleKind::HeavyTail => {
+                    let class = trouble.class.clone().unwrap_or_else(|| scenario.class[0].rules.name.clone());
+                    for host in 0..scenario.fleet.hosts {
+                        both(&mut acts, host, Fault::HeavyTail(class.clone(), size));
+                    }
+                }
+                TroubleKind::HotServices => {
+                    for host in 0..scenario.fleet.hosts {
+                        both(&mut acts, host, Fault::HotServices(size));
+                    }
+                }
+                TroubleKind::ProgramsLost => {
+                    for host in self.struck(trouble) {
+                        both(&mut acts, host, Fault::ProgramsLost);
+                    }
+                }
                 TroubleKind::ResetMidFrame => {
                     for host in self.struck(trouble) {
                         acts.push((at, Act::Host(Command::ResetMidFrame(host))));
--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -229,7 +229,7 @@
                         self.by_placer.iter().filter(|((s, _), _)| *s == slot).map(|(_, &t)| t).collect();
                     links.into_iter().for_each(|token| self.send(token, Frame::Drain));
                 }
-                Some(Command::Faults(slot, faults)) => self.slots[slot].host.faults = faults,
+                Some(Command::Faults(slot, faults)) => self.slots[slot].host.ail(faults),
                 Some(Command::ResetMidFrame(slot)) => {
                     let links: Vec<u64> =
                         self.conns.iter().filter(|(_, l)| l.slot == slot).map(|(&t, _)| t).collect();
@@ -348,7 +348,7 @@
             });
             self.by_placer.insert((number, placer.clone()), token);
             let slot = &self.slots[number].host;
-            if slot.faults.silent {
+            if slot.silent() {
                 return;
             }
             let hello = Frame::Hello {
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -169,6 +169,12 @@
     Neighbour,
     /// Looking at an ask takes so many times as long.
     SlowAnswers,
+    /// A share of one class's new tasks use three times the cores and twice the memory that they would.
+    HeavyTail,
+    /// All tasks of a share of the services use twice the cores that they asked for.
+    HotServices,
+    /// Hosts lose the programs that they kept.
+    ProgramsLost,
     /// Hosts drain and do not come back.
     Shrink,
     /// Placers are killed and started anew.
@@ -177,6 +183,8 @@
     RollingRestart,
     /// Placers stand still and go on.
     PlacerPause,
+    /// Placers stand still for so many seconds, again and again, each at its own time, and go on with all that came.
+    PlacerStalls,
     /// Connections are reset in the middle of a frame.
     ResetMidFrame,
     /// The inventory tells changes so many times as late.
