--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -11,6 +11,7 @@
 use proptest::prelude::*;
 
 const S: u64 = 1_000_000;
+const FIXTURES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures");
 
 fn settings() -> Settings {
     Settings {
@@ -278,10 +279,21 @@
         Some(Part::Block { records, unknown, .. }) => assert_eq!((records.len(), unknown), (2, 1)),
         part => panic!("{part:?}"),
     }
-    // Its own releases stay readable: a file of 1.0 that was written once and kept.
-    let fixture = include_bytes!("fixtures/v1.0.mtrace");
-    let (got, lost) = read(fixture).expect("a file of 1.0");
-    assert_eq!((plain(&got).len(), lost), (plain(&run(20, 2)).len(), 0));
+}
+
+#[test]
+fn files_of_all_versions_stay_readable() {
+    let mut versions = 0;
+    for entry in std::fs::read_dir(FIXTURES).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let bytes = std::fs::read(&path).expect("a file");
+        let (got, lost) = read(&bytes).expect("a trace");
+        assert_eq!((plain(&got).len(), lost), (plain(&run(20, 2)).len(), 0), "{}", path.display());
+        let index = Reader::open(Cursor::new(&bytes)).expect("a trace").index().expect("no fault");
+        assert!(index.is_some(), "{}", path.display());
+        versions += 1;
+    }
+    assert!(versions >= 2);
 }
 
 #[test]
@@ -401,8 +413,10 @@
 #[test]
 #[ignore = "writes the fixture of a new version"]
 fn write_fixture() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/v1.0.mtrace");
-    std::fs::write(path, write(&run(20, 2))).expect("a file");
+    use maplethread_trace::header::{MAJOR, MINOR};
+    let path = format!("{FIXTURES}/v{MAJOR}.{MINOR}.mtrace");
+    let mut file = std::fs::File::create_new(path).expect("a version without a fixture");
+    std::io::Write::write_all(&mut file, &write(&run(20, 2))).expect("a file");
 }
 
 #[test]
