The trace writer learns names in one place; changes of a list are moved, not drained

push repeated what know does for hosts and services, without its bound in know; both are one now. No behaviour changes but that names given by know are bounded too.

--- a/crates/consul/src/source/lists.rs
+++ b/crates/consul/src/source/lists.rs
@@ -224,9 +224,10 @@
                 entries.insert(bad.name.clone(), kept);
             }
         }
-        let mut differences = Differences::between(&self.entries, &entries);
+        let differences = Differences::between(&self.entries, &entries);
         self.entries = entries;
-        self.untold.extend(differences.worse.drain(..).chain(differences.other.drain(..)));
+        self.untold.extend(differences.worse);
+        self.untold.extend(differences.other);
         if !std::mem::replace(&mut self.began, true) {
             // The first list is told as a whole.
             let names = self.untold.drain(..).collect();
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -104,7 +104,13 @@
     pub fn know(&mut self, name: &Stamped) {
         match &name.record {
             Record::Host { machine, .. } => drop(self.machines.insert(*machine, name.record.clone())),
-            Record::Service { service, .. } => drop(self.services.insert(*service, name.record.clone())),
+            Record::Service { service, .. } => {
+                // Names of services are as many as services: those of blocks long past are forgotten.
+                if self.services.len() >= MOST_TASKS {
+                    self.services.clear();
+                }
+                self.services.insert(*service, name.record.clone());
+            }
             _ => {}
         }
     }
@@ -122,14 +128,7 @@
     /// Adds a record.
     pub fn push(&mut self, stamped: &Stamped) -> Result<(), TraceError> {
         match &stamped.record {
-            Record::Host { machine, .. } => drop(self.machines.insert(*machine, stamped.record.clone())),
-            Record::Service { service, .. } => {
-                // Names of services are as many as services: those of blocks long past are forgotten.
-                if self.services.len() >= MOST_TASKS {
-                    self.services.clear();
-                }
-                drop(self.services.insert(*service, stamped.record.clone()));
-            }
+            Record::Host { .. } | Record::Service { .. } => self.know(stamped),
             Record::Asked { task, service, .. } => {
                 if self.tasks.len() >= MOST_TASKS {
                     self.tasks.clear();
