--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -10,6 +10,7 @@
 
 use clap::{Args, Subcommand};
 use maplethread_trace::cut::{Chosen, Wanted};
+use maplethread_trace::losses::Losses;
 use maplethread_trace::merge::Merge;
 use maplethread_trace::replay::Replay;
 use maplethread_trace::summary::Summary;
@@ -45,6 +46,15 @@
         #[arg(long, value_name = "FILE")]
         svg: Option<PathBuf>,
     },
+    /// Tell what kept tasks from running while they were wanted: by class, cause, what took the time, and hosts
+    Losses {
+        /// The merged trace, or the files of one run, in order
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// Read every block, and tell what is damaged; exit code 1 if anything is
     Verify {
         /// The trace file
@@ -120,6 +130,7 @@
         TraceCommand::Cat { files } => cat(files),
         TraceCommand::Cut(args) => cut(args),
         TraceCommand::Summary { files, json, svg } => summary(files, *json, svg.as_deref()),
+        TraceCommand::Losses { files, json } => losses(files, *json),
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
         TraceCommand::Replay { files, build_differs, settings } => {
@@ -376,6 +387,32 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn losses(files: &[PathBuf], as_json: bool) -> Result<ExitCode, String> {
+    let mut losses: Option<(Losses, (String, u64))> = None;
+    for file in files {
+        let mut trace = open(file)?;
+        let run = (trace.header.placer.clone(), trace.header.started_ms);
+        let (losses, first) = losses.get_or_insert_with(|| (Losses::new(&trace.header.classes), run.clone()));
+        if *first != run {
+            return Err(format!("{}: another run than the first file's; merge them first", file.display()));
+        }
+        each(file, &mut trace, |part| {
+            if let Part::Block { records, .. } = part {
+                records.iter().for_each(|r| losses.feed(r));
+            }
+            Ok(())
+        })?;
+    }
+    let Some((losses, _)) = losses else { return Ok(ExitCode::SUCCESS) };
+    let counted = losses.finish();
+    if as_json {
+        println!("{:#}", counted.json());
+    } else {
+        print!("{}", counted.text());
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn verify(file: &Path) -> Result<ExitCode, String> {
     let mut trace = open(file)?;
     let finished = trace.index().map_err(named(file))?.is_some();
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -182,8 +182,10 @@
         if self.options.progress {
             eprintln!();
         }
-        let service = self.world.ledger().service(end);
-        let double_s = self.world.ledger().double_s;
+        let (service, lost, double_s) = {
+            let ledger = self.world.ledger();
+            (ledger.service(end), ledger.lost(end), ledger.double_s)
+        };
         let (decide_us, held) = statuses(&owners);
         let mut place_us = owners.end()?;
         place_us.sort_unstable();
@@ -192,7 +194,7 @@
         let verdict = judge(&record, &settings::figures(&self.scenario));
         let returns = returns(&record, &self.returned);
         let first = FirstAsks::of(&record);
-        Ok(Report { verdict, first, service, double_s, place_us, decide_us, held, returns, record })
+        Ok(Report { verdict, first, service, lost, double_s, place_us, decide_us, held, returns, record })
     }
 
     fn started(&self, host: usize) -> u64 {
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -8,7 +8,7 @@
 use maplethread_wire::frame::Frame;
 use serde_json::{Value, json};
 
-use crate::world::Service;
+use crate::world::{Lost, Service};
 
 /// What a day came to.
 pub struct Report {
@@ -18,6 +18,8 @@
     pub first: FirstAsks,
     /// The worth served over the worth asked for.
     pub service: Service,
+    /// What the rest was lost to.
+    pub lost: Lost,
     /// Seconds that second copies ran.
     pub double_s: f64,
     /// Times from an ask to `placed` at the owner, µs, sorted.
@@ -70,6 +72,10 @@
             "service": self.service.whole,
             "service_worst_10_s": self.service.worst_10_s,
             "service_worst_class": self.service.worst_class,
+            "service_lost": {
+                "late_start": self.lost.late_start, "not_running": self.lost.not_running,
+                "crowded": self.lost.crowded,
+            },
             "double_s": self.double_s,
             "broken": broken,
             "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
@@ -133,6 +139,12 @@
             "service {:.3} of the worth asked for; worst ten seconds {:.3}, worst-served class {:.3} (simulated work)",
             s.whole, s.worst_10_s, s.worst_class
         );
+        let lost = &self.lost;
+        let _ = writeln!(
+            out,
+            "lost of it: {:.3} to starts later than their aim, {:.3} while not running, {:.3} to crowded hosts",
+            lost.late_start, lost.not_running, lost.crowded
+        );
         let _ = writeln!(
             out,
             "ask to placed: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms; decisions: p50 {} us, p99 {} us; {} offers",
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -92,6 +92,20 @@
     by_class: Vec<(f64, f64)>,
     /// Seconds that second copies ran, which earn nothing.
     pub double_s: f64,
+    /// Worth of starts that came late or never, and of crowding while tasks ran.
+    late: f64,
+    crowded: f64,
+}
+
+/// What the worth that was not served was lost to, as shares of the worth that was asked for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lost {
+    /// First starts later than their aim, or none at all.
+    pub late_start: f64,
+    /// Tasks that did not run while they were wanted.
+    pub not_running: f64,
+    /// Tasks that ran on crowded hosts.
+    pub crowded: f64,
 }
 
 /// Service, as shares of the worth that was asked for.
@@ -108,7 +122,15 @@
 impl Ledger {
     fn new(start: u64, classes: usize) -> Ledger {
         let by_class = vec![(0.0, 0.0); classes];
-        Ledger { start, wanted: HashMap::new(), by_second: Vec::new(), by_class, double_s: 0.0 }
+        Ledger {
+            start,
+            wanted: HashMap::new(),
+            by_second: Vec::new(),
+            by_class,
+            double_s: 0.0,
+            late: 0.0,
+            crowded: 0.0,
+        }
     }
 
     fn second(&mut self, at: u64) -> &mut (f64, f64) {
@@ -121,6 +143,7 @@
 
     /// An owner wants a task.
     pub fn want(&mut self, actor: &Arc<str>, wanted: Wanted) {
+        self.late += wanted.bonus;
         self.second(wanted.from).0 += wanted.bonus;
         let mut at = wanted.from;
         while at < wanted.until {
@@ -150,6 +173,7 @@
                 0.0
             },
         );
+        self.late -= bonus;
         self.second(wanted.from).1 += bonus;
         self.by_class[wanted.class].1 += bonus;
     }
@@ -173,6 +197,7 @@
         if copies > 1 && span == 0.0 {
             self.double_s += whole as f64 / 1e6;
         }
+        self.crowded += wanted.rate * (1.0 - share) * span;
         self.second(to_wanted.max(wanted.from)).1 += wanted.rate * share * span;
         self.by_class[wanted.class].1 += wanted.rate * share * span;
     }
@@ -182,6 +207,16 @@
         self.wanted.get(actor).is_some_and(|(_, served)| served.running > 0)
     }
 
+    /// What the worth that was not served up to a time was lost to.
+    pub fn lost(&self, until: u64) -> Lost {
+        let seconds = (until.saturating_sub(self.start) / 1_000_000) as usize;
+        let all = &self.by_second[..seconds.min(self.by_second.len())];
+        let all = all.iter().fold((0.0, 0.0), |sum, b| (sum.0 + b.0, sum.1 + b.1));
+        let part = |worth: f64| worth / all.0.max(f64::MIN_POSITIVE);
+        let not_running = (all.0 - all.1 - self.late - self.crowded).max(0.0);
+        Lost { late_start: part(self.late), not_running: part(not_running), crowded: part(self.crowded) }
+    }
+
     /// The service up to a time.
     pub fn service(&self, until: u64) -> Service {
         let seconds = (until.saturating_sub(self.start) / 1_000_000) as usize;
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A file is a header, blocks of records that stand alone, and an index. [`record`] is what is kept, [`block`] how
 //! records are packed and checked, [`writer`] and [`reader`] go through files, [`replay`] feeds a trace to a fresh
-//! module, [`summary`] answers what on-call asks, [`cut`] copies a part,
+//! module, [`summary`] answers what on-call asks, [`losses`] what kept tasks from running, [`cut`] copies a part,
 //! and [`anonymise`] hides whom it is about. The format is in `docs/trace-format.md`.
 //! Nothing here reads a clock or starts a thread; files are given as `Read`, `Write` and `Seek`.
 
@@ -11,6 +11,7 @@
 pub mod cut;
 mod error;
 pub mod header;
+pub mod losses;
 pub mod merge;
 pub mod reader;
 pub mod record;
--- /dev/null
+++ b/crates/trace/src/losses.rs
@@ -0,0 +1,394 @@
+//! What kept tasks from running while they were wanted: by class, by how the gap began, and by what took the time.
+//!
+//! An actor is wanted from the reading of its first ask on, for the life that this ask tells. While it is wanted and
+//! no copy of it is known to run there is a *gap*. A gap begins with the first ask or with the loss of the last copy,
+//! and its time goes to phases: held for want of something, offered without an answer, accepted and starting, or with
+//! its owner, who has not asked again. What no placer was told, as a start whose note was lost, is not known here.
+
+use std::collections::{BTreeMap, HashMap};
+
+use hdrhistogram::Histogram;
+use maplethread::{Action, AttemptId, End, Ending, Event, Micros, Note};
+use serde_json::{Value, json};
+
+use crate::record::{Outcome, Record, Stamped, Turn};
+
+/// Actors that are followed at a time; when as many are wanted, new ones are counted as not followed.
+const MOST_ACTORS: usize = 1 << 18;
+/// Times beyond it count as this long, µs.
+const LONGEST: u64 = 3_600_000_000;
+
+/// A time without a running copy, on its way.
+struct Gap {
+    began: String,
+    phase: String,
+    since: Micros,
+    /// The host that the phase is spent at, if at one.
+    host: Option<u32>,
+    spent: Vec<(String, Option<u32>, Micros)>,
+}
+
+struct Actor {
+    class: usize,
+    asked: Micros,
+    /// Until when it is wanted; known once the module was given its first ask.
+    until: Option<Micros>,
+    started: bool,
+    copies: u32,
+    gap: Option<Gap>,
+}
+
+impl Actor {
+    /// Ends the phase that a gap is in, and begins the next.
+    fn phase(&mut self, now: Micros, phase: impl Into<String>, host: Option<u32>) {
+        let until = self.until.unwrap_or(now);
+        let Some(gap) = &mut self.gap else { return };
+        let spent = now.min(until).saturating_sub(gap.since.min(until));
+        let ended = std::mem::replace(&mut gap.phase, phase.into());
+        if spent > 0 {
+            gap.spent.push((ended, gap.host, spent));
+        }
+        (gap.since, gap.host) = (now, host);
+    }
+}
+
+/// Times of one class.
+struct Class {
+    name: String,
+    actors: u64,
+    never: u64,
+    wanted: Micros,
+    gaps: BTreeMap<String, (u64, BTreeMap<String, Micros>)>,
+    first_start: Histogram<u64>,
+}
+
+/// Losses on their way. Records are to come in the order of a merged trace, or of one run of a placer.
+pub struct Losses {
+    classes: Vec<Class>,
+    actors: HashMap<String, Actor>,
+    /// Which actor a task is for, and attempts made.
+    tasks: HashMap<u64, (String, u32)>,
+    /// Hosts of attempts that have not ended, and whether they run.
+    attempts: HashMap<(u64, u32), (u32, bool)>,
+    hosts: BTreeMap<u32, String>,
+    at_hosts: BTreeMap<u32, BTreeMap<String, Micros>>,
+    not_followed: u64,
+    now: Micros,
+}
+
+impl Losses {
+    /// Losses of these classes.
+    pub fn new(classes: &[String]) -> Losses {
+        let class = |name: &String| Class {
+            name: name.clone(),
+            actors: 0,
+            never: 0,
+            wanted: 0,
+            gaps: BTreeMap::new(),
+            first_start: Histogram::new_with_bounds(1, LONGEST, 3).expect("bounds in range"),
+        };
+        Losses {
+            classes: classes.iter().map(class).collect(),
+            actors: HashMap::new(),
+            tasks: HashMap::new(),
+            attempts: HashMap::new(),
+            hosts: BTreeMap::new(),
+            at_hosts: BTreeMap::new(),
+            not_followed: 0,
+            now: 0,
+        }
+    }
+
+    /// Takes in a record.
+    pub fn feed(&mut self, stamped: &Stamped) {
+        self.now = self.now.max(stamped.at);
+        match &stamped.record {
+            Record::Host { machine, name, .. } => drop(self.hosts.insert(*machine, name.clone())),
+            Record::Asked { task, actor, class, read, .. } => {
+                self.asked(stamped.at, *task, actor, *class as usize, *read);
+            }
+            Record::Answered { task, outcome, .. } => self.answered(stamped.at, *task, outcome),
+            Record::Turn(turn) => self.turn(stamped.at, turn),
+            _ => {}
+        }
+    }
+
+    fn asked(&mut self, now: Micros, task: u64, name: &str, class: usize, read: Micros) {
+        if class >= self.classes.len() {
+            return;
+        }
+        if let Some(actor) = self.actors.get_mut(name) {
+            actor.phase(now, "asked", None);
+        } else {
+            if self.actors.len() >= MOST_ACTORS {
+                self.forget();
+            }
+            if self.actors.len() >= MOST_ACTORS {
+                self.not_followed += 1;
+                return;
+            }
+            let gap = Gap {
+                began: "first start".into(),
+                phase: "asked".into(),
+                since: read,
+                host: None,
+                spent: Vec::new(),
+            };
+            let actor = Actor { class, asked: read, until: None, started: false, copies: 0, gap: Some(gap) };
+            self.actors.insert(name.to_owned(), actor);
+            self.classes[class].actors += 1;
+        }
+        self.tasks.insert(task, (name.to_owned(), 0));
+    }
+
+    /// Lets go of actors that are not wanted any more.
+    fn forget(&mut self) {
+        let now = self.now;
+        let over: Vec<String> = self
+            .actors
+            .iter()
+            .filter(|(_, a)| a.until.is_some_and(|until| until < now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in over {
+            if let Some(actor) = self.actors.remove(&name) {
+                self.over(actor);
+            }
+        }
+        let actors = &self.actors;
+        self.tasks.retain(|_, (name, _)| actors.contains_key(name));
+        let tasks = &self.tasks;
+        self.attempts.retain(|(task, _), _| tasks.contains_key(task));
+    }
+
+    /// An actor's last gap ends with its time, or with the trace.
+    fn over(&mut self, mut actor: Actor) {
+        let now = self.now;
+        actor.phase(now, "", None);
+        let class = &mut self.classes[actor.class];
+        class.never += u64::from(!actor.started);
+        let until = actor.until.unwrap_or(now).min(now);
+        class.wanted += until.saturating_sub(actor.asked);
+        if let Some(gap) = actor.gap {
+            self.count(actor.class, gap);
+        }
+    }
+
+    fn count(&mut self, class: usize, gap: Gap) {
+        let (gaps, phases) = self.classes[class].gaps.entry(gap.began).or_default();
+        *gaps += 1;
+        for (phase, host, spent) in gap.spent {
+            *phases.entry(phase.clone()).or_default() += spent;
+            if let Some(host) = host {
+                *self.at_hosts.entry(host).or_default().entry(phase).or_default() += spent;
+            }
+        }
+    }
+
+    fn actor(&mut self, task: u64) -> Option<&mut Actor> {
+        let (name, _) = self.tasks.get(&task)?;
+        self.actors.get_mut(name)
+    }
+
+    fn answered(&mut self, now: Micros, task: u64, outcome: &Outcome) {
+        let phase = match outcome {
+            Outcome::Placed { .. } => return,
+            Outcome::Refused { reason, .. } => format!("with its owner, refused for {reason}"),
+            Outcome::Failed => "with its owner, failed".to_owned(),
+            Outcome::HungUp => "with its owner, who hung up".to_owned(),
+        };
+        if let Some(actor) = self.actor(task) {
+            actor.phase(now, phase, None);
+        }
+    }
+
+    fn turn(&mut self, now: Micros, turn: &Turn) {
+        for event in &turn.events {
+            match event {
+                Event::Asked(task) => {
+                    if let Some(actor) = self.actor(task.id.0) {
+                        // Without a life it is wanted until it is done.
+                        let until = task.life.map_or(Micros::MAX, |life| actor.asked.saturating_add(life));
+                        actor.until.get_or_insert(until);
+                    }
+                }
+                Event::Seated(id, _) => {
+                    let host = self.attempts.get(&key(id)).map(|a| a.0);
+                    if let Some(actor) = self.actor(id.task.0) {
+                        actor.phase(now, "accepted, starting", host);
+                    }
+                }
+                Event::Noted(id, Note::Started) => self.started(now, id),
+                Event::Ended(id, end) => self.ended(now, id, *end),
+                _ => {}
+            }
+        }
+        for action in &turn.actions {
+            match action {
+                Action::Offer(task, machine, _) => {
+                    let Some((_, made)) = self.tasks.get_mut(&task.0) else { continue };
+                    let number = *made;
+                    *made += 1;
+                    self.attempts.insert((task.0, number), (machine.0, false));
+                    if let Some(actor) = self.actor(task.0) {
+                        actor.phase(now, "offered", Some(machine.0));
+                    }
+                }
+                Action::Held(task, lack) => {
+                    if let Some(actor) = self.actor(task.0) {
+                        actor.phase(now, format!("held for {lack:?}"), None);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn started(&mut self, now: Micros, id: &AttemptId) {
+        match self.attempts.get_mut(&key(id)) {
+            Some((_, runs)) if !*runs => *runs = true,
+            _ => return,
+        }
+        let Some(actor) = self.actor(id.task.0) else { return };
+        actor.copies += 1;
+        actor.phase(now, "", None);
+        let (class, first, after) = (actor.class, !actor.started, now.saturating_sub(actor.asked));
+        actor.started = true;
+        let gap = actor.gap.take();
+        if first {
+            self.classes[class].first_start.saturating_record(after.max(1));
+        }
+        if let Some(gap) = gap {
+            self.count(class, gap);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, id: &AttemptId, end: End) {
+        let Some((host, ran)) = self.attempts.remove(&key(id)) else { return };
+        let why = match end.why {
+            Some(why) => format!("{:?} ({why:?})", end.ending),
+            None => format!("{:?}", end.ending),
+        };
+        let Some(actor) = self.actor(id.task.0) else { return };
+        if ran {
+            actor.copies = actor.copies.saturating_sub(1);
+            if end.ending == Ending::Done {
+                actor.until = Some(actor.until.unwrap_or(now).min(now));
+            } else if actor.copies == 0 && actor.gap.is_none() {
+                let phase = "with its owner, told of the loss".to_owned();
+                actor.gap = Some(Gap { began: why, phase, since: now, host: None, spent: Vec::new() });
+            }
+        } else if let Some(gap) = &mut actor.gap {
+            // What was waited for in vain is told apart from what came.
+            gap.phase = format!("{}, in vain: {why}", gap.phase);
+            gap.host = Some(host);
+            actor.phase(now, "between attempts", None);
+        }
+    }
+
+    /// The end of the trace: all counts.
+    pub fn finish(mut self) -> Counted {
+        for (_, actor) in std::mem::take(&mut self.actors) {
+            self.over(actor);
+        }
+        Counted(self)
+    }
+}
+
+fn key(id: &AttemptId) -> (u64, u32) {
+    (id.task.0, id.number)
+}
+
+/// Losses, counted.
+pub struct Counted(Losses);
+
+/// Names with their times, the longest first.
+fn longest<K: Clone + Ord>(times: impl Iterator<Item = (K, Micros)>) -> Vec<(K, Micros)> {
+    let mut all: Vec<(K, Micros)> = times.collect();
+    all.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+    all
+}
+
+fn seconds(time: Micros) -> f64 {
+    time as f64 / 1e6
+}
+
+impl Counted {
+    fn hosts(&self) -> Vec<(String, &BTreeMap<String, Micros>)> {
+        let all = longest(self.0.at_hosts.iter().map(|(&n, phases)| (n, phases.values().sum())));
+        let name = |n: &u32| self.0.hosts.get(n).cloned().unwrap_or_else(|| format!("#{n}"));
+        all.into_iter().map(|(n, _)| (name(&n), &self.0.at_hosts[&n])).collect()
+    }
+
+    /// All as one object; times in seconds.
+    pub fn json(&self) -> Value {
+        let in_seconds = |phases: &BTreeMap<String, Micros>| -> BTreeMap<String, f64> {
+            phases.iter().map(|(phase, &time)| (phase.clone(), seconds(time))).collect()
+        };
+        let class = |c: &Class| {
+            let q = |q: f64| c.first_start.value_at_quantile(q) as f64 / 1000.0;
+            let gaps: BTreeMap<&String, Value> = c
+                .gaps
+                .iter()
+                .map(|(began, (n, phases))| (began, json!({"count": n, "seconds": in_seconds(phases)})))
+                .collect();
+            let value = json!({
+                "actors": c.actors, "never_started": c.never, "wanted_s": seconds(c.wanted), "gaps": gaps,
+                "first_start_ms": {"p50": q(0.5), "p90": q(0.9), "p99": q(0.99), "max": q(1.0)},
+            });
+            (c.name.clone(), value)
+        };
+        let hosts: BTreeMap<String, Value> =
+            self.hosts().into_iter().map(|(name, phases)| (name, json!(in_seconds(phases)))).collect();
+        json!({
+            "classes": self.0.classes.iter().map(class).collect::<BTreeMap<String, Value>>(),
+            "hosts": hosts, "not_followed": self.0.not_followed,
+        })
+    }
+
+    /// All for a person.
+    pub fn text(&self) -> String {
+        use std::fmt::Write;
+        let mut out = String::new();
+        for c in self.0.classes.iter().filter(|c| c.actors > 0) {
+            let lost: Micros = c.gaps.values().flat_map(|(_, phases)| phases.values()).sum();
+            let share = |time: Micros| 100.0 * time as f64 / c.wanted.max(1) as f64;
+            let q = |q: f64| c.first_start.value_at_quantile(q) as f64 / 1000.0;
+            let _ = writeln!(
+                out,
+                "{}: {} actors wanted for {:.0} s, not running {:.1}% of it; {} never started; first start p50 {:.0} ms, \
+                 p90 {:.0} ms, p99 {:.0} ms",
+                c.name,
+                c.actors,
+                seconds(c.wanted),
+                share(lost),
+                c.never,
+                q(0.5),
+                q(0.9),
+                q(0.99)
+            );
+            let whole = |(began, (_, phases)): (&String, &(u64, BTreeMap<String, Micros>))| {
+                (began.clone(), phases.values().sum())
+            };
+            for (began, time) in longest(c.gaps.iter().map(whole)) {
+                let (n, phases) = &c.gaps[&began];
+                let _ = writeln!(out, "  {:.2}% in {n} gaps after {began}:", share(time));
+                for (phase, time) in longest(phases.iter().map(|(p, &t)| (p, t))).into_iter().take(5) {
+                    let _ = writeln!(out, "    {:.2}% {phase}", share(time));
+                }
+            }
+        }
+        for (name, phases) in self.hosts().into_iter().take(5) {
+            let phases: Vec<String> = longest(phases.iter().map(|(p, &t)| (p, t)))
+                .into_iter()
+                .take(3)
+                .map(|(phase, time)| format!("{phase} {:.1} s", seconds(time)))
+                .collect();
+            let _ = writeln!(out, "{name}: {}", phases.join(", "));
+        }
+        if self.0.not_followed > 0 {
+            let _ = writeln!(out, "{} actors more were not followed", self.0.not_followed);
+        }
+        out
+    }
+}
