--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -1,9 +1,10 @@
 //! What on-call asks of a trace: how asks ended, why, how long it took, and where it went wrong.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use hdrhistogram::Histogram;
-use maplethread::{Action, Event, MachineState};
+use hdrhistogram::iterators::IterationValue;
+use maplethread::{Action, End, Ending, Event, MachineState, Rules};
 use serde_json::{Value, json};
 
 use crate::header::Header;
@@ -16,6 +17,10 @@
 
 /// Times beyond it count as this long, µs.
 const LONGEST: u64 = 3_600_000_000;
+/// Refusals of a host are counted for steps of so many seconds...
+const STEP_S: u64 = 10;
+/// ...and of so many steps, hosts and reasons in all; those that come later count in their host's last step.
+const MOST_STEPS: usize = 1 << 18;
 
 /// Counts of one class.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +40,11 @@
     drains: u64,
     after_drain: u64,
     latest_after_drain: u64,
+    /// Refusals by reason and by steps since the first record.
+    refused: BTreeMap<String, BTreeMap<u64, u64>>,
+    /// Offers while it was cold, and the most of one placer's in a budget window.
+    cold_offers: u64,
+    cold_most: u64,
 }
 
 /// What one run of a placer was last told of one host.
@@ -42,6 +52,7 @@
 struct Told {
     ready: bool,
     draining_since: Option<u64>,
+    started: Option<u64>,
 }
 
 /// Counts of one second.
@@ -67,6 +78,11 @@
     hosts: BTreeMap<u32, Host>,
     /// By source and host: each run is told for itself.
     told: BTreeMap<(u32, u32), Told>,
+    /// Times of offers to cold hosts within the last budget window, by source and host.
+    cold: BTreeMap<(u32, u32), VecDeque<u64>>,
+    /// The rules and the number of placers that the file's settings tell; a merged trace has none.
+    rules: Option<(Rules, u32)>,
+    steps: usize,
     source: u32,
     names: BTreeMap<u32, String>,
     open: HashMap<u64, usize>,
@@ -92,6 +108,9 @@
             classes: names,
             hosts: BTreeMap::new(),
             told: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            rules: header.settings.as_ref().map(|s| (s.rules, s.placers)),
+            steps: 0,
             source: 0,
             names: BTreeMap::new(),
             open: HashMap::new(),
@@ -196,6 +215,7 @@
                             (told.draining_since, host.drains) = (Some(at), host.drains + 1);
                         }
                         told.ready = ready;
+                        told.started = listing.started;
                     }
                 }
                 Event::Seated(id, _) => {
@@ -210,6 +230,7 @@
                             None => format!("{:?}", end.ending),
                         };
                         *self.hosts.entry(host).or_default().ended.entry(why).or_default() += 1;
+                        self.refused(at, host, *end);
                     }
                     if end.closed {
                         self.numbers.remove(&id.task.0);
@@ -238,6 +259,7 @@
                         host.after_drain += 1;
                         host.latest_after_drain = host.latest_after_drain.max(at - since);
                     }
+                    self.cold(at, machine.0);
                     self.second(at).offers += 1;
                 }
                 Action::Held(_, lack) => *self.held.entry(format!("{lack:?}")).or_default() += 1,
@@ -246,6 +268,38 @@
         }
     }
 
+    fn refused(&mut self, at: u64, host: u32, end: End) {
+        if end.ending != Ending::Refused {
+            return;
+        }
+        let reason = end.why.map_or_else(|| "not told".to_owned(), |why| format!("{why:?}"));
+        let step = at.saturating_sub(self.begin.unwrap_or(at)) / 1_000_000 / STEP_S * STEP_S;
+        let steps = self.hosts.entry(host).or_default().refused.entry(reason).or_default();
+        let step = match steps.last_key_value() {
+            Some((&last, _)) if self.steps >= MOST_STEPS => last,
+            _ => step,
+        };
+        self.steps += usize::from(!steps.contains_key(&step));
+        *steps.entry(step).or_default() += 1;
+    }
+
+    /// An offer, counted against the cold budget if its placer was told of a start not long ago.
+    fn cold(&mut self, at: u64, host: u32) {
+        let Some((rules, _)) = self.rules else { return };
+        let key = (self.source, host);
+        let started = self.told.get(&key).and_then(|told| told.started);
+        if started.is_none_or(|started| started + rules.cold_for <= at) {
+            self.cold.remove(&key);
+            return;
+        }
+        let window = self.cold.entry(key).or_default();
+        window.retain(|&sent| sent + rules.fall_window >= at);
+        window.push_back(at);
+        let most = window.len() as u64;
+        let host = self.hosts.entry(host).or_default();
+        (host.cold_offers, host.cold_most) = (host.cold_offers + 1, host.cold_most.max(most));
+    }
+
     /// The ten seconds in which the smallest share of answers was `placed`, among those with at least one for each
     /// second: where they begin (s), and the share.
     fn worst(&self) -> Option<(usize, f64)> {
@@ -286,6 +340,7 @@
                 let value = json!({
                     "offers": h.offers, "seated": h.seated, "ended": h.ended, "drains": h.drains,
                     "offers_after_drain": h.after_drain, "latest_after_drain_ms": h.latest_after_drain / 1000,
+                    "refused_from_s": h.refused, "cold_offers": h.cold_offers, "cold_most_in_window": h.cold_most,
                 });
                 (name, value)
             })
@@ -295,12 +350,26 @@
             .iter()
             .map(|s| json!([s.asked, s.placed, s.refused, s.failed, s.offers, s.drains]))
             .collect();
+        let upper_ms = |bar: &IterationValue<u64>| bar.value_iterated_to() as f64 / 1000.0;
+        let bars: Vec<Value> = self
+            .after
+            .iter_log(1000, 2.0)
+            .map(|bar| json!([upper_ms(&bar), bar.count_since_last_iteration()]))
+            .collect();
+        let cold_budget = self.rules.map(|(rules, placers)| {
+            json!({
+                "offers_of_all_placers": rules.fresh_offers, "window_ms": rules.fall_window / 1000,
+                "cold_for_ms": rules.cold_for / 1000, "placers": placers,
+            })
+        });
         json!({
             "seconds": self.end.saturating_sub(self.begin.unwrap_or(self.end)) as f64 / 1e6,
             "records": self.records, "turns": self.turns,
             "lost": {"turns": self.gaps.0, "records": self.gaps.1, "octets": self.damaged, "unknown": self.unknown},
             "classes": classes, "hosts": hosts, "held_for": self.held, "unanswered": self.open.len(),
             "ask_to_placed_ms": {"p50": q(0.5), "p99": q(0.99), "max": q(1.0)},
+            "ask_to_placed_histogram": {"columns": ["up_to_ms", "asks"], "rows": bars},
+            "cold_budget": cold_budget,
             "worst_10_s": self.worst().map(|(at, share)| json!({"from_s": at, "placed_share": share})),
             "by_second": {"columns": ["asked", "placed", "refused", "failed", "offers", "drains"], "rows": seconds},
         })
@@ -350,6 +419,16 @@
                 ended.join(", ")
             );
         }
+        if let Some((rules, placers)) = self.rules {
+            let cold: u64 = self.hosts.values().map(|h| h.cold_offers).sum();
+            let most = self.hosts.values().map(|h| h.cold_most).max().unwrap_or(0);
+            let _ = writeln!(
+                out,
+                "cold hosts: {cold} offers, at most {most} to one in {:.1} s, of {} for all {placers} placers",
+                rules.fall_window as f64 / 1e6,
+                rules.fresh_offers
+            );
+        }
         let drains: u64 = self.hosts.values().map(|h| h.drains).sum();
         let after: u64 = self.hosts.values().map(|h| h.after_drain).sum();
         let latest = self.hosts.values().map(|h| h.latest_after_drain).max().unwrap_or(0);
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -342,6 +342,48 @@
     assert!(summary.text().contains("refused for cores 3"), "{}", summary.text());
 }
 
+#[test]
+fn a_summary_tells_refusals_over_time_cold_offers_and_how_long_asks_took() {
+    let begin = 1_700_000_000 * S;
+    let mut summary = Summary::new(&header());
+    let mut turn = |at: u64, events: Vec<Event>, actions: Vec<Action>| {
+        let turn = Record::Turn(Turn { now: begin + at, events, actions });
+        summary.feed(&Stamped { at: begin + at, record: turn });
+    };
+    let listing = Listing {
+        machine: MachineId(1),
+        label: 1,
+        zone: 0,
+        cell: 0,
+        kind: 0,
+        state: MachineState::Ready,
+        started: Some(begin),
+        unasked: None,
+    };
+    turn(0, vec![Event::Listed { scope: Scope::Full, machines: vec![listing] }], vec![]);
+    // Cold for 5 s; windows of 2 s: two offers in one, then one more, then one when it is warm.
+    for (task, at) in [(1, S), (2, 2 * S), (3, 4 * S), (4, 12 * S), (5, 25 * S)] {
+        turn(at, vec![], vec![Action::Offer(TaskId(task), MachineId(1), S)]);
+        let why = if task == 5 { Why::Line } else { Why::Cores };
+        let end = End { ending: Ending::Refused, why: Some(why), closed: false, load: None };
+        turn(at + 1000, vec![Event::Ended(AttemptId { task: TaskId(task), number: 0 }, end)], vec![]);
+    }
+    for (task, after) in [(6, 900), (7, 3000)] {
+        let answered = Record::Answered { task, outcome: Outcome::Placed { host: 1 }, attempts: 1, after };
+        summary.feed(&Stamped { at: begin + 26 * S, record: answered });
+    }
+    let json = summary.json();
+    let host = &json["hosts"]["#1"];
+    assert_eq!(host["refused_from_s"]["Cores"], serde_json::json!({"0": 3, "10": 1}));
+    assert_eq!(host["refused_from_s"]["Line"], serde_json::json!({"20": 1}));
+    assert_eq!((&host["cold_offers"], &host["cold_most_in_window"]), (&3.into(), &2.into()));
+    assert_eq!(json["cold_budget"]["window_ms"], 2000);
+    let rows = json["ask_to_placed_histogram"]["rows"].as_array().expect("rows");
+    let asks: Vec<u64> = rows.iter().filter_map(|row| row[1].as_u64()).collect();
+    assert_eq!(asks, [1, 0, 1], "up to 1, 2 and 4 ms: {rows:?}");
+    assert!(summary.text().contains("cold hosts: 3 offers, at most 2 to one in 2.0 s"), "{}", summary.text());
+}
+
 fn any_record() -> impl Strategy<Value = Record> {
     let event = prop_oneof![
         any::<Option<u32>>().prop_map(Event::Numbered),
--- /dev/null
+++ b/crates/trace/tests/killed.rs
@@ -0,0 +1,102 @@
+//! A writer that is killed at whatever octet of a write: what stands in its file is a true beginning of what it wrote.
+#![cfg(unix)]
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use maplethread_trace::{Header, Part, Reader, Record, Stamped, Writer, module_hash};
+
+const OUT: &str = "MAPLETHREAD_TRACE_KILLED";
+
+/// The n-th record: all of them differ, and pack badly, so that writes are long.
+fn record(n: u64) -> Stamped {
+    let noise = |k: u64| {
+        (n * 7 + k).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(17).wrapping_mul(0xd6e8_feb8_6659_fd93)
+    };
+    let actor: String = (0..4).map(|k| format!("{:016x}", noise(k))).collect();
+    let record =
+        Record::Asked { task: n, service: 3, actor, class: 0, request: format!("{n}"), key: None, read: n };
+    Stamped { at: 1_700_000_000_000_000 + n, record }
+}
+
+/// Not a test of its own: what the killed process runs. Without the variable it does nothing.
+#[test]
+fn writes_until_it_is_killed() {
+    let Ok(out) = std::env::var(OUT) else { return };
+    let header = Header {
+        writer: "test".into(),
+        module: module_hash(),
+        placer: "p".into(),
+        started_ms: 1,
+        seed: 1,
+        settings: None,
+        classes: vec!["web".into()],
+        part: 0,
+        changed: Vec::new(),
+        sources: Vec::new(),
+    };
+    let mut writer = Writer::new(File::create(out).expect("a file"), &header).expect("a header");
+    let service = Record::Service { service: 3, name: "web-1".into() };
+    writer.know(&Stamped { at: 0, record: service });
+    for n in 0..20_000_000 {
+        writer.push(&record(n)).expect("a write");
+    }
+}
+
+struct Killed(Child);
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Records of asks in a file, in order, and the octets that are no whole block.
+fn read(file: &Path) -> (Vec<Stamped>, u64) {
+    let mut reader = Reader::open(BufReader::new(File::open(file).expect("a file"))).expect("a trace");
+    let (mut asks, mut lost) = (Vec::new(), 0);
+    while let Some(part) = reader.next_part().expect("readable") {
+        match part {
+            Part::Block { records, .. } => {
+                asks.extend(records.into_iter().filter(|r| matches!(r.record, Record::Asked { .. })));
+            }
+            Part::Damaged { octets, .. } => lost += octets,
+        }
+    }
+    (asks, lost)
+}
+
+#[test]
+fn a_killed_writers_file_is_a_true_beginning() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let program = std::env::current_exe().expect("this program");
+    let mut cut_within_a_block = 0;
+    for round in 0..12u64 {
+        let file = folder.path().join(format!("{round}.mtrace"));
+        let child = Command::new(&program)
+            .args(["--exact", "writes_until_it_is_killed"])
+            .env(OUT, &file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a process");
+        let mut killed = Killed(child);
+        // Killed once the file is so long, which it passes within a write as well as between two.
+        let enough = 4_000 + round * 61_803;
+        while std::fs::metadata(&file).map_or(0, |m| m.len()) < enough {
+            assert!(killed.0.try_wait().expect("a child").is_none(), "it writes on until it is killed");
+            std::thread::yield_now();
+        }
+        drop(killed);
+        let (asks, lost) = read(&file);
+        for (n, ask) in asks.iter().enumerate() {
+            assert_eq!(*ask, record(n as u64), "round {round}");
+        }
+        cut_within_a_block += u32::from(lost > 0);
+        assert!(!asks.is_empty() || enough < 300_000, "round {round}: nothing of {enough} octets");
+    }
+    println!("{cut_within_a_block} of 12 files ended within a block");
+}
