--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,6 +1,7 @@
 //! The tools for trace files. All go through a file block by block, in memory that does not grow with it.
 
 mod hide;
+mod replay;
 mod timeline;
 
 use std::fs::File;
@@ -12,7 +13,6 @@
 use maplethread_trace::cut::{Chosen, Wanted};
 use maplethread_trace::losses::Losses;
 use maplethread_trace::merge::Merge;
-use maplethread_trace::replay::Replay;
 use maplethread_trace::summary::Summary;
 use maplethread_trace::{Part, Reader, Record, Stamped, TraceError, Writer, module_hash};
 use serde_json::json;
@@ -134,7 +134,7 @@
         TraceCommand::Verify { file } => verify(file),
         TraceCommand::Repair { file, out } => repair(file, out),
         TraceCommand::Replay { files, build_differs, settings } => {
-            replay(files, *build_differs, settings.as_deref())
+            replay::replay(files, *build_differs, settings.as_deref())
         }
         TraceCommand::Merge { out, files } => merge(out, files),
         TraceCommand::Anonymise(args) => hide::anonymise(args),
@@ -467,64 +467,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn replay(files: &[PathBuf], build_differs: bool, settings: Option<&Path>) -> Result<ExitCode, String> {
-    let first = files.first().ok_or("no file is given")?;
-    let header = open(first)?.header;
-    let named_first = |e: String| format!("{}: {e}", first.display());
-    if header.module != module_hash() {
-        let text = "another module decided here: its text has another hash than this program's";
-        if !build_differs {
-            return Err(named_first(format!("{text}; --build-differs compares all the same")));
-        }
-        eprintln!("{}", named_first(text.to_owned()));
-    }
-    let what_if = match settings {
-        None => None,
-        Some(file) => Some(maplethread_placer::load(file).map_err(|e| e.to_string())?.settings()),
-    };
-    if let Some(file) = settings {
-        println!("WHAT IF: settings of {} in place of the recorded ones", file.display());
-    }
-    let mut replay = Replay::with(&header, what_if).map_err(named_first)?;
-    let begun = std::time::Instant::now();
-    let (mut from, mut until) = (u64::MAX, 0);
-    for (n, file) in files.iter().enumerate() {
-        let mut trace = open(file)?;
-        let run = (&trace.header.placer, trace.header.started_ms, trace.header.part as usize);
-        if run != (&header.placer, header.started_ms, n) {
-            return Err(format!("{}: part {} of another run, or not the next part", file.display(), run.2));
-        }
-        each(file, &mut trace, |part| {
-            match part {
-                Part::Block { info, records, .. } => {
-                    (from, until) = (from.min(info.first), until.max(info.last));
-                    records.iter().for_each(|r| replay.feed(r));
-                }
-                Part::Damaged { .. } => replay.damaged(),
-            }
-            Ok(())
-        })?;
-    }
-    let found = &replay.found;
-    let (span, took) = (until.saturating_sub(from) as f64 / 1e6, begun.elapsed().as_secs_f64());
-    println!(
-        "{} turns, {} actions compared, {} turns differ, {} turns after a gap not compared; {span:.1} s in {took:.2} s",
-        found.turns, found.actions, found.differing, found.after_gap
-    );
-    if build_differs || settings.is_some() {
-        println!("on the recorded events: recorded, replayed");
-        for (kind, [recorded, replayed]) in &found.kinds {
-            println!("  {kind}: {recorded}, {replayed}");
-        }
-    }
-    if let Some(first) = &found.first {
-        println!("first difference: turn {} at {} us", first.turn, first.at);
-        println!("  recorded: {:?}", first.recorded);
-        println!("  replayed: {:?}", first.replayed);
-    }
-    Ok(if found.differing == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
-}
-
 /// The records of a file one by one.
 struct Records {
     file: PathBuf,
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -34,6 +34,8 @@
     /// Actions by what they are: recorded, and replayed. What the module would do on the recorded events; events that
     /// its other decisions would have led to are not in them.
     pub kinds: BTreeMap<&'static str, [u64; 2]>,
+    /// Offers by host's number: recorded, and replayed.
+    pub hosts: BTreeMap<u32, [u64; 2]>,
     /// Turns that could not be compared, since the trace has a gap before them.
     pub after_gap: u64,
 }
@@ -85,6 +87,9 @@
         for (which, actions) in [&turn.actions, &self.actions].into_iter().enumerate() {
             for action in actions {
                 self.found.kinds.entry(kind(action)).or_default()[which] += 1;
+                if let Action::Offer(_, machine, _) = action {
+                    self.found.hosts.entry(machine.0).or_default()[which] += 1;
+                }
             }
         }
         let same = turn.actions.iter().zip(&self.actions).take_while(|(a, b)| a == b).count();
@@ -103,6 +108,16 @@
     }
 }
 
+impl Replayed {
+    /// The share of the recorded offers that would go to other hosts, as far as counts by host tell.
+    pub fn elsewhere(&self) -> f64 {
+        let [recorded, replayed] = self.kinds.get("offer").copied().unwrap_or_default();
+        let whole = [recorded.max(1) as f64, replayed.max(1) as f64];
+        let alike = |&[a, b]: &[u64; 2]| (a as f64 / whole[0]).min(b as f64 / whole[1]);
+        1.0 - self.hosts.values().map(alike).sum::<f64>()
+    }
+}
+
 fn kind(action: &Action) -> &'static str {
     match action {
         Action::Offer(..) => "offer",
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -181,6 +181,7 @@
     got.iter().for_each(|r| replay.feed(r));
     let found = &replay.found;
     assert!(found.turns == 900 && found.actions > 300 && found.differing == 0, "{found:?}");
+    assert!(found.elsewhere().abs() < 1e-9, "{found:?}");
     // With another seed, or one event less, it is not the same run.
     let mut replay = Replay::new(&Header { seed: 8, ..header() }).expect("a module");
     got.iter().for_each(|r| replay.feed(r));
@@ -193,6 +194,8 @@
     got.iter().for_each(|r| replay.feed(r));
     let refused = replay.found.kinds.get("refuse").copied().unwrap_or_default();
     assert!(replay.found.differing > 0 && refused == [0, 300], "{:?}", replay.found.kinds);
+    assert!(replay.found.hosts.values().all(|[recorded, replayed]| *recorded > 0 && *replayed == 0));
+    assert_eq!(replay.found.elsewhere(), 1.0, "all of them would go nowhere");
     // A gap ends what can be compared.
     let gap = Stamped { at: 1, record: Record::Gap { turns: 1, records: 1, why: "slow disk".into() } };
     let mut replay = Replay::new(&header()).expect("a module");
