Tasks that come again yield to first starts while many starts are under way

A task that comes again now waits while this placer's part of three accepted starts a ready machine is under way, at most 1 s and half its time. Tried and left out: lines as workload, cold machines as slower (docs/losses.md).

--- a/src/control.rs
+++ b/src/control.rs
@@ -78,6 +78,11 @@
 const FLEET_FILL: f64 = 0.7;
 /// A machine in another zone scores worse by so many times the price of crossing.
 const CROSSING: f64 = 10.0;
+/// A task that comes again has no timely start to lose, and comes with thousands where machines are lost.
+/// It yields to tasks that come for the first time, for at most so long and half the time it has...
+const YIELD: Micros = 1_000_000;
+/// ...while so many accepted starts for each ready machine, over all placers, are under way.
+const STARTS_AT_ONCE: f64 = 3.0;
 /// A failed call to discovery is repeated after this, well within any `ask_within`.
 const ASK_AGAIN: Micros = 300_000;
 /// Share of the own part of a cold machine's budget that is spent, for offers that arrive bunched.
@@ -141,6 +146,8 @@
     sent: Micros,
     seated: bool,
     started: bool,
+    /// It is accepted, and counts among the starts under way.
+    in_line: bool,
 }
 
 /// A task that is owed its final answer.
@@ -153,6 +160,8 @@
     may_run: Option<(Micros, MachineId)>,
     /// While it is held: what for.
     lack: Option<Lack>,
+    /// Until when first starts go before it.
+    yields_until: Option<Micros>,
 }
 
 /// How a machine has lately served a class.
@@ -257,6 +266,9 @@
     /// Tasks to be offered somewhere now, and those for which nothing was allowed, looked at in turn.
     waiting: VecDeque<TaskId>,
     on_hold: VecDeque<TaskId>,
+    /// Tasks that came again and yield to first starts until then, and own starts under way.
+    yielding: BTreeSet<(Micros, TaskId)>,
+    starts: u32,
     /// Share of what they ask for that own tasks use.
     used: Room,
     /// Mean time to an answer, and its mean deviation, by class and level.
@@ -286,6 +298,8 @@
             held: BTreeMap::new(),
             waiting: VecDeque::new(),
             on_hold: VecDeque::new(),
+            yielding: BTreeSet::new(),
+            starts: 0,
             used: Room::new(1.0, 1.0),
             waits: BTreeMap::new(),
             started_up: false,
@@ -319,6 +333,7 @@
         while let Some(id) = self.waiting.pop_front() {
             self.place(id, actions);
         }
+        self.let_go(actions);
         self.remind(actions);
     }
 
@@ -346,7 +361,10 @@
             }
             Event::Asked(task) => {
                 let (attempts, out, may_run, lack) = (0, false, None, None);
-                self.open.entry(task.id).or_insert(Open { task: *task, attempts, out, may_run, lack });
+                let half = task.give_up_at.saturating_sub(self.now) / 2;
+                let yields_until = task.again.then_some(self.now + YIELD.min(half));
+                let open = Open { task: *task, attempts, out, may_run, lack, yields_until };
+                self.open.entry(task.id).or_insert(open);
                 let last = task.give_up_at.saturating_sub(ANSWER_MARGIN);
                 actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
                 self.waiting.push_back(task.id);
@@ -435,12 +453,18 @@
     /// Counts an attempt in: an offer, or a task that runs already.
     fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, level: Level, runs: bool) {
         let (sent, seated, started) = (self.now, runs, runs);
-        let attempt = Attempt { task, machine, level, sent, seated, started };
+        let attempt = Attempt { task, machine, level, sent, seated, started, in_line: false };
         if self.attempts.insert(id, attempt).is_none() {
             self.count(machine, &task, 1.0);
         }
     }
 
+    /// An attempt is no start under way any more: it runs, or is over.
+    fn leave_line(&mut self, id: &AttemptId) {
+        let attempt = self.attempts.get_mut(id);
+        self.starts -= u32::from(attempt.is_some_and(|a| std::mem::take(&mut a.in_line)));
+    }
+
     fn count(&mut self, id: MachineId, task: &Task, sign: f64) {
         if let Some(machine) = self.machines.get_mut(&id) {
             machine.change(self.now, task.asks, sign);
@@ -457,6 +481,8 @@
 
     /// What own tasks say of themselves and of their machine.
     fn noted(&mut self, id: &AttemptId, note: Note) {
+        // The note of its start may have been lost: what uses something runs.
+        self.leave_line(id);
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
@@ -485,6 +511,9 @@
     fn seated(&mut self, id: &AttemptId, elapsed: Option<Micros>) {
         self.open.remove(&id.task);
         if let Some(attempt) = self.attempts.get_mut(id) {
+            let joins = !attempt.started && !attempt.in_line;
+            attempt.in_line |= joins;
+            self.starts += u32::from(joins);
             attempt.seated = true;
             // A placer that stood still reckons the machine's time, not its own silence.
             let since = self.now - attempt.sent;
@@ -509,6 +538,7 @@
 
     /// T runs from the offer to the start; failed attempts never get here and give no sample.
     fn started(&mut self, id: &AttemptId) {
+        self.leave_line(id);
         let Some(attempt) = self.attempts.get_mut(id).filter(|a| !a.started) else {
             return;
         };
@@ -528,6 +558,7 @@
     }
 
     fn ended(&mut self, id: AttemptId, end: End, actions: &mut Vec<Action>) {
+        self.leave_line(&id);
         let Some(attempt) = self.attempts.remove(&id) else {
             return;
         };
@@ -604,6 +635,12 @@
             self.answer(id, actions);
             return;
         }
+        if let Some(until) = open.yields_until.filter(|&until| until > self.now)
+            && self.starts >= self.starts_at_once()
+        {
+            self.yielding.insert((until, id));
+            return;
+        }
         let (machine, level) = match self.pick(&open) {
             Ok(found) => found,
             Err(lack) => {
@@ -624,6 +661,28 @@
         }
     }
 
+    /// This placer's part of the starts under way beyond which tasks that come again yield.
+    fn starts_at_once(&self) -> u32 {
+        let ready = self.machines.values().filter(|m| m.ready() && !m.unlinked).count();
+        ((STARTS_AT_ONCE * ready as f64 / f64::from(self.settings.placers)) as u32).max(1)
+    }
+
+    /// Places yielding tasks as starts under way become fewer, or once they have yielded for long enough.
+    fn let_go(&mut self, actions: &mut Vec<Action>) {
+        if self.yielding.is_empty() {
+            return;
+        }
+        let most = self.starts_at_once();
+        for _ in 0..HELD_AT_ONCE {
+            let next = self.yielding.first().filter(|(until, _)| self.starts < most || *until <= self.now);
+            let Some(&(until, id)) = next else {
+                break;
+            };
+            self.yielding.remove(&(until, id));
+            self.place(id, actions);
+        }
+    }
+
     /// Keeps a task for later, and tells what it waits for when that changes. What no machine can ever
     /// take is answered at once.
     fn hold(&mut self, id: TaskId, lack: Lack, actions: &mut Vec<Action>) {
@@ -897,7 +956,8 @@
 
     /// One general reminder: for held tasks and for discovery.
     fn remind(&mut self, actions: &mut Vec<Action>) {
-        let hold = (!self.on_hold.is_empty()).then_some(self.now + HOLD);
+        let holds = !self.on_hold.is_empty() || !self.yielding.is_empty();
+        let hold = holds.then_some(self.now + HOLD);
         let Some(next) = hold.into_iter().chain(self.relisten_at).min() else {
             return;
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -339,3 +339,78 @@
     assert_eq!(answers(&actions), [Action::Refuse(TaskId(1), None)]);
     assert_eq!(offer(&actions), None);
 }
+
+/// One of four placers before four machines, with its part of twelve accepted starts under way.
+fn busy() -> (Desk, u64) {
+    let mut own = settings(Effect::Safe);
+    own.placers = 4;
+    let mut desk = Desk::new(own, 4);
+    for n in 0..3 {
+        desk.ask(task(n, n, 100 * S)).expect("an offer");
+        desk.turn(&[Event::Seated(id(n, 0), None)]);
+    }
+    (desk, 3)
+}
+
+fn again(n: u64, give_up_at: Micros) -> Task {
+    Task { again: true, ..task(n, n, give_up_at) }
+}
+
+#[test]
+fn tasks_that_come_again_yield_to_first_starts() {
+    let (mut desk, next) = busy();
+    assert_eq!(desk.ask(again(next, 100 * S)), None, "its part of the starts is under way");
+    assert!(desk.ask(task(next + 1, 9, 100 * S)).is_some(), "a first start is not kept waiting");
+    assert_eq!(offer(&desk.turn(&[Event::Seated(id(next + 1, 0), None)])), None);
+    // Two of the four starts under way are done: the part is three, so one place is free.
+    desk.now += 50_000;
+    let started = |n| Event::Noted(id(n, 0), Note::Started);
+    assert_eq!(offer(&desk.turn(&[started(0)])), None);
+    let offered = desk.turn(&[started(1)]);
+    assert!(offered.iter().any(|a| matches!(a, Action::Offer(t, ..) if t.0 == next)), "{offered:?}");
+    desk.turn(&[Event::Seated(id(next, 0), None)]);
+    assert!(desk.ask(again(next + 2, 100 * S)).is_none(), "that start counts too");
+}
+
+#[test]
+fn yielding_ends_where_starts_are_never_told_of() {
+    let (mut desk, next) = busy();
+    let from = desk.now;
+    assert_eq!(desk.ask(again(next, from + 100 * S)), None);
+    assert_eq!(desk.ask(again(next + 1, from + S)), None);
+    // Half of its time is the most that a task waits so; a second for one with long to go.
+    assert!(offer(&desk.wait(from + 400_000, &[0])).is_none());
+    let early = desk.wait(from + 710_000, &[0]);
+    assert!(early.iter().any(|a| matches!(a, Action::Offer(t, ..) if t.0 == next + 1)), "{early:?}");
+    let late = desk.wait(from + 1_210_000, &[0]);
+    assert!(late.iter().any(|a| matches!(a, Action::Offer(t, ..) if t.0 == next)), "{late:?}");
+}
+
+#[test]
+fn attempts_that_end_or_use_something_are_no_starts_under_way() {
+    let (mut desk, next) = busy();
+    assert_eq!(desk.ask(again(next, 100 * S)), None);
+    let used = desk.turn(&[Event::Noted(id(1, 0), Note::CoresUsed(0.5))]);
+    assert!(used.iter().any(|a| matches!(a, Action::Offer(t, ..) if t.0 == next)), "{used:?}");
+    desk.turn(&[Event::Seated(id(next, 0), None)]);
+    assert_eq!(desk.ask(again(next + 1, 100 * S)), None);
+    let ended = desk.turn(&[end(0, 0, Ending::Reset, None)]);
+    assert!(ended.iter().any(|a| matches!(a, Action::Offer(t, ..) if t.0 == next + 1)), "{ended:?}");
+    // Said twice, or late, it counts once or not at all.
+    let twice = [Event::Seated(id(2, 0), None), Event::Seated(id(2, 0), None)];
+    desk.turn(&twice);
+    desk.turn(&[Event::Noted(id(2, 0), Note::Started), Event::Seated(id(2, 0), None)]);
+    assert!(desk.ask(again(next + 2, 100 * S)).is_some(), "one start is under way, of a part of three");
+}
+
+#[test]
+fn a_yielding_task_that_is_not_wanted_any_more_is_forgotten() {
+    let (mut desk, next) = busy();
+    assert_eq!(desk.ask(again(next, 100 * S)), None);
+    let its = |a: &Action| matches!(a, Action::Offer(t, ..) | Action::Refuse(t, _) if t.0 == next);
+    desk.turn(&[Event::HungUp(TaskId(next))]);
+    let actions = desk.turn(&[Event::Noted(id(0, 0), Note::Started)]);
+    assert!(!actions.iter().any(its), "{actions:?}");
+    let actions = desk.wait(110 * S, &[0, next + 1]);
+    assert!(!actions.iter().any(its), "{actions:?}");
+}
