A node agent: real processes on the host protocol, with a durable store

maplethread agent takes offers by the shared admission, starts configured programs in process groups of their own, keeps intent before start and outcome after in an embedded store (one commit a turn, acceptances leave after it), and after a kill finds its processes by pid, start time and a marker. A test kills it in eight rounds amid frames: none accepted was lost, none started twice, counted from the workers' own log.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -260,6 +260,28 @@
         Some((attempt, there))
     }
 
+    /// Takes up a task that an earlier life of the host had taken, as it then stood.
+    pub fn restore(&mut self, ask: Ask, stage: Stage, keys: &mut KeyTable) {
+        if let Copies::One { group, key } = ask.copies {
+            keys.stand(group, key, ask.attempt);
+        }
+        match stage {
+            Stage::Waiting => self.waiting.push_back(ask.attempt),
+            Stage::Starting => self.starting += 1,
+            Stage::Running => {}
+        }
+        self.taken.insert(ask.attempt, Taken { ask, stage });
+    }
+
+    /// A task that was to start does not, and waits for a start again, before all others.
+    pub fn put_back(&mut self, attempt: u64) {
+        if let Some(taken) = self.taken.get_mut(&attempt).filter(|t| t.stage == Stage::Starting) {
+            taken.stage = Stage::Waiting;
+            self.starting -= 1;
+            self.waiting.push_front(attempt);
+        }
+    }
+
     /// A task that was starting runs.
     pub fn started(&mut self, attempt: u64) {
         if let Some(taken) = self.taken.get_mut(&attempt).filter(|t| t.stage == Stage::Starting) {
@@ -421,6 +443,23 @@
         assert_eq!(host.next_start(), Some((31, false)), "another took its place");
     }
 
+    #[test]
+    fn what_was_taken_in_an_earlier_life_counts_and_a_start_can_be_put_back() {
+        let (mut host, mut keys) = (Admission::new(policy()), KeyTable::default());
+        let keyed = |attempt| Ask { copies: Copies::One { group: 1, key: 7 }, ..ask(attempt, 4.0, 0) };
+        host.restore(keyed(1), Stage::Running, &mut keys);
+        host.restore(ask(2, 1.0, 0), Stage::Waiting, &mut keys);
+        assert_eq!(host.asked().0, 5.0);
+        assert_eq!(offer(&mut host, &mut keys, keyed(3)), Verdict::Refused(Refusal::CopyStands));
+        assert_eq!(host.next_start().map(|s| s.0), Some(2));
+        assert_eq!(host.next_start(), None);
+        host.put_back(2);
+        assert_eq!(host.next_start().map(|s| s.0), Some(2), "it waits again");
+        assert_eq!(host.end(2, &mut keys), Some(Stage::Starting));
+        assert_eq!(host.end(1, &mut keys), Some(Stage::Running));
+        assert_eq!(keys.standing(1, 7), None);
+    }
+
     #[test]
     fn evicts_the_lowest_priority_then_the_furthest_over() {
         let (mut host, mut keys) = (Admission::new(policy()), KeyTable::default());
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,186 @@
+//! Processes: started in groups of their own with a marker in their environment, told apart by pid and start time,
+//! found again by the marker, and measured, all by `/proc`.
+
+use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use maplethread_wire::frame::Offer;
+use rustix::process::{Pid, Signal};
+
+use crate::agent::Identity;
+use crate::config::Runnable;
+
+/// The variable that tells whose a process is.
+pub const MARKER: &str = "MAPLETHREAD_TASK";
+
+/// What marks a task's processes.
+pub fn marker(agent: &str, attempt: u64) -> String {
+    format!("{agent}:{attempt:016x}")
+}
+
+/// The kernel's id of this boot.
+pub fn boot_id() -> io::Result<String> {
+    Ok(std::fs::read_to_string("/proc/sys/kernel/random/boot_id")?.trim().to_owned())
+}
+
+/// What `/proc/PID/stat` tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stat {
+    /// `R`, `S`, `Z` and so on.
+    pub state: char,
+    /// Its process group.
+    pub group: u32,
+    /// When it started, ticks since boot.
+    pub born: u64,
+    /// Processor time that it used, ticks.
+    pub ticks: u64,
+    /// Resident pages.
+    pub pages: u64,
+}
+
+/// Reads a line of `/proc/PID/stat`; a program's name may hold anything, closing brackets too.
+fn parse_stat(line: &str) -> Option<Stat> {
+    let (_, rest) = line.rsplit_once(')')?;
+    let fields: Vec<&str> = rest.split_ascii_whitespace().collect();
+    // Fields are numbered from 1 in proc(5), and the state is the third.
+    let number = |n: usize| fields.get(n - 3)?.parse::<u64>().ok();
+    Some(Stat {
+        state: fields.first()?.chars().next()?,
+        group: u32::try_from(number(5)?).ok()?,
+        born: number(22)?,
+        ticks: number(14)? + number(15)?,
+        pages: number(24)?,
+    })
+}
+
+/// What runs under a pid.
+pub fn stat(pid: u32) -> Option<Stat> {
+    parse_stat(&String::from_utf8_lossy(&std::fs::read(format!("/proc/{pid}/stat")).ok()?))
+}
+
+/// Whether this very process still runs.
+pub fn alive(identity: Identity) -> bool {
+    stat(identity.pid).is_some_and(|s| s.born == identity.born && s.state != 'Z' && s.state != 'X')
+}
+
+fn pids() -> impl Iterator<Item = u32> {
+    let entries = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    entries.filter_map(|e| e.file_name().to_str()?.parse().ok())
+}
+
+/// The processes that carry this agent's marker, by attempt: those that lead their group first.
+pub fn marked(agent: &str) -> BTreeMap<u64, Vec<Identity>> {
+    let mut found: BTreeMap<u64, Vec<Identity>> = BTreeMap::new();
+    let prefix = format!("{MARKER}={agent}:");
+    for pid in pids() {
+        let Ok(environ) = std::fs::read(format!("/proc/{pid}/environ")) else { continue };
+        let mut vars = environ.split(|&b| b == 0).filter_map(|var| std::str::from_utf8(var).ok());
+        let Some(attempt) = vars.find_map(|var| var.strip_prefix(&prefix)) else { continue };
+        let (Ok(attempt), Some(stat)) = (u64::from_str_radix(attempt, 16), stat(pid)) else { continue };
+        if stat.state == 'Z' {
+            continue;
+        }
+        let all = found.entry(attempt).or_default();
+        let identity = Identity { pid, born: stat.born };
+        if stat.group == pid { all.insert(0, identity) } else { all.push(identity) }
+    }
+    found
+}
+
+/// Starts a task's program; its output goes to a file of its own.
+pub fn spawn(
+    runnable: &Runnable,
+    offer: &Offer,
+    agent: &str,
+    folder: &Path,
+) -> io::Result<(Child, Identity)> {
+    let bad = |e| io::Error::new(io::ErrorKind::InvalidInput, e);
+    let program = &runnable.program;
+    let output = OpenOptions::new().create(true).append(true).open(output(folder, offer.attempt))?;
+    let mut command = Command::new(&program.path);
+    command
+        .args(runnable.args(offer).map_err(bad)?)
+        .env_clear()
+        .envs(program.env.iter().filter_map(|name| Some((name, std::env::var_os(name)?))))
+        .envs(&program.set)
+        .env(MARKER, marker(agent, offer.attempt))
+        .current_dir(program.folder.as_deref().unwrap_or(folder))
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .process_group(0);
+    let child = command.spawn()?;
+    let pid = child.id();
+    // It is not reaped before it is waited for, so its pid is its own until then.
+    let born = stat(pid).map_or(0, |s| s.born);
+    Ok((child, Identity { pid, born }))
+}
+
+/// Where a task's output goes.
+pub fn output(folder: &Path, attempt: u64) -> std::path::PathBuf {
+    folder.join(format!("{attempt:016x}.log"))
+}
+
+/// Asks a task's processes to end, or makes them. Nothing is sent to a pid that is another's by now, unless it
+/// becomes so in the instant after the look.
+pub fn kill(identity: Identity, force: bool) {
+    let (signal, pid) = (if force { Signal::KILL } else { Signal::TERM }, Pid::from_raw(identity.pid as i32));
+    // A leader that has ended and is not reaped still holds its pid, and others of its group may live.
+    if let Some(pid) = pid
+        && stat(identity.pid).is_some_and(|s| s.born == identity.born)
+    {
+        let _ = rustix::process::kill_process_group(pid, signal);
+    }
+}
+
+/// What the processes of a group use: ticks of processor time so far, and resident octets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Use {
+    /// Processor time, ticks.
+    pub ticks: u64,
+    /// Resident memory, octets.
+    pub memory: u64,
+}
+
+/// The use of all process groups, in one pass over `/proc`.
+pub fn measure() -> BTreeMap<u32, Use> {
+    let page = rustix::param::page_size() as u64;
+    let mut groups: BTreeMap<u32, Use> = BTreeMap::new();
+    for stat in pids().filter_map(stat) {
+        let group = groups.entry(stat.group).or_default();
+        group.ticks += stat.ticks;
+        group.memory += stat.pages * page;
+    }
+    groups
+}
+
+/// Ticks of processor time a second.
+pub fn ticks_a_second() -> u64 {
+    rustix::param::clock_ticks_per_second()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_programs_name_may_hold_anything() {
+        let line = "12 (a) b) 3) S 1 77 0 0 -1 0 0 0 0 0 30 12 0 0 20 0 1 0 4242 9000 55 0";
+        let stat = parse_stat(line).expect("a line");
+        assert_eq!(stat, Stat { state: 'S', group: 77, born: 4242, ticks: 42, pages: 55 });
+        assert_eq!(parse_stat("12 (cut) S 1"), None);
+        assert_eq!(parse_stat(""), None);
+    }
+
+    #[test]
+    fn this_process_is_alive_and_a_later_one_of_its_pid_is_not_it() {
+        let pid = std::process::id();
+        let born = stat(pid).expect("this process").born;
+        assert!(alive(Identity { pid, born }));
+        assert!(!alive(Identity { pid, born: born + 1 }));
+    }
+}
--- /dev/null
+++ b/crates/agent/src/store.rs
@@ -0,0 +1,271 @@
+//! What the agent keeps: one embedded store (redb), one commit a turn. Each value is versioned and checked on reading,
+//! so that a store of another version, or a damaged one, is told as such and never taken for an empty one.
+
+use std::path::Path;
+
+use maplethread_wire::frame::{self, Frame, Reason};
+use redb::{
+    Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageError, TableDefinition,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::agent::{Do, Fate, Identity, Kept};
+
+const TASKS: TableDefinition<u64, &[u8]> = TableDefinition::new("tasks");
+const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
+/// The version of what stands in the tables.
+const VERSION: u32 = 1;
+
+/// Why the store can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// Another agent has it.
+    #[error("another process has it open")]
+    Locked,
+    /// A newer program wrote it.
+    #[error("it has version {0}, and this program knows {VERSION}; use the program that wrote it")]
+    Newer(u32),
+    /// It is damaged.
+    #[error("it is damaged: {0}; put it aside and see what runs before starting without it")]
+    Damaged(String),
+    /// The disk fails, is full, or may not be written.
+    #[error("{0}")]
+    Io(String),
+}
+
+impl From<redb::Error> for StoreError {
+    fn from(e: redb::Error) -> StoreError {
+        match e {
+            redb::Error::DatabaseAlreadyOpen => StoreError::Locked,
+            redb::Error::Corrupted(why) => StoreError::Damaged(why),
+            redb::Error::UpgradeRequired(version) => StoreError::Newer(u32::from(version)),
+            e => StoreError::Io(e.to_string()),
+        }
+    }
+}
+
+fn io(e: impl Into<redb::Error>) -> StoreError {
+    e.into().into()
+}
+
+/// Who writes: what tells one start of the machine from the next, and whether the host drains.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Facts {
+    /// The kernel's id of this boot.
+    pub boot: String,
+    /// The host drains.
+    pub drains: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+enum KeptFate {
+    Accepted,
+    Starting,
+    Running { pid: u32, born: u64 },
+    Ended { reason: u8, ran: bool },
+}
+
+#[derive(Serialize, Deserialize)]
+struct Row<'a> {
+    placer: &'a str,
+    fate: KeptFate,
+    /// The offer, as a frame of the host protocol.
+    offer: Vec<u8>,
+}
+
+fn pack(kept: &Kept) -> Result<Vec<u8>, StoreError> {
+    let mut offer = Vec::new();
+    frame::encode(&Frame::Held(kept.offer.clone(), false), &mut offer);
+    let fate = match kept.fate {
+        Fate::Accepted => KeptFate::Accepted,
+        Fate::Starting => KeptFate::Starting,
+        Fate::Running(Identity { pid, born }) => KeptFate::Running { pid, born },
+        Fate::Ended(reason, ran) => KeptFate::Ended { reason: reason as u8, ran },
+    };
+    postcard::to_stdvec(&Row { placer: &kept.placer, fate, offer }).map_err(|e| StoreError::Io(e.to_string()))
+}
+
+fn unpack(attempt: u64, bytes: &[u8]) -> Result<Kept, StoreError> {
+    let damaged = |why: &str| StoreError::Damaged(format!("task {attempt:016x}: {why}"));
+    let row: Row<'_> = postcard::from_bytes(bytes).map_err(|e| damaged(&e.to_string()))?;
+    let Ok((Some(Frame::Held(offer, _)), _)) = frame::decode(&row.offer) else {
+        return Err(damaged("its offer is not one"));
+    };
+    if offer.attempt != attempt {
+        return Err(damaged("its offer is another attempt's"));
+    }
+    let fate = match row.fate {
+        KeptFate::Accepted => Fate::Accepted,
+        KeptFate::Starting => Fate::Starting,
+        KeptFate::Running { pid, born } => Fate::Running(Identity { pid, born }),
+        KeptFate::Ended { reason, ran } => Fate::Ended(Reason::from_byte(reason), ran),
+    };
+    Ok(Kept { placer: row.placer.into(), offer, fate })
+}
+
+/// The store.
+pub struct Store {
+    base: Database,
+}
+
+impl Store {
+    /// Opens it, or makes it.
+    pub fn open(path: &Path) -> Result<Store, StoreError> {
+        let base = Database::create(path).map_err(|e| match e {
+            DatabaseError::Storage(StorageError::Io(e)) if e.kind() == std::io::ErrorKind::InvalidData => {
+                StoreError::Damaged("it is no store".to_owned())
+            }
+            e => io(e),
+        })?;
+        let store = Store { base };
+        store.check_version()?;
+        Ok(store)
+    }
+
+    fn check_version(&self) -> Result<(), StoreError> {
+        let mut write = self.base.begin_write().map_err(io)?;
+        write.set_durability(Durability::Immediate).map_err(io)?;
+        {
+            let mut facts = write.open_table(FACTS).map_err(io)?;
+            let version = facts.get("version").map_err(io)?.map(|v| v.value().to_vec());
+            match version {
+                None => drop(facts.insert("version", &VERSION.to_le_bytes()[..]).map_err(io)?),
+                Some(bytes) => {
+                    let bytes: [u8; 4] = bytes
+                        .try_into()
+                        .map_err(|_| StoreError::Damaged("its version is no number".to_owned()))?;
+                    let version = u32::from_le_bytes(bytes);
+                    if version > VERSION {
+                        return Err(StoreError::Newer(version));
+                    }
+                }
+            }
+            write.open_table(TASKS).map_err(io)?;
+        }
+        write.commit().map_err(io)
+    }
+
+    /// All that is kept.
+    pub fn read(&self) -> Result<(Facts, Vec<(u64, Kept)>), StoreError> {
+        let read = self.base.begin_read().map_err(io)?;
+        let facts = read.open_table(FACTS).map_err(io)?;
+        let facts = match facts.get("host").map_err(io)? {
+            None => Facts::default(),
+            Some(bytes) => postcard::from_bytes(bytes.value())
+                .map_err(|e| StoreError::Damaged(format!("facts of the host: {e}")))?,
+        };
+        let mut all = Vec::new();
+        for row in read.open_table(TASKS).map_err(io)?.iter().map_err(io)? {
+            let (attempt, bytes) = row.map_err(io)?;
+            all.push((attempt.value(), unpack(attempt.value(), bytes.value())?));
+        }
+        Ok((facts, all))
+    }
+
+    /// Makes what a turn wants kept durable, all of it or nothing; whether there was anything.
+    pub fn commit(&self, turn: &[Do], facts: Option<&Facts>) -> Result<bool, StoreError> {
+        let any = turn.iter().any(|d| matches!(d, Do::Keep(..) | Do::Forget(_) | Do::KeepDrain));
+        if !any && facts.is_none() {
+            return Ok(false);
+        }
+        let mut write = self.base.begin_write().map_err(io)?;
+        write.set_durability(Durability::Immediate).map_err(io)?;
+        {
+            let mut tasks = write.open_table(TASKS).map_err(io)?;
+            for what in turn {
+                match what {
+                    Do::Keep(attempt, kept) => {
+                        tasks.insert(attempt, &pack(kept)?[..]).map_err(io)?;
+                    }
+                    Do::Forget(attempt) => {
+                        tasks.remove(attempt).map_err(io)?;
+                    }
+                    _ => {}
+                }
+            }
+            if let Some(facts) = facts {
+                let bytes = postcard::to_stdvec(facts).map_err(|e| StoreError::Io(e.to_string()))?;
+                let mut table = write.open_table(FACTS).map_err(io)?;
+                table.insert("host", &bytes[..]).map_err(io)?;
+            }
+        }
+        write.commit().map_err(io)?;
+        Ok(true)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use maplethread_wire::frame::{Copies, Load, Offer};
+
+    use super::*;
+
+    fn kept(attempt: u64, fate: Fate) -> Kept {
+        let offer = Offer {
+            attempt,
+            number: 1,
+            service: "s".into(),
+            actor: "ä".into(),
+            class: "c".into(),
+            request: "r".into(),
+            asks: Load { cores: 0.5, memory: 1.5 },
+            priority: 2,
+            copies: Copies::Keyed(9),
+            life_ms: 700,
+            wait_ms: 250,
+        };
+        Kept { placer: "p".into(), offer, fate }
+    }
+
+    #[test]
+    fn what_is_kept_is_read_after_it_is_opened_again() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("agent.redb");
+        let fates = [
+            Fate::Accepted,
+            Fate::Starting,
+            Fate::Running(Identity { pid: 7, born: 1 << 40 }),
+            Fate::Ended(Reason::PushedOut, true),
+        ];
+        let all: Vec<(u64, Kept)> = (1..).zip(fates).map(|(n, fate)| (n, kept(n, fate))).collect();
+        let facts = Facts { boot: "b".into(), drains: true };
+        {
+            let store = Store::open(&path).expect("a store");
+            let mut turn: Vec<Do> = all.iter().map(|(n, kept)| Do::Keep(*n, kept.clone())).collect();
+            turn.push(Do::Keep(99, kept(99, Fate::Accepted)));
+            assert!(store.commit(&turn, Some(&facts)).expect("a commit"));
+            assert!(store.commit(&[Do::Forget(99)], None).expect("a commit"));
+            assert!(!store.commit(&[Do::Spawn(1)], None).expect("nothing to do"));
+            assert!(matches!(Store::open(&path), Err(StoreError::Locked)), "one agent at a time");
+        }
+        let store = Store::open(&path).expect("a store");
+        assert_eq!(store.read().expect("readable"), (facts, all));
+    }
+
+    #[test]
+    fn a_damaged_foreign_or_newer_store_is_told_as_such() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("agent.redb");
+        std::fs::write(&path, vec![7; 100_000]).expect("a file");
+        assert!(matches!(Store::open(&path), Err(StoreError::Damaged(_) | StoreError::Io(_))));
+        let path = folder.path().join("newer.redb");
+        {
+            let store = Store::open(&path).expect("a store");
+            let write = store.base.begin_write().expect("a write");
+            write
+                .open_table(FACTS)
+                .expect("a table")
+                .insert("version", &9u32.to_le_bytes()[..])
+                .expect("a row");
+            write.commit().expect("a commit");
+        }
+        assert!(matches!(Store::open(&path), Err(StoreError::Newer(9))));
+        let path = folder.path().join("row.redb");
+        let store = Store::open(&path).expect("a store");
+        let write = store.base.begin_write().expect("a write");
+        write.open_table(TASKS).expect("a table").insert(5, &[1u8, 2, 3][..]).expect("a row");
+        write.commit().expect("a commit");
+        let told = store.read().expect_err("a damaged row").to_string();
+        assert!(told.contains("0000000000000005"), "{told}");
+    }
+}
--- /dev/null
+++ b/crates/agent/src/template.rs
@@ -0,0 +1,158 @@
+//! Command lines from templates. An argument is text with typed placeholders; what comes over the wire fills them in
+//! and is never read as a command, an option or a path.
+
+use maplethread_wire::frame::Offer;
+
+/// What a placeholder stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Field {
+    Service,
+    Actor,
+    Class,
+    Request,
+    Attempt,
+    Cores,
+    MemoryMib,
+    LifeMs,
+}
+
+const FIELDS: [(&str, Field); 8] = [
+    ("service", Field::Service),
+    ("actor", Field::Actor),
+    ("class", Field::Class),
+    ("request", Field::Request),
+    ("attempt", Field::Attempt),
+    ("cores", Field::Cores),
+    ("memory_mib", Field::MemoryMib),
+    ("life_ms", Field::LifeMs),
+];
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Part {
+    Text(String),
+    Field(Field),
+}
+
+/// One argument.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Argument(Vec<Part>);
+
+/// A name from the wire that may not be an argument.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadName {
+    /// It has an octet of zero.
+    #[error("a name holds a zero octet")]
+    Zero,
+    /// An argument that is a name alone would be read as an option.
+    #[error("a name that is an argument of its own begins with `-`")]
+    Option,
+}
+
+impl Argument {
+    /// Reads a template: `{name}` for a placeholder, `{{` and `}}` for braces.
+    pub fn parse(text: &str) -> Result<Argument, String> {
+        let (mut parts, mut plain, mut rest) = (Vec::new(), String::new(), text);
+        while let Some(c) = rest.chars().next() {
+            if rest.starts_with("{{") || rest.starts_with("}}") {
+                plain.push(c);
+                rest = &rest[2..];
+            } else if c == '{' {
+                let (name, after) = rest[1..].split_once('}').ok_or("a `{` is not closed")?;
+                let known = FIELDS.iter().find(|(n, _)| *n == name);
+                let names = || FIELDS.iter().map(|f| f.0).collect::<Vec<_>>().join(", ");
+                let (_, field) =
+                    known.ok_or_else(|| format!("no placeholder `{{{name}}}`; there are {}", names()))?;
+                if !plain.is_empty() {
+                    parts.push(Part::Text(std::mem::take(&mut plain)));
+                }
+                parts.push(Part::Field(*field));
+                rest = after;
+            } else if c == '}' {
+                return Err("a `}` stands alone; write `}}`".to_owned());
+            } else {
+                plain.push(c);
+                rest = &rest[c.len_utf8()..];
+            }
+        }
+        if !plain.is_empty() {
+            parts.push(Part::Text(plain));
+        }
+        Ok(Argument(parts))
+    }
+
+    /// The argument for a task.
+    pub fn fill(&self, offer: &Offer) -> Result<String, BadName> {
+        let mut out = String::new();
+        for part in &self.0 {
+            match part {
+                Part::Text(text) => out.push_str(text),
+                Part::Field(Field::Service) => out.push_str(&offer.service),
+                Part::Field(Field::Actor) => out.push_str(&offer.actor),
+                Part::Field(Field::Class) => out.push_str(&offer.class),
+                Part::Field(Field::Request) => out.push_str(&offer.request),
+                Part::Field(Field::Attempt) => out.push_str(&format!("{:016x}", offer.attempt)),
+                Part::Field(Field::Cores) => out.push_str(&offer.asks.cores.to_string()),
+                Part::Field(Field::MemoryMib) => {
+                    out.push_str(&((offer.asks.memory * 1024.0).max(0.0) as u64).to_string());
+                }
+                Part::Field(Field::LifeMs) => out.push_str(&offer.life_ms.to_string()),
+            }
+        }
+        if out.contains('\0') {
+            return Err(BadName::Zero);
+        }
+        if matches!(self.0.first(), Some(Part::Field(_))) && out.starts_with('-') {
+            return Err(BadName::Option);
+        }
+        Ok(out)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use maplethread_wire::frame::{Copies, Load};
+
+    use super::*;
+
+    fn offer(actor: &str) -> Offer {
+        Offer {
+            attempt: 0xab,
+            number: 0,
+            service: "web".into(),
+            actor: actor.into(),
+            class: "c".into(),
+            request: "r".into(),
+            asks: Load { cores: 0.5, memory: 1.5 },
+            priority: 0,
+            copies: Copies::Safe,
+            life_ms: 700,
+            wait_ms: 0,
+        }
+    }
+
+    #[test]
+    fn placeholders_are_filled_in() {
+        let argument = Argument::parse("--name={service}/{actor}:{attempt}").expect("a template");
+        assert_eq!(argument.fill(&offer("a b;$(x)")).expect("text"), "--name=web/a b;$(x):00000000000000ab");
+        let sizes = Argument::parse("{cores} {memory_mib} {life_ms} {{}}").expect("a template");
+        assert_eq!(sizes.fill(&offer("a")).expect("text"), "0.5 1536 700 {}");
+    }
+
+    #[test]
+    fn what_is_no_template_is_told() {
+        for (text, why) in [("{nobody}", "no placeholder"), ("{actor", "not closed"), ("a}", "stands alone")]
+        {
+            let error = Argument::parse(text).expect_err(text);
+            assert!(error.contains(why), "{text}: {error}");
+        }
+    }
+
+    #[test]
+    fn a_name_from_the_wire_is_never_an_option() {
+        let alone = Argument::parse("{actor}").expect("a template");
+        assert_eq!(alone.fill(&offer("--force")), Err(BadName::Option));
+        assert_eq!(alone.fill(&offer("a\0b")), Err(BadName::Zero));
+        let after = Argument::parse("--actor={actor}").expect("a template");
+        assert_eq!(after.fill(&offer("--force")).expect("text"), "--actor=--force");
+    }
+}
--- /dev/null
+++ b/crates/cli/src/agent.rs
@@ -0,0 +1,84 @@
+//! `maplethread agent`: the node agent, and a look into its store.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Subcommand};
+use maplethread_agent::store::Store;
+use maplethread_agent::{AgentConfig, Fate, process, run};
+use serde_json::json;
+
+#[derive(Args)]
+#[command(args_conflicts_with_subcommands = true)]
+pub struct AgentArgs {
+    /// The settings file
+    #[arg(long, required = true, value_name = "FILE")]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<AgentCommand>,
+}
+
+#[derive(Subcommand)]
+enum AgentCommand {
+    /// Show what the store of an agent that does not run holds, and whether it is sound, as JSON lines
+    State {
+        /// The settings file
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Say what is wrong with a settings file
+    Check {
+        /// The settings file
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+}
+
+pub fn run(args: &AgentArgs) -> Result<ExitCode, String> {
+    match (&args.command, &args.config) {
+        (Some(AgentCommand::State { config }), _) => state(config),
+        (Some(AgentCommand::Check { config }), _) => {
+            let (_, programs) = AgentConfig::load(config)?;
+            println!("{}: sound; {} programs", config.display(), programs.len());
+            Ok(ExitCode::SUCCESS)
+        }
+        (None, Some(config)) => {
+            run::run(config, |_| {})?;
+            Ok(ExitCode::SUCCESS)
+        }
+        (None, None) => Err("--config is missing".to_owned()),
+    }
+}
+
+fn state(config: &std::path::Path) -> Result<ExitCode, String> {
+    let (config, _) = AgentConfig::load(config)?;
+    let path = config.folder.join("agent.redb");
+    if !path.exists() {
+        return Err(format!("{}: there is no store", path.display()));
+    }
+    let told = |e: maplethread_agent::store::StoreError| format!("{}: {e}", path.display());
+    let (facts, tasks) = Store::open(&path).map_err(told)?.read().map_err(told)?;
+    println!(
+        "{}",
+        json!({"agent": config.name, "boot": facts.boot, "drains": facts.drains, "tasks": tasks.len()})
+    );
+    for (attempt, kept) in tasks {
+        let fate = match kept.fate {
+            Fate::Accepted => json!("accepted"),
+            Fate::Starting => json!("starting"),
+            Fate::Running(identity) => {
+                json!({"running": {"pid": identity.pid, "alive": process::alive(identity)}})
+            }
+            Fate::Ended(reason, ran) => json!({"ended": {"reason": reason.name(), "ran": ran}}),
+        };
+        let offer = &kept.offer;
+        println!(
+            "{}",
+            json!({
+                "attempt": format!("{attempt:016x}"), "placer": &*kept.placer, "service": offer.service,
+                "actor": offer.actor, "class": offer.class, "fate": fate,
+            })
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,9 @@
 //! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
 
+mod agent;
 mod hosts;
 mod trace;
+mod worker;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -64,6 +66,10 @@
     },
     /// Put one placer under an open-loop load of asks, against stand-in hosts that accept all at once
     Load(LoadArgs),
+    /// Run a node agent: real processes for what placers offer, with a durable store
+    Agent(agent::AgentArgs),
+    /// Be a small task for agents to run: use so much, for so long, and log one's life
+    Worker(worker::WorkerArgs),
     /// Read, cut, sum up and replay the trace files of placers
     #[command(subcommand)]
     Trace(trace::TraceCommand),
@@ -200,6 +206,8 @@
         Command::Host { config } => host(&config),
         Command::BadDay(args) => bad_day(&args),
         Command::Load(args) => load(&args),
+        Command::Agent(args) => agent::run(&args),
+        Command::Worker(args) => worker::run(&args),
         Command::Trace(command) => trace::run(&command),
         Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
     };
--- /dev/null
+++ b/crates/cli/tests/agent.rs
@@ -0,0 +1,320 @@
+//! The node agent as a process, with real workers, spoken to in frames as a placer does. What really ran is counted
+//! from the workers' own log.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use maplethread_wire::frame::{self, Copies, Frame, Load, Offer, Reason};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_maplethread");
+
+struct Agent {
+    child: Child,
+    address: String,
+}
+
+impl Agent {
+    fn start(config: &Path) -> Agent {
+        let mut child = Command::new(PROGRAM)
+            .args(["--log-format", "json", "agent", "--config"])
+            .arg(config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("an agent");
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let address = loop {
+            let line = lines.next().expect("it says where it listens").expect("a line");
+            let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+            if let Some(address) = line["fields"]["address"].as_str().or(line["address"].as_str()) {
+                break address.to_owned();
+            }
+        };
+        std::thread::spawn(move || lines.for_each(drop));
+        Agent { child, address }
+    }
+
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A placer's side of a connection.
+struct Link {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Link {
+    fn greet(agent: &Agent) -> Link {
+        let stream = TcpStream::connect(&agent.address).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        let mut link = Link { stream, unread: Vec::new() };
+        link.send(&Frame::Hello {
+            major: frame::MAJOR,
+            minor: frame::MINOR,
+            name: "p".into(),
+            started_ms: 1,
+            most_offers: 0,
+        });
+        link
+    }
+
+    fn send(&mut self, frame: &Frame) {
+        let mut bytes = Vec::new();
+        frame::encode(frame, &mut bytes);
+        self.stream.write_all(&bytes).expect("written");
+    }
+
+    /// The next frame; none if the agent is gone.
+    fn next(&mut self) -> Option<Frame> {
+        loop {
+            let (frame, used) = frame::decode(&self.unread).expect("frames");
+            self.unread.drain(..used);
+            if frame.is_some() {
+                return frame;
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return None,
+                Ok(n) => self.unread.extend_from_slice(&bytes[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(e) => panic!("nothing came: {e}"),
+            }
+        }
+    }
+
+    fn until(&mut self, wanted: impl Fn(&Frame) -> bool) -> Vec<Frame> {
+        let mut all = Vec::new();
+        loop {
+            let frame = self.next().expect("the agent lives");
+            let found = wanted(&frame);
+            all.push(frame);
+            if found {
+                return all;
+            }
+        }
+    }
+}
+
+fn offer(attempt: u64, class: &str, copies: Copies) -> Frame {
+    Frame::Offer(Offer {
+        attempt,
+        number: 0,
+        service: "s".into(),
+        actor: format!("a{attempt}"),
+        class: class.into(),
+        request: format!("r{attempt}"),
+        asks: Load { cores: 0.25, memory: 0.125 },
+        priority: 0,
+        copies,
+        life_ms: 0,
+        wait_ms: 1000,
+    })
+}
+
+struct Home {
+    config: PathBuf,
+    log: PathBuf,
+    _folder: tempfile::TempDir,
+    name: String,
+}
+
+fn home(name: &str) -> Home {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (config, log) = (folder.path().join("agent.toml"), folder.path().join("workers.jsonl"));
+    let name = format!("{name}-{}", std::process::id());
+    let text = format!(
+        r#"name = "{name}"
+listen = "127.0.0.1:0"
+folder = "agent"
+stop_grace_ms = 200
+measure_ms = 200
+[limits]
+cores = 4.0
+memory_gib = 8.0
+[[program]]
+class = "work"
+path = "{PROGRAM}"
+args = ["worker", "--task={{attempt}}", "--life-log={log}"]
+[[program]]
+class = "brief"
+path = "{PROGRAM}"
+args = ["worker", "--task={{attempt}}", "--life-log={log}", "--life-ms=1"]
+[[program]]
+class = "stubborn"
+path = "{PROGRAM}"
+args = ["worker", "--task={{attempt}}", "--life-log={log}", "--ignore-term"]
+[[program]]
+class = "missing"
+path = "/nowhere/at/all"
+"#,
+        log = log.display()
+    );
+    std::fs::write(&config, text).expect("a file");
+    Home { config, log, _folder: folder, name }
+}
+
+impl Home {
+    /// How often each task's worker said that it started.
+    fn starts(&self) -> BTreeMap<u64, u32> {
+        let mut starts = BTreeMap::new();
+        for line in std::fs::read_to_string(&self.log).unwrap_or_default().lines() {
+            let line: serde_json::Value = serde_json::from_str(line).expect("a line of a worker");
+            if line["event"] == "start" {
+                let task = line["task"].as_str().expect("a task");
+                *starts.entry(u64::from_str_radix(task, 16).expect("a number")).or_default() += 1;
+            }
+        }
+        starts
+    }
+}
+
+impl Drop for Home {
+    fn drop(&mut self) {
+        for identity in maplethread_agent::process::marked(&self.name).values().flatten() {
+            maplethread_agent::process::kill(*identity, true);
+        }
+    }
+}
+
+fn is_ended(attempt: u64) -> impl Fn(&Frame) -> bool {
+    move |f| matches!(f, Frame::Ended(a, ..) if *a == attempt)
+}
+
+#[test]
+fn a_real_process_is_started_measured_and_stopped() {
+    let home = home("plain");
+    let agent = Agent::start(&home.config);
+    let mut link = Link::greet(&agent);
+    link.until(|f| matches!(f, Frame::HeldEnd));
+    link.send(&offer(1, "work", Copies::Safe));
+    let came = link.until(|f| matches!(f, Frame::Note(1, frame::NoteKind::Memory, x) if *x > 0.0));
+    let at = |wanted: fn(&Frame) -> bool| came.iter().position(wanted).expect("it came");
+    assert!(at(|f| matches!(f, Frame::Accepted(1, _))) < at(|f| matches!(f, Frame::Started(1, _))));
+    link.send(&Frame::Stop(1));
+    let came = link.until(is_ended(1));
+    assert!(matches!(came.last(), Some(Frame::Ended(1, Reason::Stopped, true, Some(_)))), "{came:?}");
+
+    // One that takes no notice of being asked is made to end; one that ends by itself is done.
+    link.send(&offer(2, "stubborn", Copies::Safe));
+    link.until(|f| matches!(f, Frame::Started(2, _)));
+    link.send(&Frame::Stop(2));
+    assert!(matches!(link.until(is_ended(2)).last(), Some(Frame::Ended(2, Reason::Stopped, true, _))));
+    link.send(&offer(3, "brief", Copies::Safe));
+    assert!(matches!(link.until(is_ended(3)).last(), Some(Frame::Ended(3, Reason::Done, true, _))));
+
+    // What can't be started says so and never ran; what there is no program for is turned down.
+    link.send(&offer(4, "missing", Copies::Safe));
+    assert!(matches!(link.until(is_ended(4)).last(), Some(Frame::Ended(4, Reason::Error, false, _))));
+    link.send(&offer(5, "unknown", Copies::Safe));
+    let refused = link.until(|f| matches!(f, Frame::Refused(5, ..)));
+    assert!(matches!(refused.last(), Some(Frame::Refused(5, Reason::NotHere, _))));
+    // A copy of a key that stands is turned down, and there is room for so much only.
+    link.send(&offer(6, "work", Copies::Keyed(9)));
+    link.until(|f| matches!(f, Frame::Started(6, _)));
+    link.send(&offer(7, "work", Copies::Keyed(9)));
+    assert!(matches!(
+        link.until(|f| matches!(f, Frame::Refused(7, ..))).last(),
+        Some(Frame::Refused(7, Reason::NotHere, _))
+    ));
+    for attempt in 10..26 {
+        link.send(&offer(attempt, "work", Copies::Safe));
+    }
+    let refused = link.until(|f| matches!(f, Frame::Refused(25, ..)));
+    assert!(
+        matches!(refused.last(), Some(Frame::Refused(25, Reason::Cores, Some(load))) if load.cores < 0.25)
+    );
+}
+
+#[test]
+fn killed_at_whatever_instant_it_loses_none_and_doubles_none() {
+    let home = home("killed");
+    let mut accepted: BTreeSet<u64> = BTreeSet::new();
+    let mut over: BTreeSet<u64> = BTreeSet::new();
+    for round in 0..8u64 {
+        let mut agent = Agent::start(&home.config);
+        let mut link = Link::greet(&agent);
+        // What it accepted in all its lives, it names as held, or tells the end of.
+        let greeting = link.until(|f| matches!(f, Frame::HeldEnd));
+        let mut known: BTreeSet<u64> = greeting
+            .iter()
+            .filter_map(|f| match f {
+                Frame::Held(offer, _) => Some(offer.attempt),
+                _ => None,
+            })
+            .collect();
+        let missing = |known: &BTreeSet<u64>, over: &BTreeSet<u64>| {
+            accepted.iter().any(|a| !known.contains(a) && !over.contains(a))
+        };
+        while missing(&known, &over) {
+            if let Some(Frame::Ended(attempt, ..)) = link.next() {
+                over.insert(attempt);
+                known.remove(&attempt);
+            }
+        }
+        // Half of those that run are stopped, and new ones offered; the agent is killed after some frames of that.
+        for (n, &attempt) in known.iter().enumerate() {
+            if n % 2 == 0 {
+                link.send(&Frame::Stop(attempt));
+            }
+        }
+        for n in 0..6 {
+            let class = if n % 3 == 2 { "brief" } else { "work" };
+            link.send(&offer(100 * (round + 1) + n, class, Copies::Unsafe));
+        }
+        let frames = [1, 2, 4, 7, 9, 12, 3, 5][round as usize];
+        let mut seen = 0;
+        while seen < frames
+            && let Some(frame) = link.next()
+        {
+            seen += u32::from(!matches!(frame, Frame::Note(..)));
+            match frame {
+                Frame::Accepted(attempt, _) => drop(accepted.insert(attempt)),
+                Frame::Ended(attempt, ..) => drop(over.insert(attempt)),
+                _ => {}
+            }
+        }
+        agent.kill();
+        // What was on its way when it was killed.
+        while let Some(frame) = link.next() {
+            match frame {
+                Frame::Accepted(attempt, _) => drop(accepted.insert(attempt)),
+                Frame::Ended(attempt, ..) => drop(over.insert(attempt)),
+                _ => {}
+            }
+        }
+    }
+    // At the end all that is held is stopped, and then nothing of it runs.
+    let agent = Agent::start(&home.config);
+    let mut link = Link::greet(&agent);
+    let greeting = link.until(|f| matches!(f, Frame::HeldEnd));
+    let mut held: BTreeSet<u64> = greeting
+        .iter()
+        .filter_map(|f| match f {
+            Frame::Held(offer, _) => Some(offer.attempt),
+            _ => None,
+        })
+        .collect();
+    held.iter().for_each(|&attempt| link.send(&Frame::Stop(attempt)));
+    while !held.is_empty() || accepted.iter().any(|a| !over.contains(a)) {
+        if let Some(Frame::Ended(attempt, ..)) = link.next() {
+            held.remove(&attempt);
+            over.insert(attempt);
+        }
+    }
+    let starts = home.starts();
+    assert!(starts.values().all(|&n| n == 1), "a task was started twice: {starts:?}");
+    assert!(accepted.len() >= 8 && starts.len() >= 8, "it accepted {accepted:?}, and started {starts:?}");
+    assert!(maplethread_agent::process::marked(&home.name).is_empty(), "something runs on");
+}
