Host protocol 1.1: ends told in a greeting are no losses

A host that was out of reach, or an agent that was restarted, knows how tasks ended meanwhile, but could say so only after naming what it holds, when its placer had taken them for lost. Ends may now come before held end, to placers of 1.1.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -203,9 +203,9 @@
         Load { cores: policy.cores - cores, memory: policy.memory - memory }
     }
 
-    /// A placer has greeted: who this is, and all that is held of it. Ends that it has not heard of follow with
-    /// [`Agent::tell`].
-    pub fn greeted(&mut self, placer: &Arc<str>, out: &mut Vec<Do>) {
+    /// A placer has greeted: who this is, the ends that it has not heard of, and all that is held of it. A placer of
+    /// minor version 0 takes ends after that only, with [`Agent::tell`], and has taken those tasks for lost by then.
+    pub fn greeted(&mut self, placer: &Arc<str>, minor: u16, out: &mut Vec<Do>) {
         let send = |frame| Do::Send(placer.clone(), frame);
         out.push(send(Frame::Hello {
             major: maplethread_wire::frame::MAJOR,
@@ -214,6 +214,9 @@
             started_ms: self.started_ms,
             most_offers: self.admission.policy().line as u32,
         }));
+        if minor >= 1 {
+            self.tell(|connected| *connected == **placer, out);
+        }
         for task in self.tasks.values().filter(|t| t.kept.placer == *placer) {
             let runs = matches!(task.kept.fate, Fate::Running(_));
             out.push(send(Frame::Held(task.kept.offer.clone(), runs)));
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -365,13 +365,13 @@
         let Some(link) = self.conns.get_mut(&token) else { return };
         match (&link.placer, frame) {
             (_, Frame::Bye(_)) => self.lose(token),
-            (None, Frame::Hello { major, name, .. }) if major == frame::MAJOR => {
+            (None, Frame::Hello { major, minor, name, .. }) if major == frame::MAJOR => {
                 let placer: Arc<str> = name.into();
                 link.placer = Some(placer.clone());
                 if let Some(before) = self.by_placer.insert(placer.clone(), token) {
                     self.conns.remove(&before);
                 }
-                self.agent.greeted(&placer, out);
+                self.agent.greeted(&placer, minor, out);
             }
             (None, _) => {
                 frame::encode(&Frame::Bye(format!("speaks version {}", frame::MAJOR)), link.conn.out());
--- a/crates/agent/tests/turns.rs
+++ b/crates/agent/tests/turns.rs
@@ -186,8 +186,11 @@
     let spawns: Vec<&Do> = out.iter().filter(|d| matches!(d, Do::Spawn(_))).collect();
     assert_eq!(spawns, [&Do::Spawn(1)], "only what provably never started is started");
     let mut greeting = Vec::new();
-    agent.greeted(&placer(), &mut greeting);
-    agent.tell(|_| true, &mut greeting);
+    agent.greeted(&placer(), 1, &mut greeting);
+    assert_eq!(frames(&greeting).last(), Some(&&Frame::Drain));
+    let held_end = frames(&greeting).iter().position(|f| **f == Frame::HeldEnd).expect("all is named");
+    let ends = frames(&greeting)[..held_end].iter().filter(|f| matches!(f, Frame::Ended(..))).count();
+    assert_eq!(ends, 3, "ends come before what is held is all named");
     let told = frames(&greeting);
     let held: Vec<(u64, bool)> = told
         .iter()
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -331,6 +331,11 @@
                 self.held(id, offer, runs);
                 Ok(())
             }
+            // Since 1.1: what has ended while there was no connection is no loss, and its end is known.
+            Frame::Ended(..) if link == Link::Naming => {
+                self.news(id, frame);
+                Ok(())
+            }
             Frame::HeldEnd if link == Link::Naming => {
                 (host.link, host.tries) = (Link::Up, 0);
                 tracing::info!(host = %host.name, "connected");
--- a/crates/engine/tests/returning_hosts.rs
+++ b/crates/engine/tests/returning_hosts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use maplethread::{Action, Event, MachineId, Micros};
+use maplethread::{Action, Ending, Event, MachineId, Micros};
 use maplethread_config::{Doc, HostEntry, HostState, PlacerConfig};
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
 use maplethread_wire::frame::{self, Frame, Offer, Reason};
@@ -17,6 +17,7 @@
 struct Seen {
     machines: BTreeSet<MachineId>,
     running: i32,
+    endings: Vec<Ending>,
 }
 
 struct Noting(Rc<RefCell<Seen>>);
@@ -29,7 +30,10 @@
                 Event::Listed { machines, .. } => seen.machines.extend(machines.iter().map(|m| m.machine)),
                 Event::Asked(task) => actions.push(Action::Offer(task.id, MachineId(0), 1_000_000)),
                 Event::Seated(..) | Event::Running(..) => seen.running += 1,
-                Event::Ended(..) => seen.running -= 1,
+                Event::Ended(_, end) => {
+                    seen.running -= 1;
+                    seen.endings.push(end.ending);
+                }
                 _ => {}
             }
         }
@@ -183,3 +187,24 @@
     until_lost(&mut engine, NOW + 9_500_000);
     assert_eq!(seen.borrow().running, 0);
 }
+
+#[test]
+fn what_ended_while_there_was_no_connection_is_no_loss_if_the_host_tells_its_end() {
+    for told in [true, false] {
+        let (mut engine, seen, offer) = placed();
+        engine.host_closed(NOW + 2000, HostId(0), u64::MAX);
+        // The first wait before it connects again is over.
+        let back = NOW + 1_000_000;
+        engine.turn(back, false);
+        assert!(engine.outputs().iter().any(|o| matches!(o, Output::Connect(..))));
+        engine.host_connected(back, HostId(0));
+        let ended = Frame::Ended(offer.attempt, Reason::Done, true, None);
+        let greeting =
+            if told { vec![hello(), ended, Frame::HeldEnd] } else { vec![hello(), Frame::HeldEnd] };
+        says(&mut engine, back, &greeting);
+        engine.turn(back, false);
+        let ending = if told { Ending::Done } else { Ending::Reset };
+        assert_eq!(seen.borrow().endings, [ending], "told: {told}");
+        assert_eq!(seen.borrow().running, 0);
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 /// The protocol's major version; peers of another one do not talk.
 pub const MAJOR: u16 = 1;
 /// The minor version: later ones add frames and fields at the end.
-pub const MINOR: u16 = 0;
+pub const MINOR: u16 = 1;
 /// The longest frame, with its type and without its length.
 pub const MAX_FRAME: usize = 64 << 10;
 const MAGIC: u32 = 0x4854_504d;
