--- a/crates/cli/tests/agent.rs
+++ b/crates/cli/tests/agent.rs
@@ -188,6 +188,14 @@
     }
 }
 
+/// The attempts whose end is told.
+fn ends(frames: &[Frame]) -> impl Iterator<Item = u64> {
+    frames.iter().filter_map(|f| match f {
+        Frame::Ended(attempt, ..) => Some(*attempt),
+        _ => None,
+    })
+}
+
 fn is_ended(attempt: u64) -> impl Fn(&Frame) -> bool {
     move |f| matches!(f, Frame::Ended(a, ..) if *a == attempt)
 }
@@ -254,6 +262,7 @@
                 _ => None,
             })
             .collect();
+        over.extend(ends(&greeting));
         let missing = |known: &BTreeSet<u64>, over: &BTreeSet<u64>| {
             accepted.iter().any(|a| !known.contains(a) && !over.contains(a))
         };
@@ -306,6 +315,7 @@
             _ => None,
         })
         .collect();
+    over.extend(ends(&greeting));
     held.iter().for_each(|&attempt| link.send(&Frame::Stop(attempt)));
     while !held.is_empty() || accepted.iter().any(|a| !over.contains(a)) {
         if let Some(Frame::Ended(attempt, ..)) = link.next() {
