--- a/crates/cli/tests/agent.rs
+++ b/crates/cli/tests/agent.rs
@@ -188,6 +188,14 @@
     }
 }
 
+/// The attempts that are named as held.
+fn held(frames: &[Frame]) -> impl Iterator<Item = u64> {
+    frames.iter().filter_map(|f| match f {
+        Frame::Held(offer, _) => Some(offer.attempt),
+        _ => None,
+    })
+}
+
 /// The attempts whose end is told.
 fn ends(frames: &[Frame]) -> impl Iterator<Item = u64> {
     frames.iter().filter_map(|f| match f {
@@ -255,13 +263,7 @@
         let mut link = Link::greet(&agent);
         // What it accepted in all its lives, it names as held, or tells the end of.
         let greeting = link.until(|f| matches!(f, Frame::HeldEnd));
-        let mut known: BTreeSet<u64> = greeting
-            .iter()
-            .filter_map(|f| match f {
-                Frame::Held(offer, _) => Some(offer.attempt),
-                _ => None,
-            })
-            .collect();
+        let mut known: BTreeSet<u64> = held(&greeting).collect();
         over.extend(ends(&greeting));
         let missing = |known: &BTreeSet<u64>, over: &BTreeSet<u64>| {
             accepted.iter().any(|a| !known.contains(a) && !over.contains(a))
@@ -308,13 +310,7 @@
     let agent = Agent::start(&home.config);
     let mut link = Link::greet(&agent);
     let greeting = link.until(|f| matches!(f, Frame::HeldEnd));
-    let mut held: BTreeSet<u64> = greeting
-        .iter()
-        .filter_map(|f| match f {
-            Frame::Held(offer, _) => Some(offer.attempt),
-            _ => None,
-        })
-        .collect();
+    let mut held: BTreeSet<u64> = held(&greeting).collect();
     over.extend(ends(&greeting));
     held.iter().for_each(|&attempt| link.send(&Frame::Stop(attempt)));
     while !held.is_empty() || accepted.iter().any(|a| !over.contains(a)) {
