Agent: what a failed commit was to forget is forgotten once the store takes it

Attempts in doubt were named again at each try and never let go, and a forget that was part of a failed commit was dropped. Both are now one list, emptied when it is handed to the store.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -116,7 +116,7 @@
     told: Vec<u64>,
     /// The store takes nothing.
     closed: bool,
-    /// Attempts that may be in the store though they were not accepted.
+    /// Attempts that may still be in the store and have no place there.
     doubtful: Vec<u64>,
     now: u64,
 }
@@ -399,7 +399,7 @@
             }
             Later::TryStore => {
                 self.closed = false;
-                out.extend(self.doubtful.iter().map(|&attempt| Do::Forget(attempt)));
+                out.extend(self.doubtful.drain(..).map(Do::Forget));
                 self.start_more(out);
             }
         }
@@ -421,7 +421,8 @@
     pub fn unkept(&mut self, turn: &[Do], out: &mut Vec<Do>) {
         for what in turn {
             match what {
-                Do::Keep(..) | Do::Forget(_) | Do::KeepDrain => {}
+                Do::Keep(..) | Do::KeepDrain => {}
+                Do::Forget(attempt) => self.doubtful.push(*attempt),
                 Do::Send(placer, Frame::Accepted(attempt, _)) => {
                     self.admission.end(*attempt, &mut self.keys);
                     self.tasks.remove(attempt);
