--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -39,6 +39,12 @@
 enum Command {
     /// Run a placer: serve the actor-placement API and place what is asked for on the hosts of the inventory
     Placer(PlacerArgs),
+    /// Run a placer in service on the operators' platform, as RELAY_CONFIG tells
+    Platform {
+        /// The configuration file
+        #[arg(long, env = "RELAY_CONFIG")]
+        config: PathBuf,
+    },
     /// Check a placer's settings file and say what is wrong, with line and key
     CheckConfig {
         /// The settings file
@@ -202,6 +208,9 @@
     }
     let result = match cli.command {
         Command::Placer(args) => placer(&args),
+        Command::Platform { config } => {
+            maplethread_platform::run(&config).map(|()| ExitCode::SUCCESS).map_err(|e| e.to_string())
+        }
         Command::CheckConfig { file } => check_config(&file),
         Command::Host { config } => host(&config),
         Command::BadDay(args) => bad_day(&args),
--- a/drill/src/fault.rs
+++ b/crates/deployment/src/fault.rs
@@ -6,14 +6,15 @@
 
 /// What was wrong with a line.
 #[derive(Debug)]
-pub(crate) struct WireError {
+pub struct WireError {
     message: String,
     field: String,
     expected: String,
 }
 
 impl WireError {
-    pub(crate) fn new(message: &str, field: &str, expected: String) -> Self {
+    /// In this message, this field is not what was expected.
+    pub fn new(message: &str, field: &str, expected: String) -> Self {
         WireError { message: message.to_owned(), field: field.to_owned(), expected }
     }
 }
@@ -25,6 +26,6 @@
 }
 
 /// Milliseconds to microseconds.
-pub(crate) fn micros(ms: f64) -> Micros {
+pub fn micros(ms: f64) -> Micros {
     (ms * 1000.0).round().max(0.0) as Micros
 }
--- /dev/null
+++ b/crates/deployment/src/hosts.rs
@@ -0,0 +1,81 @@
+//! Hosts by name: numbered for one placer, labelled alike for all.
+
+use std::collections::BTreeMap;
+
+use maplethread::MachineId;
+
+/// Host names, numbered by one placer in the order in which its own lists named them.
+#[derive(Debug, Default)]
+pub struct Hosts {
+    names: BTreeMap<MachineId, String>,
+    ids: BTreeMap<String, MachineId>,
+    next: u32,
+}
+
+impl Hosts {
+    /// The number of a host, a new one for a name not heard before.
+    pub fn id(&mut self, name: &str) -> MachineId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = MachineId(self.next);
+        self.next += 1;
+        self.names.insert(id, name.to_owned());
+        self.ids.insert(name.to_owned(), id);
+        id
+    }
+
+    /// The number of a host that has one.
+    pub fn known(&self, name: &str) -> Option<MachineId> {
+        self.ids.get(name).copied()
+    }
+
+    /// The name of a number.
+    pub fn name(&self, id: MachineId) -> Option<&str> {
+        self.names.get(&id).map(String::as_str)
+    }
+
+    /// Forgets a host that is gone for good. Its number is not given again.
+    pub fn forget(&mut self, id: MachineId) {
+        if let Some(name) = self.names.remove(&id) {
+            self.ids.remove(&name);
+        }
+    }
+
+    /// How many have a number.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether none has.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// FNV-1a of a host's name: the same at every placer, whichever hosts it has heard of.
+pub fn label(name: &str) -> u64 {
+    name.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn hosts_are_numbered_once_and_a_forgotten_number_is_not_given_again() {
+        let mut hosts = Hosts::default();
+        let ids = [hosts.id("a:1"), hosts.id("b:1"), hosts.id("a:1")];
+        assert_eq!(ids, [MachineId(0), MachineId(1), MachineId(0)]);
+        hosts.forget(MachineId(0));
+        assert_eq!((hosts.name(MachineId(0)), hosts.known("a:1"), hosts.len()), (None, None, 1));
+        assert_eq!(hosts.id("a:1"), MachineId(2));
+    }
+
+    #[test]
+    fn labels_are_fnv_1a() {
+        assert_eq!(label(""), 0xcbf2_9ce4_8422_2325);
+        assert_eq!(label("a"), 0xaf63_dc4c_8601_ec8c);
+    }
+}
--- a/drill/src/settings.rs
+++ b/crates/deployment/src/settings.rs
@@ -10,11 +10,11 @@
 
 /// Which of an instance's numbers carry room.
 #[derive(Clone, Copy)]
-pub(crate) struct Reports {
+pub struct Reports {
     /// Lists do.
-    pub(crate) view: bool,
+    pub view: bool,
     /// Load reports do.
-    pub(crate) room: bool,
+    pub room: bool,
 }
 
 /// A part of the settings, found by a path such as `domain.ack`.
@@ -70,7 +70,8 @@
     }
 }
 
-pub(crate) fn decode(info: &Value) -> Result<(Settings, Reports), WireError> {
+/// Reads the settings object; the error names the first key that is missing or wrong.
+pub fn decode(info: &Value) -> Result<(Settings, Reports), WireError> {
     let at = At(info);
     let report = report(at)?;
     let settings = Settings {
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -11,10 +11,9 @@
 use maplethread_config::{Doc, Inventory, PlacerConfig};
 use maplethread_consul::Update;
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
-use maplethread_reactor::{Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
+use maplethread_reactor::{Clock, Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
 
 use crate::catalogue::Catalogue;
-use crate::clock::Clock;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
 use crate::recorder::Recorder;
 use crate::recording::{Item, Recorded};
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -2,7 +2,6 @@
 //! time, lets it decide once, and writes what came out. Nothing here knows what the bytes mean.
 
 mod catalogue;
-mod clock;
 mod daemon;
 mod decide_time;
 mod recorder;
@@ -10,6 +9,6 @@
 mod start;
 
 pub use catalogue::Catalogue;
-pub use clock::Clock;
 pub use daemon::run;
+pub use maplethread_reactor::Clock;
 pub use start::{Error, Options, load};
--- /dev/null
+++ b/crates/platform/src/channel.rs
@@ -0,0 +1,144 @@
+//! The poll of the command channel: one is always out, or about to be. Sans-I/O: the caller opens and closes the one
+//! connection at a time that this asks for, and gives it what came.
+
+use std::net::SocketAddr;
+
+use maplethread::Micros;
+use maplethread_platform_wire::channel::{self, Batch};
+use maplethread_wire::http::{Found, Limits, Reader, Role, write_request};
+
+/// How long the channel is asked to wait for something new. Silence is noticed soon after.
+const BLOCK: Micros = 1_000_000;
+/// An answer that is so much later than the wait that was asked for does not come any more.
+const SLACK: Micros = 400_000;
+/// A connection is made, and a first answer begun, within this.
+const CONNECT_WITHIN: Micros = 400_000;
+/// The next try after one that failed at once: a channel that refuses is not asked in a loop.
+const AGAIN: Micros = 100_000;
+/// The longest answer.
+const BODY: usize = 4 << 20;
+
+/// What the caller is to do.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Want {
+    /// Close the connection, if there is one, and make a new one.
+    Connect(SocketAddr),
+    /// Close the connection.
+    Close,
+    /// Send this.
+    Send(Vec<u8>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Nothing is out; the next try is due then.
+    Idle(Micros),
+    /// A connection is being made, until then.
+    Connecting(Micros),
+    /// A poll is out, and answered by then or not at all.
+    Asked(Micros),
+}
+
+/// The poll.
+pub struct Channel {
+    address: SocketAddr,
+    state: State,
+    reader: Reader,
+    pub(crate) wants: Vec<Want>,
+}
+
+fn reader() -> Reader {
+    Reader::new(Role::Responses, Limits { body: BODY, ..Limits::default() })
+}
+
+impl Channel {
+    /// A poll of the channel at this address, due at once.
+    pub fn new(address: SocketAddr) -> Channel {
+        Channel { address, state: State::Idle(0), reader: reader(), wants: Vec::new() }
+    }
+
+    /// The channel is elsewhere from now on.
+    pub fn moved(&mut self, address: SocketAddr) {
+        if address != self.address {
+            self.address = address;
+            self.wants.push(Want::Close);
+            self.state = State::Idle(0);
+        }
+    }
+
+    /// When something is due.
+    pub fn next_timeout(&self) -> Micros {
+        match self.state {
+            State::Idle(at) | State::Connecting(at) | State::Asked(at) => at,
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) {
+        if self.next_timeout() > now {
+            return;
+        }
+        if !matches!(self.state, State::Idle(_)) {
+            tracing::warn!(state = ?self.state, "the command channel does not answer");
+            self.wants.push(Want::Close);
+        }
+        self.state = State::Connecting(now + CONNECT_WITHIN);
+        self.reader = reader();
+        self.wants.push(Want::Connect(self.address));
+    }
+
+    /// The connection is made.
+    pub fn up(&mut self, now: Micros, cursor: u64) {
+        if matches!(self.state, State::Connecting(_)) {
+            self.ask(now, cursor);
+        }
+    }
+
+    fn ask(&mut self, now: Micros, cursor: u64) {
+        let target = format!("/cmd/next?resume={cursor}&block={}", BLOCK / 1000);
+        let mut bytes = Vec::new();
+        write_request(&mut bytes, "GET", &target, &[("Host", &self.address.to_string())], b"");
+        self.state = State::Asked(now + BLOCK + SLACK);
+        self.wants.push(Want::Send(bytes));
+    }
+
+    /// Takes bytes that came; returns how many were used, and what they told. After whole answers the caller takes
+    /// in what was told and calls [`Channel::next`]. An answer that can't be read breaks the connection off.
+    pub fn read(&mut self, now: Micros, unread: &[u8]) -> (usize, Option<Batch>) {
+        match self.reader.read(unread) {
+            Ok((Found::Message(message), used)) => {
+                if message.head.status() == 200 {
+                    match channel::read(&message.body) {
+                        Ok(batch) => return (used, Some(batch)),
+                        Err(error) => tracing::warn!(%error, "the command channel's answer can't be read"),
+                    }
+                } else {
+                    tracing::warn!(status = message.head.status(), "the command channel refuses");
+                }
+                self.broken(now);
+                (used, None)
+            }
+            Ok((_, used)) => (used, None),
+            Err(error) => {
+                tracing::warn!(%error, "the command channel's answer can't be read");
+                self.broken(now);
+                (unread.len(), None)
+            }
+        }
+    }
+
+    /// The next poll, on the connection that is up.
+    pub fn next(&mut self, now: Micros, cursor: u64) {
+        if matches!(self.state, State::Asked(_)) {
+            self.ask(now, cursor);
+        }
+    }
+
+    /// The connection broke, or could not be made.
+    pub fn broken(&mut self, now: Micros) {
+        self.wants.push(Want::Close);
+        self.reader = reader();
+        let at_once = matches!(self.state, State::Asked(_));
+        self.state = State::Idle(if at_once { now } else { now + AGAIN });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/fleet.rs
@@ -0,0 +1,151 @@
+//! The hosts as the command channel lists them: numbers, addresses, states, and what is connected to each.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use maplethread::{Event, Listing, MachineId, MachineState, Micros, Scope, TaskId};
+use maplethread_deployment::Hosts;
+use maplethread_deployment::hosts::label;
+use maplethread_platform_wire::channel::{Endpoint, Nodes, Status};
+
+use super::LinkId;
+
+/// Names of hosts that are gone are kept as long as the decisions may know their numbers, and then forgotten.
+const FORGET: Micros = 700_000_000;
+
+/// A host.
+pub(super) struct Host {
+    pub(super) address: Option<SocketAddr>,
+    pub(super) state: MachineState,
+    pub(super) started: Option<Micros>,
+    /// Connections to it.
+    pub(super) links: BTreeSet<LinkId>,
+    /// Tasks that stand there.
+    pub(super) standing: BTreeSet<TaskId>,
+    /// When anything was last heard of it, or the first task came to stand there.
+    pub(super) heard: Micros,
+    /// A look at its standing tasks is due.
+    pub(super) watched: bool,
+}
+
+/// All hosts that are listed or hold a task.
+#[derive(Default)]
+pub(super) struct Fleet {
+    names: Hosts,
+    pub(super) hosts: BTreeMap<MachineId, Host>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    gone: Vec<(Micros, MachineId)>,
+}
+
+impl Fleet {
+    pub(super) fn new(zones: Vec<String>, kinds: Vec<String>) -> Fleet {
+        Fleet { zones, kinds, ..Fleet::default() }
+    }
+
+    /// A host by its name, which need not be listed yet.
+    pub(super) fn by_name(&mut self, name: &str, now: Micros) -> MachineId {
+        let id = self.names.id(name);
+        self.hosts.entry(id).or_insert_with(|| Host {
+            address: None,
+            state: MachineState::Gone,
+            started: None,
+            links: BTreeSet::new(),
+            standing: BTreeSet::new(),
+            heard: now,
+            watched: false,
+        });
+        id
+    }
+
+    /// Its name.
+    pub(super) fn name(&self, id: MachineId) -> &str {
+        self.names.name(id).unwrap_or("?")
+    }
+
+    /// Takes in entries of the list: what the decisions are told, and the hosts whose process is another one now or
+    /// that don't take tasks any more.
+    pub(super) fn listed(&mut self, nodes: &Nodes, now: Micros) -> (Event, Vec<MachineId>) {
+        let mut changed = Vec::new();
+        let mut machines = Vec::new();
+        let mut named = BTreeSet::new();
+        for endpoint in &nodes.endpoints {
+            let Some(listing) = self.entry(endpoint, now, &mut changed) else {
+                continue;
+            };
+            named.insert(listing.machine);
+            machines.push(listing);
+        }
+        if nodes.snapshot {
+            for (&id, host) in &mut self.hosts {
+                if !named.contains(&id) && host.address.is_some() && host.state != MachineState::Gone {
+                    host.state = MachineState::Gone;
+                    changed.push(id);
+                }
+            }
+        }
+        let gone =
+            changed.iter().filter(|id| self.hosts.get(id).is_some_and(|h| h.state == MachineState::Gone));
+        self.gone.extend(gone.map(|&id| (now, id)));
+        self.forget(now);
+        let scope = if nodes.snapshot { Scope::Full } else { Scope::Changes };
+        (Event::Listed { scope, machines }, changed)
+    }
+
+    fn entry(&mut self, endpoint: &Endpoint, now: Micros, changed: &mut Vec<MachineId>) -> Option<Listing> {
+        let unknown = |what: &str, value: &str| {
+            tracing::warn!(host = %endpoint.name, what, value, "an entry of the command channel can't be used");
+        };
+        let Some(zone) = self.zones.iter().position(|z| *z == endpoint.zone) else {
+            unknown("zone", &endpoint.zone);
+            return None;
+        };
+        let Some(kind) = self.kinds.iter().position(|k| *k == endpoint.kind) else {
+            unknown("type", &endpoint.kind);
+            return None;
+        };
+        let Ok(address) = endpoint.address.parse() else {
+            unknown("address", &endpoint.address);
+            return None;
+        };
+        let state = match endpoint.status {
+            Status::Active => MachineState::Ready,
+            Status::Leaving => MachineState::Draining,
+            Status::Left => MachineState::Gone,
+        };
+        let started = (endpoint.since_ms > 0.0).then_some((endpoint.since_ms * 1000.0) as Micros);
+        let machine = self.by_name(&endpoint.name, now);
+        let host = self.hosts.get_mut(&machine)?;
+        if (host.state != state && state != MachineState::Ready) || host.started != started {
+            changed.push(machine);
+        }
+        (host.address, host.state, host.started) = (Some(address), state, started);
+        let label = label(&endpoint.name);
+        let (zone, cell) = (zone as u32, endpoint.group);
+        Some(Listing { machine, label, zone, cell, kind, state, started, unasked: None })
+    }
+
+    /// Whether a host that is gone left its address to another one.
+    pub(super) fn replaced(&self, id: MachineId) -> bool {
+        let Some(host) = self.hosts.get(&id).filter(|h| h.state == MachineState::Gone) else {
+            return false;
+        };
+        self.hosts
+            .iter()
+            .any(|(&other, h)| other != id && h.address == host.address && h.state != MachineState::Gone)
+    }
+
+    /// Drops hosts that are gone and hold nothing, and after a while their names.
+    fn forget(&mut self, now: Micros) {
+        self.hosts
+            .retain(|_, h| h.state != MachineState::Gone || !h.links.is_empty() || !h.standing.is_empty());
+        let (names, hosts) = (&mut self.names, &self.hosts);
+        self.gone.retain(|&(at, id)| {
+            let keep = at + FORGET > now;
+            if !keep && !hosts.contains_key(&id) {
+                names.forget(id);
+            }
+            keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/links.rs
@@ -0,0 +1,350 @@
+//! Connections to hosts: offers on them, what hosts say, and how a dead host is told from a broken connection.
+
+use std::collections::BTreeSet;
+
+use maplethread::{AttemptId, Ending, Event, MachineId, MachineState, Micros, Note, TaskId, Why};
+use maplethread_engine::Decide;
+use maplethread_platform_wire::host::{FromHost, ToHost, Told};
+use maplethread_platform_wire::owner::ToOwner;
+use maplethread_platform_wire::{Sid, cause};
+
+use super::tasks::Stand;
+use super::{Due, Engine, LinkId, Loss, Output};
+
+/// A connection to a host with standing tasks that was silent for so long is tested; one that does not answer for as
+/// long again is given up.
+const QUIET: Micros = 1_000_000;
+/// A host that could not be reached for so long has lost its tasks: their owners are told within PROTOCOL's 8 s.
+const UNREACHABLE: Micros = 5_000_000;
+/// Tests have an id of their own.
+const TEST: Sid = Sid(0);
+
+/// A connection to a host.
+pub(super) struct Link {
+    pub(super) machine: MachineId,
+    /// It is made.
+    pub(super) up: bool,
+    /// Attempts on it, or waiting for it.
+    pub(super) attempts: BTreeSet<TaskId>,
+    /// Releases that wait for it.
+    pub(super) cuts: Vec<(Sid, u8)>,
+    /// When it was asked for, and when something was last heard on it or sent for a task.
+    since: Micros,
+    heard: Micros,
+    /// When a test was sent that has no answer yet.
+    tested: Option<Micros>,
+    /// When its next look is due.
+    due: Micros,
+}
+
+impl<D: Decide> Engine<D> {
+    /// A connection to a host: one that is up and in no doubt, else one that is being made, else a new one.
+    pub(super) fn link_to(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
+        let host = self.fleet.hosts.get(&machine)?;
+        let usable = |id: &&LinkId| self.links.get(id).is_some_and(|l| l.tested.is_none());
+        let best = host.links.iter().filter(usable).min_by_key(|id| !self.links[id].up).copied();
+        best.or_else(|| self.connect(now, machine))
+    }
+
+    fn connect(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
+        if self.fleet.replaced(machine) {
+            return None;
+        }
+        let host = self.fleet.hosts.get_mut(&machine)?;
+        let address = host.address?;
+        self.last_link += 1;
+        let id = LinkId(self.last_link);
+        host.links.insert(id);
+        let due = now + self.terms.connect_within;
+        let (attempts, cuts) = (BTreeSet::new(), Vec::new());
+        let link = Link { machine, up: false, attempts, cuts, since: now, heard: now, tested: None, due };
+        self.links.insert(id, link);
+        self.timers.set(due, Due::Link(id));
+        self.outputs.push(Output::Connect(id, address));
+        Some(id)
+    }
+
+    /// A connection is made: what waited for it goes out.
+    pub fn link_up(&mut self, now: Micros, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        (link.up, link.heard, link.due) = (true, now, now + QUIET);
+        self.timers.set(link.due, Due::Link(id));
+        let cuts = std::mem::take(&mut link.cuts);
+        let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
+        if let Some(host) = self.fleet.hosts.get_mut(&link.machine) {
+            host.heard = now;
+        }
+        for (sid, cause) in cuts {
+            self.send(id, &ToHost::Close(sid, cause));
+        }
+        for task in waiting {
+            self.send_set_up(now, task, id);
+        }
+    }
+
+    /// A connection is over.
+    pub fn link_lost(&mut self, now: Micros, id: LinkId, loss: Loss) {
+        let Some(link) = self.links.remove(&id) else { return };
+        let machine = link.machine;
+        let name = self.fleet.name(machine).to_owned();
+        tracing::debug!(host = %name, link = id.0, ?loss, up = link.up, open = link.attempts.len(), "link lost");
+        if let Some(host) = self.fleet.hosts.get_mut(&machine) {
+            host.links.remove(&id);
+        }
+        for task in link.attempts {
+            let Some(entry) = self.tasks.get_mut(task) else { continue };
+            let Some(out) = entry.out.take() else { continue };
+            let ending = if out.sent { Ending::Reset } else { Ending::Unreachable };
+            let closed = !entry.open;
+            self.ended(task, out.number, ending, None, closed);
+            self.tasks.drop_if_over(task);
+        }
+        let Some(host) = self.fleet.hosts.get(&machine) else { return };
+        if host.standing.is_empty() {
+            return;
+        }
+        if loss == Loss::Refused || host.state == MachineState::Gone {
+            self.lose_standing(now, machine, |_| true);
+        } else if host.links.is_empty() {
+            // What broke may have been the connection alone: what stands stands until the host can't be reached.
+            if link.up {
+                self.connect(now, machine);
+            }
+            self.watch(now, machine);
+        }
+    }
+
+    /// A host said something.
+    pub fn host_says(&mut self, now: Micros, id: LinkId, says: FromHost) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let machine = link.machine;
+        (link.heard, link.tested) = (now, None);
+        if let Some(host) = self.fleet.hosts.get_mut(&machine) {
+            host.heard = now;
+        }
+        tracing::trace!(host = self.fleet.name(machine), link = id.0, ?says, "host");
+        match says {
+            FromHost::Ready(sid, text) => self.ready(now, id, sid, text),
+            FromHost::Close(sid, cause, told) => self.host_closes(now, id, machine, sid, cause, told),
+            FromHost::Event(sid, told, figure) => self.noted(machine, sid, told, figure),
+            FromHost::Probed(_) | FromHost::Idle => {}
+        }
+    }
+
+    fn ready(&mut self, now: Micros, link: LinkId, sid: Sid, text: String) {
+        let Some(task) = self.tasks.by_sid(sid) else { return };
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let Some(out) = entry.out.filter(|out| out.link == link && out.sent && entry.open) else {
+            return;
+        };
+        let owner = entry.owner;
+        entry.out = None;
+        entry.stand = Some(Stand { number: out.number, machine: out.machine, since: now, silent: false });
+        self.tasks.close(task);
+        if let Some(owner) = self.owners.get_mut(&owner) {
+            owner.open.remove(&task);
+        }
+        if let Some(link) = self.links.get_mut(&link) {
+            link.attempts.remove(&task);
+        }
+        self.outputs.push(Output::ToOwner(owner, ToOwner::Ready(sid, text)));
+        let id = AttemptId { task, number: out.number };
+        self.events.push(Event::Seated(id, Some(now.saturating_sub(out.offered))));
+        self.stands(now, task, out.machine);
+    }
+
+    /// A task stands on a host: a connection is kept on which its end can be told.
+    pub(super) fn stands(&mut self, now: Micros, task: TaskId, machine: MachineId) {
+        let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
+        if host.standing.is_empty() {
+            host.heard = now;
+        }
+        host.standing.insert(task);
+        if host.links.is_empty() {
+            self.connect(now, machine);
+            self.watch(now, machine);
+        }
+    }
+
+    fn host_closes(
+        &mut self,
+        now: Micros,
+        link: LinkId,
+        machine: MachineId,
+        sid: Sid,
+        cause: u8,
+        told: Option<Told>,
+    ) {
+        let Some(task) = self.tasks.by_sid(sid) else { return };
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        if let Some(out) = entry.out.filter(|out| out.link == link && out.sent) {
+            entry.out = None;
+            let closed = !entry.open;
+            if let Some(link) = self.links.get_mut(&link) {
+                link.attempts.remove(&task);
+            }
+            let ending = match cause {
+                cause::FULL => Ending::Refused,
+                cause::ERROR => Ending::Error,
+                cause::MOOT => Ending::NotSent,
+                _ => Ending::Reset,
+            };
+            self.ended(task, out.number, ending, why(told), closed);
+            self.tasks.drop_if_over(task);
+        } else if entry.stand.is_some_and(|s| s.machine == machine) {
+            let ending = match cause {
+                cause::NORMAL => Ending::Done,
+                cause::CANCELLED => Ending::Cancelled,
+                _ => Ending::Reset,
+            };
+            self.over(now, task, ending, why(told), cause);
+        }
+    }
+
+    /// A standing task is over, whoever says so.
+    fn over(&mut self, now: Micros, task: TaskId, ending: Ending, why: Option<Why>, cause: u8) {
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let Some(stand) = entry.stand.take() else { return };
+        let (owner, sid) = (entry.owner, entry.set_up.sid);
+        if let Some(host) = self.fleet.hosts.get_mut(&stand.machine) {
+            host.standing.remove(&task);
+        }
+        self.ended(task, stand.number, ending, why, true);
+        if !stand.silent && ending != Ending::Cancelled {
+            self.release(now, owner, sid, cause);
+        }
+        self.tasks.drop_if_over(task);
+    }
+
+    fn noted(&mut self, machine: MachineId, sid: Sid, told: Told, figure: f64) {
+        let Some(task) = self.tasks.by_sid(sid) else { return };
+        let Some(stand) = self.tasks.get(task).and_then(|e| e.stand) else { return };
+        if stand.machine != machine || !figure.is_finite() {
+            return;
+        }
+        let note = match told {
+            Told::Live => Note::Started,
+            Told::Cores => Note::CoresUsed(figure),
+            Told::Memory => Note::MemoryUsed(figure),
+            Told::Served => Note::Served(figure),
+            Told::Pressure => Note::MachineMemory(figure),
+            _ => return,
+        };
+        self.events.push(Event::Noted(AttemptId { task, number: stand.number }, note));
+    }
+
+    /// News of a host: what waits for it is withdrawn where it takes nothing new, and what stood in an earlier process
+    /// is over.
+    pub(super) fn host_changed(&mut self, now: Micros, machine: MachineId) {
+        let Some(host) = self.fleet.hosts.get(&machine) else { return };
+        let (state, started) = (host.state, host.started);
+        if state != MachineState::Ready {
+            let waiting: Vec<TaskId> = host
+                .links
+                .iter()
+                .filter_map(|id| self.links.get(id).filter(|l| !l.up))
+                .flat_map(|l| l.attempts.iter().copied())
+                .collect();
+            for task in waiting {
+                self.give_up(task, Ending::Unreachable, false);
+            }
+        }
+        if let Some(started) = started {
+            self.lose_standing(now, machine, |since| since < started);
+        }
+        let links = self.fleet.hosts.get(&machine).is_some_and(|h| !h.links.is_empty());
+        if state == MachineState::Gone && !links {
+            self.lose_standing(now, machine, |_| true);
+        }
+    }
+
+    /// Standing tasks that are lost with their host.
+    fn lose_standing(&mut self, now: Micros, machine: MachineId, which: impl Fn(Micros) -> bool) {
+        let Some(host) = self.fleet.hosts.get(&machine) else { return };
+        let stands = |id: &TaskId| self.tasks.get(*id).and_then(|e| e.stand).is_some_and(|s| which(s.since));
+        let lost: Vec<TaskId> = host.standing.iter().copied().filter(stands).collect();
+        if !lost.is_empty() {
+            tracing::debug!(host = self.fleet.name(machine), tasks = lost.len(), "standing tasks are lost");
+        }
+        for task in lost {
+            self.over(now, task, Ending::Reset, None, cause::RESET);
+        }
+    }
+
+    /// An answer did not come on this connection: it is tested, and takes no further offers until the test is passed.
+    pub(super) fn doubt(&mut self, now: Micros, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.up && l.tested.is_none()) else { return };
+        link.tested = Some(now);
+        link.due = now + self.terms.connect_within;
+        self.timers.set(link.due, Due::Link(id));
+        self.send(id, &ToHost::Probe(TEST));
+    }
+
+    /// A look at a connection: is it made, does it answer, is it still needed?
+    pub(super) fn link_due(&mut self, now: Micros, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.due <= now) else { return };
+        if !link.up || link.tested.is_some() {
+            tracing::debug!(link = id.0, up = link.up, since = now - link.since, "no answer on a link");
+            self.outputs.push(Output::CloseLink(id));
+            self.link_lost(now, id, Loss::Broken);
+            return;
+        }
+        let quiet = now.saturating_sub(link.heard);
+        let host = self.fleet.hosts.get(&link.machine);
+        let standing = host.is_some_and(|h| !h.standing.is_empty());
+        let gone = host.is_none_or(|h| h.state == MachineState::Gone);
+        if standing && quiet >= QUIET {
+            (link.tested, link.due) = (Some(now), now + QUIET);
+            self.send(id, &ToHost::Probe(TEST));
+        } else if !standing && link.attempts.is_empty() && (gone || quiet >= self.terms.idle_for / 2) {
+            self.outputs.push(Output::CloseLink(id));
+            self.link_lost(now, id, Loss::Broken);
+            return;
+        } else {
+            link.due = now + QUIET;
+        }
+        if let Some(link) = self.links.get(&id) {
+            self.timers.set(link.due, Due::Link(id));
+        }
+    }
+
+    fn watch(&mut self, now: Micros, machine: MachineId) {
+        let again = now + self.terms.connect_within;
+        if let Some(host) = self.fleet.hosts.get_mut(&machine)
+            && !std::mem::replace(&mut host.watched, true)
+        {
+            self.timers.set(again, Due::Host(machine));
+        }
+    }
+
+    /// A look at a host with standing tasks and no connection.
+    pub(super) fn host_due(&mut self, now: Micros, machine: MachineId) {
+        let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
+        host.watched = false;
+        let up = host.links.iter().any(|id| self.links.get(id).is_some_and(|l| l.up));
+        if host.standing.is_empty() || up {
+            return;
+        }
+        if now.saturating_sub(host.heard) >= UNREACHABLE {
+            self.lose_standing(now, machine, |_| true);
+            return;
+        }
+        if host.links.is_empty() {
+            self.connect(now, machine);
+        }
+        self.watch(now, machine);
+    }
+}
+
+fn why(told: Option<Told>) -> Option<Why> {
+    Some(match told? {
+        Told::NoCores => Why::Cores,
+        Told::NoMemory => Why::Memory,
+        Told::NoLine => Why::Line,
+        Told::NotHere => Why::NotHere,
+        Told::Evicted => Why::Evicted,
+        Told::PushedOut => Why::PushedOut,
+        Told::SentAway => Why::SentAway,
+        Told::Live | Told::Cores | Told::Memory | Told::Served | Told::Pressure => return None,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/engine/mod.rs
@@ -0,0 +1,357 @@
+//! The engine: what owners, hosts and the command channel say becomes events of the decisions, and their actions
+//! become messages.
+
+mod fleet;
+mod links;
+mod owners;
+mod tasks;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use maplethread::{
+    Action, AttemptId, End, Ending, Event, MachineId, MachineState, Micros, Settings, TaskId, Why,
+};
+use maplethread_engine::{Decide, Timers};
+use maplethread_platform_wire::channel::Batch;
+use maplethread_platform_wire::host::{self, ToHost};
+use maplethread_platform_wire::owner::ToOwner;
+use maplethread_platform_wire::{Sid, cause};
+use serde_json::Value;
+
+use fleet::Fleet;
+use links::Link;
+use owners::Owner;
+use tasks::{Attempt, Tasks};
+
+/// Turns of the decisions in one of the engine's, while what they want fails at once.
+const ROUNDS: usize = 8;
+/// Tasks at a time, whatever their state; beyond it set-ups are refused.
+const MOST_TASKS: usize = 1 << 16;
+
+/// A connection of an owner, numbered by the caller and never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OwnerId(pub u64);
+
+/// A connection to a host, numbered by the engine and never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send this to an owner.
+    ToOwner(OwnerId, ToOwner),
+    /// Close an owner's connection once what it was sent is written.
+    CloseOwner(OwnerId),
+    /// Connect.
+    Connect(LinkId, SocketAddr),
+    /// Send these bytes to a host.
+    ToHost(LinkId, Vec<u8>),
+    /// Close a connection to a host.
+    CloseLink(LinkId),
+}
+
+/// Why a connection to a host is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Nobody listens there.
+    Refused,
+    /// It broke, was closed, or brought what can't be read.
+    Broken,
+}
+
+/// What falls due.
+enum Due {
+    Wake(u64),
+    Attempt(TaskId, u32),
+    Link(LinkId),
+    Host(MachineId),
+    Owner(OwnerId),
+    Releases,
+}
+
+/// What the engine reads of the settings object besides the decisions' part.
+struct Terms {
+    classes: Vec<(String, bool)>,
+    connect_within: Micros,
+    idle_for: Micros,
+}
+
+/// The engine around the decisions `D`.
+pub struct Engine<D> {
+    decider: D,
+    terms: Terms,
+    fleet: Fleet,
+    links: HashMap<LinkId, Link>,
+    last_link: u64,
+    owners: HashMap<OwnerId, Owner>,
+    /// The owner that last sent a set-up that could be used.
+    latest: Option<OwnerId>,
+    tasks: Tasks,
+    /// Releases that no connection could take yet.
+    undelivered: VecDeque<(Micros, Sid, u8)>,
+    timers: Timers<Due>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    outputs: Vec<Output>,
+    cursor: u64,
+    stopping: Option<Micros>,
+}
+
+impl<D: Decide> Engine<D> {
+    /// An engine from the settings object as the configuration holds it, and the decisions' reading of it.
+    pub fn new(object: &Value, settings: &Settings, decider: D) -> Result<Engine<D>, String> {
+        let names = |path: &str| -> Result<Vec<String>, String> {
+            let list = object.get(path).and_then(Value::as_array);
+            let list = list.ok_or_else(|| format!("settings, field {path}: expected a list of names"))?;
+            Ok(list.iter().filter_map(Value::as_str).map(str::to_owned).collect())
+        };
+        let time = |name: &str| -> Result<Micros, String> {
+            let ms = object.get("allowed").and_then(|a| a.get(name)).and_then(Value::as_f64);
+            let ms = ms.filter(|ms| ms.is_finite() && *ms > 0.0);
+            let ms = ms.ok_or_else(|| format!("settings, field allowed.{name}: expected milliseconds"))?;
+            Ok((ms * 1000.0) as Micros)
+        };
+        let class = |(i, class): (usize, &Value)| {
+            let name = class.get("name").and_then(Value::as_str)?;
+            let keyed =
+                settings.classes.get(i).map(|c| matches!(c.effect, maplethread::Effect::Keyed { .. }));
+            Some((name.to_owned(), keyed?))
+        };
+        let classes = object.get("classes").and_then(Value::as_array);
+        let classes = classes.and_then(|list| list.iter().enumerate().map(class).collect::<Option<Vec<_>>>());
+        let classes = classes.ok_or("settings, field classes: expected objects with a name")?;
+        let terms =
+            Terms { classes, connect_within: time("connectTimeoutMs")?, idle_for: time("idleCloseMs")? };
+        Ok(Engine {
+            decider,
+            terms,
+            fleet: Fleet::new(names("zones")?, names("shapes")?),
+            links: HashMap::new(),
+            last_link: 0,
+            owners: HashMap::new(),
+            latest: None,
+            tasks: Tasks::default(),
+            undelivered: VecDeque::new(),
+            timers: Timers::default(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            outputs: Vec::new(),
+            cursor: 0,
+            stopping: None,
+        })
+    }
+
+    /// Takes in events of the command channel that are new; whether there were any.
+    pub fn told(&mut self, now: Micros, batch: &Batch) -> bool {
+        let before = self.cursor;
+        for command in &batch.cmds {
+            if command.cursor <= self.cursor {
+                continue;
+            }
+            self.cursor = command.cursor;
+            let Some(nodes) = &command.nodes else { continue };
+            let (event, changed) = self.fleet.listed(nodes, now);
+            self.events.push(event);
+            for machine in changed {
+                self.host_changed(now, machine);
+            }
+        }
+        self.cursor = self.cursor.max(batch.cursor);
+        self.cursor > before
+    }
+
+    /// The number of the last event of the command channel.
+    pub fn cursor(&self) -> u64 {
+        self.cursor
+    }
+
+    /// When a turn is due even if nothing happens.
+    pub fn next_timeout(&self) -> Option<Micros> {
+        if self.events.is_empty() { self.timers.next() } else { Some(0) }
+    }
+
+    /// Asks that are owed an answer.
+    pub fn open_asks(&self) -> usize {
+        self.tasks.open()
+    }
+
+    /// All tasks that are known.
+    pub fn tasks(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// What is to be done, in order.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// It is about to end: what is open at `last` has its answer then.
+    pub fn stop(&mut self, last: Micros) {
+        self.stopping = Some(last);
+    }
+
+    /// Lets the decisions act on all that happened.
+    pub fn turn(&mut self, now: Micros) {
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Wake(label) => self.events.push(Event::Woken(label)),
+                Due::Attempt(task, number) => self.attempt_over(now, task, number),
+                Due::Link(link) => self.link_due(now, link),
+                Due::Host(machine) => self.host_due(now, machine),
+                Due::Owner(owner) => self.owner_due(now, owner),
+                Due::Releases => self.releases_due(now),
+            }
+        }
+        for _ in 0..ROUNDS {
+            if self.events.is_empty() {
+                break;
+            }
+            let events = std::mem::take(&mut self.events);
+            let mut actions = std::mem::take(&mut self.actions);
+            tracing::trace!(?events, "told");
+            self.decider.turn(now, &events, &mut actions);
+            tracing::trace!(?actions, "wanted");
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+            self.actions = actions;
+        }
+        if self.stopping.is_some_and(|at| at <= now) {
+            self.last_words(now);
+        }
+    }
+
+    /// The process is about to end: whoever still waits is told that its task failed, which promises nothing.
+    fn last_words(&mut self, now: Micros) {
+        for id in self.tasks.all_open() {
+            self.answer(now, id, cause::ERROR);
+            self.events.push(Event::HungUp(id));
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Offer(task, machine, wait) => self.offer(now, task, machine, wait),
+            Action::Cancel(id) => {
+                if self.tasks.get(id.task).and_then(|e| e.out).is_some_and(|out| out.number == id.number) {
+                    self.give_up(id.task, Ending::Cancelled, false);
+                }
+            }
+            Action::Refuse(task, _) => self.answer(now, task, cause::FULL),
+            Action::Fail(task) => self.answer(now, task, cause::ERROR),
+            Action::Move(task) => self.move_away(now, task),
+            Action::Wake(after, label) => self.timers.set(now + after, Due::Wake(label)),
+            Action::Log(text) => tracing::info!("{text}"),
+            Action::Held(task, lack) => tracing::debug!(task = task.0, ?lack, "held"),
+            // The channel is always asked, and none of the others is allowed here.
+            Action::Listen(_)
+            | Action::Lookup
+            | Action::Probe(_)
+            | Action::CloseIdle(_)
+            | Action::Tell { .. } => {}
+        }
+    }
+
+    fn offer(&mut self, now: Micros, task: TaskId, machine: MachineId, wait: Micros) {
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let number = entry.attempts;
+        entry.attempts += 1;
+        let until = now + wait;
+        let ready = self.fleet.hosts.get(&machine).is_some_and(|h| h.state == MachineState::Ready);
+        let link = if ready && entry.open { self.link_to(now, machine) } else { None };
+        let Some(link) = link else {
+            self.ended(task, number, Ending::Unreachable, None, false);
+            return;
+        };
+        let up = self.links.get(&link).is_some_and(|l| l.up);
+        let attempt = Attempt { number, machine, link, offered: now, until, sent: up };
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.out = Some(attempt);
+        }
+        self.timers.set(until, Due::Attempt(task, number));
+        if let Some(link) = self.links.get_mut(&link) {
+            link.attempts.insert(task);
+        }
+        if up {
+            self.send_set_up(now, task, link);
+        }
+    }
+
+    /// Writes an attempt's set-up to a connection that is up.
+    fn send_set_up(&mut self, now: Micros, task: TaskId, link: LinkId) {
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let Some(out) = &mut entry.out else { return };
+        out.sent = true;
+        let set_up = &entry.set_up;
+        let mut bytes = Vec::with_capacity(set_up.text.len() + 128);
+        let message = ToHost::SetUp {
+            sid: set_up.sid,
+            class: &set_up.class,
+            key: &set_up.key,
+            idem: set_up.idem.as_deref(),
+            left_ms: out.until.saturating_sub(now).div_ceil(1000),
+            text: &set_up.text,
+        };
+        host::write(&mut bytes, &message);
+        self.outputs.push(Output::ToHost(link, bytes));
+    }
+
+    fn attempt_over(&mut self, now: Micros, task: TaskId, number: u32) {
+        let Some(out) = self.tasks.get(task).and_then(|e| e.out).filter(|out| out.number == number) else {
+            return;
+        };
+        if out.sent {
+            self.give_up(task, Ending::TimedOut, false);
+            self.doubt(now, out.link);
+        } else {
+            self.give_up(task, Ending::Unreachable, false);
+        }
+    }
+
+    /// Takes an attempt back, from the host too if it was sent, and tells the decisions how it ended.
+    fn give_up(&mut self, task: TaskId, ending: Ending, closed: bool) {
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let sid = entry.set_up.sid;
+        let Some(out) = entry.out.take() else { return };
+        if out.sent {
+            self.send(out.link, &ToHost::Close(sid, cause::NORMAL));
+        }
+        if let Some(link) = self.links.get_mut(&out.link) {
+            link.attempts.remove(&task);
+        }
+        let ending = if out.sent { ending } else { Ending::Unreachable };
+        self.ended(task, out.number, ending, None, closed);
+        self.tasks.drop_if_over(task);
+    }
+
+    fn ended(&mut self, task: TaskId, number: u32, ending: Ending, why: Option<Why>, closed: bool) {
+        let end = End { ending, why, closed, load: None };
+        self.events.push(Event::Ended(AttemptId { task, number }, end));
+    }
+
+    /// The one final answer that is not 'placed'.
+    fn answer(&mut self, _now: Micros, task: TaskId, cause: u8) {
+        let Some(entry) = self.tasks.get(task) else { return };
+        let (owner, sid) = (entry.owner, entry.set_up.sid);
+        if !self.tasks.close(task) {
+            return;
+        }
+        if let Some(owner) = self.owners.get_mut(&owner) {
+            owner.open.remove(&task);
+        }
+        self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause)));
+        // An attempt still out has lost its owner: it ends as one whose time is up.
+        self.give_up(task, Ending::TimedOut, true);
+        self.tasks.drop_if_over(task);
+    }
+
+    fn send(&mut self, link: LinkId, message: &ToHost) {
+        let mut bytes = Vec::new();
+        host::write(&mut bytes, message);
+        self.outputs.push(Output::ToHost(link, bytes));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/owners.rs
@@ -0,0 +1,244 @@
+//! Owners: their connections, set-ups, and what they are told.
+
+use std::collections::BTreeSet;
+
+use maplethread::{Ending, Event, Micros, Room, ServiceId, Task, TaskId};
+use maplethread_engine::Decide;
+use maplethread_platform_wire::host::ToHost;
+use maplethread_platform_wire::owner::{Fault, FromOwner, SetUp, ToOwner};
+use maplethread_platform_wire::{Sid, cause};
+
+use super::tasks::{Entry, Stand};
+use super::{Due, Engine, MOST_TASKS, Output, OwnerId};
+
+/// A connection that has said nothing of use for so long is closed, within the 3 s that PROTOCOL's days give.
+const SILENT_FOR: Micros = 2_500_000;
+/// A release that no connection took in this time is of no use any more.
+const RELEASE_WITHIN: Micros = 8_000_000;
+/// Releases that wait for a connection.
+const MOST_RELEASES: usize = 4096;
+
+/// An owner's connection.
+#[derive(Default)]
+pub(super) struct Owner {
+    /// It has said something of use.
+    pub(super) spoke: bool,
+    /// Its set-ups without an answer.
+    pub(super) open: BTreeSet<TaskId>,
+    /// When it last said something.
+    pub(super) heard: Micros,
+}
+
+impl<D: Decide> Engine<D> {
+    /// An owner connected.
+    pub fn owner_opened(&mut self, now: Micros, owner: OwnerId) {
+        self.owners.insert(owner, Owner { heard: now, ..Owner::default() });
+        self.timers.set(now + SILENT_FOR, Due::Owner(owner));
+    }
+
+    /// A connection that could be closed to make room for others: one that said nothing of use, or else the one with
+    /// nothing open that was silent for longest.
+    pub fn spare_owner(&self) -> Option<OwnerId> {
+        let spare = self.owners.iter().filter(|(_, o)| o.open.is_empty());
+        spare.min_by_key(|(id, o)| (o.spoke, o.heard, **id)).map(|(&id, _)| id)
+    }
+
+    /// An owner's connection is over: what it waits for is given up, what stands stands.
+    pub fn owner_closed(&mut self, _now: Micros, owner: OwnerId) {
+        let Some(closed) = self.owners.remove(&owner) else { return };
+        if self.latest == Some(owner) {
+            let spoke = self.owners.iter().filter(|(_, o)| o.spoke);
+            self.latest = spoke.max_by_key(|(id, o)| (o.heard, **id)).map(|(&id, _)| id);
+        }
+        for task in closed.open {
+            self.hang_up(task);
+        }
+    }
+
+    /// An owner said something, or something that can't be read.
+    pub fn owner_says(&mut self, now: Micros, owner: OwnerId, says: Result<FromOwner, Fault>) {
+        let Some(from) = self.owners.get_mut(&owner) else { return };
+        from.heard = now;
+        match says {
+            Ok(FromOwner::SetUp(set_up)) if set_up.at.is_some() => self.handed_over(now, owner, set_up),
+            Ok(FromOwner::SetUp(set_up)) => self.asked(now, owner, set_up),
+            Ok(FromOwner::Close(sid, cause)) => self.owner_ends(now, sid, cause),
+            Ok(FromOwner::Probe(sid)) => {
+                from.spoke = true;
+                self.outputs.push(Output::ToOwner(owner, ToOwner::Probed(sid, true)));
+            }
+            Ok(FromOwner::Idle) => {}
+            Err(fault) => {
+                tracing::debug!(owner = owner.0, %fault, "an owner sent what can't be used");
+                match fault {
+                    Fault::Field(sid, ..) => self.turn_away(owner, sid, cause::ERROR),
+                    Fault::TooLong | Fault::Unreadable(_) => self.hang_up_on(now, owner),
+                }
+            }
+        }
+    }
+
+    /// Closes an owner's connection; what it still waits for is given up.
+    fn hang_up_on(&mut self, now: Micros, owner: OwnerId) {
+        self.owner_closed(now, owner);
+        self.outputs.push(Output::CloseOwner(owner));
+    }
+
+    /// Answers a set-up that became no ask. One whose id is open on the same connection can't be answered apart: the
+    /// connection is closed.
+    fn turn_away(&mut self, owner: OwnerId, sid: Sid, cause: u8) {
+        let task = self.tasks.by_sid(sid).and_then(|id| self.tasks.get(id));
+        if task.is_some_and(|e| e.open && e.owner == owner) {
+            self.hang_up_on(0, owner);
+        } else {
+            self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause)));
+        }
+    }
+
+    fn class(&self, set_up: &SetUp) -> Option<usize> {
+        let class = self.terms.classes.iter().position(|(name, _)| *name == set_up.class)?;
+        (!self.terms.classes[class].1 || set_up.idem.is_some()).then_some(class)
+    }
+
+    fn asked(&mut self, now: Micros, owner: OwnerId, set_up: Box<SetUp>) {
+        let sid = set_up.sid;
+        let Some(class) = self.class(&set_up) else {
+            tracing::debug!(%sid, class = %set_up.class, "no such class, or a keyed one without a key");
+            return self.turn_away(owner, sid, cause::ERROR);
+        };
+        if self.tasks.by_sid(sid).is_some() {
+            tracing::debug!(%sid, "an id that is in use");
+            return self.turn_away(owner, sid, cause::MOOT);
+        }
+        if self.tasks.len() >= MOST_TASKS {
+            return self.turn_away(owner, sid, cause::FULL);
+        }
+        let left = set_up.left_ms.unwrap_or(0.0);
+        let task = self.task(class, &set_up, now + (left * 1000.0) as Micros);
+        let entry = Entry { set_up, owner, open: true, attempts: 0, out: None, stand: None };
+        let id = self.tasks.add(entry);
+        if let Some(owner) = self.owners.get_mut(&owner) {
+            owner.spoke = true;
+            owner.open.insert(id);
+        }
+        self.useful(now, owner);
+        self.events.push(Event::Asked(Task { id, ..task }));
+    }
+
+    fn task(&self, class: usize, set_up: &SetUp, give_up_at: Micros) -> Task {
+        Task {
+            id: TaskId(0),
+            service: ServiceId(set_up.service),
+            class,
+            asks: Room { cores: set_up.cores, memory: set_up.memory },
+            life: set_up.life_ms.map(|ms| (ms * 1000.0) as Micros),
+            give_up_at,
+            again: set_up.again,
+        }
+    }
+
+    /// A task that a host holds already is this placer's from now on.
+    fn handed_over(&mut self, now: Micros, owner: OwnerId, set_up: Box<SetUp>) {
+        let (Some(class), Some(at)) = (self.class(&set_up), set_up.at.clone()) else {
+            tracing::debug!(sid = %set_up.sid, "a running task of no known class");
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&owner) {
+            owner.spoke = true;
+        }
+        if self.tasks.by_sid(set_up.sid).is_some() || self.tasks.len() >= MOST_TASKS {
+            return;
+        }
+        let machine = self.fleet.by_name(&at, now);
+        let task = self.task(class, &set_up, now);
+        let stand = Stand { number: 0, machine, since: now, silent: false };
+        let entry = Entry { set_up, owner, open: false, attempts: 1, out: None, stand: Some(stand) };
+        let id = self.tasks.add(entry);
+        self.events.push(Event::Running(Task { id, ..task }, machine));
+        self.stands(now, id, machine);
+        self.useful(now, owner);
+    }
+
+    /// An owner that sent a set-up can take releases that found no connection.
+    fn useful(&mut self, _now: Micros, owner: OwnerId) {
+        self.latest = Some(owner);
+        for (_, sid, cause) in std::mem::take(&mut self.undelivered) {
+            self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause)));
+        }
+    }
+
+    /// An owner gives a set-up up, or ends its task.
+    fn owner_ends(&mut self, now: Micros, sid: Sid, cause: u8) {
+        let Some(id) = self.tasks.by_sid(sid) else { return };
+        let Some(entry) = self.tasks.get_mut(id) else { return };
+        if let Some(stand) = &mut entry.stand {
+            stand.silent = true;
+            let machine = stand.machine;
+            self.cut(now, machine, sid, cause);
+        } else if entry.open {
+            let owner = entry.owner;
+            if let Some(owner) = self.owners.get_mut(&owner) {
+                owner.open.remove(&id);
+            }
+            self.hang_up(id);
+        }
+    }
+
+    /// Nobody waits for the answer any more.
+    fn hang_up(&mut self, task: TaskId) {
+        if self.tasks.close(task) {
+            self.events.push(Event::HungUp(task));
+            self.give_up(task, Ending::Cancelled, true);
+            self.tasks.drop_if_over(task);
+        }
+    }
+
+    /// Tells an owner that its task is over: on the connection it came on, else on another one.
+    pub(super) fn release(&mut self, now: Micros, owner: OwnerId, sid: Sid, cause: u8) {
+        let to = Some(owner).filter(|o| self.owners.contains_key(o)).or(self.latest);
+        match to {
+            Some(owner) => self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause))),
+            None => {
+                tracing::debug!(%sid, "a release waits for a connection");
+                if self.undelivered.len() >= MOST_RELEASES {
+                    self.undelivered.pop_front();
+                }
+                self.undelivered.push_back((now + RELEASE_WITHIN, sid, cause));
+                self.timers.set(now + RELEASE_WITHIN, Due::Releases);
+            }
+        }
+    }
+
+    pub(super) fn releases_due(&mut self, now: Micros) {
+        self.undelivered.retain(|(until, ..)| *until > now);
+    }
+
+    pub(super) fn owner_due(&mut self, now: Micros, owner: OwnerId) {
+        if self.owners.get(&owner).is_some_and(|o| !o.spoke) {
+            tracing::debug!(owner = owner.0, "an owner that says nothing");
+            self.hang_up_on(now, owner);
+        }
+    }
+
+    pub(super) fn move_away(&mut self, now: Micros, task: TaskId) {
+        let Some(entry) = self.tasks.get_mut(task) else { return };
+        let (owner, sid) = (entry.owner, entry.set_up.sid);
+        let Some(stand) = entry.stand.as_mut().filter(|s| !s.silent) else { return };
+        stand.silent = true;
+        let machine = stand.machine;
+        let to = Some(owner).filter(|o| self.owners.contains_key(o)).or(self.latest);
+        if let Some(to) = to {
+            self.outputs.push(Output::ToOwner(to, ToOwner::Relocate(sid)));
+        }
+        self.cut(now, machine, sid, cause::CANCELLED);
+    }
+
+    /// Ends a standing task at its host.
+    fn cut(&mut self, now: Micros, machine: maplethread::MachineId, sid: Sid, cause: u8) {
+        let Some(link) = self.link_to(now, machine) else { return };
+        match self.links.get_mut(&link) {
+            Some(link) if !link.up => link.cuts.push((sid, cause)),
+            _ => self.send(link, &ToHost::Close(sid, cause)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/tasks.rs
@@ -0,0 +1,110 @@
+//! The tasks that are owed an answer, are out, or stand.
+
+use std::collections::HashMap;
+
+use maplethread::{MachineId, Micros, TaskId};
+use maplethread_platform_wire::Sid;
+use maplethread_platform_wire::owner::SetUp;
+
+use super::{LinkId, OwnerId};
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Attempt {
+    pub(super) number: u32,
+    pub(super) machine: MachineId,
+    pub(super) link: LinkId,
+    pub(super) offered: Micros,
+    /// When its answer is no longer waited for.
+    pub(super) until: Micros,
+    /// It was handed to a connection that is up: it may have run.
+    pub(super) sent: bool,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stand {
+    pub(super) number: u32,
+    pub(super) machine: MachineId,
+    pub(super) since: Micros,
+    /// Its owner is owed no release: it ended the task, or was told to come again.
+    pub(super) silent: bool,
+}
+
+/// A task.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) set_up: Box<SetUp>,
+    pub(super) owner: OwnerId,
+    /// The owner waits for the answer.
+    pub(super) open: bool,
+    pub(super) attempts: u32,
+    pub(super) out: Option<Attempt>,
+    pub(super) stand: Option<Stand>,
+}
+
+/// All tasks, by the decisions' number and by the set-up's id.
+#[derive(Default)]
+pub(super) struct Tasks {
+    entries: HashMap<TaskId, Entry>,
+    sids: HashMap<Sid, TaskId>,
+    last: u64,
+    open: usize,
+}
+
+impl Tasks {
+    pub(super) fn add(&mut self, entry: Entry) -> TaskId {
+        self.last += 1;
+        let id = TaskId(self.last);
+        self.sids.insert(entry.set_up.sid, id);
+        self.open += usize::from(entry.open);
+        self.entries.insert(id, entry);
+        id
+    }
+
+    pub(super) fn get(&self, id: TaskId) -> Option<&Entry> {
+        self.entries.get(&id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: TaskId) -> Option<&mut Entry> {
+        self.entries.get_mut(&id)
+    }
+
+    pub(super) fn by_sid(&self, sid: Sid) -> Option<TaskId> {
+        self.sids.get(&sid).copied()
+    }
+
+    /// The owner has its answer, or waits no more; whether it waited.
+    pub(super) fn close(&mut self, id: TaskId) -> bool {
+        let open = self.entries.get_mut(&id).is_some_and(|e| std::mem::take(&mut e.open));
+        self.open -= usize::from(open);
+        open
+    }
+
+    /// Drops a task with nothing left to come.
+    pub(super) fn drop_if_over(&mut self, id: TaskId) {
+        let over = |e: &Entry| !e.open && e.out.is_none() && e.stand.is_none();
+        if self.entries.get(&id).is_some_and(over)
+            && let Some(entry) = self.entries.remove(&id)
+        {
+            self.sids.remove(&entry.set_up.sid);
+        }
+    }
+
+    /// Tasks that are owed an answer.
+    pub(super) fn open(&self) -> usize {
+        self.open
+    }
+
+    /// All tasks.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Those that are owed an answer, in the order in which they came.
+    pub(super) fn all_open(&self) -> Vec<TaskId> {
+        let mut ids: Vec<TaskId> = self.entries.iter().filter(|(_, e)| e.open).map(|(&id, _)| id).collect();
+        ids.sort();
+        ids
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -1,10 +1,12 @@
 //! threads. It knows nothing of what the bytes mean. Connections read a bounded amount a turn, so that one busy
 //! peer can't starve the rest, and ask for write readiness only while something is left to write.
 
+mod clock;
 mod conn;
 mod poll;
 mod watch;
 
+pub use clock::Clock;
 pub use conn::{Conn, ReadOutcome};
 pub use poll::{Poller, Readiness, Signals};
 pub use watch::FileWatch;
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -3,8 +3,6 @@
 
 #![forbid(unsafe_code)]
 
-mod fault;
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -12,10 +10,9 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
-use fault::WireError;
-use maplethread::{Event, MachineId, Micros, Placer, Settings};
+use maplethread::{Event, Micros, Placer, Settings};
+use maplethread_deployment::{Hosts, Reports, WireError};
 use serde_json::Value;
-use settings::Reports;
 use wire::{Incoming, Row};
 
 /// One placer, the host names it has heard, and its events of the batch at hand.
@@ -27,29 +24,6 @@
     fault: Option<String>,
 }
 
-/// Host names, numbered by one instance in the order in which its own lists named them.
-#[derive(Default)]
-pub(crate) struct Hosts {
-    names: Vec<String>,
-    ids: BTreeMap<String, MachineId>,
-}
-
-impl Hosts {
-    pub(crate) fn id(&mut self, name: &str) -> MachineId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let id = MachineId(self.names.len() as u32);
-        self.names.push(name.to_owned());
-        self.ids.insert(name.to_owned(), id);
-        id
-    }
-
-    pub(crate) fn name(&self, id: MachineId) -> Option<&str> {
-        self.names.get(id.0 as usize).map(String::as_str)
-    }
-}
-
 type Rosters = BTreeMap<u64, Vec<Row>>;
 
 #[derive(Default)]
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -4,11 +4,11 @@
     Action, AttemptId, End, Ending, Event, Listing, MachineState, Micros, Note, Room, Scope, ServiceId,
     Settings, Task, TaskId, Why,
 };
+use maplethread_deployment::hosts::label;
+use maplethread_deployment::{Hosts, Reports, WireError, micros};
 use serde_json::{Value, json};
 
-use crate::fault::{WireError, micros};
-use crate::settings::{self, Reports};
-use crate::{Adapter, Hosts};
+use crate::Adapter;
 
 /// A line, decoded.
 pub(crate) enum Incoming {
@@ -113,7 +113,7 @@
         "EOB" => Incoming::EndOfBatch,
         "LAUNCH" => {
             let info = v.get(2).ok_or_else(|| v.error("bootInfo", "an object"))?;
-            let (settings, reports) = settings::decode(info)?;
+            let (settings, reports) = maplethread_deployment::decode(info)?;
             Incoming::Launch {
                 who: who(&v)?,
                 reports,
@@ -184,7 +184,7 @@
                     _ => None,
                 },
                 closed: v.bool(4, "noMore")?,
-                load: adapter.reports(who)?.room(v, v.get(8))?,
+                load: room(adapter.reports(who)?, v, v.get(8))?,
             };
             Event::Ended(v.attempt(6)?, end)
         }
@@ -193,7 +193,7 @@
         "CHECK_RESULT" => Event::Probed {
             machine: adapter.instance(who)?.hosts.id(v.text(3, "host")?),
             ok: ending(v.whole(1, "ending")?) == Some(Ending::Done),
-            load: adapter.reports(who)?.room(v, v.get(4))?,
+            load: room(adapter.reports(who)?, v, v.get(4))?,
         },
         _ => {
             let hex = v.text(2, "octets")?;
@@ -268,22 +268,14 @@
     }
 }
 
-impl Reports {
-    /// Both room values of a load report, if it holds both.
-    fn room(&self, v: &Values, load: Option<&Value>) -> Result<Option<Room>, WireError> {
-        let Some(load) = load.filter(|_| self.room) else {
-            return Ok(None);
-        };
-        let load = load.as_object().ok_or_else(|| v.error("load", "an object"))?;
-        let value = |name: &str| load.get(name).and_then(Value::as_f64);
-        Ok(value("x0").zip(value("x1")).map(|(cores, memory)| Room { cores, memory }))
-    }
-}
-
-/// FNV-1a of a host's name: the same at every placer, whichever hosts it has heard of.
-fn label(name: &str) -> u64 {
-    name.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+/// Both room values of a load report, if it holds both.
+fn room(reports: Reports, v: &Values, load: Option<&Value>) -> Result<Option<Room>, WireError> {
+    let Some(load) = load.filter(|_| reports.room) else {
+        return Ok(None);
+    };
+    let load = load.as_object().ok_or_else(|| v.error("load", "an object"))?;
+    let value = |name: &str| load.get(name).and_then(Value::as_f64);
+    Ok(value("x0").zip(value("x1")).map(|(cores, memory)| Room { cores, memory }))
 }
 
 fn unhex(text: &str) -> Option<Vec<u8>> {
@@ -338,7 +330,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use maplethread::MachineId;
 
     #[test]
     fn every_action_has_its_line() {
@@ -371,12 +362,7 @@
     }
 
     #[test]
-    fn hosts_are_numbered_once_and_bytes_go_both_ways() {
-        let mut hosts = Hosts::default();
-        assert_eq!(
-            (hosts.id("a:1"), hosts.id("b:1"), hosts.id("a:1")),
-            (MachineId(0), MachineId(1), MachineId(0))
-        );
+    fn bytes_go_both_ways() {
         assert_eq!(unhex("00ff68").as_deref(), Some(&[0, 255, 0x68][..]));
         assert_eq!(hex(&[0, 255, 0x68]), "00ff68");
         assert_eq!((unhex("0"), unhex("zz")), (None, None));
