--- /dev/null
+++ b/crates/cli/tests/platform.rs
@@ -0,0 +1,374 @@
+//! The placer in service, as a process: stand-ins for owners, hosts and the command channel on loopback. What crossed
+//! the sockets is judged.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_maplethread");
+/// Longer than anything here may take, also on slow machines; nothing waits for it when all goes well.
+const LONG: Duration = Duration::from_secs(30);
+
+/// A placer's process, with its log.
+struct Placer {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Placer {
+    fn start(config: &Path) -> Placer {
+        let mut child = Command::new(PROGRAM)
+            .args(["--log-format", "json", "platform"])
+            .env("RELAY_CONFIG", config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("a placer");
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let address = loop {
+            let line = lines.next().expect("it says where it listens").expect("a line");
+            let line: Value = serde_json::from_str(&line).expect("JSON");
+            if let Some(address) = line["fields"]["listen"].as_str() {
+                break address.parse().expect("an address");
+            }
+        };
+        std::thread::spawn(move || lines.for_each(drop));
+        Placer { child, address }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("its number");
+        kill_process(pid, signal).expect("a signal");
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        let by = Instant::now() + LONG;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its end") {
+                return status;
+            }
+            assert!(Instant::now() < by, "it does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Placer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A stand-in for hosts: every set-up goes to the test, which says what is answered.
+struct Host {
+    address: SocketAddr,
+    heard: Receiver<(TcpStream, Vec<u8>)>,
+}
+
+impl Host {
+    fn start() -> Host {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (tell, heard) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, tell) = (stream.expect("a connection"), tell.clone());
+                std::thread::spawn(move || read_messages(stream, &tell));
+            }
+        });
+        Host { address, heard }
+    }
+
+    /// The next message of this type: its connection and its bytes after the length.
+    fn next(&self, kind: u8) -> (TcpStream, Vec<u8>) {
+        loop {
+            let (stream, message) = self.heard.recv_timeout(LONG).expect("a message for a host");
+            if message[0] == kind {
+                return (stream, message);
+            }
+        }
+    }
+}
+
+fn read_messages(mut stream: TcpStream, tell: &Sender<(TcpStream, Vec<u8>)>) {
+    let mut length = [0; 2];
+    while stream.read_exact(&mut length).is_ok() {
+        let mut message = vec![0; usize::from(u16::from_be_bytes(length))];
+        if stream.read_exact(&mut message).is_err() {
+            return;
+        }
+        if tell.send((stream.try_clone().expect("a handle"), message)).is_err() {
+            return;
+        }
+    }
+}
+
+/// A message to a placer about the task of `about`, with one parameter.
+fn host_says(stream: &mut TcpStream, kind: u8, about: &[u8], code: u8, value: &[u8]) {
+    let mut bytes = ((12 + value.len()) as u16).to_be_bytes().to_vec();
+    bytes.push(kind);
+    bytes.extend_from_slice(&about[1..9]);
+    bytes.push(code);
+    bytes.extend_from_slice(&(value.len() as u16).to_be_bytes());
+    bytes.extend_from_slice(value);
+    stream.write_all(&bytes).expect("it is read");
+}
+
+/// A parameter of a message.
+fn parameter(message: &[u8], code: u8) -> Option<&[u8]> {
+    let mut rest = &message[9..];
+    while let [c, high, low, more @ ..] = rest {
+        let length = usize::from(u16::from_be_bytes([*high, *low]));
+        if *c == code {
+            return Some(&more[..length]);
+        }
+        rest = &more[length..];
+    }
+    None
+}
+
+/// A stand-in for the command channel: each poll's request line goes to the test, which gives the answer's body.
+struct Commands {
+    address: SocketAddr,
+    polls: Receiver<(TcpStream, String)>,
+}
+
+impl Commands {
+    fn start() -> Commands {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (tell, polls) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, tell) = (stream.expect("a connection"), tell.clone());
+                std::thread::spawn(move || {
+                    let reader = BufReader::new(stream.try_clone().expect("a handle"));
+                    for line in reader.lines().map_while(Result::ok).filter(|l| l.starts_with("GET ")) {
+                        let _ = tell.send((stream.try_clone().expect("a handle"), line));
+                    }
+                });
+            }
+        });
+        Commands { address, polls }
+    }
+
+    fn poll(&self) -> (TcpStream, String) {
+        self.polls.recv_timeout(LONG).expect("a poll")
+    }
+
+    fn tell(&self, mut stream: TcpStream, events: &Value) {
+        let body = events.to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(answer.as_bytes()).expect("it is read");
+    }
+}
+
+/// An owner's connection.
+struct Owner {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Owner {
+    fn connect(placer: &Placer) -> Owner {
+        let stream = TcpStream::connect(placer.address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a handle"));
+        Owner { stream, reader }
+    }
+
+    fn send(&mut self, message: &Value) {
+        self.stream.write_all(format!("{message}\n").as_bytes()).expect("it is read");
+    }
+
+    fn hear(&mut self) -> Value {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line");
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("no answer but {line:?}"))
+    }
+
+    /// Whether the placer closes the connection without another word.
+    fn closed(&mut self) -> bool {
+        let mut rest = Vec::new();
+        matches!(self.reader.read_to_end(&mut rest), Ok(0)) || rest.is_empty()
+    }
+}
+
+const TEXT: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9 \u{e9}\"\\\u{7}";
+
+fn set_up(sid: &str, left: u64) -> Value {
+    json!({"msg": "open", "sid": sid, "attrs": {"class": "web", "left": left.to_string(), "key": "7f3a9c21e0b4d655",
+        "extras": "cores:1;memory:2;service:00000000b4d65521"}, "text": TEXT})
+}
+
+fn listed(cursor: u64, name: &str, address: SocketAddr, status: &str) -> Value {
+    json!({"cursor": cursor, "cmds": [{"cursor": cursor, "nodes": {"index": cursor, "snapshot": false, "endpoints": [
+        {"name": name, "address": address, "zone": "east", "type": "std", "group": 0, "status": status,
+         "weight": 1, "since_ms": 0}]}}]})
+}
+
+fn config(folder: &Path, channel: SocketAddr, known: &Value) -> PathBuf {
+    let class = json!({"aimMs": 600.0, "effect": "pure", "name": "web", "windowMs": 5000.0, "group": "all",
+        "worth": 3.0});
+    let settings = json!({
+        "allowed": {"connectTimeoutMs": 250.0, "idleCloseMs": 30000.0, "maxAttempts": 3, "mayCancel": true,
+            "peers": false, "probes": false, "retryAfter": false, "maxRetryAfterMs": 3000.0},
+        "classes": [class],
+        "domain": {"ack": "accepted", "admitCores": 1.5, "admitMemory": 1.5, "freeBy": "used", "listsFree": false,
+            "kindByClass": [-1], "kindCores": [30], "memoryByKind": [86.0], "spreadMost": [4],
+            "spreadOver": ["zone"], "startBonusS": [12.0], "classPriority": [0]},
+        "invariants": {"askWithinMs": 10000.0, "coldFrom": 0.17, "coldMs": 15000.0, "fallMultiple": 4.0,
+            "tipAfterMs": 3000.0},
+        "ordinal": 0, "peersTotal": 1, "registryMode": "ask", "reporting": {"fields": [], "how": "silent"},
+        "shapes": ["std"], "zone": 0, "zones": ["east", "west"]
+    });
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": settings,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "channel": channel, "known": known});
+    let path = folder.join("config.json");
+    std::fs::write(&path, config.to_string()).expect("a file");
+    path
+}
+
+#[test]
+fn a_task_is_placed_and_released_and_the_channel_is_followed_over_a_new_configuration() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (host, first, second) = (Host::start(), Commands::start(), Commands::start());
+    let file = config(folder.path(), first.address, &listed(3, "s-1", host.address, "active"));
+    let mut placer = Placer::start(&file);
+    let (_held, line) = first.poll();
+    assert!(line.starts_with("GET /cmd/next?resume=3&block="), "{line}");
+
+    let mut owner = Owner::connect(&placer);
+    owner.send(&json!({"msg": "probe", "sid": "00000000000000aa", "attrs": {}, "code": 0}));
+    assert_eq!((owner.hear()["msg"].as_str(), owner.hear_none()), (Some("probed"), ()));
+    owner.send(&set_up("9b1f03aa5c7e2d41", 6000));
+    let (mut stream, message) = host.next(1);
+    assert_eq!(message[1..9], 0x9b1f_03aa_5c7e_2d41_u64.to_be_bytes());
+    assert_eq!(parameter(&message, 63), Some(TEXT.as_bytes()));
+    assert_eq!(parameter(&message, 33), Some(&b"web"[..]));
+    assert_eq!(parameter(&message, 41), Some(&b"7f3a9c21e0b4d655"[..]));
+    host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
+    let answer = owner.hear();
+    assert_eq!((answer["msg"].as_str(), answer["text"].as_str()), (Some("ready"), Some(TEXT)));
+    host_says(&mut stream, 12, &message, 61, &[16]);
+    let release = owner.hear();
+    assert_eq!((release["msg"].as_str(), release["code"].as_u64()), (Some("close"), Some(16)));
+
+    // A new configuration names another channel: it is asked from the last event on.
+    config(folder.path(), second.address, &listed(3, "s-1", host.address, "active"));
+    placer.signal(Signal::HUP);
+    let (poll, line) = second.poll();
+    assert!(line.starts_with("GET /cmd/next?resume=3&block="), "{line}");
+    // A file that can't be read changes nothing.
+    std::fs::write(&file, "{").expect("a file");
+    placer.signal(Signal::HUP);
+    second.tell(poll, &listed(4, "s-1", host.address, "leaving"));
+    let (_poll, line) = second.poll();
+    assert!(line.starts_with("GET /cmd/next?resume=4&block="), "{line}");
+
+    // The host drains now: the ask is not offered there, and answered before its deadline.
+    owner.send(&set_up("9b1f03aa5c7e2d42", 300));
+    let answer = owner.hear();
+    assert_eq!((answer["msg"].as_str(), answer["code"].as_u64()), (Some("close"), Some(34)));
+    placer.signal(Signal::TERM);
+    assert!(placer.wait().success());
+    assert!(host.heard.try_iter().all(|(_, message)| message[0] != 1), "a set-up to a host that drains");
+}
+
+impl Owner {
+    /// Nothing more lies there.
+    fn hear_none(&self) {
+        assert!(self.reader.buffer().is_empty());
+    }
+}
+
+#[test]
+fn what_is_open_at_sigterm_is_answered_before_the_process_ends() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (host, commands) = (Host::start(), Commands::start());
+    let known = listed(1, "s-1", host.address, "active");
+    let mut placer = Placer::start(&config(folder.path(), commands.address, &known));
+    let mut owner = Owner::connect(&placer);
+    owner.send(&set_up("9b1f03aa5c7e2d41", 60_000));
+    let (mut stream, message) = host.next(1);
+    placer.signal(Signal::TERM);
+    // New connections are still served.
+    let mut late = Owner::connect(&placer);
+    late.send(&json!({"msg": "probe", "sid": "00000000000000aa", "attrs": {}, "code": 0}));
+    assert_eq!(late.hear()["msg"].as_str(), Some("probed"));
+    host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
+    assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
+    assert!(placer.wait().success());
+}
+
+#[test]
+fn clients_that_send_nonsense_are_refused_or_closed_and_others_go_on() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (host, commands) = (Host::start(), Commands::start());
+    let known = listed(1, "s-1", host.address, "active");
+    let placer = Placer::start(&config(folder.path(), commands.address, &known));
+    let mut owner = Owner::connect(&placer);
+    owner.send(&set_up("9b1f03aa5c7e2d41", 60_000));
+    let (mut stream, message) = host.next(1);
+
+    let mut unreadable = Owner::connect(&placer);
+    unreadable.stream.write_all(b"\x16\x03\x01 this is no JSON\n").expect("it is read");
+    assert!(unreadable.closed());
+    let mut endless = Owner::connect(&placer);
+    let sent = (0..1000).try_for_each(|_| endless.stream.write_all(&[b'x'; 64 << 10]));
+    assert!(sent.is_err() || endless.closed());
+    let mut odd = Owner::connect(&placer);
+    odd.send(&json!({"msg": "open", "sid": "9b1f03aa5c7e2d50", "attrs": {"class": "nosuch"}, "text": "x"}));
+    assert_eq!(odd.hear()["msg"].as_str(), Some("close"));
+    odd.send(&set_up("9b1f03aa5c7e2d41", 60_000));
+    assert_eq!(odd.hear()["msg"].as_str(), Some("close"));
+    // More connections than it may hold descriptors for, which say nothing; a usual one still gets through.
+    let silent: Vec<TcpStream> =
+        (0..400).map(|_| TcpStream::connect(placer.address).expect("a connection")).collect();
+    let mut usual = Owner::connect(&placer);
+    usual.send(&json!({"msg": "probe", "sid": "00000000000000aa", "attrs": {}, "code": 0}));
+    assert_eq!(usual.hear()["msg"].as_str(), Some("probed"));
+    drop(silent);
+
+    host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
+    assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_told_before_anything_is_served() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let commands = Commands::start();
+    let good = config(folder.path(), commands.address, &json!({"cursor": 0, "cmds": []}));
+    let good: Value = serde_json::from_str(&std::fs::read_to_string(good).expect("text")).expect("JSON");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let change = |path: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(path).expect("it is there") = value;
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "line 1"),
+        (change("/seed", json!("x")), "seed"),
+        (change("/settings/allowed/maxAttempts", json!("three")), "maxAttempts"),
+        (change("/settings/allowed/connectTimeoutMs", json!(null)), "connectTimeoutMs"),
+        (change("/listen", json!(taken.local_addr().expect("its address"))), "127.0.0.1"),
+    ];
+    for (text, named) in cases {
+        let path = folder.path().join("wrong.json");
+        std::fs::write(&path, text).expect("a file");
+        let out = Command::new(PROGRAM).arg("platform").env("RELAY_CONFIG", &path).output().expect("it ends");
+        let log = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && log.lines().count() == 1 && log.contains(named), "{named}: {log}");
+    }
+    let out = Command::new(PROGRAM).arg("platform").env_remove("RELAY_CONFIG").output().expect("it ends");
+    assert!(!out.status.success());
+    let out =
+        Command::new(PROGRAM).arg("platform").env("RELAY_CONFIG", "/nowhere").output().expect("it ends");
+    assert!(!out.status.success() && String::from_utf8_lossy(&out.stderr).contains("/nowhere"));
+}
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -1,1 +1,571 @@
+//! The engine through its hard cases, with decisions written down by each test.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use maplethread::*;
+use maplethread_deployment::decode;
+use maplethread_platform_wire::channel::{self, Batch};
+use maplethread_platform_wire::host::{FromHost, Told};
+use maplethread_platform_wire::owner::{Fault, FromOwner, SetUp};
+use serde_json::json;
+
+use super::*;
+
+const MS: Micros = 1000;
+const T0: Micros = 1_700_000_000_000_000;
+const A: OwnerId = OwnerId(1);
+const B: OwnerId = OwnerId(2);
+
+/// Decisions that do what the test says, and keep what they were told.
+#[derive(Clone, Default)]
+struct Script {
+    told: Rc<RefCell<Vec<Event>>>,
+    next: Rc<RefCell<Vec<Action>>>,
+}
+
+impl Decide for Script {
+    fn turn(&mut self, _: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        self.told.borrow_mut().extend(events.iter().cloned());
+        actions.append(&mut self.next.borrow_mut());
+    }
+}
+
+fn settings() -> Value {
+    json!({
+        "allowed": {"connectTimeoutMs": 250.0, "idleCloseMs": 30000.0, "maxAttempts": 3, "mayCancel": true,
+            "peers": false, "probes": false, "retryAfter": false, "maxRetryAfterMs": 3000.0},
+        "classes": [
+            {"aimMs": 600.0, "effect": "pure", "name": "web", "windowMs": 5000.0, "group": "all", "worth": 3.0},
+            {"aimMs": 5000.0, "effect": "token", "name": "batch", "windowMs": 5000.0, "group": "zone", "worth": 9.0}],
+        "domain": {"ack": "accepted", "admitCores": 1.5, "admitMemory": 1.5, "freeBy": "used", "listsFree": false,
+            "kindByClass": [-1, -1], "kindCores": [30], "memoryByKind": [86.0], "spreadMost": [4, 2],
+            "spreadOver": ["zone", "silent"], "startBonusS": [12.0, 8.0], "classPriority": [0, 1]},
+        "invariants": {"askWithinMs": 10000.0, "coldFrom": 0.17, "coldMs": 15000.0, "fallMultiple": 4.0,
+            "tipAfterMs": 3000.0},
+        "ordinal": 0, "peersTotal": 3, "registryMode": "ask", "reporting": {"fields": [], "how": "silent"},
+        "shapes": ["std"], "zone": 0, "zones": ["east", "west"]
+    })
+}
+
+struct Rig {
+    engine: Engine<Script>,
+    script: Script,
+    now: Micros,
+    cursor: u64,
+}
+
+impl Rig {
+    /// An engine that knows host `a` and has heard owners `A` and `B` connect.
+    fn new() -> Rig {
+        let object = settings();
+        let (decisions, _) = decode(&object).expect("sound settings");
+        let script = Script::default();
+        let engine = Engine::new(&object, &decisions, script.clone()).expect("sound settings");
+        let mut rig = Rig { engine, script, now: T0, cursor: 0 };
+        rig.list("a", "127.0.0.1:1", "active", 0.0);
+        rig.engine.owner_opened(T0, A);
+        rig.engine.owner_opened(T0, B);
+        rig.turn();
+        rig.told();
+        rig
+    }
+
+    fn list(&mut self, name: &str, address: &str, status: &str, since_ms: f64) {
+        self.cursor += 1;
+        let batch = json!({"cursor": self.cursor, "cmds": [{"cursor": self.cursor, "nodes": {"endpoints": [
+            {"name": name, "address": address, "zone": "east", "type": "std", "group": 0, "status": status,
+             "since_ms": since_ms}]}}]});
+        let batch: Batch = channel::read(batch.to_string().as_bytes()).expect("sound");
+        self.engine.told(self.now, &batch);
+    }
+
+    /// One turn; what the engine wants done.
+    fn turn(&mut self) -> Vec<Output> {
+        self.engine.turn(self.now);
+        self.engine.outputs()
+    }
+
+    /// Turns at each due time, up to so much later.
+    fn pass(&mut self, span: Micros) -> Vec<Output> {
+        let (end, mut all) = (self.now + span, Vec::new());
+        while let Some(at) = self.engine.next_timeout().filter(|&at| at <= end) {
+            self.now = self.now.max(at);
+            all.extend(self.turn());
+        }
+        self.now = end;
+        all.extend(self.turn());
+        all
+    }
+
+    fn told(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.script.told.borrow_mut())
+    }
+
+    fn act(&mut self, action: Action) -> Vec<Output> {
+        self.script.next.borrow_mut().push(action);
+        // Decisions have a turn when something happens; a reminder does.
+        self.engine.events.push(Event::Woken(0));
+        self.turn()
+    }
+
+    fn says(&mut self, owner: OwnerId, says: FromOwner) -> Vec<Output> {
+        self.engine.owner_says(self.now, owner, Ok(says));
+        self.turn()
+    }
+
+    /// An ask of class `web` becomes task `id`.
+    fn ask(&mut self, owner: OwnerId, sid: u64) -> TaskId {
+        self.says(owner, FromOwner::SetUp(Box::new(set_up(sid))));
+        let asked = self.told().into_iter().find_map(|e| match e {
+            Event::Asked(task) => Some(task.id),
+            _ => None,
+        });
+        asked.expect("it became an ask")
+    }
+
+    fn offer(&mut self, task: TaskId, machine: u32) -> Vec<Output> {
+        self.act(Action::Offer(task, MachineId(machine), 300 * MS))
+    }
+
+    /// An offer on a new connection that comes up; the connection.
+    fn offered(&mut self, task: TaskId, machine: u32) -> LinkId {
+        let link = connect(&self.offer(task, machine));
+        self.engine.link_up(self.now, link);
+        assert!(sends(&self.turn(), link, 1));
+        link
+    }
+
+    /// A task that stands on host `a`.
+    fn stand(&mut self, sid: u64) -> (TaskId, LinkId) {
+        let task = self.ask(A, sid);
+        let link = self.offered(task, 0);
+        let outputs = self.host(link, FromHost::Ready(Sid(sid), "t".into()));
+        assert!(outputs.contains(&Output::ToOwner(A, ToOwner::Ready(Sid(sid), "t".into()))));
+        self.told();
+        (task, link)
+    }
+
+    fn host(&mut self, link: LinkId, says: FromHost) -> Vec<Output> {
+        self.engine.host_says(self.now, link, says);
+        self.turn()
+    }
+
+    /// How the attempts told of ended.
+    fn endings(&mut self) -> Vec<(u32, Ending, bool)> {
+        let told = self.told().into_iter();
+        told.filter_map(|e| match e {
+            Event::Ended(id, end) => Some((id.number, end.ending, end.closed)),
+            _ => None,
+        })
+        .collect()
+    }
+}
+
+fn set_up(sid: u64) -> SetUp {
+    SetUp {
+        sid: Sid(sid),
+        class: "web".into(),
+        left_ms: Some(6000.0),
+        key: "k".into(),
+        idem: None,
+        cores: 1.0,
+        memory: 2.0,
+        service: 9,
+        at: None,
+        again: false,
+        life_ms: None,
+        text: "text".into(),
+    }
+}
+
+fn connect(outputs: &[Output]) -> LinkId {
+    let mut wanted = outputs.iter().filter_map(|o| match o {
+        Output::Connect(link, _) => Some(*link),
+        _ => None,
+    });
+    wanted.next().expect("a connection is wanted")
+}
+
+/// Whether a message of this type is sent on a connection.
+fn sends(outputs: &[Output], link: LinkId, kind: u8) -> bool {
+    outputs.iter().any(|o| matches!(o, Output::ToHost(l, bytes) if *l == link && bytes[2] == kind))
+}
+
+fn to_owners(outputs: &[Output]) -> Vec<(OwnerId, ToOwner)> {
+    let told = outputs.iter().filter_map(|o| match o {
+        Output::ToOwner(owner, message) => Some((*owner, message.clone())),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn an_ask_is_placed_runs_and_ends() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = rig.offered(task, 0);
+    rig.now += 5 * MS;
+    let outputs = rig.host(link, FromHost::Ready(Sid(7), "there".into()));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Ready(Sid(7), "there".into()))]);
+    let id = AttemptId { task, number: 0 };
+    assert_eq!(rig.told().last(), Some(&Event::Seated(id, Some(5 * MS))));
+    rig.host(link, FromHost::Event(Sid(7), Told::Live, 0.0));
+    assert_eq!(rig.told(), [Event::Noted(id, Note::Started)]);
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::NORMAL, None));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::NORMAL))]);
+    assert_eq!(rig.endings(), [(0, Ending::Done, true)]);
+    // The same release comes once more on the next connection, and a note after the end.
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::NORMAL, None));
+    rig.host(link, FromHost::Event(Sid(7), Told::Served, 0.5));
+    assert_eq!((to_owners(&outputs), rig.told(), rig.engine.tasks()), (vec![], vec![], 0));
+}
+
+#[test]
+fn a_refused_offer_leaves_the_ask_open_and_giving_up_answers_in_the_same_turn() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = rig.offered(task, 0);
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::FULL, Some(Told::NoCores)));
+    assert_eq!(to_owners(&outputs), []);
+    assert_eq!(rig.endings(), [(0, Ending::Refused, false)]);
+    let outputs = rig.act(Action::Refuse(task, None));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::FULL))]);
+    assert_eq!((rig.engine.open_asks(), rig.engine.tasks()), (0, 0));
+}
+
+#[test]
+fn an_answer_that_comes_after_the_attempt_was_given_up_is_not_passed_on() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = rig.offered(task, 0);
+    let outputs = rig.pass(300 * MS);
+    assert!(sends(&outputs, link, 12) && sends(&outputs, link, 52));
+    assert_eq!(rig.endings(), [(0, Ending::TimedOut, false)]);
+    let outputs = rig.host(link, FromHost::Ready(Sid(7), "late".into()));
+    assert_eq!((to_owners(&outputs), rig.told()), (vec![], vec![]));
+    // The answer showed that the connection works: it is used again.
+    let outputs = rig.offer(task, 0);
+    assert!(sends(&outputs, link, 1));
+    // A task that fails with an attempt out: the host is told, and no later answer counts.
+    let outputs = rig.act(Action::Fail(task));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::ERROR))]);
+    assert!(sends(&outputs, link, 12));
+    let outputs = rig.host(link, FromHost::Ready(Sid(7), "late".into()));
+    assert_eq!((to_owners(&outputs), rig.engine.tasks()), (vec![], 0));
+}
+
+#[test]
+fn a_connection_that_fails_its_test_takes_all_attempts_with_it() {
+    let mut rig = Rig::new();
+    let (first, second) = (rig.ask(A, 7), rig.ask(A, 8));
+    let link = rig.offered(first, 0);
+    rig.now += 100 * MS;
+    assert!(sends(&rig.offer(second, 0), link, 1));
+    let outputs = rig.pass(450 * MS);
+    // The first timed out at 300 ms, the second at 400; the test had no answer by 550.
+    assert!(outputs.contains(&Output::CloseLink(link)));
+    let again = connect(&rig.offer(first, 0));
+    assert!(again != link);
+}
+
+#[test]
+fn what_was_never_written_never_ran_and_what_was_may_have() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = connect(&rig.offer(task, 0));
+    rig.engine.link_lost(rig.now, link, Loss::Refused);
+    rig.turn();
+    assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+    // Never up: given up after the settings' 250 ms.
+    let link = connect(&rig.offer(task, 0));
+    let outputs = rig.pass(250 * MS);
+    assert!(outputs.contains(&Output::CloseLink(link)));
+    assert_eq!(rig.endings(), [(1, Ending::Unreachable, false)]);
+    let link = rig.offered(task, 0);
+    rig.engine.link_lost(rig.now, link, Loss::Broken);
+    rig.turn();
+    assert_eq!(rig.endings(), [(2, Ending::Reset, false)]);
+}
+
+#[test]
+fn offers_that_wait_for_a_connection_are_withdrawn_when_their_host_drains() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = connect(&rig.offer(task, 0));
+    rig.list("a", "127.0.0.1:1", "leaving", 0.0);
+    rig.turn();
+    assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+    rig.engine.link_up(rig.now, link);
+    assert!(!sends(&rig.turn(), link, 1));
+    // And one that the decisions call off, before it was sent.
+    rig.list("a", "127.0.0.1:1", "active", 0.0);
+    let link = rig.engine.links.keys().copied().next().expect("it is up");
+    rig.engine.link_lost(rig.now, link, Loss::Broken);
+    let link = connect(&rig.offer(task, 0));
+    rig.act(Action::Cancel(AttemptId { task, number: 1 }));
+    rig.engine.link_up(rig.now, link);
+    assert!(!sends(&rig.turn(), link, 1));
+}
+
+#[test]
+fn nothing_is_sent_to_a_host_that_leaves_even_if_it_is_wanted() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    rig.list("a", "127.0.0.1:1", "leaving", 0.0);
+    let outputs = rig.offer(task, 0);
+    assert!(!outputs.iter().any(|o| matches!(o, Output::Connect(..) | Output::ToHost(..))));
+    assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+}
+
+#[test]
+fn a_broken_connection_does_not_end_what_stands_and_a_refused_one_does() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    rig.engine.link_lost(rig.now, link, Loss::Broken);
+    let link = connect(&rig.turn());
+    rig.engine.link_up(rig.now, link);
+    assert_eq!(rig.endings(), []);
+    rig.engine.link_lost(rig.now, link, Loss::Broken);
+    let link = connect(&rig.turn());
+    rig.engine.link_lost(rig.now, link, Loss::Refused);
+    let outputs = rig.turn();
+    assert_eq!(rig.endings(), [(0, Ending::Reset, true)]);
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+}
+
+#[test]
+fn what_stands_on_a_silent_host_is_released_in_time() {
+    let mut rig = Rig::new();
+    rig.stand(7);
+    let outputs = rig.pass(7_900 * MS);
+    assert_eq!(rig.endings(), [(0, Ending::Reset, true)]);
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+    assert_eq!(rig.engine.tasks(), 0);
+}
+
+#[test]
+fn a_host_that_answers_tests_keeps_its_tasks() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    for _ in 0..30 {
+        let outputs = rig.pass(500 * MS);
+        if sends(&outputs, link, 52) {
+            rig.host(link, FromHost::Probed(true));
+        }
+    }
+    assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
+}
+
+#[test]
+fn a_new_process_has_lost_what_stood_in_the_old_one() {
+    let mut rig = Rig::new();
+    rig.stand(7);
+    let since = (rig.now + 100 * MS) as f64 / 1000.0;
+    rig.now += 200 * MS;
+    rig.list("a", "127.0.0.1:1", "active", since);
+    let outputs = rig.turn();
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+}
+
+#[test]
+fn a_connection_belongs_to_a_host_not_to_its_address() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    rig.list("a", "127.0.0.1:1", "left", 0.0);
+    rig.list("b", "127.0.0.1:1", "active", 0.0);
+    rig.turn();
+    let task = rig.ask(A, 8);
+    let other = connect(&rig.offer(task, 1));
+    assert!(other != link);
+    // The old host's connection breaks: nothing of it is looked for at the address that another one has now.
+    rig.told();
+    rig.engine.link_lost(rig.now, link, Loss::Broken);
+    let outputs = rig.turn();
+    assert!(!outputs.iter().any(|o| matches!(o, Output::Connect(..))));
+    assert_eq!(rig.endings(), [(0, Ending::Reset, true)]);
+}
+
+#[test]
+fn a_release_finds_another_connection_when_its_own_has_gone() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    rig.engine.owner_closed(rig.now, A);
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::NORMAL, None));
+    assert_eq!(to_owners(&outputs), []);
+    // It waits for the next owner that is of use.
+    rig.engine.owner_says(rig.now, B, Ok(FromOwner::SetUp(Box::new(set_up(8)))));
+    let outputs = rig.turn();
+    assert_eq!(to_owners(&outputs), [(B, ToOwner::Close(Sid(7), cause::NORMAL))]);
+}
+
+#[test]
+fn an_id_in_use_is_turned_away_and_the_first_ask_goes_on() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let outputs = rig.says(B, FromOwner::SetUp(Box::new(set_up(7))));
+    assert_eq!(to_owners(&outputs), [(B, ToOwner::Close(Sid(7), cause::MOOT))]);
+    assert_eq!((rig.told(), rig.engine.open_asks()), (vec![], 1));
+    let link = rig.offered(task, 0);
+    let outputs = rig.host(link, FromHost::Ready(Sid(7), "t".into()));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Ready(Sid(7), "t".into()))]);
+}
+
+#[test]
+fn an_id_open_on_the_same_connection_closes_it() {
+    let mut rig = Rig::new();
+    rig.ask(A, 7);
+    let outputs = rig.says(A, FromOwner::SetUp(Box::new(set_up(7))));
+    assert_eq!(outputs, [Output::CloseOwner(A)]);
+    assert!(matches!(rig.told()[..], [Event::HungUp(_)]));
+    assert_eq!(rig.engine.tasks(), 0);
+}
+
+#[test]
+fn what_cannot_be_an_ask_is_turned_away() {
+    let mut rig = Rig::new();
+    let odd = SetUp { class: "nosuch".into(), ..set_up(7) };
+    let keyless = SetUp { class: "batch".into(), ..set_up(8) };
+    for set_up in [odd, keyless] {
+        let sid = set_up.sid;
+        let outputs = rig.says(A, FromOwner::SetUp(Box::new(set_up)));
+        assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(sid, cause::ERROR))]);
+    }
+    rig.engine.owner_says(rig.now, A, Err(Fault::Field(Sid(9), "left", "a time")));
+    assert_eq!(to_owners(&rig.turn()), [(A, ToOwner::Close(Sid(9), cause::ERROR))]);
+    rig.engine.owner_says(rig.now, A, Err(Fault::TooLong));
+    assert_eq!(rig.turn(), [Output::CloseOwner(A)]);
+    assert_eq!((rig.told(), rig.engine.tasks()), (vec![], 0));
+}
+
+#[test]
+fn an_owner_that_says_nothing_is_closed_within_three_seconds_and_one_that_asked_is_not() {
+    let mut rig = Rig::new();
+    rig.ask(A, 7);
+    let outputs = rig.pass(2_900 * MS);
+    assert!(outputs.contains(&Output::CloseOwner(B)) && !outputs.contains(&Output::CloseOwner(A)));
+}
+
+#[test]
+fn connections_are_spared_silent_ones_first_and_never_one_with_an_open_ask() {
+    let mut rig = Rig::new();
+    rig.ask(A, 7);
+    assert_eq!(rig.engine.spare_owner(), Some(B));
+    rig.engine.owner_closed(rig.now, B);
+    assert_eq!(rig.engine.spare_owner(), None);
+}
+
+#[test]
+fn an_owner_that_gives_up_or_goes_is_owed_nothing() {
+    let mut rig = Rig::new();
+    let (first, second) = (rig.ask(A, 7), rig.ask(B, 8));
+    let link = rig.offered(first, 0);
+    rig.offer(second, 0);
+    let outputs = rig.says(A, FromOwner::Close(Sid(7), cause::NORMAL));
+    assert!(sends(&outputs, link, 12) && to_owners(&outputs).is_empty());
+    rig.engine.owner_closed(rig.now, B);
+    assert!(sends(&rig.turn(), link, 12));
+    let told = rig.told();
+    let gone: Vec<&Event> = told.iter().filter(|e| matches!(e, Event::HungUp(_))).collect();
+    assert_eq!(gone, [&Event::HungUp(first), &Event::HungUp(second)]);
+    assert_eq!((rig.engine.tasks(), rig.engine.open_asks()), (0, 0));
+}
+
+#[test]
+fn an_owner_ends_its_task_on_any_connection_and_is_owed_no_release() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    let outputs = rig.says(B, FromOwner::Close(Sid(7), cause::NORMAL));
+    assert!(sends(&outputs, link, 12));
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::CANCELLED, None));
+    assert_eq!((to_owners(&outputs), rig.endings()), (vec![], vec![(0, Ending::Cancelled, true)]));
+}
+
+#[test]
+fn a_move_tells_the_owner_and_ends_the_task_at_its_host() {
+    let mut rig = Rig::new();
+    let (task, link) = rig.stand(7);
+    let outputs = rig.act(Action::Move(task));
+    assert!(sends(&outputs, link, 12));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Relocate(Sid(7)))]);
+}
+
+#[test]
+fn a_task_that_runs_already_is_taken_over_with_a_connection_to_its_host() {
+    let mut rig = Rig::new();
+    let running = |sid, at: &str| {
+        FromOwner::SetUp(Box::new(SetUp { at: Some(at.into()), left_ms: None, ..set_up(sid) }))
+    };
+    let outputs = rig.says(A, running(7, "a"));
+    let link = connect(&outputs);
+    rig.engine.link_up(rig.now, link);
+    let told = rig.told();
+    assert!(matches!(told[..], [Event::Running(Task { service: ServiceId(9), .. }, MachineId(0))]));
+    // The same once more changes nothing; a host that no list ever names loses its tasks in time.
+    rig.says(A, running(7, "a"));
+    assert_eq!(rig.told(), []);
+    let outputs = rig.host(link, FromHost::Close(Sid(7), cause::NORMAL, None));
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::NORMAL))]);
+    rig.says(A, running(8, "unheard-of"));
+    let outputs = rig.pass(7_900 * MS);
+    assert!(to_owners(&outputs).contains(&(A, ToOwner::Close(Sid(8), cause::RESET))));
+}
+
+#[test]
+fn whoever_waits_when_the_process_must_end_is_answered() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    let link = rig.offered(task, 0);
+    rig.engine.stop(rig.now + 100 * MS);
+    assert_eq!(to_owners(&rig.turn()), []);
+    rig.now += 100 * MS;
+    let outputs = rig.turn();
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::ERROR))]);
+    assert!(sends(&outputs, link, 12));
+    assert_eq!(rig.engine.open_asks(), 0);
+}
+
+#[test]
+fn events_of_the_channel_count_once_and_in_order() {
+    let mut rig = Rig::new();
+    let event = |cursor: u64, snapshot: bool, names: &[&str]| {
+        let endpoint = |name: &&str| {
+            json!({"name": name, "address": "127.0.0.1:3", "zone": "west", "type": "std", "group": 1,
+                "status": "active", "weight": 1, "since_ms": 0})
+        };
+        let endpoints: Vec<Value> = names.iter().map(endpoint).collect();
+        let nodes = json!({"index": 1, "snapshot": snapshot, "endpoints": endpoints});
+        let batch = json!({"cursor": cursor, "cmds": [{"cursor": cursor, "nodes": nodes}]});
+        channel::read(batch.to_string().as_bytes()).expect("sound")
+    };
+    assert!(!rig.engine.told(rig.now, &event(1, false, &["x"])));
+    assert!(rig.engine.told(rig.now, &event(2, false, &["b"])));
+    assert!(!rig.engine.told(rig.now, &event(2, false, &["c"])));
+    rig.turn();
+    let listed = rig.told();
+    assert!(
+        matches!(&listed[..], [Event::Listed { scope: Scope::Changes, machines }] if machines.len() == 1)
+    );
+    // A whole list: who is not in it is gone.
+    rig.engine.told(rig.now, &event(3, true, &["b"]));
+    let task = rig.ask(A, 7);
+    assert_eq!(rig.offer(task, 0), []);
+    assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+}
+
+#[test]
+fn nothing_grows_with_hosts_that_are_gone() {
+    let mut rig = Rig::new();
+    for n in 0..200 {
+        let (name, address) = (format!("h{n}"), format!("127.0.0.1:{}", 100 + n));
+        rig.list(&name, &address, "active", 0.0);
+        rig.now += 10_000 * MS;
+        rig.list(&name, &address, "left", 0.0);
+        rig.turn();
+    }
+    assert_eq!((rig.engine.fleet.hosts.len(), rig.engine.links.len()), (1, 0));
+    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    assert_eq!(rig.engine.fleet.hosts[&MachineId(0)].address, Some(address));
+    assert!(rig.engine.timers.len() < 10);
+}
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -51,6 +51,7 @@
     let engine = Engine::new(&settings.settings, &decisions, placer).map_err(wrong)?;
     let listener = TcpListener::bind(listen).map_err(io_error(listen.to_string()))?;
     listener.set_nonblocking(true).map_err(io_error("listener"))?;
+    let listen = listener.local_addr().map_err(io_error("listener"))?;
     let poller = Poller::new().map_err(io_error("epoll"))?;
     let signals = Signals::catch(&[SIGTERM, SIGINT, SIGHUP]).map_err(io_error("signals"))?;
     signals.register(&poller, SIGNALS).map_err(io_error("signals"))?;
