Tasks on a draining host that refuses connections stand until it is gone

The trace shows a restarted placer taking over tasks by 'at', being refused by four hosts and calling 91 and 15 tasks on them lost; the list has these hosts draining. At fault: link_lost in engine/links.rs took any refused connection for a dead process. A process that drains refuses new connections while its tasks run on. Now only a process that had a connection, lost it and refuses the next one has died; a draining one never linked keeps its tasks until the list has it gone or started anew.

--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -217,7 +217,12 @@
 
     #[test]
     fn answers_that_cannot_be_read_break_it_off_and_a_refusal_is_not_asked_in_a_loop() {
-        for bytes in [answer("{\"cursor\":"), answer("[]"), b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".to_vec(), vec![0; 40]] {
+        for bytes in [
+            answer("{\"cursor\":"),
+            answer("[]"),
+            b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".to_vec(),
+            vec![0; 40],
+        ] {
             let mut channel = asked();
             let (_, batch) = channel.read(2 * MS, &bytes);
             assert_eq!((batch, wants(&mut channel)), (None, vec![Want::Close]));
--- a/crates/platform/src/engine/fleet.rs
+++ b/crates/platform/src/engine/fleet.rs
@@ -26,6 +26,8 @@
     pub(super) heard: Micros,
     /// A look at its standing tasks is due.
     pub(super) watched: bool,
+    /// A connection to this process was up.
+    pub(super) linked: bool,
 }
 
 /// All hosts that are listed or hold a task.
@@ -54,6 +56,7 @@
             standing: BTreeSet::new(),
             heard: now,
             watched: false,
+            linked: false,
         });
         id
     }
@@ -119,6 +122,7 @@
         if (host.state != state && state != MachineState::Ready) || host.started != started {
             changed.push(machine);
         }
+        host.linked &= host.started == started;
         (host.address, host.state, host.started) = (Some(address), state, started);
         let label = label(&endpoint.name);
         let (zone, cell) = (zone as u32, endpoint.group);
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -72,7 +72,7 @@
         let cuts = std::mem::take(&mut link.cuts);
         let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
         if let Some(host) = self.fleet.hosts.get_mut(&link.machine) {
-            host.heard = now;
+            (host.heard, host.linked) = (now, true);
         }
         for (sid, cause) in cuts {
             self.send(id, &ToHost::Close(sid, cause));
@@ -99,11 +99,17 @@
             self.ended(task, out.number, ending, None, closed);
             self.tasks.drop_if_over(task);
         }
-        let Some(host) = self.fleet.hosts.get(&machine) else { return };
+        let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
         if host.standing.is_empty() {
             return;
         }
-        if loss == Loss::Refused || host.state == MachineState::Gone {
+        // A process that drains refuses new connections while its tasks run on: only one that had a connection and
+        // lost it tells by refusing the next that it has died.
+        let refused = loss == Loss::Refused;
+        if refused && host.state == MachineState::Draining {
+            host.heard = now;
+        }
+        if (refused && host.linked) || host.state == MachineState::Gone {
             self.lose_standing(now, machine, |_| true);
         } else if host.links.is_empty() {
             // What broke may have been the connection alone: what stands stands until the host can't be reached.
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -335,6 +335,27 @@
     assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
 }
 
+#[test]
+fn a_host_that_drains_refuses_connections_and_its_tasks_run_on_until_it_is_gone() {
+    let mut rig = Rig::new();
+    rig.list("a", "127.0.0.1:1", "leaving", 0.0);
+    let running = SetUp { at: Some("a".into()), left_ms: None, ..set_up(7) };
+    let link = connect(&rig.says(A, FromOwner::SetUp(Box::new(running))));
+    rig.engine.link_lost(rig.now, link, Loss::Refused);
+    for _ in 0..40 {
+        let outputs = rig.pass(250 * MS);
+        assert_eq!(to_owners(&outputs), []);
+        let wanted = outputs.iter().filter_map(|o| match o {
+            Output::Connect(link, _) => Some(*link),
+            _ => None,
+        });
+        wanted.for_each(|link| rig.engine.link_lost(rig.now, link, Loss::Refused));
+    }
+    rig.list("a", "127.0.0.1:1", "left", 0.0);
+    let outputs = rig.turn();
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+}
+
 #[test]
 fn what_stands_on_a_silent_host_is_released_in_time() {
     let mut rig = Rig::new();
