Tasks that err at a second machine are at fault themselves, not the machines

Ruled out: what clients send that can't be read never becomes an ask. At fault: judge() in control.rs took each error for the machine's.

The change: once a second machine errs on the same task, no further one is struck and the first's strike is taken back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -158,6 +158,8 @@
     out: bool,
     /// Send and machine of the first attempt that may have run.
     may_run: Option<(Micros, MachineId)>,
+    /// The machine that answered its first error, and whether another one did too.
+    erred: Option<(MachineId, bool)>,
     /// While it is held: what for.
     lack: Option<Lack>,
     /// Until when first starts go before it.
@@ -181,6 +183,11 @@
         self.avoid_until = now + (AVOID_FIRST as f64 * doublings.exp2()) as Micros;
     }
 
+    fn acquit(&mut self) {
+        self.strikes = (self.strikes - 1.0).max(0.0);
+        self.avoid_until = if self.strikes < 1.0 { 0 } else { self.avoid_until };
+    }
+
     fn answered(&mut self) {
         self.unanswered = self.unanswered.saturating_sub(1);
     }
@@ -360,10 +367,10 @@
                 actions.push(Action::Refuse(task.id, None));
             }
             Event::Asked(task) => {
-                let (attempts, out, may_run, lack) = (0, false, None, None);
+                let (attempts, out, may_run, erred, lack) = (0, false, None, None, None);
                 let half = task.give_up_at.saturating_sub(self.now) / 2;
                 let yields_until = task.again.then_some(self.now + YIELD.min(half));
-                let open = Open { task: *task, attempts, out, may_run, lack, yields_until };
+                let open = Open { task: *task, attempts, out, may_run, erred, lack, yields_until };
                 self.open.entry(task.id).or_insert(open);
                 let last = task.give_up_at.saturating_sub(ANSWER_MARGIN);
                 actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
@@ -564,7 +571,8 @@
         };
         self.count(attempt.machine, &attempt.task, -1.0);
         self.report(attempt.machine, end.load);
-        self.judge(&attempt, end);
+        let odd_task = end.ending == Ending::Error && self.errs_everywhere(&attempt);
+        self.judge(&attempt, end, odd_task);
         if end.closed || attempt.seated {
             self.open.remove(&id.task);
         }
@@ -584,8 +592,25 @@
         }
     }
 
+    /// Guards against tasks that no machine can use, which would make every machine look sick in turn: an
+    /// error of a second machine tells of the task, and what the first one's cost that machine is taken back.
+    fn errs_everywhere(&mut self, attempt: &Attempt) -> bool {
+        let Some(open) = self.open.get_mut(&attempt.task.id) else {
+            return false;
+        };
+        let (first, known) = *open.erred.get_or_insert((attempt.machine, false));
+        if first == attempt.machine {
+            return known;
+        }
+        open.erred = Some((first, true));
+        if let Some(machine) = self.machines.get_mut(&first).filter(|_| !known) {
+            machine.health[attempt.task.class].acquit();
+        }
+        true
+    }
+
     /// What an ending says of the machine.
-    fn judge(&mut self, attempt: &Attempt, end: End) {
+    fn judge(&mut self, attempt: &Attempt, end: End, odd_task: bool) {
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&attempt.machine) else {
             return;
@@ -610,6 +635,7 @@
             }
             // Failing fast gives no sample, so the rate would stay good and draw ever more binds:
             // the machine is avoided, and then tried with one offer at a time.
+            (Ending::Error, _) if odd_task => {}
             (Ending::Error | Ending::Unreachable, _) | (Ending::Reset, None) => health.strike(now),
             (Ending::TimedOut, _) if !attempt.seated => health.strike(now),
             (Ending::Done, _) => machine.full = None,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -44,6 +44,45 @@
     }
 }
 
+#[test]
+fn tasks_that_every_machine_answers_with_an_error_make_none_look_sick() {
+    // Some clients ask for what no machine can use: each such task goes round, and others must not suffer for it.
+    let mut desk = Desk::new(settings(Effect::Safe), 3);
+    let mut to = [0; 3];
+    for i in 0..200u64 {
+        desk.now += 20_000;
+        let odd = 1_000 + i;
+        let first = desk.ask(task(odd, odd, desk.now + S)).expect("an offer");
+        let second = offer(&desk.turn(&[end(odd, 0, Ending::Error, None)])).expect("another offer");
+        assert_ne!(first, second, "the first error counts until another machine errs too");
+        desk.turn(&[end(odd, 1, Ending::Error, None)]);
+        desk.turn(&[end(odd, 2, Ending::Error, None)]);
+        let machine = desk.ask(task(i, 100 + i, desk.now + S)).expect("an offer");
+        to[machine as usize] += 1;
+        desk.turn(&well(i));
+    }
+    assert!(to.iter().all(|&n| n > 30), "{to:?} of 200");
+}
+
+#[test]
+fn a_machine_that_errs_is_not_acquitted_by_tasks_that_run_elsewhere() {
+    let mut desk = Desk::new(settings(Effect::Safe), 3);
+    let mut to_zero = 0;
+    for i in 0..200u64 {
+        desk.now += 20_000;
+        let mut machine = desk.ask(task(i, 100 + i, desk.now + S)).expect("an offer");
+        let mut number = 0;
+        while machine == 0 {
+            to_zero += 1;
+            machine = offer(&desk.turn(&[end(i, number, Ending::Error, None)])).expect("another offer");
+            number += 1;
+        }
+        let start = Event::Noted(id(i, number), Note::Started);
+        desk.turn(&[Event::Seated(id(i, number), None), start, end(i, number, Ending::Done, None)]);
+    }
+    assert!(to_zero <= 6, "{to_zero}");
+}
+
 #[test]
 fn a_new_process_starts_with_a_clean_record() {
     let mut desk = Desk::new(settings(Effect::Safe), 1);
