An answer cut off counts against a machine only until it shows a sign of life

The log has 11 answers that can't be read a placer, each of which ends the attempts on its connection as reset; each reset barred a healthy host for 3 s and more. Ruled out: timed-out attempts (few), the channel's silence, descriptors. At fault: judge() in control.rs took a reset for a failure of the machine.

The change: the first cut-off counts until the machine shows that it lives, a second on end as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -174,6 +174,8 @@
     avoid_until: Micros,
     /// Offers there that have no answer yet.
     unanswered: u32,
+    /// When one was cut off, with none taken since.
+    cut_off: Option<Micros>,
 }
 
 impl Health {
@@ -183,6 +185,15 @@
         self.avoid_until = now + (AVOID_FIRST as f64 * doublings.exp2()) as Micros;
     }
 
+    /// Guards against machines that look sick for a broken connection or a spoilt answer: the first offer cut
+    /// off counts until the machine shows a sign of life, a second one on end as any failure.
+    fn cut_off(&mut self, now: Micros) {
+        match self.cut_off {
+            Some(before) if before < now => self.strike(now),
+            _ => self.cut_off = Some(now),
+        }
+    }
+
     fn acquit(&mut self) {
         self.strikes = (self.strikes - 1.0).max(0.0);
         self.avoid_until = if self.strikes < 1.0 { 0 } else { self.avoid_until };
@@ -535,6 +546,7 @@
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                 machine.refusals = 0;
                 machine.health[attempt.task.class].answered();
+                machine.health[attempt.task.class].cut_off = None;
                 machine.lives = self.now;
             }
         }
@@ -636,7 +648,8 @@
             // Failing fast gives no sample, so the rate would stay good and draw ever more binds:
             // the machine is avoided, and then tried with one offer at a time.
             (Ending::Error, _) if odd_task => {}
-            (Ending::Error | Ending::Unreachable, _) | (Ending::Reset, None) => health.strike(now),
+            (Ending::Reset, None) => health.cut_off(now),
+            (Ending::Error | Ending::Unreachable, _) => health.strike(now),
             (Ending::TimedOut, _) if !attempt.seated => health.strike(now),
             (Ending::Done, _) => machine.full = None,
             _ => {}
@@ -900,7 +913,10 @@
     /// shows no sign of life: it may fail or leave unanswered one class and serve the rest.
     fn healthy(&self, machine: &Machine, class: usize) -> bool {
         let own = &machine.health[class];
-        let dead = |h: &Health| h.avoid_until > self.now && h.struck > machine.lives;
+        let silent_since = |at: Micros| at > machine.lives && at + AVOID_FIRST > self.now;
+        let dead = |h: &Health| {
+            h.avoid_until > self.now && h.struck > machine.lives || h.cut_off.is_some_and(silent_since)
+        };
         own.avoid_until <= self.now
             && (own.strikes < 1.0 || own.unanswered == 0)
             && !machine.health.iter().any(dead)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -64,6 +64,34 @@
     assert!(to.iter().all(|&n| n > 30), "{to:?} of 200");
 }
 
+#[test]
+fn an_answer_cut_off_now_and_then_does_not_bar_a_machine_that_lives() {
+    // Connections break and answers are spoilt on any machine; what stands there goes on telling of itself.
+    let to_zero = |every: u64| {
+        let mut desk = Desk::new(settings(Effect::Safe), 3);
+        let mut standing = 1_000;
+        while desk.start(task(standing, standing, desk.now + S), 100_000) != 0 {
+            standing += 1;
+        }
+        let (mut offers, mut to_zero) = (0, 0);
+        for i in 0..300u64 {
+            desk.now += 40_000;
+            desk.turn(&[Event::Noted(id(standing, 0), Note::Served(1.0))]);
+            let machine = desk.ask(task(i, 100 + i, desk.now + S)).expect("an offer");
+            offers += u64::from(machine == 0);
+            to_zero += u64::from(machine == 0);
+            desk.now += 1_000;
+            let spoilt = machine == 0 && offers % every == 0;
+            let mut events = if spoilt { vec![end(i, 0, Ending::Reset, None)] } else { well(i) };
+            events.push(Event::HungUp(TaskId(i)));
+            desk.turn(&events);
+        }
+        to_zero
+    };
+    assert!(to_zero(5) > 50, "one in five: {}", to_zero(5));
+    assert!(to_zero(1) < 15, "each one: {}", to_zero(1));
+}
+
 #[test]
 fn a_machine_that_errs_is_not_acquitted_by_tasks_that_run_elsewhere() {
     let mut desk = Desk::new(settings(Effect::Safe), 3);
