Tasks that push others out look on all machines; silent connections are found sooner

Tests now have the settings' connect time, a host that is gone is tested at once, and one out of reach has lost its tasks after 3 s. A task whose name came before is told to the module as coming again (owners don't say it on sockets); told to end, the placer stays while tasks stand, so that their ends reach their owners.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod timers;
 
 pub use engine::{Boot, Counters, Engine, Output};
+pub use names::hash;
 pub use notes::{Ending, Kept};
 pub use timers::Timers;
 
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -11,11 +11,11 @@
 use super::tasks::Stand;
 use super::{Due, Engine, LinkId, Loss, Output};
 
-/// A connection to a host with standing tasks that was silent for so long is tested; one that does not answer for as
-/// long again is given up.
+/// A connection to a host with standing tasks that was silent for so long is tested. A test passes at once: one that
+/// has no answer within the settings' connect time gives the connection up.
 const QUIET: Micros = 1_000_000;
 /// A host that could not be reached for so long has lost its tasks: their owners are told within PROTOCOL's 8 s.
-const UNREACHABLE: Micros = 5_000_000;
+const UNREACHABLE: Micros = 3_000_000;
 /// Tests have an id of their own.
 const TEST: Sid = Sid(0);
 
@@ -261,6 +261,10 @@
         let links = self.fleet.hosts.get(&machine).is_some_and(|h| !h.links.is_empty());
         if state == MachineState::Gone && !links {
             self.lose_standing(now, machine, |_| true);
+        } else if state == MachineState::Gone {
+            // A machine that was taken away may have said nothing: its connections are tested at once.
+            let links: Vec<LinkId> = self.fleet.hosts[&machine].links.iter().copied().collect();
+            links.into_iter().for_each(|link| self.doubt(now, link));
         }
     }
 
@@ -300,8 +304,8 @@
         let standing = host.is_some_and(|h| !h.standing.is_empty());
         let gone = host.is_none_or(|h| h.state == MachineState::Gone);
         if standing && quiet >= QUIET {
-            (link.tested, link.due) = (Some(now), now + QUIET);
-            self.send(id, &ToHost::Probe(TEST));
+            self.doubt(now, id);
+            return;
         } else if !standing && link.attempts.is_empty() && (gone || quiet >= self.terms.idle_for / 2) {
             self.outputs.push(Output::CloseLink(id));
             self.link_lost(now, id, Loss::Broken);
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -114,7 +114,9 @@
             return self.turn_away(owner, sid, cause::FULL);
         }
         let left = set_up.left_ms.unwrap_or(0.0);
-        let task = self.task(class, &set_up, now + (left * 1000.0) as Micros);
+        // Owners don't say that a task comes again; its name does.
+        let again = self.tasks.came_again(now, &set_up.key) || set_up.again;
+        let task = Task { again, ..self.task(class, &set_up, now + (left * 1000.0) as Micros) };
         let entry = Entry { set_up, owner, open: true, attempts: 0, out: None, stand: None };
         let id = self.tasks.add(entry);
         if let Some(owner) = self.owners.get_mut(&owner) {
@@ -150,6 +152,7 @@
             return;
         }
         let machine = self.fleet.by_name(&at, now);
+        self.tasks.came_again(now, &set_up.key);
         let task = self.task(class, &set_up, now);
         let stand = Stand { number: 0, machine, since: now, silent: false };
         let entry = Entry { set_up, owner, open: false, attempts: 1, out: None, stand: Some(stand) };
--- a/crates/platform/src/engine/tasks.rs
+++ b/crates/platform/src/engine/tasks.rs
@@ -1,13 +1,18 @@
 //! The tasks that are owed an answer, are out, or stand.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use maplethread::{MachineId, Micros, TaskId};
+use maplethread_engine::hash;
 use maplethread_platform_wire::Sid;
 use maplethread_platform_wire::owner::SetUp;
 
 use super::{LinkId, OwnerId};
 
+/// Names of tasks are remembered for so long, longer than owners take to come again, and so many of them.
+const REMEMBERED: Micros = 60_000_000;
+const MOST_REMEMBERED: usize = 1 << 14;
+
 /// An attempt that is out.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -50,6 +55,32 @@
     sids: HashMap<Sid, TaskId>,
     last: u64,
     open: usize,
+    names: Names,
+}
+
+/// Names of tasks that were asked for or handed over of late: one that comes under a new id comes again.
+#[derive(Default)]
+struct Names {
+    known: HashSet<u64>,
+    order: VecDeque<(Micros, u64)>,
+}
+
+impl Names {
+    /// Whether a task came before; it is remembered from now on.
+    fn again(&mut self, now: Micros, name: &str) -> bool {
+        while let Some(&(at, old)) = self.order.front()
+            && (at + REMEMBERED < now || self.order.len() >= MOST_REMEMBERED)
+        {
+            self.order.pop_front();
+            self.known.remove(&old);
+        }
+        let name = hash(name);
+        let new = self.known.insert(name);
+        if new {
+            self.order.push_back((now, name));
+        }
+        !new
+    }
 }
 
 impl Tasks {
@@ -70,6 +101,11 @@
         self.entries.get_mut(&id)
     }
 
+    /// Whether a task of this name came before; it is remembered from now on.
+    pub(super) fn came_again(&mut self, now: Micros, name: &str) -> bool {
+        self.names.again(now, name)
+    }
+
     pub(super) fn by_sid(&self, sid: Sid) -> Option<TaskId> {
         self.sids.get(&sid).copied()
     }
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -370,8 +370,8 @@
 fn a_host_that_answers_tests_keeps_its_tasks() {
     let mut rig = Rig::new();
     let (_, link) = rig.stand(7);
-    for _ in 0..30 {
-        let outputs = rig.pass(500 * MS);
+    for _ in 0..150 {
+        let outputs = rig.pass(100 * MS);
         if sends(&outputs, link, 52) {
             rig.host(link, FromHost::Probed(true));
         }
@@ -379,6 +379,16 @@
     assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
 }
 
+#[test]
+fn a_host_that_is_gone_and_silent_loses_its_tasks_as_soon_as_a_test_has_no_answer() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    rig.list("a", "127.0.0.1:1", "left", 0.0);
+    assert!(sends(&rig.turn(), link, 52));
+    let outputs = rig.pass(250 * MS);
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+}
+
 #[test]
 fn a_new_process_has_lost_what_stood_in_the_old_one() {
     let mut rig = Rig::new();
@@ -533,6 +543,22 @@
     assert!(to_owners(&outputs).contains(&(A, ToOwner::Close(Sid(8), cause::RESET))));
 }
 
+#[test]
+fn a_task_whose_name_came_before_comes_again() {
+    let mut rig = Rig::new();
+    let again = |rig: &mut Rig, sid: u64, key: &str| {
+        rig.says(A, FromOwner::SetUp(Box::new(SetUp { key: key.into(), ..set_up(sid) })));
+        let told = rig.told().into_iter();
+        told.filter_map(|e| if let Event::Asked(task) = e { Some(task.again) } else { None }).next()
+    };
+    assert_eq!(again(&mut rig, 7, "one"), Some(false));
+    assert_eq!(again(&mut rig, 8, "two"), Some(false));
+    assert_eq!(again(&mut rig, 9, "one"), Some(true));
+    // Names are not kept for good.
+    rig.now += 120_000 * MS;
+    assert_eq!(again(&mut rig, 10, "one"), Some(false));
+}
+
 #[test]
 fn whoever_waits_when_the_process_must_end_is_answered() {
     let mut rig = Rig::new();
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -149,8 +149,7 @@
     fn done(&self, now: Micros) -> bool {
         let Some(at) = self.stop_at else { return false };
         let written = self.owners.values().all(|o| o.conn.unwritten() == 0);
-        now >= at + ANSWERED_BY + 200_000
-            || (now >= at + STILL_COMES && self.engine.open_asks() == 0 && written)
+        now >= at + ANSWERED_BY + 200_000 || (now >= at + STILL_COMES && self.engine.tasks() == 0 && written)
     }
 
     fn take_in(&mut self, ready: &[Readiness]) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -783,13 +783,18 @@
             self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
         // All placers see the same few comfortable machines and would swarm to them, so a service looks for
-        // comfort only among those that it ranks first, and where it is held.
+        // comfort only among those that it ranks first, and where it is held. What pushes others out is rare and
+        // large, and one on a crowded machine costs many tasks: it looks everywhere.
         let rank = |id: &MachineId| rank(task.service, &self.machines[id]);
         let mut ranked: Vec<(f64, MachineId)> = allowed.iter().map(|id| (rank(id), *id)).collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         let looked_at = ranked.into_iter().map(|r| r.1).enumerate();
         allowed = looked_at
-            .filter(|&(place, id)| place < CANDIDATES || self.is_local(id, task.service))
+            .filter(|&(place, id)| {
+                place < CANDIDATES
+                    || self.settings.classes[task.class].priority > 0
+                    || self.is_local(id, task.service)
+            })
             .map(|(_, id)| id)
             .collect();
         self.prefer(&mut allowed, |m| {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -111,6 +111,27 @@
     assert!(to_zero <= 6, "{to_zero}");
 }
 
+#[test]
+fn a_task_that_would_push_others_out_looks_for_comfort_on_all_machines() {
+    let to_empty = |priority: u32| {
+        let mut settings = settings(Effect::Safe);
+        settings.classes.push(Class { priority, ..class(Effect::Safe) });
+        let mut desk = Desk::new(settings, 12);
+        let running = |n: u64| Task { asks: Room::new(12.0, 24.0), ..task(n, n, 0) };
+        let full: Vec<Event> = (1..12).map(|n| Event::Running(running(n), MachineId(n as u32))).collect();
+        desk.turn(&full);
+        let large = |n: u64| Task { class: 1, asks: Room::new(22.0, 40.0), ..task(n, n, 10 * S) };
+        let ask = |n: u64| {
+            let machine = desk.ask(large(n));
+            desk.turn(&[end(n, 0, Ending::Done, None), Event::HungUp(TaskId(n))]);
+            machine
+        };
+        (100..160).map(ask).filter(|m| *m == Some(0)).count()
+    };
+    assert!(to_empty(1) > 50, "{} of 60", to_empty(1));
+    assert!(to_empty(0) < 40, "what pushes nobody out stays near home: {} of 60", to_empty(0));
+}
+
 #[test]
 fn a_new_process_starts_with_a_clean_record() {
     let mut desk = Desk::new(settings(Effect::Safe), 1);
