--- a/src/control.rs
+++ b/src/control.rs
@@ -783,8 +783,8 @@
             self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
         // All placers see the same few comfortable machines and would swarm to them, so a service looks for
-        // comfort only among those that it ranks first, and where it is held. What pushes others out is rare and
-        // large, and one on a crowded machine costs many tasks: it looks everywhere.
+        // comfort only among those that it ranks first, and where it is held. What pushes others out is rare
+        // and large, and one on a crowded machine costs many tasks: it looks everywhere.
         let rank = |id: &MachineId| rank(task.service, &self.machines[id]);
         let mut ranked: Vec<(f64, MachineId)> = allowed.iter().map(|id| (rank(id), *id)).collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
