Releases go only to connections whose tasks stood, and those are spared last

Ruled out by the trace: bad clients that end others' tasks (38 releases of theirs, all for ids that nobody has), answers on the wrong connection for ids in use (102, as meant). What the trace shows: 146 owners asked in that run and only four of them ever had a task standing; descriptors reach 207, which is the bound on owners' connections. At fault: spare_owner chose by who was silent longest, so that a usual owner's connection could be closed after a burst, and release() then sent its tasks' ends to the owner that asked last, most likely one that only makes trouble. That this was the cause of the four is concluded, not seen.

Now a connection of which something stood is spared last, and only such a one takes releases of others; they wait for the next otherwise.

--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -154,6 +154,7 @@
             link.attempts.remove(&task);
         }
         self.outputs.push(Output::ToOwner(owner, ToOwner::Ready(sid, text)));
+        self.placed(owner);
         let id = AttemptId { task, number: out.number };
         self.events.push(Event::Seated(id, Some(now.saturating_sub(out.offered))));
         self.stands(now, task, out.machine);
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -88,7 +88,7 @@
     links: HashMap<LinkId, Link>,
     last_link: u64,
     owners: HashMap<OwnerId, Owner>,
-    /// The owner that last sent a set-up that could be used.
+    /// The owner heard last of those whose tasks stood.
     latest: Option<OwnerId>,
     tasks: Tasks,
     /// Releases that no connection could take yet.
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -23,6 +23,8 @@
 pub(super) struct Owner {
     /// It has said something of use.
     pub(super) spoke: bool,
+    /// A task of its stood: it is no client that only makes trouble.
+    pub(super) placed: bool,
     /// Its set-ups without an answer.
     pub(super) open: BTreeSet<TaskId>,
     /// When it last said something.
@@ -36,19 +38,19 @@
         self.timers.set(now + SILENT_FOR, Due::Owner(owner));
     }
 
-    /// A connection that could be closed to make room for others: one that said nothing of use, or else the one with
-    /// nothing open that was silent for longest.
+    /// A connection that could be closed to make room for others: one that said nothing of use, or else one of which
+    /// nothing ever stood, or else the one with nothing open that was silent for longest.
     pub fn spare_owner(&self) -> Option<OwnerId> {
         let spare = self.owners.iter().filter(|(_, o)| o.open.is_empty());
-        spare.min_by_key(|(id, o)| (o.spoke, o.heard, **id)).map(|(&id, _)| id)
+        spare.min_by_key(|(id, o)| (o.spoke, o.placed, o.heard, **id)).map(|(&id, _)| id)
     }
 
     /// An owner's connection is over: what it waits for is given up, what stands stands.
     pub fn owner_closed(&mut self, _now: Micros, owner: OwnerId) {
         let Some(closed) = self.owners.remove(&owner) else { return };
         if self.latest == Some(owner) {
-            let spoke = self.owners.iter().filter(|(_, o)| o.spoke);
-            self.latest = spoke.max_by_key(|(id, o)| (o.heard, **id)).map(|(&id, _)| id);
+            let placed = self.owners.iter().filter(|(_, o)| o.placed);
+            self.latest = placed.max_by_key(|(id, o)| (o.heard, **id)).map(|(&id, _)| id);
         }
         for task in closed.open {
             self.hang_up(task);
@@ -100,30 +102,32 @@
         (!self.terms.classes[class].1 || set_up.idem.is_some()).then_some(class)
     }
 
-    fn asked(&mut self, now: Micros, owner: OwnerId, set_up: Box<SetUp>) {
+    fn asked(&mut self, now: Micros, from: OwnerId, set_up: Box<SetUp>) {
         let sid = set_up.sid;
         let Some(class) = self.class(&set_up) else {
             tracing::debug!(%sid, class = %set_up.class, "no such class, or a keyed one without a key");
-            return self.turn_away(owner, sid, cause::ERROR);
+            return self.turn_away(from, sid, cause::ERROR);
         };
         if self.tasks.by_sid(sid).is_some() {
             tracing::debug!(%sid, "an id that is in use");
-            return self.turn_away(owner, sid, cause::MOOT);
+            return self.turn_away(from, sid, cause::MOOT);
         }
         if self.tasks.len() >= MOST_TASKS {
-            return self.turn_away(owner, sid, cause::FULL);
+            return self.turn_away(from, sid, cause::FULL);
         }
         let left = set_up.left_ms.unwrap_or(0.0);
         // Owners don't say that a task comes again; its name does.
         let again = self.tasks.came_again(now, &set_up.key) || set_up.again;
         let task = Task { again, ..self.task(class, &set_up, now + (left * 1000.0) as Micros) };
-        let entry = Entry { set_up, owner, open: true, attempts: 0, out: None, stand: None };
+        let entry = Entry { set_up, owner: from, open: true, attempts: 0, out: None, stand: None };
         let id = self.tasks.add(entry);
-        if let Some(owner) = self.owners.get_mut(&owner) {
+        if let Some(owner) = self.owners.get_mut(&from) {
             owner.spoke = true;
             owner.open.insert(id);
+            if owner.placed {
+                self.latest = Some(from);
+            }
         }
-        self.useful(now, owner);
         self.events.push(Event::Asked(Task { id, ..task }));
     }
 
@@ -159,11 +163,13 @@
         let id = self.tasks.add(entry);
         self.events.push(Event::Running(Task { id, ..task }, machine));
         self.stands(now, id, machine);
-        self.useful(now, owner);
+        self.placed(owner);
     }
 
-    /// An owner that sent a set-up can take releases that found no connection.
-    fn useful(&mut self, _now: Micros, owner: OwnerId) {
+    /// An owner's task stands: others' releases may go there too, and those that found no connection.
+    pub(super) fn placed(&mut self, owner: OwnerId) {
+        let Some(from) = self.owners.get_mut(&owner) else { return };
+        from.placed = true;
         self.latest = Some(owner);
         for (_, sid, cause) in std::mem::take(&mut self.undelivered) {
             self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause)));
