A task that starves where it can't push others out is moved to where it looks comfortable

The trace has one such task served at 0.0 to 0.3 for ten seconds, on a crowded machine, to the end of its life.

The change, in noted() of control.rs: told for 2 s that a task of a priority above 0 is served under half, the module moves it, if another machine looks comfortable for it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -72,6 +72,9 @@
 const MEMORY_TIGHT: f64 = 0.9;
 /// ...which is passed over for this long, whatever crowds it: own tasks, others', or another program.
 const CROWDED_FOR: Micros = 1_500_000;
+/// A task that others can't push out, and that is served under this share for so long, is moved.
+const STARVED: f64 = 0.5;
+const STARVED_FOR: Micros = 2_000_000;
 /// Weight of the newest note in the mean share of their asks that own tasks use.
 const USE_WEIGHT: f64 = 0.02;
 /// Where machines in use are priced, so many are used that they are filled to this share.
@@ -148,6 +151,8 @@
     started: bool,
     /// It is accepted, and counts among the starts under way.
     in_line: bool,
+    /// Since when it is served poorly.
+    starved: Option<Micros>,
 }
 
 /// A task that is owed its final answer.
@@ -392,7 +397,7 @@
             }
             Event::Seated(id, elapsed) => self.seated(id, *elapsed),
             Event::Noted(id, Note::Started) => self.started(id),
-            Event::Noted(id, note) => self.noted(id, *note),
+            Event::Noted(id, note) => self.noted(id, *note, actions),
             Event::Ended(id, end) => self.ended(*id, *end, actions),
             Event::HungUp(task) => drop(self.open.remove(task)),
             Event::Woken(TICK) => self.tick_at = None,
@@ -471,7 +476,7 @@
     /// Counts an attempt in: an offer, or a task that runs already.
     fn bind(&mut self, id: AttemptId, task: Task, machine: MachineId, level: Level, runs: bool) {
         let (sent, seated, started) = (self.now, runs, runs);
-        let attempt = Attempt { task, machine, level, sent, seated, started, in_line: false };
+        let attempt = Attempt { task, machine, level, sent, seated, started, in_line: false, starved: None };
         if self.attempts.insert(id, attempt).is_none() {
             self.count(machine, &task, 1.0);
         }
@@ -498,14 +503,14 @@
     }
 
     /// What own tasks say of themselves and of their machine.
-    fn noted(&mut self, id: &AttemptId, note: Note) {
+    fn noted(&mut self, id: &AttemptId, note: Note, actions: &mut Vec<Action>) {
         // The note of its start may have been lost: what uses something runs.
         self.leave_line(id);
-        let Some(attempt) = self.attempts.get(id) else {
+        let Some(attempt) = self.attempts.get_mut(id) else {
             return;
         };
-        let asks = attempt.task.asks;
-        let mut crowded = false;
+        let (task, on, asks) = (attempt.task, attempt.machine, attempt.task.asks);
+        let (mut crowded, mut starves) = (false, false);
         match note {
             Note::CoresUsed(x) if asks.cores > 0.0 => {
                 self.used.cores += USE_WEIGHT * (x / asks.cores - self.used.cores);
@@ -513,16 +518,37 @@
             Note::MemoryUsed(x) if asks.memory > 0.0 => {
                 self.used.memory += USE_WEIGHT * (x / asks.memory - self.used.memory);
             }
-            Note::Served(x) => crowded = x < SERVED_POORLY,
+            Note::Served(x) => {
+                crowded = x < SERVED_POORLY;
+                // Guards against a rare and large task that earns nothing for all its life where it landed.
+                let starved = x < STARVED && self.settings.classes[attempt.task.class].priority > 0;
+                let since = *attempt.starved.get_or_insert(self.now);
+                attempt.starved = starved.then_some(since);
+                starves = starved && since + STARVED_FOR <= self.now;
+            }
             Note::MachineMemory(x) => crowded = x > MEMORY_TIGHT,
             _ => {}
         }
-        if let Some(machine) = self.machines.get_mut(&attempt.machine) {
+        if let Some(machine) = self.machines.get_mut(&on) {
             machine.lives = self.now;
             if crowded {
                 machine.crowded_until = self.now + CROWDED_FOR;
             }
         }
+        if starves && self.has_comfort(&task) {
+            actions.push(Action::Move(id.task));
+        }
+    }
+
+    /// Whether some machine looks comfortable for the task.
+    fn has_comfort(&self, task: &Task) -> bool {
+        let mean = self.mean_asked();
+        self.machines.values().any(|m| m.ready() && self.comfortable(m, task, mean))
+    }
+
+    fn comfortable(&self, machine: &Machine, task: &Task, mean: Room) -> bool {
+        machine.crowded_until <= self.now
+            && self.asked(machine, task, mean).scaled(self.used).larger() <= COMFORT
     }
 
     /// The machine's answer: how long it took, and that the machine lives.
@@ -797,9 +823,7 @@
             })
             .map(|(_, id)| id)
             .collect();
-        self.prefer(&mut allowed, |m| {
-            m.crowded_until <= self.now && self.asked(m, task, mean).scaled(self.used).larger() <= COMFORT
-        });
+        self.prefer(&mut allowed, |m| self.comfortable(m, task, mean));
         let (home, next) = (allowed.first().copied(), allowed.get(1).copied());
         let level = |id: MachineId| match Some(id) {
             _ if self.is_local(id, task.service) => Level::Local,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -132,6 +132,31 @@
     assert!(to_empty(0) < 40, "what pushes nobody out stays near home: {} of 60", to_empty(0));
 }
 
+#[test]
+fn a_task_that_starves_where_others_cannot_be_pushed_out_is_moved_once_there_is_a_better_place() {
+    // Notes once a second on a task on machine 0; whether it is moved. Machine 1 holds a task that tells of it.
+    let moved = |priority: u32, served: &[f64], other: f64| {
+        let mut settings = settings(Effect::Safe);
+        settings.classes.push(Class { priority, ..class(Effect::Safe) });
+        let mut desk = Desk::new(settings, 2);
+        let large = Task { class: 1, asks: Room::new(8.0, 16.0), ..task(7, 7, 0) };
+        desk.turn(&[Event::Running(large, MachineId(0)), Event::Running(task(8, 8, 0), MachineId(1))]);
+        let mut all = Vec::new();
+        for &x in served {
+            desk.now += S;
+            let notes =
+                [Event::Noted(id(8, 0), Note::Served(other)), Event::Noted(id(7, 0), Note::Served(x))];
+            all.extend(desk.turn(&notes));
+        }
+        all.contains(&Action::Move(TaskId(7)))
+    };
+    assert!(moved(1, &[0.1, 0.0, 0.2], 1.0));
+    assert!(!moved(1, &[0.1, 0.0], 1.0), "not at the first sign");
+    assert!(!moved(1, &[0.1, 0.9, 0.1, 0.1], 1.0), "it had recovered");
+    assert!(!moved(0, &[0.1, 0.0, 0.2, 0.1], 1.0), "small ones by the hundred stay where they are");
+    assert!(!moved(1, &[0.1, 0.0, 0.2, 0.1], 0.5), "nowhere better");
+}
+
 #[test]
 fn a_new_process_starts_with_a_clean_record() {
     let mut desk = Desk::new(settings(Effect::Safe), 1);
