A move is told to the owner alone: a release to the host as well cut the task

At fault: move_away in engine/owners.rs sent 'relocate' to the owner and a release to the host; where the host read first, the task was cut by this placer, for which its owner is owed a release. PROTOCOL: the task ends, also at its host. Now only the owner is told, once, and only if a connection can take it.

--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -145,7 +145,8 @@
         };
         let owner = entry.owner;
         entry.out = None;
-        entry.stand = Some(Stand { number: out.number, machine: out.machine, since: now, silent: false });
+        entry.stand =
+            Some(Stand { number: out.number, machine: out.machine, since: now, silent: false, moved: false });
         self.tasks.close(task);
         if let Some(owner) = self.owners.get_mut(&owner) {
             owner.open.remove(&task);
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -243,7 +243,7 @@
             }
             Action::Refuse(task, _) => self.answer(now, task, cause::FULL),
             Action::Fail(task) => self.answer(now, task, cause::ERROR),
-            Action::Move(task) => self.move_away(now, task),
+            Action::Move(task) => self.move_away(task),
             Action::Wake(after, label) => self.timers.set(now + after, Due::Wake(label)),
             Action::Log(text) => tracing::info!("{text}"),
             Action::Held(task, lack) => tracing::debug!(task = task.0, ?lack, "held"),
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -158,7 +158,7 @@
         let machine = self.fleet.by_name(&at, now);
         self.tasks.came_again(now, &set_up.key);
         let task = self.task(class, &set_up, now);
-        let stand = Stand { number: 0, machine, since: now, silent: false };
+        let stand = Stand { number: 0, machine, since: now, silent: false, moved: false };
         let entry = Entry { set_up, owner, open: false, attempts: 1, out: None, stand: Some(stand) };
         let id = self.tasks.add(entry);
         self.events.push(Event::Running(Task { id, ..task }, machine));
@@ -229,17 +229,15 @@
         }
     }
 
-    pub(super) fn move_away(&mut self, now: Micros, task: TaskId) {
+    /// Tells an owner to come again with a task that stands. The platform ends it at its host, which says so by a
+    /// release; one from here as well would cut the task, and a task that is cut is owed a release, not a move.
+    pub(super) fn move_away(&mut self, task: TaskId) {
         let Some(entry) = self.tasks.get_mut(task) else { return };
         let (owner, sid) = (entry.owner, entry.set_up.sid);
-        let Some(stand) = entry.stand.as_mut().filter(|s| !s.silent) else { return };
-        stand.silent = true;
-        let machine = stand.machine;
-        let to = Some(owner).filter(|o| self.owners.contains_key(o)).or(self.latest);
-        if let Some(to) = to {
-            self.outputs.push(Output::ToOwner(to, ToOwner::Relocate(sid)));
-        }
-        self.cut(now, machine, sid, cause::CANCELLED);
+        let Some(stand) = entry.stand.as_mut().filter(|s| !s.silent && !s.moved) else { return };
+        let Some(to) = Some(owner).filter(|o| self.owners.contains_key(o)).or(self.latest) else { return };
+        stand.moved = true;
+        self.outputs.push(Output::ToOwner(to, ToOwner::Relocate(sid)));
     }
 
     /// Ends a standing task at its host.
--- a/crates/platform/src/engine/tasks.rs
+++ b/crates/platform/src/engine/tasks.rs
@@ -32,8 +32,10 @@
     pub(super) number: u32,
     pub(super) machine: MachineId,
     pub(super) since: Micros,
-    /// Its owner is owed no release: it ended the task, or was told to come again.
+    /// Its owner is owed no release: it ended the task.
     pub(super) silent: bool,
+    /// Its owner was told to come again.
+    pub(super) moved: bool,
 }
 
 /// A task.
