Loopback test of nonsense: no ask waits while the test floods the placer

The test left an ask unanswered at its stand-in host while it sent 64 MB and opened 400 connections; the placer gives an attempt 0.6, 1.2 and 2.4 s here and then rightly answers 'full' (4.2 s in all).

The task is placed first and its release comes last; another owner asks after the flood. The stand-in passes tests, as hosts do, so that a slow machine loses no connection either.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// A stand-in for hosts: every set-up goes to the test, which says what is answered.
+/// A stand-in for hosts: it passes tests, and all it hears goes to the test, which says what is answered.
 struct Host {
     address: SocketAddr,
     heard: Receiver<(TcpStream, Vec<u8>)>,
@@ -103,6 +103,9 @@
         if stream.read_exact(&mut message).is_err() {
             return;
         }
+        if message[0] == 52 {
+            host_says(&mut stream, 53, &message, 61, &[1]);
+        }
         if tell.send((stream.try_clone().expect("a handle"), message)).is_err() {
             return;
         }
@@ -314,8 +317,11 @@
     let known = listed(1, "s-1", host.address, "active");
     let placer = Placer::start(&config(folder.path(), commands.address, &known));
     let mut owner = Owner::connect(&placer);
+    // Nothing waits for its answer meanwhile: how long the rest takes is the machine's matter.
     owner.send(&set_up("9b1f03aa5c7e2d41", 60_000));
-    let (mut stream, message) = host.next(1);
+    let (mut stream, standing) = host.next(1);
+    host_says(&mut stream, 9, &standing, 63, TEXT.as_bytes());
+    assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
 
     let mut unreadable = Owner::connect(&placer);
     unreadable.stream.write_all(b"\x16\x03\x01 this is no JSON\n").expect("it is read");
@@ -336,8 +342,15 @@
     assert_eq!(usual.hear()["msg"].as_str(), Some("probed"));
     drop(silent);
 
+    usual.send(&set_up("9b1f03aa5c7e2d42", 60_000));
+    let (mut stream, message) = host.next(1);
     host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
-    assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
+    assert_eq!(usual.hear()["msg"].as_str(), Some("ready"));
+    // What stood all the while is released on its owner's connection.
+    host_says(&mut stream, 12, &standing, 61, &[16]);
+    let release = owner.hear();
+    let told = (release["msg"].as_str(), release["sid"].as_str());
+    assert_eq!(told, (Some("close"), Some("9b1f03aa5c7e2d41")));
 }
 
 #[test]
