An emptier machine draws no start from an easy one that holds the program

A probe in pick() on 509 starts away from the program: 237 services had no known place, 137 lost by score to an emptier host that ranks first (likely use 0.05 against 0.2), 81 stood at the spread limit, 52 were judged unhealthy. Starts there came after 330 to 1,000 ms with an aim of 240, each losing 0.9 of 12 s of service, where tasks live 3 s. The score takes the ratio of workloads at any level (pick(), asked() / rate()), although under comfort nobody waits.

Now the score's workload is likely use, as comfort's is, and while less than 0.45 of a machine with the program is likely used, one without it counts as fuller, by more than a near tie. The least share still decides among the rest.

The test fails without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -67,6 +67,9 @@
 const LINE_FOR: Micros = 150_000;
 /// A machine is comfortable while what its tasks are likely to use stays under this share of it.
 const COMFORT: f64 = 0.85;
+/// While less than this of a machine with the program is likely to be used, its load delays nobody, and an
+/// emptier machine without it must not draw starts away: that one counts as fuller, by more than a near tie.
+const EASY: f64 = 0.45;
 /// A task served under this share, or memory in use over the other, tells of a crowded machine...
 const SERVED_POORLY: f64 = 0.92;
 const MEMORY_TIGHT: f64 = 0.9;
@@ -547,8 +550,7 @@
     }
 
     fn comfortable(&self, machine: &Machine, task: &Task, mean: Room) -> bool {
-        machine.crowded_until <= self.now
-            && self.asked(machine, task, mean).scaled(self.used).larger() <= COMFORT
+        machine.crowded_until <= self.now && self.likely_used(machine, task, mean) <= COMFORT
     }
 
     /// The machine's answer: how long it took, and that the machine lives.
@@ -831,11 +833,16 @@
             at if at == next => Level::Next,
             _ => Level::Remote,
         };
+        let local = allowed.iter().filter(|id| self.is_local(**id, task.service));
+        let loads = local.map(|id| self.likely_used(&self.machines[id], task, mean));
+        let easy = loads.filter(|&load| load < EASY).fold(0.0, f64::max) * NEAR_TIE * NEAR_TIE;
         let score = |&id: &MachineId| {
             let (machine, level) = (&self.machines[&id], level(id));
             let away = machine.listing.zone != self.settings.zone;
             let crossing = if away { 1.0 + CROSSING * self.settings.prices.cross_zone } else { 1.0 };
-            let score = crossing * self.asked(machine, task, mean).larger() / self.rate(id, task, level);
+            let least = if level == Level::Local { 0.0 } else { easy };
+            let load = self.likely_used(machine, task, mean).max(least);
+            let score = crossing * load / self.rate(id, task, level);
             (score, id, level)
         };
         let mut scores: Vec<(f64, MachineId, Level)> = allowed.iter().map(score).collect();
@@ -969,6 +976,11 @@
         shares.iter().fold(Room::default(), |sum, &share| sum.plus(share, part))
     }
 
+    /// The share of the machine that is likely in use with the task: the workload that a score weighs.
+    fn likely_used(&self, machine: &Machine, task: &Task, mean: Room) -> f64 {
+        self.asked(machine, task, mean).scaled(self.used).larger()
+    }
+
     /// Shares asked for, with the task: as seen, with own binds since; the mean for an unreported machine.
     /// Where nothing is ever reported own binds, and the mean of them for each other placer.
     fn asked(&self, machine: &Machine, task: &Task, mean: Room) -> Room {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -38,6 +38,30 @@
     assert!(got[2] >= 195, "{got:?}");
 }
 
+#[test]
+fn an_emptier_machine_draws_no_start_from_one_with_the_program_while_that_is_easy() {
+    // Machine 0 holds the program and so many cores of 32; the others are empty, one of them the service's home.
+    let at_the_program = |cores: f64| {
+        let mut desk = Desk::new(settings(Effect::Safe), 3);
+        settle(&mut desk);
+        let large = Task { asks: Room::new(cores, 1.0), ..task(1, 500, 0) };
+        desk.turn(&[Event::Running(large, MachineId(0))]);
+        let mut got = 0;
+        for service in 0..100 {
+            let small = Task { asks: Room::new(0.1, 0.1), ..task(2_000 + service, 1_000 + service, 0) };
+            desk.turn(&[Event::Running(small, MachineId(0))]);
+            let machine = desk.ask(task(3_000 + service, 1_000 + service, desk.now + S)).expect("an offer");
+            got += u64::from(machine == 0);
+            for n in [2_000 + service, 3_000 + service] {
+                desk.turn(&[Event::HungUp(TaskId(n)), end(n, 0, Ending::Cancelled, None)]);
+            }
+        }
+        got
+    };
+    assert!(at_the_program(9.0) >= 95, "{}", at_the_program(9.0));
+    assert!(at_the_program(24.0) <= 80, "{}", at_the_program(24.0));
+}
+
 #[test]
 fn a_quick_machine_outweighs_a_larger_share() {
     let mut desk = Desk::new(settings(Effect::Safe), 2);
