A silent host that three new connections don't reach has lost its tasks

The 222 tasks that stood there were taken for running until 10.4 s, 3 s after the hosts were last heard (links.rs, host_due, UNREACHABLE), and their owners could not come again before. Ruled out: answers of the placers (no ask refused before 10 s), offers to the silent hosts (nine, all in the first 0.3 s).

A machine whose process stands still is still connected to by its kernel, so a new connection that does not come up tells of the machine or its network. Three of them on end, with nothing heard between, now mean the same as 3 s.

Tests: released after the third, not after the second; a host that is connected to at the third keeps its tasks over eight silences.

--- a/crates/platform/src/engine/fleet.rs
+++ b/crates/platform/src/engine/fleet.rs
@@ -24,6 +24,8 @@
     pub(super) standing: BTreeSet<TaskId>,
     /// When anything was last heard of it, or the first task came to stand there.
     pub(super) heard: Micros,
+    /// New connections on end that did not come up, since it was last heard or connected to.
+    pub(super) unreached: u32,
     /// A look at its standing tasks is due.
     pub(super) watched: bool,
     /// A connection to this process was up.
@@ -55,6 +57,7 @@
             links: BTreeSet::new(),
             standing: BTreeSet::new(),
             heard: now,
+            unreached: 0,
             watched: false,
             linked: false,
         });
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -16,6 +16,10 @@
 const QUIET: Micros = 1_000_000;
 /// A host that could not be reached for so long has lost its tasks: their owners are told within PROTOCOL's 8 s.
 const UNREACHABLE: Micros = 3_000_000;
+/// So has one that was silent and to which so many new connections on end did not come up in the settings' connect
+/// time: a process that stands still is still connected to, and each second more that its tasks' owners are not told
+/// is a second that the tasks don't run.
+const UNREACHED: u32 = 3;
 /// Tests have an id of their own.
 const TEST: Sid = Sid(0);
 
@@ -71,7 +75,7 @@
         let cuts = std::mem::take(&mut link.cuts);
         let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
         if let Some(host) = self.fleet.hosts.get_mut(&link.machine) {
-            (host.heard, host.linked) = (now, true);
+            (host.heard, host.linked, host.unreached) = (now, true, 0);
         }
         for (sid, cause) in cuts {
             self.send(id, &ToHost::Close(sid, cause));
@@ -124,7 +128,7 @@
         let machine = link.machine;
         (link.heard, link.tested) = (now, false);
         if let Some(host) = self.fleet.hosts.get_mut(&machine) {
-            host.heard = now;
+            (host.heard, host.unreached) = (now, 0);
         }
         tracing::trace!(host = self.fleet.name(machine), link = id.0, ?says, "host");
         match says {
@@ -285,6 +289,9 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.due <= now) else { return };
         if !link.up || link.tested {
             tracing::debug!(link = id.0, up = link.up, since = now - link.heard, "no answer on a link");
+            if let Some(host) = self.fleet.hosts.get_mut(&link.machine).filter(|_| !link.up) {
+                host.unreached += 1;
+            }
             self.drop_link(now, id);
             return;
         }
@@ -324,7 +331,7 @@
         if host.standing.is_empty() || up {
             return;
         }
-        if now.saturating_sub(host.heard) >= UNREACHABLE {
+        if now.saturating_sub(host.heard) >= UNREACHABLE || host.unreached >= UNREACHED {
             self.lose_standing(now, machine, |_| true);
             return;
         }
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -369,12 +369,35 @@
 fn what_stands_on_a_silent_host_is_released_in_time() {
     let mut rig = Rig::new();
     rig.stand(7);
-    let outputs = rig.pass(7_900 * MS);
+    let outputs = rig.pass(1_900 * MS);
+    assert_eq!(
+        (rig.endings(), to_owners(&outputs)),
+        (vec![], vec![]),
+        "one new connection may fail, and two"
+    );
+    let outputs = rig.pass(400 * MS);
     assert_eq!(rig.endings(), [(0, Ending::Reset, true)]);
     assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
     assert_eq!(rig.engine.tasks(), 0);
 }
 
+#[test]
+fn a_silent_host_that_is_connected_to_anew_keeps_its_tasks() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    let outputs = rig.pass(1_300 * MS);
+    assert!(outputs.contains(&Output::CloseLink(link)));
+    for _ in 0..8 {
+        // Two new connections on end don't come up, the third does.
+        let made: Vec<Output> =
+            rig.pass(600 * MS).into_iter().filter(|o| matches!(o, Output::Connect(..))).collect();
+        let up = connect(&made[made.len() - 1..]);
+        rig.engine.link_up(rig.now, up);
+        rig.pass(1_300 * MS);
+    }
+    assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
+}
+
 #[test]
 fn a_host_that_answers_tests_keeps_its_tasks() {
     let mut rig = Rig::new();
