--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod channel;
 pub mod engine;
+mod life;
 mod shell;
 mod start;
 
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -13,6 +13,7 @@
 
 use crate::channel::{Channel, Want};
 use crate::engine::{Engine, LinkId, Loss, Output, OwnerId};
+use crate::life;
 use crate::start::{Error, io_error, load};
 
 const LISTENER: u64 = 0;
@@ -35,10 +36,6 @@
 const ACCEPTS: usize = 256;
 /// Descriptors that are not for owners or hosts: standard ones, listener, epoll, signals, channel, files.
 const RESERVED: usize = 16;
-/// After SIGTERM, connections and requests keep coming for so long.
-const STILL_COMES: Micros = 800_000;
-/// After SIGTERM, everything has its answer by then: SIGKILL comes 3.7 s after SIGTERM at the earliest.
-const ANSWERED_BY: Micros = 3_200_000;
 
 /// Runs the placer that `config` describes until it is told to end.
 pub fn run(config: &Path) -> Result<(), Error> {
@@ -147,14 +144,14 @@
 
     fn next_due(&self) -> Micros {
         let engine = self.engine.next_timeout().unwrap_or(Micros::MAX);
-        let stop = self.stop_at.map_or(Micros::MAX, |at| at + STILL_COMES);
+        let stop = self.stop_at.map_or(Micros::MAX, life::earliest);
         engine.min(self.channel.next_timeout()).min(stop.max(self.clock.now() + 10_000))
     }
 
     fn done(&self, now: Micros) -> bool {
         let Some(at) = self.stop_at else { return false };
         let written = self.owners.values().all(|o| o.conn.unwritten() == 0);
-        now >= at + ANSWERED_BY + 200_000 || (now >= at + STILL_COMES && self.engine.tasks() == 0 && written)
+        life::over(at, now, self.engine.open_asks(), written)
     }
 
     fn take_in(&mut self, ready: &[Readiness]) {
@@ -187,7 +184,7 @@
         } else if self.stop_at.is_none() {
             tracing::info!(signal, open = self.engine.open_asks(), "told to end");
             self.stop_at = Some(now);
-            self.engine.stop(now + ANSWERED_BY);
+            self.engine.stop(now + life::ANSWERED_BY);
         }
     }
 
