Load and nearness are worked out once for each machine that a pick weighs

Read again as a whole. pick() took each machine's likely use and its nearness to the program twice: for what counts as easy, and for the score. Engine::tasks(), which the shell no longer asks for, is for the tests alone. A test lists a machine by Desk::list instead of writing it out.

Tests of the module and the platform, clippy and format pass; no assertion was changed.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -154,7 +154,8 @@
     }
 
     /// All tasks that are known.
-    pub fn tasks(&self) -> usize {
+    #[cfg(test)]
+    pub(crate) fn tasks(&self) -> usize {
         self.tasks.len()
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -837,19 +837,17 @@
             at if at == next => Level::Next,
             _ => Level::Remote,
         };
-        let local = allowed.iter().filter(|id| self.is_local(**id, task.service));
-        let loads = local.map(|id| self.likely_used(&self.machines[id], task, mean));
-        let easy = loads.filter(|&load| load < EASY).fold(0.0, f64::max) * NEAR_TIE * NEAR_TIE;
-        let score = |&id: &MachineId| {
-            let (machine, level) = (&self.machines[&id], level(id));
-            let away = machine.listing.zone != self.settings.zone;
+        let load = |id: MachineId| self.likely_used(&self.machines[&id], task, mean);
+        let weighed: Vec<_> = allowed.iter().map(|&id| (id, level(id), load(id))).collect();
+        let local = weighed.iter().filter(|l| l.1 == Level::Local && l.2 < EASY);
+        let easy = local.map(|l| l.2).fold(0.0, f64::max) * NEAR_TIE * NEAR_TIE;
+        let score = |&(id, level, load): &(MachineId, Level, f64)| {
+            let away = self.machines[&id].listing.zone != self.settings.zone;
             let crossing = if away { 1.0 + CROSSING * self.settings.prices.cross_zone } else { 1.0 };
             let least = if level == Level::Local { 0.0 } else { easy };
-            let load = self.likely_used(machine, task, mean).max(least);
-            let score = crossing * load / self.rate(id, task, level);
-            (score, id, level)
+            (crossing * load.max(least) / self.rate(id, task, level), id, level)
         };
-        let mut scores: Vec<(f64, MachineId, Level)> = allowed.iter().map(score).collect();
+        let mut scores: Vec<(f64, MachineId, Level)> = weighed.iter().map(score).collect();
         self.decisions += 1;
         if self.chance() >= (self.decisions as f64 * f64::from(self.settings.placers)).powf(-EXPLORE_C) {
             let least = scores.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -256,7 +256,7 @@
         if lost {
             let listing = Listing { started: Some(desk.now), ..machine(0) };
             desk.now += 100_000;
-            desk.turn(&[Event::Listed { scope: Scope::Changes, machines: vec![listing] }]);
+            desk.list(Scope::Changes, vec![listing]);
         }
         let ending = if lost { Ending::Reset } else { Ending::Done };
         desk.turn(&(0..10).map(|n| end(n, 0, ending, None)).collect::<Vec<_>>());
