One method tells that a host was heard, so that old failures count against no new task

Read again: when a host was last heard and how many new connections failed since were set apart, in four places, two of which (a task that comes to stand, a draining host that refuses) set only the first. So a host to which three offers had failed and that was then handed a standing task (an owner's 'at') lost it at the first look, where it is given three new connections; shown by a test that fails with the two places as they were. Host::hear() sets both, everywhere.

This is the one change of behaviour of this reading: those two cases. Bounds and other tests are as before.

--- a/crates/platform/src/engine/fleet.rs
+++ b/crates/platform/src/engine/fleet.rs
@@ -24,7 +24,7 @@
     pub(super) standing: BTreeSet<TaskId>,
     /// When anything was last heard of it, or the first task came to stand there.
     pub(super) heard: Micros,
-    /// New connections on end that did not come up, since it was last heard or connected to.
+    /// New connections on end that did not come up, since `heard`.
     pub(super) unreached: u32,
     /// A look at its standing tasks is due.
     pub(super) watched: bool,
@@ -32,6 +32,13 @@
     pub(super) linked: bool,
 }
 
+impl Host {
+    /// It shows that it is there, or is given time anew to do so.
+    pub(super) fn hear(&mut self, now: Micros) {
+        (self.heard, self.unreached) = (now, 0);
+    }
+}
+
 /// All hosts that are listed or hold a task.
 #[derive(Default)]
 pub(super) struct Fleet {
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -75,7 +75,8 @@
         let cuts = std::mem::take(&mut link.cuts);
         let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
         if let Some(host) = self.fleet.hosts.get_mut(&link.machine) {
-            (host.heard, host.linked, host.unreached) = (now, true, 0);
+            host.hear(now);
+            host.linked = true;
         }
         for (sid, cause) in cuts {
             self.send(id, &ToHost::Close(sid, cause));
@@ -109,7 +110,7 @@
         // lost it tells by refusing the next that it has died.
         let refused = loss == Loss::Refused;
         if refused && host.state == MachineState::Draining {
-            host.heard = now;
+            host.hear(now);
         }
         if (refused && host.linked) || host.state == MachineState::Gone {
             self.lose_standing(now, machine, |_| true);
@@ -128,7 +129,7 @@
         let machine = link.machine;
         (link.heard, link.tested) = (now, false);
         if let Some(host) = self.fleet.hosts.get_mut(&machine) {
-            (host.heard, host.unreached) = (now, 0);
+            host.hear(now);
         }
         tracing::trace!(host = self.fleet.name(machine), link = id.0, ?says, "host");
         match says {
@@ -161,7 +162,7 @@
     pub(super) fn stands(&mut self, now: Micros, task: TaskId, machine: MachineId) {
         let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
         if host.standing.is_empty() {
-            host.heard = now;
+            host.hear(now);
         }
         host.standing.insert(task);
         if host.links.is_empty() {
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -398,6 +398,24 @@
     assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
 }
 
+#[test]
+fn new_connections_that_failed_before_a_task_stood_do_not_count_against_it() {
+    let mut rig = Rig::new();
+    for sid in 20..23 {
+        let task = rig.ask(A, sid);
+        connect(&rig.offer(task, 0));
+        rig.pass(300 * MS);
+        assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+    }
+    let running = SetUp { at: Some("a".into()), left_ms: None, ..set_up(7) };
+    rig.says(A, FromOwner::SetUp(Box::new(running)));
+    // Its first connection may fail, and the second.
+    let outputs = rig.pass(600 * MS);
+    assert_eq!(to_owners(&outputs), []);
+    let outputs = rig.pass(400 * MS);
+    assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
+}
+
 #[test]
 fn a_host_that_answers_tests_keeps_its_tasks() {
     let mut rig = Rig::new();
