The end of an attempt is written before anything that is wanted after it

Shell::flush wrote connections in the order of their numbers (`dirty` is a BTreeSet of tokens), so half of all retries after a time-out left before the end of the earlier attempt; with one placer and quick turns that is microseconds, with a turn of 100 ms and 200 connections it is longer than the network takes. Checked and ruled out: attempts overwritten (none), sockets that were full (none), a retry after reset, error or refusal (none among the requests that broke).

Also seen there: a set-up was written in the same turn that gave it up, since its connection came up late. It counted as one that may have run.

The engine now says which bytes end something (Output::End); the shell writes them at once, and closes a connection that does not take them. A set-up whose time is over when its connection is made is not sent. Both have a test that fails without the change.

--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -8,7 +8,7 @@
 use maplethread_platform_wire::owner::ToOwner;
 use maplethread_platform_wire::{Sid, cause};
 
-use super::tasks::Stand;
+use super::tasks::{Entry, Stand};
 use super::{Due, Engine, LinkId, Loss, Output};
 
 /// A connection to a host with standing tasks that was silent for so long is tested. A test passes at once: one that
@@ -82,7 +82,11 @@
             self.send(id, &ToHost::Close(sid, cause));
         }
         for task in waiting {
-            self.send_set_up(now, task, id);
+            // One whose time is over by now is withdrawn unsent in this turn.
+            let over = |e: &Entry| e.out.is_none_or(|out| out.until <= now);
+            if !self.tasks.get(task).is_none_or(over) {
+                self.send_set_up(now, task, id);
+            }
         }
     }
 
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -50,6 +50,9 @@
     Connect(LinkId, SocketAddr),
     /// Send these bytes to a host.
     ToHost(LinkId, Vec<u8>),
+    /// Send these bytes, which end something at a host, and have them written before anything that is wanted after
+    /// them: what ended is out until then. A connection that does not take them at once is to be closed.
+    End(LinkId, Vec<u8>),
     /// Close a connection to a host.
     CloseLink(LinkId),
 }
@@ -280,8 +283,8 @@
             return;
         };
         if out.sent {
-            self.give_up(task, Ending::TimedOut, false);
             self.doubt(now, out.link);
+            self.give_up(task, Ending::TimedOut, false);
         } else {
             self.give_up(task, Ending::Unreachable, false);
         }
@@ -338,6 +341,7 @@
     fn send(&mut self, link: LinkId, message: &ToHost) {
         let mut bytes = Vec::new();
         host::write(&mut bytes, message);
-        self.outputs.push(Output::ToHost(link, bytes));
+        let ends = matches!(message, ToHost::Close(..));
+        self.outputs.push(if ends { Output::End(link, bytes) } else { Output::ToHost(link, bytes) });
     }
 }
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -199,7 +199,12 @@
 
 /// Whether a message of this type is sent on a connection.
 fn sends(outputs: &[Output], link: LinkId, kind: u8) -> bool {
-    outputs.iter().any(|o| matches!(o, Output::ToHost(l, bytes) if *l == link && bytes[2] == kind))
+    outputs.iter().any(|o| is_sent(o, link, kind))
+}
+
+fn is_sent(output: &Output, link: LinkId, kind: u8) -> bool {
+    let (Output::ToHost(l, bytes) | Output::End(l, bytes)) = output else { return false };
+    *l == link && bytes[2] == kind
 }
 
 fn to_owners(outputs: &[Output]) -> Vec<(OwnerId, ToOwner)> {
@@ -265,6 +270,48 @@
     assert_eq!((to_owners(&outputs), rig.engine.tasks()), (vec![], 0));
 }
 
+#[test]
+fn the_end_of_an_attempt_is_written_before_the_next_one_is_out() {
+    let mut rig = Rig::new();
+    rig.list("b", "127.0.0.1:2", "active", 0.0);
+    // The connection to `b` is the older one, so whoever writes by connection writes the second attempt first.
+    let other = rig.ask(A, 6);
+    let older = rig.offered(other, 1);
+    rig.host(older, FromHost::Ready(Sid(6), "t".into()));
+    let task = rig.ask(A, 7);
+    let newer = rig.offered(task, 0);
+    rig.now += 300 * MS;
+    rig.script.next.borrow_mut().push(Action::Offer(task, MachineId(1), 300 * MS));
+    let outputs = rig.turn();
+    let place = |wanted: &dyn Fn(&Output) -> bool| outputs.iter().position(wanted).expect("it is wanted");
+    let end = place(&|o| matches!(o, Output::End(l, bytes) if *l == newer && bytes[2] == 12));
+    let next = place(&|o| is_sent(o, older, 1));
+    assert!(end < next, "{outputs:?}");
+    // What ends a task that stands, and what calls an attempt off, is written as early: rule 5 counts both.
+    let (standing, link) = rig.stand(8);
+    let outputs = rig.says(A, FromOwner::Close(Sid(8), cause::NORMAL));
+    assert!(matches!(&outputs[..], [Output::End(l, _)] if *l == link), "{outputs:?}");
+    let called_off = rig.ask(A, 9);
+    rig.offered(called_off, 0);
+    let outputs = rig.act(Action::Cancel(AttemptId { task: called_off, number: 0 }));
+    assert!(matches!(&outputs[..], [Output::End(..)]), "{standing:?} {outputs:?}");
+}
+
+#[test]
+fn an_attempt_whose_time_is_over_when_its_connection_is_made_is_not_sent() {
+    let mut rig = Rig::new();
+    let task = rig.ask(A, 7);
+    rig.script.next.borrow_mut().push(Action::Offer(task, MachineId(0), 100 * MS));
+    rig.engine.events.push(Event::Woken(0));
+    let link = connect(&rig.turn());
+    // A placer that stood still hears of the connection before it looks at the time.
+    rig.now += 120 * MS;
+    rig.engine.link_up(rig.now, link);
+    let outputs = rig.turn();
+    assert!(!sends(&outputs, link, 1) && !sends(&outputs, link, 12), "{outputs:?}");
+    assert_eq!(rig.endings(), [(0, Ending::Unreachable, false)]);
+}
+
 #[test]
 fn a_connection_that_fails_its_test_takes_all_attempts_with_it() {
     let mut rig = Rig::new();
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -404,6 +404,14 @@
                     self.dirty.insert(token(LINK, id.0));
                 }
             }
+            Output::End(id, bytes) => {
+                let Some(conn) = self.links.get_mut(&id) else { return };
+                conn.out().extend_from_slice(&bytes);
+                if conn.flush(&self.poller).is_err() || conn.unwritten() > 0 {
+                    tracing::debug!(link = id.0, "a connection does not take an end");
+                    self.lose(now, id, Loss::Broken);
+                }
+            }
             Output::CloseLink(id) => drop(self.links.remove(&id)),
         }
     }
