--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,109 @@
+//! What one decision costs by the size of the fleet: `cargo bench --bench decide`. A sum over all decisions stands
+//! beside the time, so that a change that must not alter any can show it.
+
+use std::time::Instant;
+
+use maplethread::*;
+
+const SERVICES: u64 = 300;
+const ASKS: u64 = 20_000;
+/// Asks in one turn, as where a zone is lost.
+const TOGETHER: u64 = 50;
+
+fn settings() -> Settings {
+    let class = |effect, spread, priority| Class {
+        effect,
+        aim: 900_000,
+        worth: 1.0,
+        start_bonus_s: 10.0,
+        priority,
+        kind: None,
+        spread,
+    };
+    Settings {
+        placers: 16,
+        number: 3,
+        zone: 0,
+        classes: vec![
+            class(Effect::Safe, Some((Place::Zone, 4)), 0),
+            class(Effect::Keyed { group: Group::Zone, window: 6_000_000 }, None, 1),
+        ],
+        kinds: vec![Room::new(32.0, 64.0)],
+        discovery: Discovery::Push,
+        seated: SeatedWhen::Running,
+        admit_cores: 1.5,
+        admit_memory: 1.5,
+        view: false,
+        report: LoadReport::Silent,
+        limits: Limits { max_attempts: 3, cancel: true, probes: false, peers: false, come_back: None },
+        rules: Rules {
+            ask_within: 10_000_000,
+            cold_from: 0.2,
+            cold_for: 15_000_000,
+            fall_multiple: 3.0,
+            fall_window: 2_000_000,
+            fresh_offers: 20.0,
+        },
+        prices: Prices { cross_zone: 0.05, ..Prices::default() },
+    }
+}
+
+fn run(machines: u32) -> (f64, u64) {
+    let mut placer = Placer::new(settings(), 7).expect("sound settings");
+    let list = (0..machines).map(|n| Listing {
+        machine: MachineId(n),
+        label: u64::from(n) * 7919,
+        zone: n % 3,
+        cell: n % 16,
+        kind: 0,
+        state: MachineState::Ready,
+        started: None,
+        unasked: None,
+    });
+    let (mut now, mut actions, mut sum, mut offers) = (1_000_000, Vec::new(), 0u64, 0u64);
+    placer.turn(now, &[Event::Listed { scope: Scope::Full, machines: list.collect() }], &mut actions);
+    let began = Instant::now();
+    let mut running: std::collections::VecDeque<AttemptId> = Default::default();
+    for first in (0..ASKS).step_by(TOGETHER as usize) {
+        now += 20_000;
+        let mut events = Vec::new();
+        for n in first..first + TOGETHER {
+            events.push(Event::Asked(Task {
+                id: TaskId(n),
+                service: ServiceId(n * n % SERVICES),
+                class: usize::from(n % 10 == 0),
+                asks: Room::new(1.0, 2.0),
+                life: None,
+                give_up_at: now + 3_000_000,
+                again: false,
+            }));
+        }
+        while running.len() > 600 {
+            let end = End { ending: Ending::Done, why: None, closed: true, load: None };
+            events.extend(running.pop_front().map(|id| Event::Ended(id, end)));
+        }
+        actions.clear();
+        placer.turn(now, &events, &mut actions);
+        let mut seated = Vec::new();
+        for action in &actions {
+            if let Action::Offer(task, machine, _) = *action {
+                offers += 1;
+                sum = sum.wrapping_mul(31).wrapping_add(u64::from(machine.0) + 1);
+                let id = AttemptId { task, number: 0 };
+                seated.push(Event::Seated(id, None));
+                running.push_back(id);
+            }
+        }
+        now += 5_000;
+        actions.clear();
+        placer.turn(now, &seated, &mut actions);
+    }
+    (began.elapsed().as_secs_f64() * 1e6 / offers.max(1) as f64, sum)
+}
+
+fn main() {
+    for machines in [25, 100, 400, 1600] {
+        let (micros, sum) = run(machines);
+        println!("{machines:5} machines: {micros:8.1} us a decision, decisions {sum:016x}");
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -143,6 +143,13 @@
     (53.0 * std::f64::consts::LN_2 - drawn.ln()) / machine.size.cores
 }
 
+/// Keeps the machines that `likes` likes, if there are any.
+fn prefer(allowed: &mut Vec<&Machine>, likes: impl Fn(&Machine) -> bool) {
+    if allowed.iter().any(|m| likes(m)) {
+        allowed.retain(|m| likes(m));
+    }
+}
+
 /// An attempt without an outcome.
 #[derive(Clone, Copy)]
 struct Attempt {
@@ -796,53 +803,54 @@
     /// The mechanism: filters, then the least workload over rate, or a uniform draw among the allowed.
     fn pick(&mut self, open: &Open) -> Result<(MachineId, Level), Lack> {
         let task = &open.task;
-        let (mut allowed, mut nearest): (Vec<MachineId>, _) = (Vec::new(), Lack::Ready);
-        for (&id, machine) in &self.machines {
-            match self.lacks(machine, open) {
-                None => allowed.push(id),
+        let full = self.full_places(task);
+        let (mut allowed, mut nearest): (Vec<&Machine>, _) = (Vec::new(), Lack::Ready);
+        for machine in self.machines.values() {
+            match self.lacks(machine, open, &full) {
+                None => allowed.push(machine),
                 Some(lack) => nearest = nearest.max(lack),
             }
         }
         if allowed.is_empty() {
             return Err(if self.fits_a_kind(task) { nearest } else { Lack::Size });
         }
-        self.prefer(&mut allowed, |m| self.healthy(m, task.class));
+        prefer(&mut allowed, |m| self.healthy(m, task.class));
         let mean = self.mean_asked();
         // Least share would spread tasks over more machines than needed: where that is priced, those
         // beyond the working set are left to empty.
         if self.settings.prices.fleet > 0.0 {
             let set = self.working_set();
-            self.prefer(&mut allowed, |m| set.contains(&m.listing.machine));
+            prefer(&mut allowed, |m| set.contains(&m.listing.machine));
         }
         // All placers see the same few comfortable machines and would swarm to them, so a service looks for
         // comfort only among those that it ranks first, and where it is held. What pushes others out is rare
         // and large, and one on a crowded machine costs many tasks: it looks everywhere.
-        let rank = |id: &MachineId| rank(task.service, &self.machines[id]);
-        let mut ranked: Vec<(f64, MachineId)> = allowed.iter().map(|id| (rank(id), *id)).collect();
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let looked_at = ranked.into_iter().map(|r| r.1).enumerate();
-        allowed = looked_at
-            .filter(|&(place, id)| {
-                place < CANDIDATES
-                    || self.settings.classes[task.class].priority > 0
-                    || self.is_local(id, task.service)
-            })
-            .map(|(_, id)| id)
-            .collect();
-        self.prefer(&mut allowed, |m| self.comfortable(m, task, mean));
-        let (home, next) = (allowed.first().copied(), allowed.get(1).copied());
-        let level = |id: MachineId| match Some(id) {
-            _ if self.is_local(id, task.service) => Level::Local,
-            at if at == home => Level::Home,
-            at if at == next => Level::Next,
+        let there = self.held.get(&task.service).into_iter().flatten().map(|(id, _)| *id);
+        let locals: Vec<MachineId> = there.filter(|&id| self.is_local(id, task.service)).collect();
+        let local = |m: &Machine| locals.binary_search(&m.listing.machine).is_ok();
+        let by_rank = |a: &(f64, &Machine), b: &(f64, &Machine)| a.0.total_cmp(&b.0);
+        let mut ranked: Vec<_> = allowed.into_iter().map(|m| (rank(task.service, m), m)).collect();
+        if self.settings.classes[task.class].priority == 0 && ranked.len() > CANDIDATES {
+            ranked.select_nth_unstable_by(CANDIDATES - 1, by_rank);
+            let rest = ranked.split_off(CANDIDATES);
+            ranked.extend(rest.into_iter().filter(|r| local(r.1)));
+        }
+        ranked.sort_by(by_rank);
+        let mut allowed: Vec<&Machine> = ranked.into_iter().map(|r| r.1).collect();
+        prefer(&mut allowed, |m| self.comfortable(m, task, mean));
+        let level = |place: usize, m: &Machine| match place {
+            _ if local(m) => Level::Local,
+            0 => Level::Home,
+            1 => Level::Next,
             _ => Level::Remote,
         };
-        let load = |id: MachineId| self.likely_used(&self.machines[&id], task, mean);
-        let weighed: Vec<_> = allowed.iter().map(|&id| (id, level(id), load(id))).collect();
+        let places = allowed.iter().enumerate();
+        let weighed: Vec<_> =
+            places.map(|(n, &m)| (m, level(n, m), self.likely_used(m, task, mean))).collect();
         let local = weighed.iter().filter(|l| l.1 == Level::Local && l.2 < EASY);
         let easy = local.map(|l| l.2).fold(0.0, f64::max) * NEAR_TIE * NEAR_TIE;
-        let score = |&(id, level, load): &(MachineId, Level, f64)| {
-            let away = self.machines[&id].listing.zone != self.settings.zone;
+        let score = |&(machine, level, load): &(&Machine, Level, f64)| {
+            let (id, away) = (machine.listing.machine, machine.listing.zone != self.settings.zone);
             let crossing = if away { 1.0 + CROSSING * self.settings.prices.cross_zone } else { 1.0 };
             let least = if level == Level::Local { 0.0 } else { easy };
             (crossing * load.max(least) / self.rate(id, task, level), id, level)
@@ -857,13 +865,6 @@
         Ok((id, level))
     }
 
-    /// Keeps the machines that `likes` likes, if there are any.
-    fn prefer(&self, allowed: &mut Vec<MachineId>, likes: impl Fn(&Machine) -> bool) {
-        if allowed.iter().any(|id| likes(&self.machines[id])) {
-            allowed.retain(|id| likes(&self.machines[id]));
-        }
-    }
-
     /// The fullest ready machines that together hold what is likely used, filled up to `FLEET_FILL`.
     fn working_set(&self) -> BTreeSet<MachineId> {
         let part = |m: &Machine| m.known().of(m.size).scaled(self.used).larger();
@@ -881,7 +882,7 @@
 
     /// What keeps a machine from the task, if anything: the rules, its kind, earlier attempts, room.
     /// Looked at in this order, so the largest over all machines tells what stopped the nearest one.
-    fn lacks(&self, machine: &Machine, open: &Open) -> Option<Lack> {
+    fn lacks(&self, machine: &Machine, open: &Open, full: &[u32]) -> Option<Lack> {
         let class = &self.settings.classes[open.task.class];
         let (at, rules) = (&machine.listing, &self.settings.rules);
         if !machine.ready() || class.kind.is_some_and(|kind| kind != at.kind) {
@@ -903,7 +904,7 @@
             }
         }
         // Rule 5: attempts and running tasks of the service in one place.
-        if class.spread.is_some_and(|(place, most)| self.held_in(place, at, open.task.service) >= most) {
+        if class.spread.is_some_and(|(place, most)| most == 0 || full.contains(&at.place(place))) {
             return Some(Lack::Spread);
         }
         let room = (!self.has_room(machine, &open.task)).then_some(Lack::Room);
@@ -935,16 +936,16 @@
         })
     }
 
-    fn held_in(&self, place: Place, at: &Listing, service: ServiceId) -> u32 {
-        let there = |id: &MachineId| {
-            self.machines.get(id).is_some_and(|m| match place {
-                Place::Machine => m.listing.machine == at.machine,
-                Place::Cell => m.listing.cell == at.cell,
-                Place::Zone => m.listing.zone == at.zone,
-            })
-        };
-        let held = self.held.get(&service).into_iter().flatten();
-        held.map(|(id, (count, _))| if there(id) { *count } else { 0 }).sum()
+    /// Places that hold as many attempts and running tasks of the service as its class may have in one.
+    fn full_places(&self, task: &Task) -> Vec<u32> {
+        let Some((place, most)) = self.settings.classes[task.class].spread else { return Vec::new() };
+        let mut held = BTreeMap::new();
+        for (id, (count, _)) in self.held.get(&task.service).into_iter().flatten() {
+            if let Some(machine) = self.machines.get(id) {
+                *held.entry(machine.listing.place(place)).or_insert(0) += count;
+            }
+        }
+        held.into_iter().filter(|&(_, count)| count >= most).map(|(place, _)| place).collect()
     }
 
     /// A class's own failures count until its own starts make them good, others' only while the machine
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -332,6 +332,17 @@
     pub unasked: Option<Room>,
 }
 
+impl Listing {
+    /// The number of the place of this kind that the machine is in.
+    pub fn place(&self, kind: Place) -> u32 {
+        match kind {
+            Place::Machine => self.machine.0,
+            Place::Cell => self.cell,
+            Place::Zone => self.zone,
+        }
+    }
+}
+
 /// How far a list reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
