Many hosts silent at once are taken as cut off, and their tasks run on

Lines at fault: UNREACHED and UNREACHABLE in engine/links.rs, right for one dead machine.

Now (engine/silence.rs) a silent connection is kept while tasks stand on its host; the module is told that such a host has no connection, so that attempts aren't spent there; hosts that are silent together keep their tasks for 7 s (the protocol gives 8), one alone is lost as early as before; a host that answers again and shows nothing of its tasks loses them at the same time.

Trace: link 7 brought four push-outs, then "a host sent what can't be read link=7", and link 10 was made within 0.1 ms, before the host saw the end of link 7; three releases that it wrote after the spoilt answer came on neither. The next connection is opened 25 ms later now, also beside one that is open; and a connection on which an answer is due is tested after 250 ms, not when the attempt's time is over.

--- a/crates/platform/src/engine/fleet.rs
+++ b/crates/platform/src/engine/fleet.rs
@@ -22,7 +22,7 @@
     pub(super) links: BTreeSet<LinkId>,
     /// Tasks that stand there.
     pub(super) standing: BTreeSet<TaskId>,
-    /// When anything was last heard of it, or the first task came to stand there.
+    /// When anything was last heard of the process that holds them, or the first of them came to stand there.
     pub(super) heard: Micros,
     /// New connections on end that did not come up, since `heard`.
     pub(super) unreached: u32,
@@ -30,12 +30,18 @@
     pub(super) watched: bool,
     /// A connection to this process was up.
     pub(super) linked: bool,
+    /// When a connection to it that was up was last over.
+    pub(super) parted: Micros,
+    /// It has no connection that answers; the decisions were told so.
+    pub(super) cut: bool,
+    /// It was out of reach and answers again, and nothing yet tells that its process is still the one of before.
+    pub(super) unsure: bool,
 }
 
 impl Host {
     /// It shows that it is there, or is given time anew to do so.
     pub(super) fn hear(&mut self, now: Micros) {
-        (self.heard, self.unreached) = (now, 0);
+        (self.heard, self.unreached, self.unsure) = (now, 0, false);
     }
 }
 
@@ -67,6 +73,9 @@
             unreached: 0,
             watched: false,
             linked: false,
+            parted: 0,
+            cut: false,
+            unsure: false,
         });
         id
     }
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -13,15 +13,13 @@
 
 /// A connection to a host with standing tasks that was silent for so long is tested. A test passes at once: one that
 /// has no answer within the settings' connect time gives the connection up.
-const QUIET: Micros = 1_000_000;
-/// A host that could not be reached for so long has lost its tasks: their owners are told within PROTOCOL's 8 s.
-const UNREACHABLE: Micros = 3_000_000;
-/// So has one that was silent and to which so many new connections on end did not come up in the settings' connect
-/// time: a process that stands still is still connected to, and each second more that its tasks' owners are not told
-/// is a second that the tasks don't run.
-const UNREACHED: u32 = 3;
+pub(super) const QUIET: Micros = 1_000_000;
+/// A host says what ended on the connection that the task came on, and once more on the next one that is opened. While
+/// it has not yet seen that the old one is over, it may say it there in vain, and a new one that is opened meanwhile is
+/// not the next one any more: so long is waited, many times a way through the network, with opening it.
+const PARTED: Micros = 25_000;
 /// Tests have an id of their own.
-const TEST: Sid = Sid(0);
+pub(super) const TEST: Sid = Sid(0);
 
 /// A connection to a host.
 pub(super) struct Link {
@@ -33,11 +31,13 @@
     /// Releases that wait for it.
     pub(super) cuts: Vec<(Sid, u8)>,
     /// When something was last heard on it, or it was asked for or made.
-    heard: Micros,
+    pub(super) heard: Micros,
     /// A test is out that has no answer yet.
-    tested: bool,
+    pub(super) tested: bool,
+    /// It failed its test, and is kept for what it will tell of the process at its other end.
+    pub(super) silent: bool,
     /// When its next look is due.
-    due: Micros,
+    pub(super) due: Micros,
 }
 
 impl<D: Decide> Engine<D> {
@@ -49,7 +49,7 @@
         best.or_else(|| self.connect(now, machine))
     }
 
-    fn connect(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
+    pub(super) fn connect(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
         if self.fleet.replaced(machine) {
             return None;
         }
@@ -58,15 +58,30 @@
         self.last_link += 1;
         let id = LinkId(self.last_link);
         host.links.insert(id);
-        let due = now + self.terms.connect_within;
+        let begin = if host.standing.is_empty() { now } else { now.max(host.parted + PARTED) };
+        let due = begin + self.terms.connect_within;
         let (attempts, cuts) = (BTreeSet::new(), Vec::new());
-        let link = Link { machine, up: false, attempts, cuts, heard: now, tested: false, due };
+        let link = Link { machine, up: false, attempts, cuts, heard: now, tested: false, silent: false, due };
         self.links.insert(id, link);
         self.timers.set(due, Due::Link(id));
-        self.outputs.push(Output::Connect(id, address));
+        if begin > now {
+            self.timers.set(begin, Due::Connect(id));
+        } else {
+            self.outputs.push(Output::Connect(id, address));
+        }
         Some(id)
     }
 
+    /// A connection is to be opened that waited for the host to see the end of an earlier one.
+    pub(super) fn connect_due(&mut self, now: Micros, id: LinkId) {
+        let Some(machine) = self.links.get(&id).map(|l| l.machine) else { return };
+        let address = self.fleet.hosts.get(&machine).and_then(|h| h.address);
+        match address.filter(|_| !self.fleet.replaced(machine)) {
+            Some(address) => self.outputs.push(Output::Connect(id, address)),
+            None => self.link_lost(now, id, Loss::Broken),
+        }
+    }
+
     /// A connection is made: what waited for it goes out.
     pub fn link_up(&mut self, now: Micros, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -74,10 +89,8 @@
         self.timers.set(link.due, Due::Link(id));
         let cuts = std::mem::take(&mut link.cuts);
         let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
-        if let Some(host) = self.fleet.hosts.get_mut(&link.machine) {
-            host.hear(now);
-            host.linked = true;
-        }
+        let machine = link.machine;
+        self.reached(now, machine);
         for (sid, cause) in cuts {
             self.send(id, &ToHost::Close(sid, cause));
         }
@@ -107,7 +120,14 @@
             self.tasks.drop_if_over(task);
         }
         let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
+        host.unsure |= link.silent;
+        if link.up {
+            host.parted = now;
+        }
         if host.standing.is_empty() {
+            if host.cut {
+                self.watch(now, machine);
+            }
             return;
         }
         // A process that drains refuses new connections while its tasks run on: only one that had a connection and
@@ -118,12 +138,16 @@
         }
         if (refused && host.linked) || host.state == MachineState::Gone {
             self.lose_standing(now, machine, |_| true);
-        } else if host.links.is_empty() {
-            // What broke may have been the connection alone: what stands stands until the host can't be reached.
+        } else {
+            // What broke may have been the connection alone: what stands stands until the host can't be reached. What
+            // was said on it in vain comes on the next one, whether others are open or not.
+            let none = host.links.is_empty();
             if link.up {
                 self.connect(now, machine);
             }
-            self.watch(now, machine);
+            if none {
+                self.watch(now, machine);
+            }
         }
     }
 
@@ -132,14 +156,12 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         let machine = link.machine;
         (link.heard, link.tested) = (now, false);
-        if let Some(host) = self.fleet.hosts.get_mut(&machine) {
-            host.hear(now);
-        }
+        self.host_spoke(now, id, machine);
         tracing::trace!(host = self.fleet.name(machine), link = id.0, ?says, "host");
         match says {
             FromHost::Ready(sid, text) => self.ready(now, id, sid, text),
             FromHost::Close(sid, cause, told) => self.host_closes(now, id, machine, sid, cause, told),
-            FromHost::Event(sid, told, figure) => self.noted(machine, sid, told, figure),
+            FromHost::Event(sid, told, figure) => self.noted(now, machine, sid, told, figure),
             FromHost::Probed(_) | FromHost::Idle => {}
         }
     }
@@ -197,7 +219,8 @@
             };
             self.ended(task, out.number, ending, why(told), closed);
             self.tasks.drop_if_over(task);
-        } else if entry.stand.is_some_and(|s| s.machine == machine) {
+        } else if let Some(stand) = entry.stand.filter(|s| s.machine == machine) {
+            self.knows_task(now, machine, stand.since);
             let ending = match cause {
                 cause::NORMAL => Ending::Done,
                 cause::CANCELLED => Ending::Cancelled,
@@ -222,12 +245,13 @@
         self.tasks.drop_if_over(task);
     }
 
-    fn noted(&mut self, machine: MachineId, sid: Sid, told: Told, figure: f64) {
+    fn noted(&mut self, now: Micros, machine: MachineId, sid: Sid, told: Told, figure: f64) {
         let Some(task) = self.tasks.by_sid(sid) else { return };
         let Some(stand) = self.tasks.get(task).and_then(|e| e.stand) else { return };
         if stand.machine != machine || !figure.is_finite() {
             return;
         }
+        self.knows_task(now, machine, stand.since);
         let note = match told {
             Told::Live => Note::Started,
             Told::Cores => Note::CoresUsed(figure),
@@ -259,6 +283,7 @@
             self.lose_standing(now, machine, |since| since < started);
         }
         if state == MachineState::Gone {
+            self.in_reach(machine);
             if links.is_empty() {
                 self.lose_standing(now, machine, |_| true);
             }
@@ -268,7 +293,7 @@
     }
 
     /// Standing tasks that are lost with their host.
-    fn lose_standing(&mut self, now: Micros, machine: MachineId, which: impl Fn(Micros) -> bool) {
+    pub(super) fn lose_standing(&mut self, now: Micros, machine: MachineId, which: impl Fn(Micros) -> bool) {
         let Some(host) = self.fleet.hosts.get(&machine) else { return };
         let stands = |id: &TaskId| self.tasks.get(*id).and_then(|e| e.stand).is_some_and(|s| which(s.since));
         let lost: Vec<TaskId> = host.standing.iter().copied().filter(stands).collect();
@@ -294,57 +319,31 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.due <= now) else { return };
         if !link.up || link.tested {
             tracing::debug!(link = id.0, up = link.up, since = now - link.heard, "no answer on a link");
-            if let Some(host) = self.fleet.hosts.get_mut(&link.machine).filter(|_| !link.up) {
-                host.unreached += 1;
-            }
-            self.drop_link(now, id);
-            return;
+            return self.no_answer(now, id);
         }
         let quiet = now.saturating_sub(link.heard);
         let host = self.fleet.hosts.get(&link.machine);
         let standing = host.is_some_and(|h| !h.standing.is_empty());
         let gone = host.is_none_or(|h| h.state == MachineState::Gone);
-        if standing && quiet >= QUIET {
+        let waits = !link.attempts.is_empty() && quiet >= self.terms.connect_within;
+        if waits || standing && quiet >= QUIET {
             self.doubt(now, id);
         } else if !standing && link.attempts.is_empty() && (gone || quiet >= self.terms.idle_for / 2) {
             self.drop_link(now, id);
         } else {
-            link.due = now + QUIET;
+            link.due = match link.attempts.is_empty() {
+                false => now + self.terms.connect_within,
+                true if quiet < QUIET => link.heard + QUIET,
+                true => now + QUIET,
+            };
             self.timers.set(link.due, Due::Link(id));
         }
     }
 
-    fn drop_link(&mut self, now: Micros, id: LinkId) {
+    pub(super) fn drop_link(&mut self, now: Micros, id: LinkId) {
         self.outputs.push(Output::CloseLink(id));
         self.link_lost(now, id, Loss::Broken);
     }
-
-    fn watch(&mut self, now: Micros, machine: MachineId) {
-        let again = now + self.terms.connect_within;
-        if let Some(host) = self.fleet.hosts.get_mut(&machine)
-            && !std::mem::replace(&mut host.watched, true)
-        {
-            self.timers.set(again, Due::Host(machine));
-        }
-    }
-
-    /// A look at a host with standing tasks and no connection.
-    pub(super) fn host_due(&mut self, now: Micros, machine: MachineId) {
-        let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
-        host.watched = false;
-        let up = host.links.iter().any(|id| self.links.get(id).is_some_and(|l| l.up));
-        if host.standing.is_empty() || up {
-            return;
-        }
-        if now.saturating_sub(host.heard) >= UNREACHABLE || host.unreached >= UNREACHED {
-            self.lose_standing(now, machine, |_| true);
-            return;
-        }
-        if host.links.is_empty() {
-            self.connect(now, machine);
-        }
-        self.watch(now, machine);
-    }
 }
 
 fn why(told: Option<Told>) -> Option<Why> {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod links;
 mod owners;
+mod silence;
 mod tasks;
 #[cfg(test)]
 mod tests;
@@ -71,6 +72,7 @@
     Wake(u64),
     Attempt(TaskId, u32),
     Link(LinkId),
+    Connect(LinkId),
     Host(MachineId),
     Owner(OwnerId),
     Releases,
@@ -179,6 +181,7 @@
                 Due::Wake(label) => self.events.push(Event::Woken(label)),
                 Due::Attempt(task, number) => self.attempt_over(now, task, number),
                 Due::Link(link) => self.link_due(now, link),
+                Due::Connect(link) => self.connect_due(now, link),
                 Due::Host(machine) => self.host_due(now, machine),
                 Due::Owner(owner) => self.owner_due(owner),
                 Due::Releases => self.releases_due(now),
@@ -276,6 +279,7 @@
         };
         host::write(&mut bytes, &message);
         self.outputs.push(Output::ToHost(link, bytes));
+        self.expect_answer(now, link);
     }
 
     fn attempt_over(&mut self, now: Micros, task: TaskId, number: u32) {
