The placer in service opens no Unix socket, and a test of the process shows it

Need: the standing test allows TCP and UDP over IPv4 alone. Seen: signals came by a Unix socket pair (reactor/poll.rs). They come by a pipe now.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -310,6 +310,57 @@
     assert!(placer.wait().success());
 }
 
+/// The inodes of the sockets that `/proc/net` lists for this protocol.
+fn sockets(protocol: &str) -> Vec<String> {
+    let list = std::fs::read_to_string(format!("/proc/net/{protocol}")).unwrap_or_default();
+    let column = if protocol == "unix" { 6 } else { 9 };
+    list.lines().skip(1).filter_map(|l| l.split_whitespace().nth(column).map(str::to_owned)).collect()
+}
+
+#[test]
+fn the_placer_in_service_is_one_process_that_opens_ipv4_sockets_alone_and_is_linked_dynamically() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (host, commands) = (Host::start(), Commands::start());
+    let known = listed(1, "s-1", host.address, "active");
+    let placer = Placer::start(&config(folder.path(), commands.address, &known));
+    let mut owner = Owner::connect(&placer);
+    for n in 0..3 {
+        owner.send(&set_up(&format!("9b1f03aa5c7e2d{n:02x}"), 60_000));
+        let (mut stream, message) = host.next(1);
+        host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
+        assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
+    }
+    let of = PathBuf::from(format!("/proc/{}", placer.child.id()));
+    // A library of the operators' may be loaded into it: that takes the C library's dynamic loader.
+    let maps = std::fs::read_to_string(of.join("maps")).expect("what it is made of");
+    assert!(maps.contains("libc.so") && maps.contains("ld-linux"), "{maps}");
+    let children = std::fs::read_dir(of.join("task")).expect("its threads").map(|thread| {
+        let file = thread.expect("a thread").path().join("children");
+        std::fs::read_to_string(file).unwrap_or_default()
+    });
+    assert_eq!(children.collect::<String>().trim(), "", "it started another program");
+    let ours: Vec<String> = ["tcp", "udp"].into_iter().flat_map(sockets).collect();
+    let other: Vec<String> = ["tcp6", "udp6", "unix"].into_iter().flat_map(sockets).collect();
+    let mut found = 0;
+    for entry in std::fs::read_dir(of.join("fd")).expect("its descriptors") {
+        let entry = entry.expect("a descriptor").path();
+        let Ok(what) = std::fs::read_link(&entry) else { continue };
+        let what = what.to_string_lossy().into_owned();
+        // What it was given at its start is its parent's matter.
+        if matches!(entry.file_name().and_then(|n| n.to_str()), Some("0" | "1" | "2")) {
+            continue;
+        }
+        if let Some(inode) = what.strip_prefix("socket:[").and_then(|w| w.strip_suffix(']')) {
+            assert!(!other.iter().any(|o| o == inode), "{what} is no IPv4 socket");
+            found += usize::from(ours.iter().any(|o| o == inode));
+        } else {
+            let known = ["anon_inode:[eventpoll]", "anon_inode:[eventfd]", "pipe:[", "/dev/null"];
+            assert!(known.iter().any(|k| what.starts_with(k)), "it holds {what}");
+        }
+    }
+    assert!(found >= 4, "listener, owner, host and channel: {found}");
+}
+
 #[test]
 fn clients_that_send_nonsense_are_refused_or_closed_and_others_go_on() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -1,8 +1,7 @@
 //! Readiness by epoll, and signals turned into readiness.
 
-use std::io;
+use std::io::{self, PipeReader};
 use std::os::fd::{AsFd, OwnedFd};
-use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
 use rustix::event::epoll;
@@ -95,33 +94,33 @@
     }
 }
 
-/// Signals as readiness: each one writes a byte to a socket pair.
+/// Signals as readiness: each one writes a byte to a pipe of its own.
 pub struct Signals {
-    pairs: Vec<(i32, UnixStream)>,
+    pipes: Vec<(i32, PipeReader)>,
 }
 
 impl Signals {
     /// Catches these signals from now on.
     pub fn catch(signals: &[i32]) -> io::Result<Signals> {
-        let mut pairs = Vec::new();
+        let mut pipes = Vec::new();
         for &signal in signals {
-            let (read, write) = UnixStream::pair()?;
-            read.set_nonblocking(true)?;
+            let (read, write) = io::pipe()?;
+            rustix::io::ioctl_fionbio(&read, true)?;
             signal_hook::low_level::pipe::register(signal, write)?;
-            pairs.push((signal, read));
+            pipes.push((signal, read));
         }
-        Ok(Signals { pairs })
+        Ok(Signals { pipes })
     }
 
     /// Registers all of them under one token.
     pub fn register(&self, poller: &Poller, token: u64) -> io::Result<()> {
-        self.pairs.iter().try_for_each(|(_, read)| poller.add(read, token, false))
+        self.pipes.iter().try_for_each(|(_, read)| poller.add(read, token, false))
     }
 
     /// How often each signal came since the last call.
     pub fn take(&mut self) -> Vec<i32> {
         let mut came = Vec::new();
-        for (signal, read) in &mut self.pairs {
+        for (signal, read) in &mut self.pipes {
             let mut bytes = [0; 16];
             while let Ok(n) = io::Read::read(read, &mut bytes) {
                 if n == 0 {
