Looks at connections, silent hosts and test set-ups are each written once

Read again as a whole. In the engine, setting a connection's next look stood in six places: look_at serves all. Whether many hosts are cut off was worked out, over all hosts, at every call of watch(), also for one that is watched already or holds no task, and at each look at one without tasks: now only where it decides. A double negation in link_up is gone. In tests, a host's return after a silence, its idle time and a placer with one host are one piece each; the simulated network queues by one function; the benchmark takes settings, machines and tasks from the tests' desk.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -3,6 +3,9 @@
 
 use std::time::Instant;
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 use maplethread::*;
 
 const SERVICES: u64 = 300;
@@ -11,54 +14,28 @@
 const TOGETHER: u64 = 50;
 
 fn settings() -> Settings {
-    let class = |effect, spread, priority| Class {
-        effect,
-        aim: 900_000,
-        worth: 1.0,
-        start_bonus_s: 10.0,
-        priority,
-        kind: None,
-        spread,
-    };
+    let class = |effect, spread, priority| Class { aim: 900_000, spread, priority, ..common::class(effect) };
     Settings {
         placers: 16,
         number: 3,
-        zone: 0,
         classes: vec![
             class(Effect::Safe, Some((Place::Zone, 4)), 0),
             class(Effect::Keyed { group: Group::Zone, window: 6_000_000 }, None, 1),
         ],
         kinds: vec![Room::new(32.0, 64.0)],
-        discovery: Discovery::Push,
         seated: SeatedWhen::Running,
-        admit_cores: 1.5,
-        admit_memory: 1.5,
-        view: false,
-        report: LoadReport::Silent,
-        limits: Limits { max_attempts: 3, cancel: true, probes: false, peers: false, come_back: None },
-        rules: Rules {
-            ask_within: 10_000_000,
-            cold_from: 0.2,
-            cold_for: 15_000_000,
-            fall_multiple: 3.0,
-            fall_window: 2_000_000,
-            fresh_offers: 20.0,
-        },
         prices: Prices { cross_zone: 0.05, ..Prices::default() },
+        ..common::settings(Effect::Safe)
     }
 }
 
 fn run(machines: u32) -> (f64, u64) {
     let mut placer = Placer::new(settings(), 7).expect("sound settings");
     let list = (0..machines).map(|n| Listing {
-        machine: MachineId(n),
         label: u64::from(n) * 7919,
         zone: n % 3,
         cell: n % 16,
-        kind: 0,
-        state: MachineState::Ready,
-        started: None,
-        unasked: None,
+        ..common::machine(n)
     });
     let (mut now, mut actions, mut sum, mut offers) = (1_000_000, Vec::new(), 0u64, 0u64);
     placer.turn(now, &[Event::Listed { scope: Scope::Full, machines: list.collect() }], &mut actions);
@@ -68,15 +45,8 @@
         now += 20_000;
         let mut events = Vec::new();
         for n in first..first + TOGETHER {
-            events.push(Event::Asked(Task {
-                id: TaskId(n),
-                service: ServiceId(n * n % SERVICES),
-                class: usize::from(n % 10 == 0),
-                asks: Room::new(1.0, 2.0),
-                life: None,
-                give_up_at: now + 3_000_000,
-                again: false,
-            }));
+            let task = common::task(n, n * n % SERVICES, now + 3_000_000);
+            events.push(Event::Asked(Task { class: usize::from(n % 10 == 0), ..task }));
         }
         while running.len() > 600 {
             let end = End { ending: Ending::Done, why: None, closed: true, load: None };
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -284,6 +284,26 @@
     assert!(host.heard.try_iter().all(|(_, message)| message[0] != 1), "a set-up to a host that drains");
 }
 
+/// A placer that knows one host, and an owner of it.
+struct Served {
+    _folder: tempfile::TempDir,
+    _commands: Commands,
+    host: Host,
+    placer: Placer,
+    owner: Owner,
+}
+
+impl Served {
+    fn start() -> Served {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (host, commands) = (Host::start(), Commands::start());
+        let known = listed(1, "s-1", host.address, "active");
+        let placer = Placer::start(&config(folder.path(), commands.address, &known));
+        let owner = Owner::connect(&placer);
+        Served { _folder: folder, _commands: commands, host, placer, owner }
+    }
+}
+
 impl Owner {
     /// Nothing more lies there.
     fn hear_none(&self) {
@@ -293,11 +313,7 @@
 
 #[test]
 fn what_is_open_at_sigterm_is_answered_before_the_process_ends() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let (host, commands) = (Host::start(), Commands::start());
-    let known = listed(1, "s-1", host.address, "active");
-    let mut placer = Placer::start(&config(folder.path(), commands.address, &known));
-    let mut owner = Owner::connect(&placer);
+    let Served { _folder, _commands, host, mut placer, mut owner } = Served::start();
     owner.send(&set_up("9b1f03aa5c7e2d41", 60_000));
     let (mut stream, message) = host.next(1);
     placer.signal(Signal::TERM);
@@ -319,11 +335,7 @@
 
 #[test]
 fn the_placer_in_service_is_one_process_that_opens_ipv4_sockets_alone_and_is_linked_dynamically() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let (host, commands) = (Host::start(), Commands::start());
-    let known = listed(1, "s-1", host.address, "active");
-    let placer = Placer::start(&config(folder.path(), commands.address, &known));
-    let mut owner = Owner::connect(&placer);
+    let Served { _folder, _commands, host, placer, mut owner } = Served::start();
     for n in 0..3 {
         owner.send(&set_up(&format!("9b1f03aa5c7e2d{n:02x}"), 60_000));
         let (mut stream, message) = host.next(1);
@@ -363,11 +375,7 @@
 
 #[test]
 fn clients_that_send_nonsense_are_refused_or_closed_and_others_go_on() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let (host, commands) = (Host::start(), Commands::start());
-    let known = listed(1, "s-1", host.address, "active");
-    let placer = Placer::start(&config(folder.path(), commands.address, &known));
-    let mut owner = Owner::connect(&placer);
+    let Served { _folder, _commands, host, placer, mut owner } = Served::start();
     // Nothing waits for its answer meanwhile: how long the rest takes is the machine's matter.
     owner.send(&set_up("9b1f03aa5c7e2d41", 60_000));
     let (mut stream, standing) = host.next(1);
--- a/crates/platform/src/engine/links.rs
+++ b/crates/platform/src/engine/links.rs
@@ -8,7 +8,7 @@
 use maplethread_platform_wire::owner::ToOwner;
 use maplethread_platform_wire::{Sid, cause};
 
-use super::tasks::{Entry, Stand};
+use super::tasks::Stand;
 use super::{Due, Engine, LinkId, Loss, Output};
 
 /// A connection to a host with standing tasks that was silent for so long is tested. A test passes at once: one that
@@ -85,19 +85,18 @@
     /// A connection is made: what waited for it goes out.
     pub fn link_up(&mut self, now: Micros, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        (link.up, link.heard, link.due) = (true, now, now + QUIET);
-        self.timers.set(link.due, Due::Link(id));
+        (link.up, link.heard) = (true, now);
         let cuts = std::mem::take(&mut link.cuts);
         let waiting: Vec<TaskId> = link.attempts.iter().copied().collect();
         let machine = link.machine;
+        self.look_at(id, now + QUIET);
         self.reached(now, machine);
         for (sid, cause) in cuts {
             self.send(id, &ToHost::Close(sid, cause));
         }
         for task in waiting {
             // One whose time is over by now is withdrawn unsent in this turn.
-            let over = |e: &Entry| e.out.is_none_or(|out| out.until <= now);
-            if !self.tasks.get(task).is_none_or(over) {
+            if self.tasks.get(task).and_then(|e| e.out).is_some_and(|out| out.until > now) {
                 self.send_set_up(now, task, id);
             }
         }
@@ -309,8 +308,7 @@
     pub(super) fn doubt(&mut self, now: Micros, id: LinkId) {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.up && !l.tested) else { return };
         link.tested = true;
-        link.due = now + self.terms.connect_within;
-        self.timers.set(link.due, Due::Link(id));
+        self.look_at(id, now + self.terms.connect_within);
         self.send(id, &ToHost::Probe(TEST));
     }
 
@@ -331,12 +329,22 @@
         } else if !standing && link.attempts.is_empty() && (gone || quiet >= self.terms.idle_for / 2) {
             self.drop_link(now, id);
         } else {
-            link.due = match link.attempts.is_empty() {
-                false => now + self.terms.connect_within,
-                true if quiet < QUIET => link.heard + QUIET,
-                true => now + QUIET,
+            let next = if !link.attempts.is_empty() {
+                now + self.terms.connect_within
+            } else if quiet < QUIET {
+                link.heard + QUIET
+            } else {
+                now + QUIET
             };
-            self.timers.set(link.due, Due::Link(id));
+            self.look_at(id, next);
+        }
+    }
+
+    /// A look at a connection is due at this time, and not at the one set before.
+    pub(super) fn look_at(&mut self, id: LinkId, at: Micros) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.due = at;
+            self.timers.set(at, Due::Link(id));
         }
     }
 
--- a/crates/platform/src/engine/silence.rs
+++ b/crates/platform/src/engine/silence.rs
@@ -30,9 +30,8 @@
     /// are owed that within 1 s (PROTOCOL), so a connection that is of no further use has to be found out earlier.
     pub(super) fn expect_answer(&mut self, now: Micros, id: LinkId) {
         let due = now + self.terms.connect_within;
-        if let Some(link) = self.links.get_mut(&id).filter(|l| l.up && !l.tested && l.due > due) {
-            link.due = due;
-            self.timers.set(due, Due::Link(id));
+        if self.links.get(&id).is_some_and(|l| l.up && !l.tested && l.due > due) {
+            self.look_at(id, due);
         }
     }
 
@@ -42,14 +41,13 @@
         let (machine, up, was_silent) = (link.machine, link.up, link.silent);
         let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
         // What is gone from the list is waited for no longer.
-        let kept = up && !host.standing.is_empty() && host.state != MachineState::Gone;
         let gone = host.state == MachineState::Gone;
+        let kept = up && !gone && !host.standing.is_empty();
         host.unreached += u32::from(!up);
         if kept {
             link.silent = true;
-            link.due = now + QUIET;
-            self.timers.set(link.due, Due::Link(id));
             let attempts: Vec<TaskId> = link.attempts.iter().copied().collect();
+            self.look_at(id, now + QUIET);
             for task in attempts {
                 self.give_up(task, Ending::Reset, false);
             }
@@ -106,8 +104,7 @@
         // A connection that goes on where it stopped leads to the process of before.
         let same = std::mem::take(&mut link.silent);
         if same {
-            link.due = now + QUIET;
-            self.timers.set(link.due, Due::Link(id));
+            self.look_at(id, now + QUIET);
         }
         if let Some(host) = self.fleet.hosts.get_mut(&machine).filter(|h| same || !h.unsure) {
             host.hear(now);
@@ -157,15 +154,14 @@
 
     /// Has a host that holds tasks, or is out of reach, looked at.
     pub(super) fn watch(&mut self, now: Micros, machine: MachineId) {
-        // Many are tried less often, together no oftener than a few.
-        let many = self.cut_off();
-        let again = now + if many { QUIET } else { self.terms.connect_within };
-        if let Some(host) = self.fleet.hosts.get_mut(&machine)
-            && !std::mem::replace(&mut host.watched, true)
-        {
-            let again = if host.standing.is_empty() { now + QUIET } else { again };
-            self.timers.set(again, Due::Host(machine));
+        let Some(host) = self.fleet.hosts.get_mut(&machine) else { return };
+        if std::mem::replace(&mut host.watched, true) {
+            return;
         }
+        // Nobody waits for a host without tasks, and many are tried less often, together no oftener than a few.
+        let seldom = host.standing.is_empty() || self.cut_off();
+        let again = if seldom { QUIET } else { self.terms.connect_within };
+        self.timers.set(now + again, Due::Host(machine));
     }
 
     /// A look at a host with standing tasks, or out of reach, and no connection that answers.
@@ -178,12 +174,12 @@
             return;
         }
         let (unsure, unreached, heard) = (host.unsure, host.unreached, host.heard);
-        let over = if unsure || self.cut_off() {
-            quiet >= CUT_OFF
-        } else {
-            quiet >= UNREACHABLE || unreached >= UNREACHED
+        // All hosts are gone through only for one with tasks.
+        let over = || match unsure || self.cut_off() {
+            true => quiet >= CUT_OFF,
+            false => quiet >= UNREACHABLE || unreached >= UNREACHED,
         };
-        if standing && over {
+        if standing && over() {
             self.lose_standing(now, machine, |since| since <= heard);
             if let Some(host) = self.fleet.hosts.get_mut(&machine) {
                 host.unsure = false;
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -156,6 +156,23 @@
         (task, link)
     }
 
+    /// A host falls silent; then its old connection breaks and a new one is made: its process may be another one.
+    fn comes_back(&mut self, link: LinkId) -> LinkId {
+        let outputs = self.pass(1_700 * MS);
+        self.engine.link_lost(self.now, link, Loss::Broken);
+        let up = last_connect(&outputs);
+        self.engine.link_up(self.now, up);
+        up
+    }
+
+    /// So many times half a second in which a host passes tests and says nothing else.
+    fn passes_tests(&mut self, link: LinkId, times: usize) {
+        for _ in 0..times {
+            self.pass(500 * MS);
+            self.host(link, FromHost::Probed(true));
+        }
+    }
+
     fn host(&mut self, link: LinkId, says: FromHost) -> Vec<Output> {
         self.engine.host_says(self.now, link, says);
         self.turn()
@@ -505,28 +522,18 @@
 fn a_host_that_comes_back_and_shows_nothing_of_its_tasks_has_lost_them() {
     let mut rig = Rig::new();
     let (_, link) = rig.stand(7);
-    let outputs = rig.pass(1_700 * MS);
-    // The old connection breaks, the new one works: the process may be another one.
-    rig.engine.link_lost(rig.now, link, Loss::Broken);
-    let up = last_connect(&outputs);
-    rig.engine.link_up(rig.now, up);
+    let up = rig.comes_back(link);
     rig.told();
     let task = rig.ask(A, 8);
     assert!(sends(&rig.offer(task, 0), up, 1));
     rig.host(up, FromHost::Ready(Sid(8), "t".into()));
-    for _ in 0..10 {
-        rig.pass(500 * MS);
-        rig.host(up, FromHost::Probed(true));
-    }
+    rig.passes_tests(up, 10);
     assert_eq!(rig.endings(), [], "until 7 s after it was heard last");
     let outputs = rig.pass(600 * MS);
     assert_eq!(rig.endings(), [(0, Ending::Reset, true)]);
     assert_eq!(to_owners(&outputs), [(A, ToOwner::Close(Sid(7), cause::RESET))]);
     // What came to stand since then stands, and goes on to.
-    for _ in 0..20 {
-        rig.pass(500 * MS);
-        rig.host(up, FromHost::Probed(true));
-    }
+    rig.passes_tests(up, 20);
     assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
 }
 
@@ -534,15 +541,9 @@
 fn a_word_of_a_task_shows_that_the_process_is_the_one_of_before() {
     let mut rig = Rig::new();
     let (_, link) = rig.stand(7);
-    let outputs = rig.pass(1_700 * MS);
-    rig.engine.link_lost(rig.now, link, Loss::Broken);
-    let up = last_connect(&outputs);
-    rig.engine.link_up(rig.now, up);
+    let up = rig.comes_back(link);
     rig.host(up, FromHost::Event(Sid(7), Told::Served, 0.9));
-    for _ in 0..20 {
-        rig.pass(500 * MS);
-        rig.host(up, FromHost::Probed(true));
-    }
+    rig.passes_tests(up, 20);
     assert_eq!((rig.endings(), rig.engine.tasks()), (vec![], 1));
 }
 
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -309,9 +309,7 @@
             Ev::Turn(..) | Ev::Tick(..) => {}
             Ev::Connect(key, host) => self.connects(key, host),
             Ev::GivenUp(key, sid) => {
-                if let Some(ask) = self.asks.get_mut(&sid.0).filter(|a| a.out == Some(key)) {
-                    ask.out = None;
-                }
+                self.out_no_more(key, sid);
             }
             Ev::AtHost(key, bytes) => self.at_host(key, &bytes),
             Ev::Answer(key, life, sid) => self.answers(key, life, sid),
@@ -422,17 +420,16 @@
     /// A connection's bytes go to the network.
     fn write(&mut self, key: Key, at: Micros) {
         let conn = self.conns.get_mut(&key).expect("it is open");
-        for bytes in std::mem::take(&mut conn.out) {
-            if bytes[2] == 12 {
-                let sid = sid_of(&bytes);
-                conn.given_up.insert(sid.0);
-                self.set += 1;
-                self.queue.push(Reverse((at, self.set)));
-                self.events.insert(self.set, Ev::GivenUp(key, sid));
-            }
-            self.set += 1;
-            self.queue.push(Reverse((at + WAY, self.set)));
-            self.events.insert(self.set, Ev::AtHost(key, bytes));
+        let out = std::mem::take(&mut conn.out);
+        let ends: Vec<Sid> = out.iter().filter(|bytes| bytes[2] == 12).map(|bytes| sid_of(bytes)).collect();
+        conn.given_up.extend(ends.iter().map(|sid| sid.0));
+        ends.into_iter().for_each(|sid| self.at(at, Ev::GivenUp(key, sid)));
+        out.into_iter().for_each(|bytes| self.at(at + WAY, Ev::AtHost(key, bytes)));
+    }
+
+    fn out_no_more(&mut self, key: Key, sid: Sid) {
+        if let Some(ask) = self.asks.get_mut(&sid.0).filter(|a| a.out == Some(key)) {
+            ask.out = None;
         }
     }
 
@@ -530,10 +527,7 @@
         if h.life != life || !h.alive || !h.waiting.remove(&sid.0) {
             return;
         }
-        let ask = self.asks.get_mut(&sid.0).expect("an owner sent it");
-        if ask.out == Some(key) {
-            ask.out = None;
-        }
+        self.out_no_more(key, sid);
         let (lot, lasts) = (self.draw(100), 8 * S + self.draw(10 * S));
         if lot < 3 {
             self.says(key, FromHost::Close(sid, cause::ERROR, None));
