The fleet's view without I/O: SWIM by a library, lives, names, views compared, and a model

Need: placers share a catalogue at most; the users want a view of each other that no outside system keeps. crates/fleet takes datagrams and time and gives datagrams and changes: failure detection by foca (SWIM), each datagram under 1,200 bytes with a keyed hash (blake3, two keys while it is changed), messages by postcard. Around the library: strangers have to answer a challenge before they are taken in, a life that was called down is renewed, two live processes of one name are told and no view flaps, views are compared by 32 sums and made equal, timers stand still while the process does, seeds and addresses of the gone are tried again. crates/simnet is the faulty network, crates/fleet-drill the model; Timers moved to a crate of their own. Nothing uses it yet under any command.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,13 +11,13 @@
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::Serialize;
 
+use crate::Timers;
 use crate::answers::{Answer, Answers};
 use crate::clients::Client;
 use crate::hosts::{Host, Link};
 use crate::life::{LifeEvent, Ring};
 use crate::names::{Numbers, hash};
 use crate::notes::{Kept, Notes};
-use crate::timers::Timers;
 use crate::{ClientId, Decide, HostId};
 
 /// Service and actor.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -19,12 +19,11 @@
 mod notes;
 mod serve;
 mod sessions;
-mod timers;
 
 pub use engine::{Boot, Counters, Engine, Output};
+pub use maplethread_timers::Timers;
 pub use names::hash;
 pub use notes::{Ending, Kept};
-pub use timers::Timers;
 
 use maplethread::{Action, Event, Micros, Placer};
 
--- /dev/null
+++ b/crates/fleet-drill/src/model.rs
@@ -0,0 +1,388 @@
+//! Many members under simulated time and a faulty network, seeded: equal seeds give equal runs to the byte. The members
+//! are the unchanged core.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use maplethread_fleet::{Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State};
+use maplethread_simnet::Net;
+use maplethread_timers::Timers;
+
+/// A millisecond.
+pub const MS: Micros = 1_000;
+/// A second.
+pub const S: Micros = 1_000_000;
+const START: Micros = 1_790_000_000 * S;
+/// The fleet's key.
+pub const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+const WORLD: &str = "127.0.0.1:1";
+
+enum Ev {
+    Arrives(usize, Vec<u8>),
+    Tick(usize, u64),
+    Resume(usize),
+}
+
+/// A process at a place of the network.
+struct Process {
+    name: usize,
+    fleet: Fleet,
+    /// Its clock runs so fast.
+    rate: f64,
+    began: Micros,
+    paused: bool,
+    /// What waits to be read.
+    inbox: Vec<Vec<u8>>,
+    number: u64,
+    next: Micros,
+}
+
+/// What was seen of the whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Running members that could be reached and were called down.
+    pub false_alarms: u64,
+    /// Datagrams sent, and their bytes.
+    pub sent: u64,
+    /// Bytes sent.
+    pub bytes: u64,
+    /// News of members about themselves.
+    pub notices: Vec<(String, Notice)>,
+    /// A running hash of all changes of all views, in order.
+    pub trace: u64,
+}
+
+/// The fleet, its network and its time.
+pub struct Model {
+    now: Micros,
+    /// The network between places.
+    pub net: Net,
+    /// The pace of members that start from now on.
+    pub pace: Pace,
+    /// Keys of members that start from now on.
+    pub keys: Keys,
+    /// Who seeds are, by place.
+    pub seeds: Vec<usize>,
+    seed: u64,
+    started: u64,
+    queue: Timers<Ev>,
+    processes: BTreeMap<usize, Process>,
+    seen: Seen,
+    /// Calls of a running member down count as false alarms.
+    pub watching: bool,
+    /// The last datagrams that came to each place, for tests that send them again.
+    pub recorded: Vec<(usize, Vec<u8>)>,
+    /// Whether they are kept.
+    pub record: bool,
+}
+
+/// The address of a place.
+pub fn address(place: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (place >> 8) as u8, place as u8], 7946))
+}
+
+fn place(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(v4) if v4.port() == 7946 && v4.ip().octets()[..2] == [10, 0] => {
+            let [_, _, high, low] = v4.ip().octets();
+            Some(usize::from(high) << 8 | usize::from(low))
+        }
+        _ => None,
+    }
+}
+
+/// A member's name.
+pub fn name(n: usize) -> String {
+    format!("p-{n}")
+}
+
+/// Keys from text that is known to be sound.
+pub fn keys(text: &str) -> Keys {
+    Keys::parse(text, "model").expect("sound keys")
+}
+
+/// Facts of a usual member.
+pub fn facts(started_ms: u64) -> Facts {
+    let text = |t: &str| t.to_owned().try_into().expect("sound");
+    Facts { version: text("0.2.0"), zone: text("a"), started_ms, draining: false, number: None, load: 0 }
+}
+
+impl Model {
+    /// A network without members.
+    pub fn new(seed: u64) -> Model {
+        Model {
+            now: START,
+            net: Net::new(seed),
+            pace: Pace::default(),
+            keys: keys(KEY),
+            seeds: vec![0],
+            seed,
+            started: 0,
+            queue: Timers::default(),
+            processes: BTreeMap::new(),
+            seen: Seen::default(),
+            watching: true,
+            recorded: Vec::new(),
+            record: false,
+        }
+    }
+
+    /// Starts so many members, the first ones seeds.
+    pub fn start_all(&mut self, count: usize) {
+        (0..count).for_each(|n| self.start(n, n));
+    }
+
+    /// Starts a member at a place, by a clock that is right.
+    pub fn start(&mut self, member: usize, at: usize) {
+        self.start_with(member, at, 0, 1.0);
+    }
+
+    /// Starts a member at a place; its wall clock is off by so many ms, and its clocks run so fast.
+    pub fn start_with(&mut self, member: usize, at: usize, off_ms: i64, rate: f64) {
+        self.started += 1;
+        let life = (self.now / 1000).saturating_add_signed(off_ms);
+        let settings = Settings {
+            name: Name::try_from(name(member)).expect("a sound name"),
+            advertise: address(at),
+            life,
+            facts: facts(life),
+            seeds: self.seeds.iter().map(|&s| address(s)).collect(),
+            keys: self.keys.clone(),
+            pace: self.pace,
+        };
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self.started;
+        let fleet = Fleet::new(settings, seed, self.now);
+        let process = Process {
+            name: member,
+            fleet,
+            rate,
+            began: self.now,
+            paused: false,
+            inbox: Vec::new(),
+            number: self.started,
+            next: Micros::MAX,
+        };
+        assert!(self.processes.insert(at, process).is_none(), "the place is taken");
+        self.carry_out(at);
+    }
+
+    /// Ends the process at a place, unasked.
+    pub fn kill(&mut self, at: usize) {
+        self.processes.remove(&at).expect("it runs");
+    }
+
+    /// Ends the process at a place, which says that it leaves and goes on for a while.
+    pub fn leave(&mut self, at: usize) {
+        let local = self.local(at);
+        self.at(at).fleet.leave(local);
+        self.carry_out(at);
+        self.run(200 * MS);
+        self.kill(at);
+    }
+
+    /// Has a process stand still.
+    pub fn pause(&mut self, at: usize, span: Micros) {
+        self.at(at).paused = true;
+        self.queue.set(self.now + span, Ev::Resume(at));
+    }
+
+    /// Gives a process other keys.
+    pub fn rekey(&mut self, at: usize, keys: Keys) {
+        self.at(at).fleet.set_keys(keys);
+    }
+
+    /// Has a process say something else of itself.
+    pub fn tell(&mut self, at: usize, facts: Facts) {
+        let local = self.local(at);
+        self.at(at).fleet.set_facts(local, facts);
+        self.carry_out(at);
+    }
+
+    /// Puts a datagram before a place, whoever sent it.
+    pub fn inject(&mut self, to: usize, bytes: Vec<u8>) {
+        self.queue.set(self.now, Ev::Arrives(to, bytes));
+    }
+
+    /// The member at a place.
+    pub fn fleet(&self, at: usize) -> &Fleet {
+        &self.processes[&at].fleet
+    }
+
+    /// Places with a process.
+    pub fn places(&self) -> Vec<usize> {
+        self.processes.keys().copied().collect()
+    }
+
+    /// What was seen so far.
+    pub fn seen(&self) -> &Seen {
+        &self.seen
+    }
+
+    fn at(&mut self, place: usize) -> &mut Process {
+        self.processes.get_mut(&place).expect("it runs")
+    }
+
+    fn local(&self, at: usize) -> Micros {
+        let process = &self.processes[&at];
+        process.began + ((self.now - process.began) as f64 * process.rate) as Micros
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Micros) {
+        let end = self.now + span;
+        while let Some(at) = self.queue.next().filter(|&at| at <= end) {
+            self.now = self.now.max(at);
+            let Some(event) = self.queue.due(at) else { break };
+            self.happens(event);
+        }
+        self.now = end;
+    }
+
+    fn happens(&mut self, event: Ev) {
+        match event {
+            Ev::Arrives(at, bytes) => {
+                let Some(process) = self.processes.get_mut(&at) else { return };
+                if process.paused {
+                    // A socket's buffer has room for so many.
+                    if process.inbox.len() < 200 {
+                        process.inbox.push(bytes);
+                    }
+                    return;
+                }
+                let local = self.local(at);
+                self.at(at).fleet.datagram(local, &bytes);
+                if self.record {
+                    self.recorded.push((at, bytes));
+                }
+                self.carry_out(at);
+            }
+            Ev::Tick(at, number) => {
+                let local = self.processes.get(&at).map(|_| self.local(at));
+                let Some(process) = self.processes.get_mut(&at).filter(|p| p.number == number) else {
+                    return;
+                };
+                if process.paused || process.next > self.now {
+                    return;
+                }
+                process.next = Micros::MAX;
+                process.fleet.tick(local.unwrap_or_default());
+                self.carry_out(at);
+            }
+            Ev::Resume(at) => {
+                if !self.processes.contains_key(&at) {
+                    return;
+                }
+                let local = self.local(at);
+                let process = self.at(at);
+                process.paused = false;
+                let inbox = std::mem::take(&mut process.inbox);
+                inbox.iter().for_each(|bytes| process.fleet.datagram(local, bytes));
+                process.fleet.tick(local);
+                self.carry_out(at);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: usize) {
+        let outputs = self.at(at).fleet.outputs();
+        let by = self.processes[&at].name;
+        for output in outputs {
+            match output {
+                Output::Send(to, bytes) => {
+                    self.seen.sent += 1;
+                    self.seen.bytes += bytes.len() as u64;
+                    let Some(to) = place(to) else { continue };
+                    for takes in self.net.send(at, to) {
+                        self.queue.set(self.now + takes, Ev::Arrives(to, bytes.clone()));
+                    }
+                }
+                Output::Changed(change) => {
+                    let runs = self.processes.values().any(|p| name(p.name) == change.name && !p.paused);
+                    let down = change.to == Some(State::Down) && change.from.is_some_and(State::live);
+                    // Whose judgement it is counts, not who heard of it.
+                    let judged = change.by == OWN_TEST;
+                    self.seen.false_alarms += u64::from(self.watching && runs && down && judged);
+                    let text = format!("{by} {change:?} {}", self.now);
+                    let step = text.bytes().fold(0_u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+                    self.seen.trace = self.seen.trace.rotate_left(5) ^ step;
+                }
+                Output::Own(notice) => self.seen.notices.push((name(by), notice)),
+            }
+        }
+        let local = self.local(at);
+        let now = self.now;
+        let process = self.at(at);
+        let due = process.fleet.next_timeout().unwrap_or(Micros::MAX);
+        let wait = (due.saturating_sub(local) as f64 / process.rate) as Micros;
+        let next = now.saturating_add(wait + 1);
+        if next < process.next {
+            process.next = next;
+            let number = process.number;
+            self.queue.set(next, Ev::Tick(at, number));
+        }
+    }
+
+    /// Whether the members at these places see each other, all alike, and nobody else as live.
+    pub fn settled(&self, places: &[usize]) -> bool {
+        let first = self.fleet(places[0]).digest();
+        let names: Vec<String> = places.iter().map(|p| name(self.processes[p].name)).collect();
+        places.iter().all(|p| {
+            let fleet = self.fleet(*p);
+            fleet.digest() == first
+                && fleet.live() == places.len()
+                && names
+                    .iter()
+                    .all(|n| *n == name(self.processes[p].name) || fleet.state_of(n) == Some(State::Alive))
+        })
+    }
+
+    /// Lets time pass until these are settled: how long it took, or nothing if it took longer than `most`.
+    pub fn settles(&mut self, places: &[usize], most: Micros) -> Option<Micros> {
+        let from = self.now;
+        while self.now <= from + most {
+            if self.settled(places) {
+                return Some(self.now - from);
+            }
+            self.run(50 * MS);
+        }
+        None
+    }
+
+    /// Why these are not settled, for a failing test.
+    pub fn differences(&self, places: &[usize]) -> String {
+        let mut text = String::new();
+        for &p in places {
+            let view = self.fleet(p).view(self.now);
+            let others: Vec<String> = view
+                .members
+                .iter()
+                .filter(|m| m.state != State::Alive)
+                .map(|m| format!("{} {:?} life {}", m.name, m.state, m.life))
+                .collect();
+            text += &format!(
+                "{}: {} live, {} health {} displaced {:?}; {}\n",
+                view.name,
+                self.fleet(p).live(),
+                view.digest,
+                view.health,
+                view.displaced_by,
+                others.join(", ")
+            );
+        }
+        text
+    }
+
+    /// A datagram that nobody of this fleet made.
+    pub fn garbage(&mut self, length: usize) -> Vec<u8> {
+        let mut bytes: Vec<u8> = (0..length).map(|n| ((n as u64 * 2_654_435_761) >> 7) as u8).collect();
+        if let Some(first) = bytes.first_mut() {
+            *first = 1;
+        }
+        bytes
+    }
+
+    /// An address outside the network.
+    pub fn nowhere() -> SocketAddr {
+        WORLD.parse().expect("an address")
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/core.rs
@@ -0,0 +1,550 @@
+//! The member itself: time and datagrams in, datagrams and changes of the view out.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::rc::Rc;
+use std::time::Duration;
+
+use foca::{Config, Foca, PeriodicParams, Timer};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+
+use crate::id::{Facts, Id, Record};
+use crate::packet::{Body, FRAME, Keys, LONGEST, Packet};
+use crate::settings::Settings;
+use crate::swim::{Book, Codec, News, Shared, Wants};
+use crate::table::{Awake, Change, Micros, State, Table};
+use crate::view::{Counters, Notice};
+
+/// A call that comes so much later than the next timer asked for tells of a process that stood still.
+const STOOD_STILL: Micros = 500_000;
+/// Changes that the library does not tell are looked for this long after it was given something.
+const LOOK_AFTER: Micros = 50_000;
+/// Facts change at most this often.
+const FACTS_EVERY: Micros = 1_000_000;
+/// A member's own condition, in steps; each makes its judgement of others slower by once the usual time.
+const WORST_HEALTH: u32 = 8;
+/// One that leaves says so this often, this far apart.
+const FAREWELLS: u32 = 3;
+const FAREWELL_EVERY: Micros = 50_000;
+/// Addresses of members that are gone, to look for them after they are forgotten.
+pub(crate) const MOST_ADDRESSES: usize = 64;
+/// While it is alone, a member looks for others so many times as often.
+const ALONE: u32 = 5;
+
+/// The word for what a member found out itself, in [`Change::by`].
+pub const OWN_TEST: &str = "a test of its own";
+
+/// What the caller is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// The view has changed.
+    Changed(Change),
+    /// Something about this member itself.
+    Own(Notice),
+}
+
+pub(crate) enum Due {
+    Swim(Timer<Id>),
+    Sync,
+    Seek,
+    Look,
+    Facts,
+    Farewell(u32),
+    Rival,
+}
+
+pub(crate) struct Rival {
+    pub(crate) id: Id,
+    pub(crate) heard: Micros,
+}
+
+/// A member of a fleet.
+pub struct Fleet {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) swim: Foca<Id, Codec, Pcg64Mcg, Book>,
+    pub(crate) shared: Rc<RefCell<Shared>>,
+    pub(crate) awake: Awake<Due>,
+    pub(crate) table: Table,
+    pub(crate) outputs: Vec<Output>,
+    pub(crate) counters: Counters,
+    /// The last word of each sender: its life, and its awake time.
+    pub(crate) heard: BTreeMap<u64, (u64, u64)>,
+    /// Where members that are gone were.
+    pub(crate) addresses: Vec<SocketAddr>,
+    /// Whom something was told lately that need not be told often.
+    pub(crate) told: BTreeMap<u64, Micros>,
+    pub(crate) rival: Option<Rival>,
+    pub(crate) claimed: Option<(SocketAddr, Micros)>,
+    pub(crate) facts: Facts,
+    seq: u32,
+    facts_at: Micros,
+    facts_due: bool,
+    leaving: bool,
+    last: Micros,
+    looks: bool,
+    pub(crate) health: u32,
+    pub(crate) digest: u64,
+    pub(crate) version: u64,
+    pub(crate) settled: Micros,
+}
+
+fn micros(duration: Duration) -> Micros {
+    duration.as_micros() as Micros
+}
+
+impl Fleet {
+    /// A member that knows nobody and looks for others at once. Equal seeds and inputs give equal outputs.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Fleet {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let me = Id { name: settings.name.clone(), address: settings.advertise, life: settings.life };
+        let shared = Shared {
+            me: me.clone(),
+            rival: None,
+            suspected: false,
+            known: BTreeSet::new(),
+            most: settings.pace.most,
+            full: 0,
+            records: BTreeMap::new(),
+            told: BTreeSet::new(),
+        };
+        let shared = Rc::new(RefCell::new(shared));
+        let swim = swim(&settings, me, &mut rng, &shared);
+        let facts = settings.facts.clone();
+        let mut fleet = Fleet {
+            rng,
+            swim,
+            shared,
+            awake: Awake::default(),
+            table: Table::default(),
+            outputs: Vec::new(),
+            counters: Counters::default(),
+            heard: BTreeMap::new(),
+            addresses: Vec::new(),
+            told: BTreeMap::new(),
+            rival: None,
+            claimed: None,
+            facts,
+            seq: 0,
+            facts_at: 0,
+            facts_due: false,
+            leaving: false,
+            last: now,
+            looks: false,
+            health: 0,
+            digest: 0,
+            version: 0,
+            settled: now,
+            settings,
+        };
+        fleet.say_facts(now);
+        fleet.seek(now);
+        let sync = fleet.jittered(fleet.settings.pace.sync_every);
+        fleet.awake.set(now, sync, Due::Sync);
+        fleet.weigh(now);
+        fleet
+    }
+
+    /// What is to be done, in order.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When [`Fleet::tick`] is to be called at the latest.
+    pub fn next_timeout(&self) -> Option<Micros> {
+        self.awake.next()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) {
+        self.wake(now);
+        while let Some(due) = self.awake.due(now) {
+            match due {
+                Due::Swim(timer) => {
+                    if let Timer::ProbeRandomMember(_) = timer {
+                        self.health = self.health.saturating_sub(1);
+                    }
+                    self.with_swim(now, OWN_TEST, |swim, wants| swim.handle_timer(timer, wants));
+                }
+                Due::Sync => self.sync(now),
+                Due::Seek => self.seek(now),
+                Due::Look => {
+                    self.looks = false;
+                    self.look(now, "news");
+                }
+                Due::Facts => {
+                    self.facts_due = false;
+                    self.say_facts(now);
+                }
+                Due::Farewell(left) => self.farewell(now, left),
+                Due::Rival => self.rival_due(now),
+            }
+        }
+    }
+
+    /// Says something else of itself: at most once a second, the last word counts.
+    pub fn set_facts(&mut self, now: Micros, facts: Facts) {
+        if self.facts == facts || self.leaving {
+            return;
+        }
+        self.facts = facts;
+        let wait = (self.facts_at + FACTS_EVERY).saturating_sub(now);
+        if wait == 0 {
+            self.say_facts(now);
+        } else if !std::mem::replace(&mut self.facts_due, true) {
+            self.awake.set(now, wait, Due::Facts);
+        }
+    }
+
+    /// Takes other keys: the first seals from now on.
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.settings.keys = keys;
+    }
+
+    /// Tells others that it leaves, a few times while its process ends.
+    pub fn leave(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.leaving, true) {
+            self.facts.draining = true;
+            self.say_facts(now);
+            self.with_swim(now, "itself", |swim, wants| swim.leave_cluster(wants));
+            self.farewell(now, FAREWELLS);
+        }
+    }
+
+    /// The digest of the view, see [`crate::View::digest`].
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The state of a member by its name; nothing where it is not known.
+    pub fn state_of(&self, name: &str) -> Option<State> {
+        self.table.iter().find(|k| k.id.name.as_str() == name).map(|k| k.state)
+    }
+
+    /// Members that are live, this one included.
+    pub fn live(&self) -> usize {
+        self.table.live() + 1
+    }
+
+    /// All that is held for members, live or gone.
+    pub fn held(&self) -> usize {
+        let shared = self.shared.borrow();
+        self.table.len() + shared.records.len() + self.heard.len() + self.told.len() + self.addresses.len()
+    }
+
+    pub(crate) fn me(&self) -> Id {
+        self.shared.borrow().me.clone()
+    }
+
+    /// A process that stood still has not heard what came meanwhile: its timers go on where they stood, so that all
+    /// that waits is read before anybody is judged. One that was away for as long as the gone are remembered knows
+    /// nothing any more.
+    pub(crate) fn wake(&mut self, now: Micros) {
+        let expected = self.awake.next().unwrap_or(self.last).max(self.last);
+        let late = now.saturating_sub(expected);
+        self.last = self.last.max(now);
+        if late < STOOD_STILL {
+            return;
+        }
+        self.awake.slept(late);
+        self.health = (self.health + 2).min(WORST_HEALTH);
+        self.outputs.push(Output::Own(Notice::StoodStill { ms: late / 1000 }));
+        if late >= micros(self.settings.pace.forget_after) {
+            self.begin_anew(now);
+        }
+    }
+
+    /// Forgets all others, and goes on as a new life.
+    fn begin_anew(&mut self, now: Micros) {
+        let names: Vec<u64> = self.table.iter().map(|k| k.id.name.hash()).collect();
+        for name in names {
+            self.remember_address(name);
+            self.forget(name, "itself, after it stood still");
+        }
+        self.shared.borrow_mut().known.clear();
+        self.renew(now, 0);
+        self.seek(now);
+    }
+
+    /// This life was taken for down, or another one had the name: goes on as one that is later than both.
+    pub(crate) fn renew(&mut self, now: Micros, above: u64) {
+        if self.leaving {
+            return;
+        }
+        let mut me = self.me();
+        me.life = me.life.max(above) + 1;
+        self.shared.borrow_mut().me = me.clone();
+        self.outputs.push(Output::Own(Notice::Renewed { life: me.life }));
+        self.with_swim(now, "itself", |swim, mut wants| {
+            swim.change_identity(me, &mut wants)?;
+            // The library starts its periods once it is told that others are there.
+            swim.apply_many(std::iter::empty(), false, wants)
+        });
+        self.say_facts(now);
+    }
+
+    /// A fresh start of the library, which knows nobody.
+    pub(crate) fn reset_swim(&mut self) {
+        let me = self.me();
+        self.swim = swim(&self.settings, me, &mut self.rng, &self.shared);
+    }
+
+    /// Lets the library do something, and carries out what it wants.
+    pub(crate) fn with_swim(
+        &mut self,
+        now: Micros,
+        by: &str,
+        act: impl FnOnce(&mut Foca<Id, Codec, Pcg64Mcg, Book>, &mut Wants) -> Result<(), foca::Error>,
+    ) {
+        let mut wants = Wants::default();
+        if let Err(error) = act(&mut self.swim, &mut wants) {
+            self.counters.refused += 1;
+            tracing::trace!(%error, "not taken");
+        }
+        let Wants { send, timers, news } = wants;
+        for (to, data) in send {
+            self.send(now, to.address, Body::Swim(data));
+        }
+        let slower = 1 + self.health;
+        for (timer, after) in timers {
+            let after = match timer {
+                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => after * slower,
+                Timer::ChangeSuspectToDown { .. } => {
+                    self.settings.pace.suspect_for(self.table.live()) * slower
+                }
+                _ => after,
+            };
+            self.awake.set(now, micros(after), Due::Swim(timer));
+        }
+        let mut defunct = false;
+        for news in news {
+            match news {
+                News::Of(id) => self.look_at(now, &id, by),
+                News::Defunct => defunct = !self.leaving,
+            }
+        }
+        if !std::mem::replace(&mut self.looks, true) {
+            self.awake.set(now, LOOK_AFTER, Due::Look);
+        }
+        let told = std::mem::take(&mut self.shared.borrow_mut().told);
+        for name in told {
+            self.retell(now, name);
+        }
+        if std::mem::take(&mut self.shared.borrow_mut().suspected) {
+            self.health = (self.health + 1).min(WORST_HEALTH);
+        }
+        let rival = self.shared.borrow_mut().rival.take();
+        if let Some((rival, down)) = rival {
+            self.superseded(now, &rival, down);
+        } else if defunct {
+            self.renew(now, 0);
+        }
+        self.weigh(now);
+    }
+
+    /// What the library knows of one member.
+    fn look_at(&mut self, now: Micros, id: &Id, by: &str) {
+        let found = self.swim.iter_membership_state().find(|m| m.id().name == id.name);
+        if let Some((id, incarnation, state)) = found.map(|m| (m.id().clone(), m.incarnation(), m.state())) {
+            self.set(now, &id, incarnation, state, by);
+        }
+    }
+
+    /// Looks for all changes that the library did not tell, and for members that it forgot.
+    fn look(&mut self, now: Micros, by: &str) {
+        let mut changed = Vec::new();
+        let mut there = BTreeSet::new();
+        for member in self.swim.iter_membership_state() {
+            let name = member.id().name.hash();
+            there.insert(name);
+            let known = self.table.get(name);
+            let same = known.is_some_and(|k| {
+                k.incarnation == member.incarnation()
+                    && k.id == *member.id()
+                    && match member.state() {
+                        foca::State::Alive => k.state == State::Alive,
+                        foca::State::Suspect => k.state == State::Suspect,
+                        foca::State::Down => !k.state.live(),
+                    }
+            });
+            if !same {
+                changed.push((member.id().clone(), member.incarnation(), member.state()));
+            }
+        }
+        for (id, incarnation, state) in changed {
+            self.set(now, &id, incarnation, state, by);
+        }
+        let gone: Vec<u64> =
+            self.table.iter().map(|k| k.id.name.hash()).filter(|n| !there.contains(n)).collect();
+        for name in gone {
+            self.remember_address(name);
+            self.forget(name, "time");
+        }
+        self.told.retain(|_, at| *at + 60_000_000 > now);
+        self.weigh(now);
+    }
+
+    fn set(&mut self, now: Micros, id: &Id, incarnation: u16, state: foca::State, by: &str) {
+        let name = id.name.hash();
+        let mut shared = self.shared.borrow_mut();
+        shared.known.insert(name);
+        let record = shared.records.get(&name);
+        let leaves = record.is_some_and(|r| r.leaves && r.life >= id.life);
+        let state = match state {
+            foca::State::Alive => State::Alive,
+            foca::State::Suspect => State::Suspect,
+            foca::State::Down if leaves => State::Left,
+            foca::State::Down => State::Down,
+        };
+        let changed = self.table.set(now, id, incarnation, state, record);
+        drop(shared);
+        if let Some(from) = changed {
+            self.changed(id, from, Some(state), by);
+        }
+    }
+
+    /// A member's facts are new.
+    fn retell(&mut self, now: Micros, name: u64) {
+        let Some(known) = self.table.get(name) else { return };
+        let (id, incarnation, mut state) = (known.id.clone(), known.incarnation, known.state);
+        let shared = self.shared.borrow();
+        let record = shared.records.get(&name);
+        if state == State::Down && record.is_some_and(|r| r.leaves && r.life >= id.life) {
+            state = State::Left;
+        }
+        let changed = self.table.set(now, &id, incarnation, state, record);
+        drop(shared);
+        if let Some(from) = changed {
+            self.changed(&id, from, Some(state), id.name.as_str());
+        }
+    }
+
+    fn forget(&mut self, name: u64, by: &str) {
+        let Some(known) = self.table.forget(name) else { return };
+        let mut shared = self.shared.borrow_mut();
+        shared.known.remove(&name);
+        shared.records.remove(&name);
+        drop(shared);
+        self.heard.remove(&name);
+        self.told.remove(&name);
+        self.changed(&known.id, Some(known.state), None, by);
+    }
+
+    fn changed(&mut self, id: &Id, from: Option<State>, to: Option<State>, by: &str) {
+        let change = Change {
+            name: id.name.to_string(),
+            address: id.address,
+            life: id.life,
+            from,
+            to,
+            by: by.to_owned(),
+        };
+        self.outputs.push(Output::Changed(change));
+    }
+
+    /// Works the digest out anew.
+    fn weigh(&mut self, now: Micros) {
+        let shared = self.shared.borrow();
+        let record = shared.records.get(&shared.me.name.hash());
+        let digest = self
+            .table
+            .sums(&shared.me, record)
+            .iter()
+            .fold(0_u64, |all, sum| all.rotate_left(7) ^ sum.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        if digest != self.digest {
+            (self.digest, self.settled) = (digest, now);
+            self.version += 1;
+        }
+    }
+
+    /// Its own record goes out with SWIM's messages.
+    fn say_facts(&mut self, now: Micros) {
+        self.facts_at = now;
+        self.seq += 1;
+        let me = self.me();
+        let (seq, leaves, facts) = (self.seq, self.leaving, self.facts.clone());
+        let record = Record { name: me.name, life: me.life, seq, leaves, facts };
+        if let Ok(bytes) = postcard::to_allocvec(&record) {
+            self.with_swim(now, "itself", |swim, _| swim.add_broadcast(&bytes).map(drop));
+        }
+    }
+
+    fn farewell(&mut self, now: Micros, left: u32) {
+        self.last_words(now);
+        if left > 1 {
+            self.awake.set(now, FAREWELL_EVERY, Due::Farewell(left - 1));
+        }
+    }
+
+    /// A number below `n`.
+    pub(crate) fn draw(&mut self, n: usize) -> usize {
+        (self.rng.next_u64() % n.max(1) as u64) as usize
+    }
+
+    /// Between three quarters of a period and five.
+    fn jittered(&mut self, period: Duration) -> Micros {
+        let period = micros(period).max(4);
+        period * 3 / 4 + self.rng.next_u64() % (period / 2)
+    }
+
+    fn sync(&mut self, now: Micros) {
+        let every = self.jittered(self.settings.pace.sync_every);
+        self.awake.set(now, every, Due::Sync);
+        if !self.leaving {
+            self.ask_one(now);
+        }
+    }
+
+    /// Looks for others: at first, and for parts of the fleet that went apart.
+    fn seek(&mut self, now: Micros) {
+        let alone = self.table.live() == 0;
+        let every = self.settings.pace.seek_every / if alone { ALONE } else { 1 };
+        let every = self.jittered(every);
+        self.awake.set(now, every, Due::Seek);
+        if !self.leaving && self.rival.is_none() {
+            self.ask_strangers(now, alone);
+        }
+    }
+
+    /// Seals and sends.
+    pub(crate) fn send(&mut self, now: Micros, to: SocketAddr, body: Body) {
+        let packet = Packet { from: self.me(), sent: self.awake.at(now), body };
+        if let Some(bytes) = self.settings.keys.seal(&packet) {
+            self.counters.sent += 1;
+            self.counters.sent_bytes += bytes.len() as u64;
+            self.outputs.push(Output::Send(to, bytes));
+        }
+    }
+}
+
+/// The library for one life.
+fn swim(
+    settings: &Settings,
+    me: Id,
+    rng: &mut Pcg64Mcg,
+    shared: &Rc<RefCell<Shared>>,
+) -> Foca<Id, Codec, Pcg64Mcg, Book> {
+    let pace = &settings.pace;
+    let count = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    let periodic = |every: Duration, members| Some(PeriodicParams { frequency: every, num_members: members });
+    let config = Config {
+        probe_period: pace.probe_every,
+        probe_rtt: pace.probe_within,
+        num_indirect_probes: count(pace.helpers),
+        max_transmissions: NonZeroU8::new(pace.transmissions(pace.most.min(400))).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: pace.suspect_for(1),
+        remove_down_after: Some(pace.forget_after),
+        max_packet_size: count(LONGEST - FRAME),
+        notify_down_members: true,
+        periodic_announce: None,
+        periodic_announce_to_down_members: periodic(pace.seek_every, count(2)),
+        periodic_gossip: periodic(pace.gossip_every, count(pace.helpers)),
+    };
+    let (codec, book) = (Codec(shared.clone()), Book(shared.clone()));
+    Foca::with_custom_broadcast(me, config, Pcg64Mcg::seed_from_u64(rng.next_u64()), codec, book)
+}
--- /dev/null
+++ b/crates/fleet/src/exchange.rs
@@ -0,0 +1,374 @@
+//! What members say to each other beside SWIM: who a stranger is, whether two see the same, and whose a name is.
+
+use std::net::SocketAddr;
+
+use crate::core::{Due, Fleet, MOST_ADDRESSES, Output, Rival};
+use crate::id::{Id, Record};
+use crate::packet::{BUCKETS, Body, Entry, LONGEST, Liveness, Packet, Unusable};
+use crate::table::{Micros, State, Table};
+use crate::view::Notice;
+
+/// A datagram that is so much older than another of its sender's is out of date.
+const LATE: Micros = 10_000_000;
+/// Entries in one datagram, and datagrams in answer to one pull; what is left comes with the next ones.
+const ENTRIES: usize = 6;
+const PAGES: usize = 6;
+/// What is told because of a sender's mistake is told to it at most this often.
+const TELL_EVERY: Micros = 200_000;
+/// So many are told something in a minute.
+const MOST_TOLD: usize = 4096;
+/// The other holder of a name is asked this often whether it is still there, and taken for gone after so many.
+const RIVAL_EVERY: Micros = 1_000_000;
+const RIVAL_GONE: Micros = 5_000_000;
+
+impl Fleet {
+    /// Takes in a datagram. What is not of this fleet, or can't be read, is counted and changes nothing.
+    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+        self.wake(now);
+        self.counters.received += 1;
+        let packet = match self.settings.keys.open(bytes) {
+            Ok(packet) => packet,
+            Err(unusable) => {
+                let counter = match unusable {
+                    Unusable::Oversize => &mut self.counters.oversize,
+                    Unusable::Foreign => &mut self.counters.foreign,
+                    Unusable::Unauthenticated => &mut self.counters.unauthenticated,
+                    Unusable::Unreadable => &mut self.counters.unreadable,
+                };
+                *counter += 1;
+                return;
+            }
+        };
+        if packet.from.name == self.me().name {
+            return self.namesake(now, &packet);
+        }
+        if self.in_time(&packet) && self.rival.is_none() {
+            self.hear(now, packet);
+        }
+    }
+
+    /// Whether a datagram is not long out of date by its sender's own time.
+    fn in_time(&mut self, packet: &Packet) -> bool {
+        let name = packet.from.name.hash();
+        let (life, sent) = self.heard.get(&name).copied().unwrap_or((0, 0));
+        let late = life == packet.from.life && packet.sent + LATE < sent;
+        self.counters.late += u64::from(late);
+        if !late && self.table.get(name).is_some() && (life, sent) < (packet.from.life, packet.sent) {
+            self.heard.insert(name, (packet.from.life, packet.sent));
+        }
+        !late
+    }
+
+    fn hear(&mut self, now: Micros, packet: Packet) {
+        let Packet { from, body, .. } = packet;
+        if let Body::Superseded { life, address, down } = body {
+            // Also from one that this member holds for down: so two parts of a fleet that went apart hear of each other.
+            let id = Id { life, address, ..self.me() };
+            return self.superseded(now, &id, down);
+        }
+        let known = self.table.get(from.name.hash()).map(|k| (k.id.clone(), k.state));
+        match known {
+            None => return self.stranger(now, &from, body),
+            Some((id, state)) if id.rank() > from.rank() || (id == from && !state.live()) => {
+                self.counters.superseded += 1;
+                let (life, address, down) = (id.life, id.address, !state.live());
+                if self.may_tell(now, from.name.hash()) {
+                    self.send(now, from.address, Body::Superseded { life, address, down });
+                }
+                return;
+            }
+            Some(_) => {}
+        }
+        let by = from.name.to_string();
+        match body {
+            Body::Swim(data) => {
+                self.with_swim(now, &by, |swim, wants| swim.handle_data(&data, wants));
+            }
+            Body::Pull { buckets, answer } => {
+                self.answer_pull(now, &from, &buckets);
+                if !answer && self.buckets() != buckets {
+                    let buckets = self.buckets();
+                    self.send(now, from.address, Body::Pull { buckets, answer: true });
+                }
+            }
+            Body::Members(entries) => self.members(now, &by, entries),
+            Body::Challenge(nonce) => {
+                let buckets = self.buckets();
+                self.send(now, from.address, Body::Proof { nonce, buckets });
+            }
+            Body::Proof { buckets, .. } => self.answer_pull(now, &from, &buckets),
+            Body::Superseded { .. } | Body::Claim => {}
+        }
+    }
+
+    /// One that nobody has told of: it is taken in once it has shown that it is there now.
+    fn stranger(&mut self, now: Micros, from: &Id, body: Body) {
+        let nonce = self.nonce(now, from);
+        match body {
+            // The answer may come just after the number has changed.
+            Body::Proof { nonce: given, buckets }
+                if given == nonce || given == self.nonce(now.saturating_sub(EPOCH), from) =>
+            {
+                if self.table.len() >= self.settings.pace.most {
+                    self.shared.borrow_mut().full += 1;
+                    return;
+                }
+                let by = from.name.to_string();
+                let member = foca::Member::alive(from.clone());
+                self.with_swim(now, &by, |swim, wants| swim.apply_many(std::iter::once(member), true, wants));
+                self.answer_pull(now, from, &buckets);
+                let buckets = self.buckets();
+                self.send(now, from.address, Body::Pull { buckets, answer: true });
+            }
+            Body::Challenge(nonce) => {
+                let buckets = self.buckets();
+                self.send(now, from.address, Body::Proof { nonce, buckets });
+            }
+            _ if self.may_tell(now, from.name.hash()) => {
+                self.counters.challenged += 1;
+                self.send(now, from.address, Body::Challenge(nonce));
+            }
+            _ => {}
+        }
+    }
+
+    /// A number that only a process that hears this member now can know: it changes every few seconds and with each life.
+    fn nonce(&self, now: Micros, from: &Id) -> u64 {
+        let me = self.me();
+        let text = format!("{} {} {} {} {}", me.name, me.life, from.name, from.rank().0, now / EPOCH);
+        self.settings.keys.nonce(text.as_bytes())
+    }
+
+    /// Another process under this member's own name.
+    fn namesake(&mut self, now: Micros, packet: &Packet) {
+        let (me, from) = (self.me(), &packet.from);
+        if from.address == me.address {
+            // Its own datagram, or an earlier life's.
+            return;
+        }
+        match &packet.body {
+            Body::Superseded { life, address, down } if *life >= me.life => {
+                self.superseded(now, &Id { life: *life, address: *address, ..me }, *down);
+            }
+            _ if from.rank() > me.rank() => self.superseded(now, &from.clone(), false),
+            Body::Claim => {
+                let first = self.claimed.is_none_or(|(by, _)| by != from.address);
+                self.claimed = Some((from.address, now));
+                if first {
+                    self.outputs.push(Output::Own(Notice::Claimed { by: from.address }));
+                }
+                let (life, address) = me.rank();
+                self.send(now, from.address, Body::Superseded { life, address, down: false });
+            }
+            _ => {}
+        }
+    }
+
+    /// Somebody holds another life for the one that has this member's name, or this one for down.
+    pub(crate) fn superseded(&mut self, now: Micros, by: &Id, down: bool) {
+        let me = self.me();
+        if by.rank() < me.rank() {
+            return;
+        }
+        if down || by.address == me.address {
+            // Nobody lives there, or only this process can: the name is this one's, in a later life.
+            if self.rival.is_none() {
+                self.renew(now, by.life);
+            }
+            return;
+        }
+        if let Some(rival) = &mut self.rival {
+            if rival.id.rank() <= by.rank() {
+                *rival = Rival { id: by.clone(), heard: now };
+            }
+            return;
+        }
+        self.rival = Some(Rival { id: by.clone(), heard: now });
+        self.outputs.push(Output::Own(Notice::Displaced { by: by.address }));
+        self.reset_swim();
+        self.send(now, by.address, Body::Claim);
+        self.awake.set(now, RIVAL_EVERY, Due::Rival);
+    }
+
+    /// Asks the other holder of its name whether it is still there.
+    pub(crate) fn rival_due(&mut self, now: Micros) {
+        let Some(rival) = &self.rival else { return };
+        let (id, heard) = (rival.id.clone(), rival.heard);
+        if heard + RIVAL_GONE > now {
+            self.send(now, id.address, Body::Claim);
+            self.awake.set(now, RIVAL_EVERY, Due::Rival);
+            return;
+        }
+        self.rival = None;
+        self.outputs.push(Output::Own(Notice::Reinstated));
+        self.renew(now, id.life);
+        // What it knew of others goes back to the library, which tests them anew.
+        let members: Vec<_> =
+            self.table.iter().filter(|k| k.state.live()).map(|k| foca::Member::alive(k.id.clone())).collect();
+        self.with_swim(now, "itself", |swim, wants| swim.apply_many(members.into_iter(), true, wants));
+        self.ask_strangers(now, true);
+    }
+
+    pub(crate) fn may_tell(&mut self, now: Micros, name: u64) -> bool {
+        let at = self.told.get(&name).copied().unwrap_or(0);
+        let may = at + TELL_EVERY <= now && (at > 0 || self.told.len() < MOST_TOLD);
+        if may {
+            self.told.insert(name, now);
+        }
+        may
+    }
+
+    pub(crate) fn buckets(&self) -> Vec<u32> {
+        let shared = self.shared.borrow();
+        self.table.buckets(&shared.me, shared.records.get(&shared.me.name.hash()))
+    }
+
+    /// Sends what this member knows where another one's view differs.
+    fn answer_pull(&mut self, now: Micros, to: &Id, theirs: &[u32]) {
+        let ours = self.buckets();
+        if theirs.len() != BUCKETS || ours == theirs {
+            return;
+        }
+        let differs = |name: u64| ours[Table::in_bucket(name)] != theirs[Table::in_bucket(name)];
+        let mut entries = Vec::new();
+        let shared = self.shared.borrow();
+        for member in self.swim.iter_membership_state() {
+            let name = member.id().name.hash();
+            if differs(name) && member.id().name != to.name {
+                let state = match member.state() {
+                    foca::State::Alive => Liveness::Alive,
+                    foca::State::Suspect => Liveness::Suspect,
+                    foca::State::Down => Liveness::Down,
+                };
+                let record = shared.records.get(&name).cloned();
+                entries.push(Entry {
+                    id: member.id().clone(),
+                    incarnation: member.incarnation(),
+                    state,
+                    record,
+                });
+            }
+        }
+        let me = shared.me.clone();
+        let record = shared.records.get(&me.name.hash()).cloned();
+        drop(shared);
+        if differs(me.name.hash()) {
+            entries.push(Entry { id: me, incarnation: 0, state: Liveness::Alive, record });
+        }
+        // Where not all can be told at once, different ones are each time.
+        if entries.len() > ENTRIES * PAGES {
+            let first = self.draw(entries.len());
+            entries.rotate_left(first);
+            entries.truncate(ENTRIES * PAGES);
+        }
+        let mut page = Vec::new();
+        let mut room = 0;
+        for entry in entries {
+            let size = postcard::experimental::serialized_size(&entry).unwrap_or(LONGEST);
+            if room < size {
+                self.send_members(now, to.address, std::mem::take(&mut page));
+                room = LONGEST - crate::packet::FRAME;
+            }
+            room = room.saturating_sub(size);
+            page.push(entry);
+        }
+        self.send_members(now, to.address, page);
+    }
+
+    fn send_members(&mut self, now: Micros, to: SocketAddr, entries: Vec<Entry>) {
+        if !entries.is_empty() {
+            self.send(now, to, Body::Members(entries));
+        }
+    }
+
+    fn members(&mut self, now: Micros, by: &str, entries: Vec<Entry>) {
+        let mut members = Vec::with_capacity(entries.len());
+        let mut records: Vec<Record> = Vec::new();
+        for Entry { id, incarnation, state, record } in entries {
+            let state = match state {
+                Liveness::Alive => foca::State::Alive,
+                Liveness::Suspect => foca::State::Suspect,
+                Liveness::Down => foca::State::Down,
+            };
+            let named = record.filter(|r| r.name == id.name);
+            records.extend(named);
+            let member = foca::Member::new(id, incarnation, state);
+            members.push(self.shared.borrow_mut().admit(member));
+        }
+        self.with_swim(now, by, |swim, wants| {
+            for record in records {
+                // Whether it is news is the book's matter; if it is, it travels on.
+                if let Ok(bytes) = postcard::to_allocvec(&record) {
+                    swim.add_broadcast(&bytes)?;
+                }
+            }
+            swim.apply_many(members.into_iter(), true, wants)
+        });
+    }
+
+    /// Asks one live member whether it sees the same fleet.
+    pub(crate) fn ask_one(&mut self, now: Micros) {
+        let live = self.table.live();
+        if live == 0 || self.rival.is_some() {
+            return;
+        }
+        let n = self.draw(live);
+        if let Some(to) = self.table.nth_live(n).map(|id| id.address) {
+            let buckets = self.buckets();
+            self.send(now, to, Body::Pull { buckets, answer: false });
+        }
+    }
+
+    /// Asks at addresses where no live member is known: the seeds', and where members were that are gone.
+    pub(crate) fn ask_strangers(&mut self, now: Micros, all_seeds: bool) {
+        let own = self.settings.advertise;
+        let live: Vec<SocketAddr> =
+            self.table.iter().filter(|k| k.state.live()).map(|k| k.id.address).collect();
+        let stranger = |a: &&SocketAddr| **a != own && !live.contains(a);
+        let seeds: Vec<SocketAddr> = self.settings.seeds.iter().filter(stranger).copied().collect();
+        let others: Vec<SocketAddr> = self.addresses.iter().filter(stranger).copied().collect();
+        let mut asked = Vec::new();
+        if all_seeds {
+            asked.extend(seeds);
+        } else if !seeds.is_empty() {
+            asked.push(seeds[self.draw(seeds.len())]);
+        }
+        if !others.is_empty() {
+            asked.push(others[self.draw(others.len())]);
+        }
+        asked.dedup();
+        for to in asked {
+            let buckets = self.buckets();
+            self.send(now, to, Body::Pull { buckets, answer: false });
+        }
+    }
+
+    /// Keeps the address of a member that is about to be forgotten; beyond the most, one at random makes room.
+    pub(crate) fn remember_address(&mut self, name: u64) {
+        let left = self.table.get(name).filter(|k| k.state != State::Left).map(|k| k.id.address);
+        let Some(address) = left.filter(|a| !self.addresses.contains(a)) else { return };
+        if self.addresses.len() >= MOST_ADDRESSES {
+            let n = self.draw(MOST_ADDRESSES);
+            self.addresses.swap_remove(n);
+        }
+        self.addresses.push(address);
+    }
+
+    /// Tells a few that it leaves.
+    pub(crate) fn last_words(&mut self, now: Micros) {
+        let me = self.me();
+        let record = self.shared.borrow().records.get(&me.name.hash()).cloned();
+        let entry = Entry { id: me, incarnation: u16::MAX, state: Liveness::Down, record };
+        for _ in 0..self.settings.pace.helpers {
+            let live = self.table.live();
+            let n = self.draw(live);
+            if let Some(to) = self.table.nth_live(n).map(|id| id.address) {
+                self.send(now, to, Body::Members(vec![entry.clone()]));
+            }
+        }
+    }
+}
+
+/// Numbers by which strangers are asked change this often, and count for so long again: less than the shortest memory of
+/// the gone, so that an answer of an earlier life, sent again by somebody, is out of date before that life is forgotten.
+const EPOCH: Micros = 5_000_000;
--- a/crates/engine/src/timers.rs
+++ b/crates/timers/src/lib.rs
@@ -1,4 +1,4 @@
-//! Timers: a heap of due times. A timer that is no longer wanted is left to fall due and be ignored.
+//! Timers without a clock: a heap of due times. A timer that is no longer wanted is left to fall due and be ignored.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
