--- a/crates/fleet-drill/src/lib.rs
+++ b/crates/fleet-drill/src/lib.rs
@@ -1,4 +1,5 @@
 //! The fleet's view under faults: a model with simulated time, and a rig of real processes with a faulty network between
 //! every pair of them and a judge that shares no state with them.
 
+pub mod drawn;
 pub mod model;
--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -213,6 +213,20 @@
         self.processes.keys().copied().collect()
     }
 
+    /// Which member runs at a place.
+    pub fn member_at(&self, at: usize) -> usize {
+        self.processes[&at].name
+    }
+
+    /// If no seed's place has a process any more, one starts there anew, as an operator would have it.
+    pub fn seeds_again(&mut self) {
+        if let Some(&seed) = self.seeds.first()
+            && self.seeds.iter().all(|s| !self.processes.contains_key(s))
+        {
+            self.start(500 + seed, seed);
+        }
+    }
+
     /// What was seen so far.
     pub fn seen(&self) -> &Seen {
         &self.seen
@@ -274,7 +288,7 @@
                 }
                 let local = self.local(at);
                 let process = self.at(at);
-                process.paused = false;
+                (process.paused, process.next) = (false, Micros::MAX);
                 let inbox = std::mem::take(&mut process.inbox);
                 inbox.iter().for_each(|bytes| process.fleet.datagram(local, bytes));
                 process.fleet.tick(local);
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -234,7 +234,8 @@
         let shared = self.shared.borrow();
         for member in self.swim.iter_membership_state() {
             let name = member.id().name.hash();
-            if differs(name) && member.id().name != to.name {
+            // Also what is known of the other itself: so it hears of a suspicion that was lost on the way.
+            if differs(name) {
                 let state = match member.state() {
                     foca::State::Alive => Liveness::Alive,
                     foca::State::Suspect => Liveness::Suspect,
