The fleet's view in the placer: [fleet], GET /v1/fleet, fleet members, watch and key

One UDP socket on the daemon's loop, at most 64 datagrams a turn; nothing of it without [fleet], and maplethread platform does not know it. Settings are checked with key and line; the key file is read again when it changes, and a bad one leaves the keys as they are. Changes are logged with the member by whose word they came; GET /v1/fleet gives the view, with ?after=N what changed since.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
 
 mod agent;
+mod fleet;
 mod hosts;
 mod trace;
 mod worker;
@@ -76,6 +77,9 @@
     Agent(agent::AgentArgs),
     /// Be a small task for agents to run: use so much, for so long, and log one's life
     Worker(worker::WorkerArgs),
+    /// See the fleet as a placer sees it, or make a key for one
+    #[command(subcommand)]
+    Fleet(fleet::FleetCommand),
     /// Read, cut, sum up and replay the trace files of placers
     #[command(subcommand)]
     Trace(trace::TraceCommand),
@@ -217,6 +221,7 @@
         Command::Load(args) => load(&args),
         Command::Agent(args) => agent::run(&args),
         Command::Worker(args) => worker::run(&args),
+        Command::Fleet(command) => fleet::run(&command),
         Command::Trace(command) => trace::run(&command),
         Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
     };
--- a/crates/config/src/checks.rs
+++ b/crates/config/src/checks.rs
@@ -1,8 +1,10 @@
 //! What a placer's settings have to be: each fault with its key, what was given and what is allowed.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 
 use crate::error::{ConfigErrors, Doc};
+use crate::fleet::Fleet;
 use crate::placer::{Class, Consul, Effect, PlacerConfig};
 use crate::trace::Trace;
 
@@ -49,6 +51,19 @@
         if let Some(consul) = &self.consul {
             consul.faults(self.rules.ask_within_ms, &mut faults);
         }
+        if let Some(fleet) = &self.fleet {
+            let name = &self.placer.name;
+            faults.given(
+                name.len() <= 64,
+                "placer.name",
+                format_args!("`{name}`"),
+                "with [fleet] a name has at most 64 bytes",
+            );
+            let zone = &self.placer.zone;
+            let allowed = "with [fleet] a zone has 1 to 32 bytes";
+            faults.given((1..=32).contains(&zone.len()), "placer.zone", format_args!("`{zone}`"), allowed);
+            fleet.faults(&mut faults);
+        }
         self.figures(&mut faults);
         self.kinds(&mut faults);
         faults.check(!self.class.is_empty(), "class", "at least one is needed");
@@ -158,6 +173,51 @@
     }
 }
 
+impl Fleet {
+    fn faults(&self, faults: &mut Faults<'_>) {
+        let named = !self.name.is_empty() && self.name.len() <= 64;
+        faults.given(named, "fleet.name", format_args!("`{}`", self.name), "a name has 1 to 64 bytes");
+        faults.check(!self.key_file.as_os_str().is_empty(), "fleet.key_file", "a file is needed");
+        let reached = |a: &SocketAddr| !a.ip().is_unspecified() && a.port() > 0;
+        match self.advertise {
+            Some(to) => {
+                faults.given(
+                    reached(&to),
+                    "fleet.advertise",
+                    to,
+                    "an address and port that others can send to",
+                );
+            }
+            None => {
+                let any = self.listen.ip().is_unspecified();
+                faults.given(!any, "fleet.listen", self.listen, "one address, or fleet.advertise beside it");
+            }
+        }
+        for seed in self.seeds.iter().filter(|s| !reached(s)) {
+            faults.given(false, "fleet.seeds", seed, "addresses and ports that can be sent to");
+        }
+        let many = self.seeds.len();
+        faults.given(many <= 32, "fleet.seeds", format_args!("{many} seeds"), "at most 32");
+        faults.least("fleet.probe_every_ms", self.probe_every_ms, 20);
+        let within = (1..self.probe_every_ms).contains(&self.probe_within_ms);
+        let allowed = "1 to less than fleet.probe_every_ms";
+        faults.given(within, "fleet.probe_within_ms", self.probe_within_ms, allowed);
+        faults.given((1..=16).contains(&self.helpers), "fleet.helpers", self.helpers, "1 to 16");
+        faults.given((1..=100).contains(&self.suspicion), "fleet.suspicion", self.suspicion, "1 to 100");
+        faults.least("fleet.gossip_every_ms", self.gossip_every_ms, 10);
+        faults.least("fleet.sync_every_ms", self.sync_every_ms, 50);
+        faults.least("fleet.seek_every_ms", self.seek_every_ms, 50);
+        // Shorter, an answer of a life that is over could be sent again after it is forgotten.
+        faults.least("fleet.forget_after_s", self.forget_after_s, 15);
+        faults.given(
+            (2..=16_384).contains(&self.max_members),
+            "fleet.max_members",
+            self.max_members,
+            "2 to 16384",
+        );
+    }
+}
+
 impl Trace {
     fn faults(&self, faults: &mut Faults<'_>) {
         faults.check(!self.folder.as_os_str().is_empty(), "trace.folder", "a folder is needed");
--- a/crates/config/src/defaults.rs
+++ b/crates/config/src/defaults.rs
@@ -3,6 +3,36 @@
 pub(crate) fn yes() -> bool {
     true
 }
+pub(crate) fn fleet_name() -> String {
+    "maplethread".to_owned()
+}
+pub(crate) fn probe_every() -> u64 {
+    1000
+}
+pub(crate) fn probe_within() -> u64 {
+    300
+}
+pub(crate) fn helpers() -> usize {
+    3
+}
+pub(crate) fn suspicion() -> u32 {
+    5
+}
+pub(crate) fn gossip_every() -> u64 {
+    200
+}
+pub(crate) fn sync_every() -> u64 {
+    2000
+}
+pub(crate) fn seek_every() -> u64 {
+    5000
+}
+pub(crate) fn forget_after() -> u64 {
+    600
+}
+pub(crate) fn max_members() -> usize {
+    4096
+}
 pub(crate) fn one() -> f64 {
     1.0
 }
--- /dev/null
+++ b/crates/config/src/fleet.rs
@@ -0,0 +1,55 @@
+//! Settings of the placers' own view of their fleet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+
+use crate::defaults as d;
+
+/// The placers' own view of their fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The fleet's name, the same at all its members; another fleet's datagrams are not taken, with one key too.
+    #[serde(default = "d::fleet_name")]
+    pub name: String,
+    /// Where it listens, UDP; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where others send to it; where missing, the address at which it listens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
+    /// Where it looks for others; its own address among them does no harm.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// A file with the fleet's key, or with two while it is changed; relative to the settings file. Read again when it
+    /// changes.
+    pub key_file: PathBuf,
+    /// A member is tested this often.
+    #[serde(default = "d::probe_every")]
+    pub probe_every_ms: u64,
+    /// It has so long to answer before others are asked to test it.
+    #[serde(default = "d::probe_within")]
+    pub probe_within_ms: u64,
+    /// So many others are asked.
+    #[serde(default = "d::helpers")]
+    pub helpers: usize,
+    /// A suspect has so many periods of tests to refute, times the decimal logarithm of the fleet, at least so many.
+    #[serde(default = "d::suspicion")]
+    pub suspicion: u32,
+    /// News are passed on this often.
+    #[serde(default = "d::gossip_every")]
+    pub gossip_every_ms: u64,
+    /// A member is asked this often whether it sees the same fleet.
+    #[serde(default = "d::sync_every")]
+    pub sync_every_ms: u64,
+    /// Seeds, and members thought down, are tried again this often.
+    #[serde(default = "d::seek_every")]
+    pub seek_every_ms: u64,
+    /// Members that are gone are forgotten after this.
+    #[serde(default = "d::forget_after")]
+    pub forget_after_s: u64,
+    /// Members at a time, those that are gone included; further ones are not taken in.
+    #[serde(default = "d::max_members")]
+    pub max_members: usize,
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,11 +5,13 @@
 mod checks;
 mod defaults;
 mod error;
+mod fleet;
 mod inventory;
 mod placer;
 mod trace;
 
 pub use error::{ConfigError, ConfigErrors, Doc, parse};
+pub use fleet::Fleet;
 pub use inventory::{HostEntry, HostState, Inventory};
 pub use placer::*;
 pub use trace::Trace;
--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -8,6 +8,7 @@
 
 use crate::defaults as d;
 use crate::error::{ConfigErrors, Doc, parse};
+use crate::fleet::Fleet;
 use crate::trace::Trace;
 
 /// A placer's settings file.
@@ -23,6 +24,9 @@
     /// Consul as the source of hosts, in place of an inventory file.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub consul: Option<Consul>,
+    /// The placers' own view of their fleet; none without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Fleet>,
     /// Trace files of all that it sees and decides; none without it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub trace: Option<Trace>,
--- a/crates/engine/src/api.rs
+++ b/crates/engine/src/api.rs
@@ -32,6 +32,7 @@
     List { after: Option<(String, String)>, limit: usize },
     Events { after: Option<u64>, life: Option<u64> },
     Status { full: bool },
+    Fleet { after: Option<u64> },
 }
 
 /// An error answer (RFC 9457).
@@ -173,6 +174,8 @@
         (["v1", "events"], "GET") => Ok(Call::Events { after: number("after")?, life: number("life")? }),
         (["v1", "events"], _) => Err(wrong("GET")),
         (["v1", "status"], "GET") => Ok(Call::Status { full: param("full").is_some() }),
+        (["v1", "fleet"], "GET") => Ok(Call::Fleet { after: number("after")? }),
+        (["v1", "fleet"], _) => Err(wrong("GET")),
         (["v1", "status"], _) => Err(wrong("GET")),
         _ => Err(Problem::new(404, "no-such-path", "Nothing is served under this path", path)),
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -45,6 +45,9 @@
     Connect(HostId, SocketAddr),
     /// Drop the connection to a host.
     CloseHost(HostId),
+    /// A client asks for the view of the fleet, or with a number for what is new since; to be answered by
+    /// [`Engine::tell_fleet`], with the number of the request on its connection.
+    AskFleet(ClientId, u64, Option<u64>),
 }
 
 /// What an engine has done since its start, and how full it is.
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -165,6 +165,22 @@
         self.reply(id, slot, bytes, problem.close);
     }
 
+    /// The answer to [`Output::AskFleet`]; nothing where there is no view of the fleet.
+    pub fn tell_fleet(&mut self, id: ClientId, slot: u64, view: Option<&serde_json::Value>) {
+        match view {
+            Some(view) => self.reply(id, slot, api::answer(200, view), false),
+            None => {
+                let problem = Problem::new(
+                    404,
+                    "no-fleet",
+                    "This placer keeps no view of a fleet",
+                    "no [fleet] is set",
+                );
+                self.problem(id, slot, problem);
+            }
+        }
+    }
+
     fn serve(&mut self, id: ClientId, slot: u64, call: Call) {
         match call {
             Call::Place { body, request, idempotency } => {
@@ -238,6 +254,7 @@
                 let body = json!({"actors": actors, "held": self.actors.len(), "next": next});
                 self.reply(id, slot, api::answer(200, &body), false);
             }
+            Call::Fleet { after } => self.outputs.push(Output::AskFleet(id, slot, after)),
             Call::Events { after, life } => self.follow(id, slot, after, life),
             Call::Status { full } => {
                 let up = self.hosts.values().filter(|h| h.link == crate::hosts::Link::Up).count();
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -87,7 +87,10 @@
     facts_due: bool,
     leaving: bool,
     last: Micros,
+    /// Changes that the library does not tell are looked for soon.
     looks: bool,
+    /// Who said lately that these are suspect.
+    accusers: BTreeMap<u64, String>,
     pub(crate) health: u32,
     pub(crate) digest: u64,
     pub(crate) version: u64,
@@ -106,6 +109,7 @@
         let shared = Shared {
             me: me.clone(),
             rival: None,
+            accused: BTreeSet::new(),
             suspected: false,
             known: BTreeSet::new(),
             most: settings.pace.most,
@@ -136,6 +140,7 @@
             leaving: false,
             last: now,
             looks: false,
+            accusers: BTreeMap::new(),
             health: 0,
             digest: 0,
             version: 0,
@@ -175,7 +180,7 @@
                 Due::Seek => self.seek(now),
                 Due::Look => {
                     self.looks = false;
-                    self.look(now, "news");
+                    self.look(now);
                 }
                 Due::Facts => {
                     self.facts_due = false;
@@ -216,6 +221,11 @@
         }
     }
 
+    /// What this member says of itself.
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
     /// The digest of the view, see [`crate::View::digest`].
     pub fn digest(&self) -> u64 {
         self.digest
@@ -331,6 +341,8 @@
         if !std::mem::replace(&mut self.looks, true) {
             self.awake.set(now, LOOK_AFTER, Due::Look);
         }
+        let accused = std::mem::take(&mut self.shared.borrow_mut().accused);
+        self.accusers.extend(accused.into_iter().map(|name| (name, by.to_owned())));
         let told = std::mem::take(&mut self.shared.borrow_mut().told);
         for name in told {
             self.retell(now, name);
@@ -356,7 +368,7 @@
     }
 
     /// Looks for all changes that the library did not tell, and for members that it forgot.
-    fn look(&mut self, now: Micros, by: &str) {
+    fn look(&mut self, now: Micros) {
         let mut changed = Vec::new();
         let mut there = BTreeSet::new();
         for member in self.swim.iter_membership_state() {
@@ -376,7 +388,13 @@
                 changed.push((member.id().clone(), member.incarnation(), member.state()));
             }
         }
+        let accusers = std::mem::take(&mut self.accusers);
         for (id, incarnation, state) in changed {
+            let by = match state {
+                // Only the member itself refutes.
+                foca::State::Alive => id.name.as_str(),
+                _ => accusers.get(&id.name.hash()).map_or(OWN_TEST, String::as_str),
+            };
             self.set(now, &id, incarnation, state, by);
         }
         let gone: Vec<u64> =
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -18,6 +18,8 @@
     pub(crate) me: Id,
     /// The highest other life that news gave this member's name, and whether it is said to be down.
     pub(crate) rival: Option<(Id, bool)>,
+    /// Whom the message that is being read calls suspect.
+    pub(crate) accused: BTreeSet<u64>,
     /// Somebody suspects this member.
     pub(crate) suspected: bool,
     /// Hashes of the names that are known, and how many may be.
@@ -115,6 +117,9 @@
             self.full += 1;
             return nothing();
         }
+        if member.state() == State::Suspect {
+            self.accused.insert(id.name.hash());
+        }
         member
     }
 
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::catalogue::Catalogue;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
+use crate::fleet::Member;
 use crate::recorder::Recorder;
 use crate::recording::{Item, Recorded};
 use crate::start::{Error, Options, io_error, load};
@@ -22,6 +23,8 @@
 const LISTENER: u64 = 0;
 const SIGNALS: u64 = 1;
 const INVENTORY: u64 = 2;
+const FLEET: u64 = 3;
+const FLEET_KEYS: u64 = 4;
 const FIRST: u64 = 16;
 
 /// Bytes read from one connection in one round, so that a busy peer waits for the others.
@@ -89,6 +92,9 @@
     accepting: bool,
     watch: Option<FileWatch>,
     catalogue: Option<Catalogue>,
+    fleet: Option<Member>,
+    /// The placer's number, as the decisions know it.
+    number: Option<u32>,
     config: PlacerConfig,
     next_token: u64,
     clients: HashMap<u64, ClientConn>,
@@ -134,6 +140,8 @@
             None => None,
         };
         let catalogue = Catalogue::new(&config, boot.seed)?;
+        let boot_time = (boot.started_ms, boot.seed, clock.now());
+        let fleet = Member::new(&config, boot_time, &poller, (FLEET, FLEET_KEYS))?;
         listener.set_nonblocking(true).map_err(io_error("listener"))?;
         let now = clock.now();
         let mut daemon = Daemon {
@@ -145,6 +153,8 @@
             accepting: false,
             watch,
             catalogue,
+            fleet,
+            number: Some(config.placer.number),
             config,
             next_token: FIRST,
             clients: HashMap::new(),
@@ -164,6 +174,7 @@
         };
         if daemon.config.consul.as_ref().is_some_and(|c| c.membership.is_some()) {
             daemon.engine.numbered(None);
+            daemon.number = None;
         }
         Ok(daemon)
     }
@@ -209,6 +220,9 @@
             self.keep_notes(read);
             let decided = self.clock.now();
             self.carry_out();
+            if let Some(fleet) = &mut self.fleet {
+                fleet.tick(self.clock.now());
+            }
             self.spent.read.add(read - woke);
             self.spent.turn.add(decided - read);
             self.spent.write.add(self.clock.now() - decided);
@@ -245,7 +259,10 @@
                     tracing::info!(hosts = hosts.len(), "news of the catalogue");
                     self.engine.hosts_changed(now, &hosts);
                 }
-                Update::Slot(slot) => self.engine.numbered(slot),
+                Update::Slot(slot) => {
+                    self.number = slot;
+                    self.engine.numbered(slot);
+                }
             }
         }
         if self.accepting {
@@ -256,7 +273,8 @@
     fn next_due(&self) -> Option<u64> {
         let catalogue = self.catalogue.as_ref().and_then(|c| c.next_timeout(self.clock.now()));
         let linger = self.lingering.values().map(|l| l.1).min();
-        [self.engine.next_timeout(), catalogue, linger, self.stop_by].into_iter().flatten().min()
+        let fleet = self.fleet.as_ref().and_then(Member::next_timeout);
+        [self.engine.next_timeout(), catalogue, linger, fleet, self.stop_by].into_iter().flatten().min()
     }
 
     fn accept_from_now(&mut self) -> Result<(), Error> {
@@ -293,6 +311,9 @@
             let _ = self.poller.remove(&listener);
         }
         self.engine.stop();
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(self.clock.now());
+        }
         self.stop_by = Some(self.clock.now() + self.config.api.stop_within_ms * 1000);
     }
 
@@ -306,6 +327,16 @@
                         self.read_inventory();
                     }
                 }
+                FLEET => {
+                    if let Some(fleet) = &mut self.fleet {
+                        fleet.read(self.clock.now());
+                    }
+                }
+                FLEET_KEYS => {
+                    if let Some(fleet) = &mut self.fleet {
+                        fleet.keys_changed();
+                    }
+                }
                 token if self.hosts.contains_key(&token) => self.host_ready(token, r),
                 token if self.catalogue.as_ref().is_some_and(|c| c.has(token)) => {
                     let now = self.clock.now();
@@ -505,6 +536,10 @@
                 gauges["catalogue"] = serde_json::json!(catalogue.source.report(now));
             }
             self.engine.set_gauges(gauges);
+            if let Some(fleet) = self.fleet.as_mut().filter(|_| self.stop_by.is_none()) {
+                let load = self.engine.open_asks() as f64 / self.config.api.max_asks as f64;
+                fleet.says(now, false, self.number, load);
+            }
         }
         self.lingering.retain(|_, (_, until)| *until > now);
     }
@@ -557,6 +592,11 @@
                     }
                 }
             }
+            Output::AskFleet(id, slot, after) => {
+                let now = self.clock.now();
+                let view = self.fleet.as_ref().map(|fleet| fleet.answer(now, after));
+                self.engine.tell_fleet(id, slot, view.as_ref());
+            }
             Output::CloseHost(id) => {
                 if let Some(token) = self.host_tokens.remove(&id) {
                     self.dirty.remove(&token);
--- /dev/null
+++ b/crates/placer/src/fleet.rs
@@ -0,0 +1,218 @@
+//! The view of the fleet on a socket: one UDP socket on the daemon's loop, a bounded share of each turn.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use maplethread_config::{Fleet as FleetConfig, PlacerConfig};
+use maplethread_fleet::{Facts, Fleet, Keys, LONGEST, Name, Output, Pace, Settings, State};
+use maplethread_reactor::{FileWatch, Poller};
+use serde_json::{Value, json};
+
+use crate::start::{Error, io_error};
+
+/// Datagrams read in one turn: a flood waits in the socket, and what finds no room there is lost.
+const READ_ROUND: usize = 64;
+/// Changes of the view that are kept for those who follow it.
+const KEPT: usize = 4096;
+/// Changes in one answer.
+const ANSWERED: usize = 1024;
+
+/// A member of a fleet on its socket.
+pub(crate) struct Member {
+    fleet: Fleet,
+    socket: UdpSocket,
+    keys: FileWatch,
+    key_file: PathBuf,
+    name: String,
+    /// Number, time in ms, and what changed.
+    changes: VecDeque<(u64, u64, Value)>,
+    next: u64,
+    /// Datagrams that the socket did not take.
+    unsent: u64,
+}
+
+fn keys(path: &Path, fleet: &str) -> Result<Keys, Error> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(io_error(file.clone()))?;
+    Keys::parse(&text, fleet).map_err(|e| io_error(file)(io::Error::new(io::ErrorKind::InvalidData, e)))
+}
+
+fn pace(config: &FleetConfig) -> Pace {
+    let ms = Duration::from_millis;
+    Pace {
+        probe_every: ms(config.probe_every_ms),
+        probe_within: ms(config.probe_within_ms),
+        helpers: config.helpers,
+        suspicion: config.suspicion,
+        gossip_every: ms(config.gossip_every_ms),
+        sync_every: ms(config.sync_every_ms),
+        seek_every: ms(config.seek_every_ms),
+        forget_after: Duration::from_secs(config.forget_after_s),
+        most: config.max_members,
+    }
+}
+
+impl Member {
+    /// The member that the settings name, if they name one, registered under these tokens.
+    pub(crate) fn new(
+        config: &PlacerConfig,
+        (started_ms, seed, now): (u64, u64, u64),
+        poller: &Poller,
+        (socket_token, keys_token): (u64, u64),
+    ) -> Result<Option<Member>, Error> {
+        let Some(fleet) = &config.fleet else { return Ok(None) };
+        let socket =
+            UdpSocket::bind(fleet.listen).map_err(io_error(format!("fleet.listen {}", fleet.listen)))?;
+        socket.set_nonblocking(true).map_err(io_error("the fleet's socket"))?;
+        let bound = socket.local_addr().map_err(io_error("the fleet's socket"))?;
+        poller.add(&socket, socket_token, false).map_err(io_error("epoll"))?;
+        let loaded = keys(&fleet.key_file, &fleet.name)?;
+        let watch = FileWatch::new(&fleet.key_file)
+            .map_err(io_error(format!("watching {}", fleet.key_file.display())))?;
+        poller.add(&watch, keys_token, false).map_err(io_error("inotify"))?;
+        let bad = |e: maplethread_fleet::BadText| io_error("[fleet]")(io::Error::other(e));
+        let settings = Settings {
+            name: Name::try_from(config.placer.name.clone()).map_err(bad)?,
+            advertise: fleet.advertise.unwrap_or(bound),
+            life: started_ms,
+            facts: Facts {
+                version: env!("CARGO_PKG_VERSION").to_owned().try_into().map_err(bad)?,
+                zone: config.placer.zone.clone().try_into().map_err(bad)?,
+                started_ms,
+                draining: false,
+                number: None,
+                load: 0,
+            },
+            seeds: fleet.seeds.clone(),
+            keys: loaded,
+            pace: pace(fleet),
+        };
+        tracing::info!(listen = %bound, advertise = %settings.advertise, seeds = fleet.seeds.len(), "fleet: joining");
+        Ok(Some(Member {
+            fleet: Fleet::new(settings, seed, now),
+            socket,
+            keys: watch,
+            key_file: fleet.key_file.clone(),
+            name: fleet.name.clone(),
+            changes: VecDeque::new(),
+            next: 1,
+            unsent: 0,
+        }))
+    }
+
+    pub(crate) fn next_timeout(&self) -> Option<u64> {
+        self.fleet.next_timeout()
+    }
+
+    /// Reads what waits on the socket, up to a turn's share.
+    pub(crate) fn read(&mut self, now: u64) {
+        let mut bytes = [0; LONGEST + 1];
+        for _ in 0..READ_ROUND {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((n, _)) => self.fleet.datagram(now, &bytes[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // What an earlier datagram met: nobody listened where it went.
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Does what is due, and sends what is to be sent.
+    pub(crate) fn tick(&mut self, now: u64) {
+        self.fleet.tick(now);
+        for output in self.fleet.outputs() {
+            match output {
+                Output::Send(to, bytes) => {
+                    let sent = self.socket.send_to(&bytes, to);
+                    self.unsent += u64::from(sent.is_err());
+                }
+                Output::Changed(change) => {
+                    let (from, to) = (told(change.from), told(change.to));
+                    let (member, address, life) = (&change.name, change.address, change.life);
+                    let by = &change.by;
+                    if matches!(change.to, Some(State::Down | State::Suspect)) {
+                        tracing::warn!(%member, %address, life, from, to, %by, "fleet: a member has changed");
+                    } else {
+                        tracing::info!(%member, %address, life, from, to, %by, "fleet: a member has changed");
+                    }
+                    self.keep(now, json!(change));
+                }
+                Output::Own(notice) => {
+                    tracing::warn!(?notice, "fleet: this member itself");
+                    self.keep(now, json!(notice));
+                }
+            }
+        }
+    }
+
+    fn keep(&mut self, now: u64, what: Value) {
+        self.changes.push_back((self.next, now / 1000, what));
+        self.next += 1;
+        if self.changes.len() > KEPT {
+            self.changes.pop_front();
+        }
+    }
+
+    /// The key file may have changed. One that can't be used leaves the keys as they are.
+    pub(crate) fn keys_changed(&mut self) {
+        if !self.keys.changed() {
+            return;
+        }
+        match keys(&self.key_file, &self.name) {
+            Ok(keys) => {
+                tracing::info!(file = %self.key_file.display(), ?keys, "fleet: the keys are read again");
+                self.fleet.set_keys(keys);
+            }
+            Err(error) => tracing::error!(%error, "fleet: the key file can't be used; the keys are kept"),
+        }
+    }
+
+    /// What the member says of itself from now on; its load is told in quarters, so that the view settles under load.
+    pub(crate) fn says(&mut self, now: u64, draining: bool, number: Option<u32>, load: f64) {
+        let load = ((load.clamp(0.0, 1.0) * 4.0).floor() * 25.0) as u8;
+        let mut facts = self.fleet.facts().clone();
+        (facts.draining, facts.number, facts.load) = (draining, number, load);
+        self.fleet.set_facts(now, facts);
+    }
+
+    /// Tells others that it leaves.
+    pub(crate) fn leave(&mut self, now: u64) {
+        self.fleet.leave(now);
+        self.tick(now);
+    }
+
+    /// The view; or what has changed since a number, with what the view comes to.
+    pub(crate) fn answer(&self, now: u64, after: Option<u64>) -> Value {
+        let Some(after) = after else {
+            let mut view = json!(self.fleet.view(now));
+            view["unsent"] = json!(self.unsent);
+            view["next"] = json!(self.next);
+            return view;
+        };
+        let oldest = self.changes.front().map_or(self.next, |c| c.0);
+        let new = self.changes.iter().filter(|c| c.0 > after).take(ANSWERED);
+        let changes: Vec<Value> = new
+            .map(|(number, at_ms, what)| json!({"number": number, "at_ms": at_ms, "change": what}))
+            .collect();
+        json!({
+            "digest": format!("{:016x}", self.fleet.digest()),
+            "live": self.fleet.live(),
+            "now_ms": now / 1000,
+            "lost": after + 1 < oldest,
+            "changes": changes,
+        })
+    }
+}
+
+fn told(state: Option<State>) -> &'static str {
+    match state {
+        Some(State::Alive) => "alive",
+        Some(State::Suspect) => "suspect",
+        Some(State::Left) => "left",
+        Some(State::Down) => "down",
+        None => "unknown",
+    }
+}
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -1,13 +1,16 @@
 //! The placer's daemon: the engine on sockets. It reads all that is readable, gives it to the engine with the
 //! time, lets it decide once, and writes what came out. Nothing here knows what the bytes mean.
 
+mod call;
 mod catalogue;
 mod daemon;
 mod decide_time;
+mod fleet;
 mod recorder;
 mod recording;
 mod start;
 
+pub use call::get_json;
 pub use catalogue::Catalogue;
 pub use daemon::run;
 pub use maplethread_reactor::Clock;
--- a/crates/placer/src/start.rs
+++ b/crates/placer/src/start.rs
@@ -48,6 +48,9 @@
     let mut config = PlacerConfig::parse(Doc { file: &file, text: &text }).map_err(Error::Config)?;
     if let Some(folder) = path.parent() {
         config.hosts.inventory = config.hosts.inventory.map(|path| folder.join(path));
+        if let Some(fleet) = &mut config.fleet {
+            fleet.key_file = folder.join(&fleet.key_file);
+        }
         if let Some(trace) = &mut config.trace {
             trace.folder = folder.join(&trace.folder);
         }
--- a/crates/standin/src/calls.rs
+++ b/crates/standin/src/calls.rs
@@ -1,4 +1,4 @@
-//! Single HTTP calls, each on a connection of its own: registering in a catalogue, reading a status.
+//! Single HTTP calls, each on a connection of its own: registering in a catalogue.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -55,15 +55,3 @@
         bytes.extend_from_slice(&part[..n]);
     }
 }
-
-/// One GET on a connection of its own.
-pub fn get_json(address: SocketAddr, target: &str) -> io::Result<Value> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    write!(stream, "GET {target} HTTP/1.1\r\nHost: placer\r\nConnection: close\r\n\r\n")?;
-    let mut bytes = Vec::new();
-    stream.read_to_end(&mut bytes)?;
-    let text = String::from_utf8_lossy(&bytes);
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    serde_json::from_str(body).map_err(io::Error::other)
-}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -12,7 +12,7 @@
 use maplethread_judge::{Seen, judge};
 use rustix::process::Signal;
 
-use crate::calls::{get_json, register};
+use crate::calls::register;
 use crate::demand::arrivals;
 use crate::host::Faults;
 pub use crate::options::Options;
@@ -395,7 +395,7 @@
     let (mut times, mut held) = (BTreeMap::new(), BTreeMap::new());
     let addresses: Vec<_> = owners.mood().placers.iter().filter_map(|p| p.address).collect();
     for address in addresses {
-        let Ok(status) = get_json(address, "/v1/status?full") else { continue };
+        let Ok((_, status)) = maplethread_placer::get_json(address, "/v1/status?full") else { continue };
         let counts = status["gauges"]["decide_us"]["counts"].as_array().cloned().unwrap_or_default();
         for pair in counts {
             if let (Some(value), Some(count)) = (pair[0].as_u64(), pair[1].as_u64()) {
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -25,7 +25,7 @@
 use maplethread_wire::http::{self, Found, Limits, Reader, Role};
 use serde_json::{Value, json};
 
-use crate::calls::{get_json, register};
+use crate::calls::register;
 use crate::settings::{api, consul, hosts};
 
 /// What load to make.
@@ -293,6 +293,7 @@
         }
     };
     let config = PlacerConfig {
+        fleet: None,
         placer: Identity {
             name: "placer-0".to_owned(),
             number: 0,
@@ -372,7 +373,7 @@
     let loaded = usage(pid)?;
     let took = clients.took_s;
     std::thread::sleep(Duration::from_millis(600));
-    let status = get_json(address, "/v1/status?full")?;
+    let (_, status) = maplethread_placer::get_json(address, "/v1/status?full")?;
     let decide = |q: &str| status["gauges"]["decide_us"][q].as_u64().unwrap_or(0);
     let quantiles = |h: &Histogram<u64>| {
         [h.value_at_quantile(0.5), h.value_at_quantile(0.99), h.value_at_quantile(0.999), h.max()]
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -61,6 +61,7 @@
             fresh_offers: s.rules.fresh_offers,
         },
         prices: Prices::default(),
+        fleet: None,
         trace: None,
         kind: s.kind.iter().map(|k| k.kind()).collect(),
         class: s.class.iter().map(|c| c.rules.clone()).collect(),
