maplethread fleet-drill: a faulty network and a judge between real placers that place all the while

Each placer listens on a loopback address of its own and advertises another, where the rig's network loses, doubles, delays, cuts one way or parts datagrams by sender and receiver (crates/simnet, the same faults as in the model). The judge reads what placers show on their API and what befell them.

GET /v1/fleet is held to docs/openapi.json.

--- /dev/null
+++ b/crates/cli/src/drill.rs
@@ -0,0 +1,94 @@
+//! `maplethread fleet-drill`: faults between real placers.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use maplethread_config::Doc;
+use maplethread_fleet_drill::drill::{Drill, play};
+use maplethread_fleet_drill::schedule::Schedule;
+
+#[derive(Args)]
+pub struct DrillArgs {
+    /// A schedule of faults; drawn from the seed without one
+    #[arg(long, value_name = "FILE")]
+    schedule: Option<PathBuf>,
+    /// Seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Play so many drills, of this seed and those after it
+    #[arg(long, default_value_t = 1, value_name = "N")]
+    drills: u64,
+    /// Placers, where the schedule is drawn
+    #[arg(long, default_value_t = 8, value_name = "N", conflicts_with = "schedule")]
+    placers: usize,
+    /// Seconds in which faults come, where the schedule is drawn
+    #[arg(long, default_value_t = 20.0, value_name = "S", conflicts_with = "schedule")]
+    seconds: f64,
+    /// Write the schedule that is played to this file
+    #[arg(long, value_name = "FILE")]
+    write_schedule: Option<PathBuf>,
+    /// Print one JSON object a drill
+    #[arg(long)]
+    json: bool,
+    /// Keep the placers' settings and debug logs in this folder
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+pub fn run(args: &DrillArgs) -> Result<ExitCode, String> {
+    if !(1..=64).contains(&args.placers) || !(5.0..=3600.0).contains(&args.seconds) {
+        return Err("--placers: 1 to 64; --seconds: 5 to 3600".to_owned());
+    }
+    let mut good = true;
+    for seed in args.seed..args.seed.saturating_add(args.drills.max(1)) {
+        let schedule = match &args.schedule {
+            None => Schedule::drawn(seed, args.placers, args.seconds),
+            Some(file) => {
+                let name = file.display().to_string();
+                let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+                Schedule::parse(Doc { file: &name, text: &text }).map_err(|e| e.to_string())?
+            }
+        };
+        if let Some(file) = &args.write_schedule {
+            let text = toml::to_string(&schedule).map_err(|e| e.to_string())?;
+            std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+        let drill = Drill {
+            schedule,
+            seed,
+            program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
+            keep: args.keep.clone(),
+            progress: !args.json,
+        };
+        let outcome = play(&drill).map_err(|e| format!("drill {seed}: {e}"))?;
+        good &= outcome.good();
+        let mut json = outcome.json();
+        json["seed"] = seed.into();
+        if args.json {
+            println!("{json}");
+            continue;
+        }
+        let kinds: Vec<String> =
+            drill.schedule.fault.iter().map(|f| format!("{:?} at {} s", f.kind, f.at_s)).collect();
+        println!(
+            "drill {seed}: {} placers, {} faults\n  {}",
+            drill.schedule.placers,
+            kinds.len(),
+            kinds.join("\n  ")
+        );
+        let fleet = &outcome.fleet;
+        match fleet.settled_s {
+            Some(s) => println!("one view {s:.1} s after the last fault, of {} members", fleet.members),
+            None => println!("NO ONE VIEW:\n  {}", fleet.broken.join("\n  ")),
+        }
+        let worst = fleet.seen_gone_s.iter().copied().fold(0.0, f64::max);
+        println!("{} placers gone, the slowest seen by all after {worst:.1} s", fleet.seen_gone_s.len());
+        println!(
+            "called down while it ran: {} times without a fault of the network, {} times under one",
+            fleet.false_alarms, fleet.alarms_under_faults
+        );
+        print!("{}", outcome.day.text());
+    }
+    Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The maplethread program: a placer, stand-in hosts, and days on loopback that judge placers from their traffic.
 
 mod agent;
+mod drill;
 mod fleet;
 mod hosts;
 mod trace;
@@ -80,6 +81,9 @@
     /// See the fleet as a placer sees it, or make a key for one
     #[command(subcommand)]
     Fleet(fleet::FleetCommand),
+    /// Play faults between real placers: a faulty network, kills, pauses, restarts; a verdict on the fleet's view and the
+    /// five rules
+    FleetDrill(drill::DrillArgs),
     /// Read, cut, sum up and replay the trace files of placers
     #[command(subcommand)]
     Trace(trace::TraceCommand),
@@ -221,6 +225,7 @@
         Command::Load(args) => load(&args),
         Command::Agent(args) => agent::run(&args),
         Command::Worker(args) => worker::run(&args),
+        Command::FleetDrill(args) => drill::run(&args),
         Command::Fleet(command) => fleet::run(&command),
         Command::Trace(command) => trace::run(&command),
         Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
@@ -329,6 +334,7 @@
         keep: args.keep.clone(),
         trace: absolute(&args.trace)?,
         arrivals: recorded.as_ref().map(|r| r.arrivals.clone()),
+        fleet: None,
     };
     let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
     if args.json {
--- a/crates/cli/tests/api.rs
+++ b/crates/cli/tests/api.rs
@@ -155,6 +155,10 @@
     assert_eq!(described(&doc, &placer, "/v1/events", "GET", "/v1/events?after=99", "").0, 410);
     assert_eq!(described(&doc, &placer, "/v1/status", "GET", "/v1/status", "").0, 200);
     assert_eq!(described(&doc, &placer, "/v1/status", "GET", "/v1/status?full=1", "").0, 200);
+    let (status, problem) = described(&doc, &placer, "/v1/fleet", "GET", "/v1/fleet", "");
+    assert_eq!(status, 404);
+    kinds.extend(problem["type"].as_str().map(str::to_owned));
+    assert_eq!(described(&doc, &placer, "/v1/fleet", "GET", "/v1/fleet?after=x", "").0, 400);
     // Methods that are not described are refused, with those that are.
     for (path, methods) in doc["paths"].as_object().expect("paths") {
         assert!(
@@ -179,6 +183,28 @@
     }
 }
 
+#[test]
+fn a_view_of_the_fleet_is_served_as_it_is_described() {
+    let doc = openapi();
+    let host = ScriptedHost::new("h1", "a", "1");
+    let mut placer = Placer::files(&[&host], "");
+    let config = placer.folder().join("placer.toml");
+    let text = std::fs::read_to_string(&config).expect("text");
+    let fleet = "[fleet]\nlisten = \"127.0.0.1:0\"\nkey_file = \"fleet.key\"\n";
+    std::fs::write(&config, format!("{text}\n{fleet}")).expect("a file");
+    std::fs::write(placer.folder().join("fleet.key"), "00".repeat(32)).expect("a file");
+    let ready = placer.start();
+    let _link = host.greet(&[]);
+    ready(&mut placer);
+    let (status, view) = described(&doc, &placer, "/v1/fleet", "GET", "/v1/fleet", "");
+    assert_eq!(
+        (status, view["name"].as_str(), view["members"].as_array().map(Vec::len)),
+        (200, Some("p0"), Some(0))
+    );
+    let (status, news) = described(&doc, &placer, "/v1/fleet", "GET", "/v1/fleet?after=0", "");
+    assert_eq!((status, &news["digest"], news["live"].as_u64()), (200, &view["digest"], Some(1)));
+}
+
 #[test]
 fn bad_messages_are_refused_and_the_connection_closed() {
     use std::io::Write;
--- a/crates/engine/tests/simulated.rs
+++ b/crates/engine/tests/simulated.rs
@@ -195,6 +195,7 @@
                         self.later_in_order(Ev::ToHost(id, link, bytes));
                     }
                 }
+                Output::AskFleet(id, slot, _) => self.engine.tell_fleet(id, slot, None),
                 Output::CloseHost(id) => self.unlink(id),
                 Output::ToClient(id, bytes) => self.later_in_order(Ev::ToClient(id, bytes)),
                 Output::CloseClient(id) => {
--- /dev/null
+++ b/crates/fleet-drill/src/drill.rs
@@ -0,0 +1,185 @@
+//! A drill: real placers with a faulty network between them, placing for stand-in owners on stand-in hosts all the while.
+
+use std::io;
+use std::path::PathBuf;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::time::Duration;
+
+use maplethread_config::Fleet;
+use maplethread_placer::Clock;
+use maplethread_standin::day;
+use maplethread_standin::options::{DayNews, FleetPart};
+use maplethread_standin::report::Report;
+use maplethread_standin::scenario::Scenario;
+use serde_json::{Value, json};
+
+use crate::judge::{Truth, Verdict, judge};
+use crate::network::{Carried, Network};
+use crate::schedule::{Schedule, Step};
+use crate::watch::{Watched, Watchers};
+
+/// What to play.
+#[derive(Clone, Debug)]
+pub struct Drill {
+    /// What befalls whom.
+    pub schedule: Schedule,
+    /// Seed of the network, the owners and the placers.
+    pub seed: u64,
+    /// The program whose placers are run.
+    pub program: PathBuf,
+    /// Keep the placers' settings and logs here.
+    pub keep: Option<PathBuf>,
+    /// Tell how it goes, on standard error.
+    pub progress: bool,
+}
+
+/// What it came to.
+pub struct Outcome {
+    /// Of the fleet's view.
+    pub fleet: Verdict,
+    /// Of the five rules, with service and times.
+    pub day: Report,
+    /// What the network carried.
+    pub carried: Carried,
+    /// How long the drill lasted, s.
+    pub lasted_s: f64,
+}
+
+impl Outcome {
+    /// Whether all held.
+    pub fn good(&self) -> bool {
+        self.fleet.broken.is_empty() && self.day.good()
+    }
+
+    /// As one object.
+    pub fn json(&self) -> Value {
+        let per_member = self.carried.bytes as f64 / self.lasted_s / self.fleet.members.max(1) as f64;
+        json!({
+            "fleet": self.fleet.json(), "day": self.day.json(),
+            "network": {
+                "datagrams": self.carried.sent, "bytes": self.carried.bytes, "passed_on": self.carried.delivered,
+                "strangers": self.carried.strangers, "bytes_a_second_a_member": per_member.round(),
+            },
+        })
+    }
+}
+
+/// The drill's key.
+const KEY: &str = "2b7e151628aed2a6abf7158809cf4f3c762e7160f38b4da56a784d9045190cfe";
+
+/// Plays a drill.
+pub fn play(drill: &Drill) -> io::Result<Outcome> {
+    let schedule = &drill.schedule;
+    let network = Network::start(schedule.placers, drill.seed)?;
+    let temporary = tempfile::tempdir()?;
+    let key_file = temporary.path().join("fleet.key");
+    std::fs::write(&key_file, KEY)?;
+    let faster = u64::from(schedule.faster.max(1));
+    let section = |place: usize| Fleet {
+        name: "drill".to_owned(),
+        listen: network.listen(place),
+        advertise: Some(network.advertise(place)),
+        seeds: (0..schedule.placers.min(3)).map(|p| network.advertise(p)).collect(),
+        key_file: key_file.clone(),
+        probe_every_ms: 1000 / faster,
+        probe_within_ms: 300 / faster,
+        helpers: 3,
+        suspicion: 5,
+        gossip_every_ms: 200 / faster,
+        sync_every_ms: 2000 / faster,
+        seek_every_ms: 5000 / faster,
+        forget_after_s: schedule.forget_after_s,
+        max_members: 4096,
+    };
+    let (news, heard) = channel();
+    let sections = (0..schedule.placers).map(section).collect();
+    let fleet = FleetPart { sections, acts: schedule.acts(), news };
+    let mut scenario = Scenario::standard().stretched(schedule.faults_s + schedule.settle_s);
+    scenario.placers = schedule.placers as u32;
+    scenario = scenario.sized(schedule.hosts);
+    // What befalls hosts and placers is the drill's own.
+    scenario.trouble.clear();
+    let options = day::Options {
+        scenario,
+        seed: drill.seed,
+        program: drill.program.clone(),
+        random: false,
+        rogue: 0,
+        consul: None,
+        progress: drill.progress,
+        keep: drill.keep.clone(),
+        trace: None,
+        arrivals: None,
+        fleet: Some(fleet),
+    };
+    let steps = schedule.steps();
+    let ends = schedule.faults_s + schedule.settle_s;
+    let clock = Clock::start();
+    let started = clock.now();
+    std::thread::scope(|scope| {
+        let network = &network;
+        let watching = scope.spawn(move || watch(&heard, network, steps, ends));
+        // The sender goes with the options, so the watcher ends with the day.
+        let day = day::play(&options);
+        drop(options);
+        let (news, watched, begun) = watching.join().map_err(|_| io::Error::other("the watcher panicked"))?;
+        let day = day?;
+        let quiet = begun + (schedule.faults_s * 1e6) as u64;
+        let faults: Vec<(u64, u64)> = schedule
+            .fault
+            .iter()
+            .filter(|f| {
+                !matches!(f.kind, crate::schedule::Kind::Kill { .. } | crate::schedule::Kind::Lose { .. })
+            })
+            .map(|f| (begun + (f.at_s * 1e6) as u64, begun + ((f.at_s + f.for_s) * 1e6) as u64))
+            .collect();
+        let end = begun + (ends * 1e6) as u64;
+        let fleet = judge(&Truth::of(&news), &watched, &faults, quiet, end);
+        let lasted_s = (clock.now() - started) as f64 / 1e6;
+        Ok(Outcome { fleet, day, carried: network.carried(), lasted_s })
+    })
+}
+
+/// Follows the placers' views and takes the network's steps until the drill is over; what the day told, what placers
+/// showed, and when the drill began.
+fn watch(
+    heard: &Receiver<DayNews>,
+    network: &Network,
+    steps: Vec<(u64, Step)>,
+    ends_s: f64,
+) -> (Vec<DayNews>, Watched, u64) {
+    let clock = Clock::start();
+    let (mut all, mut begun) = (Vec::new(), None);
+    let mut watchers = Some(Watchers::new());
+    let mut watched = Watched::default();
+    let mut steps = steps.into_iter().peekable();
+    loop {
+        match heard.recv_timeout(Duration::from_millis(5)) {
+            Ok(news) => {
+                match (news, &mut watchers) {
+                    (DayNews::Serves(_, number, api), Some(watchers)) => watchers.follow(number, api),
+                    (DayNews::Begins(at), _) => begun = Some(at),
+                    _ => {}
+                }
+                all.push(news);
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => break,
+        }
+        let Some(begun) = begun else { continue };
+        let now = clock.now().saturating_sub(begun);
+        while let Some((_, step)) = steps.next_if(|s| s.0 <= now) {
+            step.take(&mut network.faults());
+        }
+        // What is shown once owners have stopped, and placers are told to end, says nothing of the drill.
+        if now as f64 >= ends_s * 1e6
+            && let Some(watchers) = watchers.take()
+        {
+            watched = watchers.end();
+        }
+    }
+    if let Some(watchers) = watchers {
+        watched = watchers.end();
+    }
+    (all, watched, begun.unwrap_or(0))
+}
--- /dev/null
+++ b/crates/fleet-drill/src/judge.rs
@@ -0,0 +1,181 @@
+//! What a drill came to, from what placers showed and what befell them. Shares no state with the processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use maplethread_standin::options::{DayNews, PlacerAct};
+use serde_json::{Value, json};
+
+use crate::watch::{Sample, Watched};
+
+/// A placer's process over time: whether it runs, and whether it stands still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Is {
+    Up,
+    Paused,
+    Gone,
+}
+
+/// What befell placers, by number, in order of time.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    by_placer: BTreeMap<usize, Vec<(u64, Is)>>,
+}
+
+impl Truth {
+    /// From what the day told.
+    pub fn of(news: &[DayNews]) -> Truth {
+        let mut truth = Truth::default();
+        for news in news {
+            let (at, placer, is) = match *news {
+                DayNews::Serves(at, placer, _) => (at, placer, Is::Up),
+                DayNews::Befell(at, PlacerAct::Kill(p) | PlacerAct::End(p) | PlacerAct::Reap(p)) => {
+                    (at, p, Is::Gone)
+                }
+                DayNews::Befell(at, PlacerAct::Pause(p)) => (at, p, Is::Paused),
+                DayNews::Befell(at, PlacerAct::GoOn(p)) => (at, p, Is::Up),
+                DayNews::Befell(..) | DayNews::Begins(_) => continue,
+            };
+            truth.by_placer.entry(placer).or_default().push((at, is));
+        }
+        truth
+    }
+
+    fn at(&self, placer: usize, at: u64) -> Is {
+        let before = self.by_placer.get(&placer).into_iter().flatten().rev().find(|s| s.0 <= at);
+        before.map_or(Is::Gone, |s| s.1)
+    }
+
+    /// Placers that run, and don't stand still, at a time.
+    fn running(&self, at: u64) -> Vec<usize> {
+        self.by_placer.keys().copied().filter(|&p| self.at(p, at) == Is::Up).collect()
+    }
+
+    /// Whether a placer was up, unpaused, for all of a span.
+    fn up_for(&self, placer: usize, from: u64, to: u64) -> bool {
+        let changes = self.by_placer.get(&placer).into_iter().flatten();
+        self.at(placer, from) == Is::Up && !changes.clone().any(|s| (from..=to).contains(&s.0))
+    }
+}
+
+/// What the drill came to.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    /// What was broken, for a person; nothing where all held.
+    pub broken: Vec<String>,
+    /// From the end of the faults until all live members held one view, s.
+    pub settled_s: Option<f64>,
+    /// Members called down by another's own test that ran all the while, with no fault of the network then.
+    pub false_alarms: usize,
+    /// The same while some fault of the network stood.
+    pub alarms_under_faults: usize,
+    /// From a kill to the last live view that still had it, s, for each placer that stayed away for longer.
+    pub seen_gone_s: Vec<f64>,
+    /// Members at the end.
+    pub members: usize,
+    /// Samples read.
+    pub samples: usize,
+}
+
+/// The name of the placer of a number.
+pub fn name(number: usize) -> String {
+    format!("placer-{number}")
+}
+
+/// Judges a drill whose faults of the network stood in `faults`, and were all over by `quiet`; it ended at `end`.
+pub fn judge(truth: &Truth, watched: &Watched, faults: &[(u64, u64)], quiet: u64, end: u64) -> Verdict {
+    let mut broken = Vec::new();
+    let running = truth.running(end);
+    let names: BTreeSet<String> = running.iter().map(|&p| name(p)).collect();
+    // Settled: from when on all of a placer's samples show just the live ones, and all placers' are equal.
+    let last = |p: &usize| watched.samples.get(p).and_then(|s| s.last());
+    let finals: Vec<Option<&Sample>> = running.iter().map(last).collect();
+    let digest = finals.first().copied().flatten().map(|s| s.digest.clone());
+    let mut settled_at = quiet;
+    for (&placer, sample) in running.iter().zip(&finals) {
+        let Some(sample) = sample else {
+            broken.push(format!("{} showed no view", name(placer)));
+            continue;
+        };
+        let live: BTreeSet<String> = sample.live.iter().cloned().collect();
+        let ghosts: Vec<&String> = live.difference(&names).collect();
+        let missing: Vec<&String> = names.difference(&live).collect();
+        if !ghosts.is_empty() {
+            broken.push(format!("{} still holds {ghosts:?} for live", name(placer)));
+        }
+        if !missing.is_empty() {
+            broken.push(format!("{} lacks {missing:?}", name(placer)));
+        }
+        if Some(&sample.digest) != digest.as_ref() {
+            broken.push(format!("{} holds another view than {}", name(placer), name(running[0])));
+        }
+        let all = &watched.samples[&placer];
+        let unsettled = all.iter().rev().find(|s| Some(&s.digest) != digest.as_ref());
+        let since = all.iter().find(|s| unsettled.is_none_or(|u| s.at > u.at));
+        settled_at = settled_at.max(since.map_or(end, |s| s.at));
+    }
+    let settled_s = broken.is_empty().then(|| settled_at.saturating_sub(quiet) as f64 / 1e6);
+    let (false_alarms, alarms_under_faults) = alarms(truth, watched, faults);
+    Verdict {
+        broken,
+        settled_s,
+        false_alarms,
+        alarms_under_faults,
+        seen_gone_s: seen_gone(truth, watched, end),
+        members: running.len(),
+        samples: watched.samples.values().map(Vec::len).sum(),
+    }
+}
+
+/// Who was called down by another's own test while it ran.
+fn alarms(truth: &Truth, watched: &Watched, faults: &[(u64, u64)]) -> (usize, usize) {
+    /// What a judgement may rest on.
+    const BEFORE: u64 = 15_000_000;
+    let (mut without, mut with) = (0, 0);
+    for (&by, told) in &watched.told {
+        for change in told {
+            let own = change.what["to"] == "down" && change.what["by"] == maplethread_fleet::OWN_TEST;
+            let of = change.what["name"].as_str().and_then(|n| n.strip_prefix("placer-")?.parse().ok());
+            let Some(of) = of.filter(|_| own) else { continue };
+            let from = change.at.saturating_sub(BEFORE);
+            if !truth.up_for(of, from, change.at) || !truth.up_for(by, from, change.at) {
+                continue;
+            }
+            let faulty = faults.iter().any(|&(begin, until)| begin <= change.at && from <= until);
+            if faulty { with += 1 } else { without += 1 }
+        }
+    }
+    (without, with)
+}
+
+/// How long after each kill some live view still had the placer, where it stayed away until nobody had.
+fn seen_gone(truth: &Truth, watched: &Watched, end: u64) -> Vec<f64> {
+    let mut spans = Vec::new();
+    for (&placer, states) in &truth.by_placer {
+        for (n, &(at, is)) in states.iter().enumerate() {
+            if is != Is::Gone || n > 0 && states[n - 1].1 == Is::Gone {
+                continue;
+            }
+            let back = states[n + 1..].iter().find(|s| s.1 != Is::Gone).map_or(end, |s| s.0);
+            let holds = |s: &&Sample| s.at > at && s.at < back && s.live.contains(&name(placer));
+            let others = watched.samples.iter().filter(|(p, _)| **p != placer);
+            let last = others.filter_map(|(_, s)| s.iter().rev().find(holds)).map(|s| s.at).max();
+            let shown = watched.samples.values().flatten().any(|s| s.at > last.unwrap_or(at) && s.at < back);
+            if shown {
+                spans.push(last.map_or(0, |l| l - at) as f64 / 1e6);
+            }
+        }
+    }
+    spans
+}
+
+impl Verdict {
+    /// As one object.
+    pub fn json(&self) -> Value {
+        let worst = self.seen_gone_s.iter().copied().fold(0.0, f64::max);
+        json!({
+            "broken": self.broken, "settled_s": self.settled_s, "false_alarms": self.false_alarms,
+            "alarms_under_faults": self.alarms_under_faults, "kills_seen": self.seen_gone_s.len(),
+            "kill_seen_by_all_worst_s": worst, "members": self.members, "samples": self.samples,
+        })
+    }
+}
--- a/crates/fleet-drill/src/lib.rs
+++ b/crates/fleet-drill/src/lib.rs
@@ -2,4 +2,9 @@
 //! every pair of them and a judge that shares no state with them.
 
 pub mod drawn;
+pub mod drill;
+pub mod judge;
 pub mod model;
+pub mod network;
+pub mod schedule;
+pub mod watch;
--- /dev/null
+++ b/crates/fleet-drill/src/network.rs
@@ -0,0 +1,197 @@
+//! A faulty network between real processes: each place has a loopback address where its process listens and another that
+//! it advertises. What comes to the second is lost, delayed, doubled or passed on to the first, by who sent it.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use maplethread_reactor::{Clock, Poller, Readiness};
+use maplethread_simnet::Net;
+use maplethread_timers::Timers;
+
+/// The port at which all listen and are reached.
+const PORT: u16 = 7946;
+/// The longest datagram that is carried; members send at most 1,200 bytes.
+const LONGEST: usize = 2048;
+/// Datagrams on their way at a time; further ones are lost.
+const MOST_ON_WAY: usize = 1 << 16;
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+/// What was carried.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Carried {
+    /// Datagrams that came from a place.
+    pub sent: u64,
+    /// Their bytes.
+    pub bytes: u64,
+    /// Datagrams that were passed on.
+    pub delivered: u64,
+    /// Datagrams from elsewhere.
+    pub strangers: u64,
+}
+
+/// The network, carried on by a thread until it is dropped.
+pub struct Network {
+    base: [u8; 2],
+    net: Arc<Mutex<Net>>,
+    carried: Arc<Mutex<Carried>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Network {
+    /// A network of so many places, at most 250, on addresses that nobody uses.
+    pub fn start(places: usize, seed: u64) -> io::Result<Network> {
+        if places > 250 {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "at most 250 places"));
+        }
+        let (base, sockets) = Self::bind(places)?;
+        let poller = Poller::new()?;
+        for (n, socket) in sockets.iter().enumerate() {
+            socket.set_nonblocking(true)?;
+            poller.add(socket, n as u64, false)?;
+        }
+        let net = Arc::new(Mutex::new(Net::new(seed)));
+        let carried = Arc::new(Mutex::new(Carried::default()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let carrier =
+            Carrier { base, sockets, poller, net: net.clone(), carried: carried.clone(), stop: stop.clone() };
+        let thread = std::thread::Builder::new().name("network".to_owned()).spawn(move || carrier.run())?;
+        Ok(Network { base, net, carried, stop, thread: Some(thread) })
+    }
+
+    /// Looks for a part of the loopback network in which all addresses are free.
+    fn bind(places: usize) -> io::Result<([u8; 2], Vec<UdpSocket>)> {
+        let mut last = io::Error::other("no places");
+        for _ in 0..200 {
+            let drawn =
+                std::process::id().wrapping_mul(31).wrapping_add(NETWORKS.fetch_add(1, Ordering::Relaxed));
+            // 127.16.x to 127.254.x: away from 127.0.0.1 and what commonly lies beside it.
+            let base = [16 + (drawn % 238) as u8, (drawn / 238 % 254) as u8 + 1];
+            let all: io::Result<Vec<UdpSocket>> = (0..places)
+                .map(|n| {
+                    // The place's own address has to be free as well.
+                    drop(UdpSocket::bind(listen(base, n))?);
+                    UdpSocket::bind(advertise(base, n))
+                })
+                .collect();
+            match all {
+                Ok(sockets) => return Ok((base, sockets)),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Where the process at a place listens.
+    pub fn listen(&self, place: usize) -> SocketAddr {
+        listen(self.base, place)
+    }
+
+    /// Where others send to it.
+    pub fn advertise(&self, place: usize) -> SocketAddr {
+        advertise(self.base, place)
+    }
+
+    /// The faults.
+    pub fn faults(&self) -> MutexGuard<'_, Net> {
+        lock(&self.net)
+    }
+
+    /// What was carried so far.
+    pub fn carried(&self) -> Carried {
+        *lock(&self.carried)
+    }
+}
+
+impl Drop for Network {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn listen(base: [u8; 2], place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, base[0], base[1], place as u8 + 1), PORT))
+}
+
+fn advertise(base: [u8; 2], place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, base[0], base[1], place as u8 + 1), PORT + 1))
+}
+
+struct Carrier {
+    base: [u8; 2],
+    sockets: Vec<UdpSocket>,
+    poller: Poller,
+    net: Arc<Mutex<Net>>,
+    carried: Arc<Mutex<Carried>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Carrier {
+    fn run(self) {
+        let clock = Clock::start();
+        let mut on_way: Timers<(usize, Vec<u8>)> = Timers::default();
+        let mut ready: Vec<Readiness> = Vec::new();
+        let mut bytes = [0; LONGEST];
+        while !self.stop.load(Ordering::Relaxed) {
+            let now = clock.now();
+            let next = on_way.next().map_or(20_000, |at| at.saturating_sub(now).min(20_000));
+            ready.clear();
+            if self.poller.wait(Some(Duration::from_micros(next)), &mut ready).is_err() {
+                return;
+            }
+            for r in &ready {
+                let to = r.token as usize;
+                for _ in 0..256 {
+                    let Ok((n, from)) = self.sockets[to].recv_from(&mut bytes) else { break };
+                    self.takes(clock.now(), &mut on_way, from, to, &bytes[..n]);
+                }
+            }
+            let now = clock.now();
+            while let Some((to, bytes)) = on_way.due(now) {
+                let passed = self.sockets[to].send_to(&bytes, listen(self.base, to));
+                lock(&self.carried).delivered += u64::from(passed.is_ok());
+            }
+        }
+    }
+
+    fn takes(
+        &self,
+        now: u64,
+        on_way: &mut Timers<(usize, Vec<u8>)>,
+        from: SocketAddr,
+        to: usize,
+        bytes: &[u8],
+    ) {
+        let place = match from {
+            SocketAddr::V4(v4) if v4.ip().octets()[1..3] == self.base => {
+                usize::from(v4.ip().octets()[3]).checked_sub(1)
+            }
+            _ => None,
+        };
+        let mut carried = lock(&self.carried);
+        let Some(place) = place.filter(|&p| p < self.sockets.len()) else {
+            carried.strangers += 1;
+            return;
+        };
+        carried.sent += 1;
+        carried.bytes += bytes.len() as u64;
+        drop(carried);
+        for takes in lock(&self.net).send(place, to) {
+            if on_way.len() < MOST_ON_WAY {
+                on_way.set(now + takes, (to, bytes.to_vec()));
+            }
+        }
+    }
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -16,6 +16,7 @@
 use crate::demand::arrivals;
 use crate::host::Faults;
 pub use crate::options::Options;
+use crate::options::{DayNews, PlacerAct};
 use crate::owners::{Front, Owners};
 use crate::plan::{Act, Fault, plan};
 use crate::processes::Placers;
@@ -134,9 +135,14 @@
             let (number, address) =
                 serves.ok_or_else(|| io::Error::other("a placer did not start in 30 s"))?;
             fronts[number].address = Some(address);
+            self.tell_serves(number, address);
             self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
         }
         self.acts = plan(&self.scenario, &mut self.dice);
+        if let Some(fleet) = &self.options.fleet {
+            self.acts.extend(fleet.acts.iter().map(|&(at, act)| (at, Act::Placer(act))));
+            let _ = fleet.news.send(DayNews::Begins(self.world.clock.now()));
+        }
         let arrivals =
             self.options.arrivals.clone().unwrap_or_else(|| arrivals(&self.scenario, self.options.seed));
         let owners = Owners::start(self.scenario.clone(), self.world.clone(), arrivals, fronts)?;
@@ -153,6 +159,7 @@
             }
             while let Some((number, address)) = self.placers.serves(Duration::ZERO)? {
                 self.world.see(Seen::PlacerUp { placer: format!("placer-{number}").into() });
+                self.tell_serves(number, address);
                 let mut mood = owners.mood();
                 let front = &mut mood.placers[number];
                 (front.address, front.down) = (Some(address), false);
@@ -197,6 +204,12 @@
         Ok(Report { verdict, first, service, lost, double_s, place_us, decide_us, held, returns, record })
     }
 
+    fn tell_serves(&self, number: usize, address: SocketAddr) {
+        if let Some(fleet) = &self.options.fleet {
+            let _ = fleet.news.send(DayNews::Serves(self.world.clock.now(), number, address));
+        }
+    }
+
     fn started(&self, host: usize) -> u64 {
         self.rack.started.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[host]
     }
@@ -205,6 +218,7 @@
         let servers = self.servers.as_ref().map(|s| s.addresses.as_slice());
         let servers = servers.zip(self.options.consul);
         let mut config = settings::placer(&self.scenario, number, self.options.seed, servers);
+        config.fleet = self.options.fleet.as_ref().and_then(|f| f.sections.get(number).cloned());
         config.trace = self.options.trace.clone().map(settings::trace);
         let path = self.folder.join(format!("placer-{number}.toml"));
         let text = config.to_toml().map_err(io::Error::other)?;
@@ -296,38 +310,10 @@
                 }
                 self.rack.command(Command::Faults(host, faults.clone()));
             }
-            Act::Kill(number) => {
-                let placer: Arc<str> = format!("placer-{number}").into();
-                if self.placers.all[number].paused {
-                    return Ok(());
-                }
-                self.world.see(Seen::PlacerDown { placer });
-                if let Some(mut child) = self.placers.all[number].child.take() {
-                    child.kill()?;
-                    child.wait()?;
-                }
-            }
-            Act::Noticed(number) => {
-                if self.placers.all[number].child.is_none() {
-                    owners.mood().placers[number].down = true;
-                }
-            }
-            Act::Respawn(number) => {
-                if self.placers.all[number].child.is_none() {
-                    self.placers.spawn(number, self.options)?;
-                }
-            }
-            Act::Pause(number) => {
-                if self.placers.all[number].child.is_some() {
-                    self.world.see(Seen::PlacerPaused { placer: format!("placer-{number}").into() });
-                    self.placers.signal(number, Signal::STOP)?;
-                    self.placers.all[number].paused = true;
-                }
-            }
-            Act::GoOn(number) => {
-                if std::mem::take(&mut self.placers.all[number].paused) {
-                    self.placers.signal(number, Signal::CONT)?;
-                    self.world.see(Seen::PlacerGoesOn { placer: format!("placer-{number}").into() });
+            Act::Placer(act) => {
+                self.befall(act, owners)?;
+                if let Some(fleet) = &self.options.fleet {
+                    let _ = fleet.news.send(DayNews::Befell(self.world.clock.now(), act));
                 }
             }
             Act::Flap(host, good) => {
@@ -388,6 +374,60 @@
         }
         Ok(())
     }
+
+    fn befall(&mut self, act: PlacerAct, owners: &Owners) -> io::Result<()> {
+        match act {
+            PlacerAct::Kill(number) => {
+                let placer: Arc<str> = format!("placer-{number}").into();
+                if self.placers.all[number].paused {
+                    return Ok(());
+                }
+                self.world.see(Seen::PlacerDown { placer });
+                if let Some(mut child) = self.placers.all[number].child.take() {
+                    child.kill()?;
+                    child.wait()?;
+                }
+            }
+            PlacerAct::Noticed(number) => {
+                if self.placers.all[number].child.is_none() {
+                    owners.mood().placers[number].down = true;
+                }
+            }
+            PlacerAct::Respawn(number) => {
+                if self.placers.all[number].child.is_none() {
+                    self.placers.spawn(number, self.options)?;
+                }
+            }
+            PlacerAct::Pause(number) => {
+                if self.placers.all[number].child.is_some() {
+                    self.world.see(Seen::PlacerPaused { placer: format!("placer-{number}").into() });
+                    self.placers.signal(number, Signal::STOP)?;
+                    self.placers.all[number].paused = true;
+                }
+            }
+            PlacerAct::GoOn(number) => {
+                if std::mem::take(&mut self.placers.all[number].paused) {
+                    self.placers.signal(number, Signal::CONT)?;
+                    self.world.see(Seen::PlacerGoesOn { placer: format!("placer-{number}").into() });
+                }
+            }
+            PlacerAct::End(number) => {
+                if self.placers.all[number].child.is_some() && !self.placers.all[number].paused {
+                    // What it does not answer while it ends is its end's matter; the front layer is told at once.
+                    self.world.see(Seen::PlacerDown { placer: format!("placer-{number}").into() });
+                    owners.mood().placers[number].down = true;
+                    self.placers.signal(number, Signal::TERM)?;
+                }
+            }
+            PlacerAct::Reap(number) => {
+                if let Some(mut child) = self.placers.all[number].child.take() {
+                    child.kill()?;
+                    child.wait()?;
+                }
+            }
+        }
+        Ok(())
+    }
 }
 
 /// What all placers that are up tell of themselves: times of decisions with their counts, and asks held, by what for.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,7 +10,7 @@
 mod drawn;
 mod host;
 pub mod load;
-mod options;
+pub mod options;
 mod owners;
 mod plan;
 mod processes;
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -1,8 +1,10 @@
 //! How to play a day.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::mpsc::Sender;
 
-use maplethread_config::Damping;
+use maplethread_config::{Damping, Fleet};
 
 use crate::demand::Arrival;
 use crate::scenario::Scenario;
@@ -30,4 +32,47 @@
     pub trace: Option<PathBuf>,
     /// First asks of a recorded day, in place of those that the scenario draws.
     pub arrivals: Option<Vec<Arrival>>,
+    /// The placers keep a view of their fleet, and a drill adds what befalls them.
+    pub fleet: Option<FleetPart>,
+}
+
+/// What a drill of the fleet adds to a day.
+#[derive(Clone, Debug)]
+pub struct FleetPart {
+    /// `[fleet]` of each placer, by its number.
+    pub sections: Vec<Fleet>,
+    /// What befalls placers, µs after the day began.
+    pub acts: Vec<(u64, PlacerAct)>,
+    /// Is told what placers did and what befell them.
+    pub news: Sender<DayNews>,
+}
+
+/// What befalls the placer of a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacerAct {
+    /// It is killed.
+    Kill(usize),
+    /// Owners' front layer has noticed that it is gone.
+    Noticed(usize),
+    /// It is started again.
+    Respawn(usize),
+    /// It stands still.
+    Pause(usize),
+    /// It goes on.
+    GoOn(usize),
+    /// It is told to end.
+    End(usize),
+    /// It is ended if it did not by itself.
+    Reap(usize),
+}
+
+/// What happened on a day, and when: Unix time, µs.
+#[derive(Clone, Copy, Debug)]
+pub enum DayNews {
+    /// A placer serves at this address.
+    Serves(u64, usize, SocketAddr),
+    /// All serve, and owners begin to ask.
+    Begins(u64),
+    /// This befell a placer.
+    Befell(u64, PlacerAct),
 }
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -3,6 +3,7 @@
 use maplethread_config::HostState;
 use maplethread_consul_standin::Faults as CatalogueFaults;
 
+use crate::options::PlacerAct;
 use crate::rack::Command;
 use crate::scenario::{Scenario, Trouble, TroubleKind};
 use crate::world::Dice;
@@ -14,11 +15,7 @@
     HostListed(usize, HostState),
     /// Changes a host's faults.
     Fault(usize, Fault, bool),
-    Kill(usize),
-    Respawn(usize),
-    Pause(usize),
-    GoOn(usize),
-    Noticed(usize),
+    Placer(PlacerAct),
     Garbage(&'static str),
     Flap(usize, bool),
     Catalogue(CatalogueFaults),
@@ -182,9 +179,9 @@
                 TroubleKind::PlacerKill => {
                     let notice = scenario.demand.front_notice_ms * 1000;
                     for placer in self.struck_placers(trouble) {
-                        acts.push((at, Act::Kill(placer)));
-                        acts.push(((at + notice).min(until), Act::Noticed(placer)));
-                        acts.push((until + 1, Act::Respawn(placer)));
+                        acts.push((at, Act::Placer(PlacerAct::Kill(placer))));
+                        acts.push(((at + notice).min(until), Act::Placer(PlacerAct::Noticed(placer))));
+                        acts.push((until + 1, Act::Placer(PlacerAct::Respawn(placer))));
                     }
                 }
                 TroubleKind::RollingRestart => {
@@ -194,15 +191,15 @@
                     let notice = (scenario.demand.front_notice_ms * 1000).min(step / 2);
                     for (i, placer) in placers.into_iter().enumerate() {
                         let at = at + i as u64 * step;
-                        acts.push((at, Act::Kill(placer)));
-                        acts.push((at + notice, Act::Noticed(placer)));
-                        acts.push((at + step / 2 + 1, Act::Respawn(placer)));
+                        acts.push((at, Act::Placer(PlacerAct::Kill(placer))));
+                        acts.push((at + notice, Act::Placer(PlacerAct::Noticed(placer))));
+                        acts.push((at + step / 2 + 1, Act::Placer(PlacerAct::Respawn(placer))));
                     }
                 }
                 TroubleKind::PlacerPause => {
                     for placer in self.struck_placers(trouble) {
-                        acts.push((at, Act::Pause(placer)));
-                        acts.push((until, Act::GoOn(placer)));
+                        acts.push((at, Act::Placer(PlacerAct::Pause(placer))));
+                        acts.push((until, Act::Placer(PlacerAct::GoOn(placer))));
                     }
                 }
                 TroubleKind::PlacerStalls => {
@@ -211,8 +208,8 @@
                         // Apart from one another; as long again and a second lie between two.
                         let mut from = at + self.dice.below(still as usize) as u64;
                         while from < until {
-                            acts.push((from, Act::Pause(placer)));
-                            acts.push(((from + still).min(until), Act::GoOn(placer)));
+                            acts.push((from, Act::Placer(PlacerAct::Pause(placer))));
+                            acts.push(((from + still).min(until), Act::Placer(PlacerAct::GoOn(placer))));
                             from += 2 * still + 1_000_000;
                         }
                     }
