--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -20,8 +20,6 @@
 
 /// A call that comes so much later than the next timer asked for tells of a process that stood still.
 const STOOD_STILL: Micros = 500_000;
-/// Changes that the library does not tell are looked for this long after it was given something.
-const LOOK_AFTER: Micros = 50_000;
 /// Facts change at most this often.
 const FACTS_EVERY: Micros = 1_000_000;
 /// A member's own condition, in steps; each makes its judgement of others slower by once the usual time.
@@ -49,10 +47,10 @@
 }
 
 pub(crate) enum Due {
-    Swim(Timer<Id>),
+    /// A timer of the library's, of its how-manieth start.
+    Swim(u32, Timer<Id>),
     Sync,
     Seek,
-    Look,
     Facts,
     Farewell(u32),
     Rival,
@@ -68,6 +66,7 @@
     pub(crate) settings: Settings,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) swim: Foca<Id, Codec, Pcg64Mcg, Book>,
+    swim_starts: u32,
     pub(crate) shared: Rc<RefCell<Shared>>,
     pub(crate) awake: Awake<Due>,
     pub(crate) table: Table,
@@ -87,10 +86,6 @@
     facts_due: bool,
     leaving: bool,
     last: Micros,
-    /// Changes that the library does not tell are looked for soon.
-    looks: bool,
-    /// Who said lately that these are suspect.
-    accusers: BTreeMap<u64, String>,
     pub(crate) health: u32,
     pub(crate) digest: u64,
     pub(crate) version: u64,
@@ -109,7 +104,7 @@
         let shared = Shared {
             me: me.clone(),
             rival: None,
-            accused: BTreeSet::new(),
+            said: Vec::new(),
             suspected: false,
             known: BTreeSet::new(),
             most: settings.pace.most,
@@ -123,6 +118,7 @@
         let mut fleet = Fleet {
             rng,
             swim,
+            swim_starts: 0,
             shared,
             awake: Awake::default(),
             table: Table::default(),
@@ -139,8 +135,6 @@
             facts_due: false,
             leaving: false,
             last: now,
-            looks: false,
-            accusers: BTreeMap::new(),
             health: 0,
             digest: 0,
             version: 0,
@@ -170,18 +164,24 @@
         self.wake(now);
         while let Some(due) = self.awake.due(now) {
             match due {
-                Due::Swim(timer) => {
-                    if let Timer::ProbeRandomMember(_) = timer {
-                        self.health = self.health.saturating_sub(1);
-                    }
+                Due::Swim(start, _) if start != self.swim_starts => {}
+                Due::Swim(_, timer) => {
+                    let (tests, removes) = match &timer {
+                        Timer::ProbeRandomMember(_) => (true, None),
+                        Timer::RemoveDown(id) => (false, Some(id.clone())),
+                        _ => (false, None),
+                    };
+                    self.health -= u32::from(tests && self.health > 0);
                     self.with_swim(now, OWN_TEST, |swim, wants| swim.handle_timer(timer, wants));
+                    if tests {
+                        self.look(now);
+                    }
+                    if let Some(id) = removes {
+                        self.look_at(now, &id, "time");
+                    }
                 }
                 Due::Sync => self.sync(now),
                 Due::Seek => self.seek(now),
-                Due::Look => {
-                    self.looks = false;
-                    self.look(now);
-                }
                 Due::Facts => {
                     self.facts_due = false;
                     self.say_facts(now);
@@ -277,6 +277,7 @@
             self.forget(name, "itself, after it stood still");
         }
         self.shared.borrow_mut().known.clear();
+        self.reset_swim();
         self.renew(now, 0);
         self.seek(now);
     }
@@ -302,6 +303,7 @@
     pub(crate) fn reset_swim(&mut self) {
         let me = self.me();
         self.swim = swim(&self.settings, me, &mut self.rng, &self.shared);
+        self.swim_starts += 1;
     }
 
     /// Lets the library do something, and carries out what it wants.
@@ -329,7 +331,7 @@
                 }
                 _ => after,
             };
-            self.awake.set(now, micros(after), Due::Swim(timer));
+            self.awake.set(now, micros(after), Due::Swim(self.swim_starts, timer));
         }
         let mut defunct = false;
         for news in news {
@@ -338,11 +340,13 @@
                 News::Defunct => defunct = !self.leaving,
             }
         }
-        if !std::mem::replace(&mut self.looks, true) {
-            self.awake.set(now, LOOK_AFTER, Due::Look);
+        // The library does not tell of suspicions and refutations: what was said of members and is news is looked up.
+        let said = std::mem::take(&mut self.shared.borrow_mut().said);
+        for member in said {
+            if self.is_news(&member) {
+                self.look_at(now, member.id(), by);
+            }
         }
-        let accused = std::mem::take(&mut self.shared.borrow_mut().accused);
-        self.accusers.extend(accused.into_iter().map(|name| (name, by.to_owned())));
         let told = std::mem::take(&mut self.shared.borrow_mut().told);
         for name in told {
             self.retell(now, name);
@@ -359,49 +363,39 @@
         self.weigh(now);
     }
 
-    /// What the library knows of one member.
+    /// Whether what is said of a member may differ from what is shown of it.
+    fn is_news(&self, said: &foca::Member<Id>) -> bool {
+        self.table.get(said.id().name.hash()).is_none_or(|known| {
+            let other = match said.state() {
+                foca::State::Alive => false,
+                foca::State::Suspect => known.state == State::Alive,
+                foca::State::Down => known.state.live(),
+            };
+            known.id != *said.id() || said.incarnation() > known.incarnation || other
+        })
+    }
+
+    /// What the library knows of one member now.
     fn look_at(&mut self, now: Micros, id: &Id, by: &str) {
+        if id.name == self.settings.name {
+            return;
+        }
         let found = self.swim.iter_membership_state().find(|m| m.id().name == id.name);
-        if let Some((id, incarnation, state)) = found.map(|m| (m.id().clone(), m.incarnation(), m.state())) {
-            self.set(now, &id, incarnation, state, by);
+        match found.map(|m| (m.id().clone(), m.incarnation(), m.state())) {
+            Some((id, incarnation, state)) => self.set(now, &id, incarnation, state, by),
+            None => {
+                self.remember_address(id.name.hash());
+                self.forget(id.name.hash(), by);
+            }
         }
     }
 
-    /// Looks for all changes that the library did not tell, and for members that it forgot.
+    /// Whom its own test has just made suspect.
     fn look(&mut self, now: Micros) {
-        let mut changed = Vec::new();
-        let mut there = BTreeSet::new();
-        for member in self.swim.iter_membership_state() {
-            let name = member.id().name.hash();
-            there.insert(name);
-            let known = self.table.get(name);
-            let same = known.is_some_and(|k| {
-                k.incarnation == member.incarnation()
-                    && k.id == *member.id()
-                    && match member.state() {
-                        foca::State::Alive => k.state == State::Alive,
-                        foca::State::Suspect => k.state == State::Suspect,
-                        foca::State::Down => !k.state.live(),
-                    }
-            });
-            if !same {
-                changed.push((member.id().clone(), member.incarnation(), member.state()));
-            }
-        }
-        let accusers = std::mem::take(&mut self.accusers);
-        for (id, incarnation, state) in changed {
-            let by = match state {
-                // Only the member itself refutes.
-                foca::State::Alive => id.name.as_str(),
-                _ => accusers.get(&id.name.hash()).map_or(OWN_TEST, String::as_str),
-            };
-            self.set(now, &id, incarnation, state, by);
-        }
-        let gone: Vec<u64> =
-            self.table.iter().map(|k| k.id.name.hash()).filter(|n| !there.contains(n)).collect();
-        for name in gone {
-            self.remember_address(name);
-            self.forget(name, "time");
+        let suspect = |m: &&foca::Member<Id>| m.state() == foca::State::Suspect && self.is_news(m);
+        let found: Vec<_> = self.swim.iter_membership_state().filter(suspect).cloned().collect();
+        for member in found {
+            self.set(now, member.id(), member.incarnation(), member.state(), OWN_TEST);
         }
         self.told.retain(|_, at| *at + 60_000_000 > now);
         self.weigh(now);
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -18,8 +18,8 @@
     pub(crate) me: Id,
     /// The highest other life that news gave this member's name, and whether it is said to be down.
     pub(crate) rival: Option<(Id, bool)>,
-    /// Whom the message that is being read calls suspect.
-    pub(crate) accused: BTreeSet<u64>,
+    /// What the messages that were just read say of members.
+    pub(crate) said: Vec<Member<Id>>,
     /// Somebody suspects this member.
     pub(crate) suspected: bool,
     /// Hashes of the names that are known, and how many may be.
@@ -84,7 +84,12 @@
     }
 
     fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Id>, CodecError> {
-        take(buf)
+        let header: Header<Id> = take(buf)?;
+        let Header { src, src_incarnation, .. } = &header;
+        let mut shared = self.0.borrow_mut();
+        shared.said.push(Member::new(src.clone(), *src_incarnation, State::Alive));
+        drop(shared);
+        Ok(header)
     }
 
     fn encode_member(&mut self, member: &Member<Id>, buf: impl BufMut) -> Result<(), CodecError> {
@@ -117,9 +122,7 @@
             self.full += 1;
             return nothing();
         }
-        if member.state() == State::Suspect {
-            self.accused.insert(id.name.hash());
-        }
+        self.said.push(member.clone());
         member
     }
 
