--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -28,6 +28,9 @@
     /// Write the schedule that is played to this file
     #[arg(long, value_name = "FILE")]
     write_schedule: Option<PathBuf>,
+    /// Play without the view, to compare placing with it and without; the verdict on the view says nothing then
+    #[arg(long)]
+    without_view: bool,
     /// Print one JSON object a drill
     #[arg(long)]
     json: bool,
@@ -41,6 +44,7 @@
         return Err("--placers: 1 to 64; --seconds: 5 to 3600".to_owned());
     }
     let mut good = true;
+    let interrupted = crate::interrupted()?;
     for seed in args.seed..args.seed.saturating_add(args.drills.max(1)) {
         let schedule = match &args.schedule {
             None => Schedule::drawn(seed, args.placers, args.seconds),
@@ -60,9 +64,11 @@
             program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
             keep: args.keep.clone(),
             progress: !args.json,
+            without_view: args.without_view,
+            interrupted: interrupted.clone(),
         };
         let outcome = play(&drill).map_err(|e| format!("drill {seed}: {e}"))?;
-        good &= outcome.good();
+        good &= if args.without_view { outcome.day.good() } else { outcome.good() };
         let mut json = outcome.json();
         json["seed"] = seed.into();
         if args.json {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -335,6 +335,7 @@
         trace: absolute(&args.trace)?,
         arrivals: recorded.as_ref().map(|r| r.arrivals.clone()),
         fleet: None,
+        interrupted: interrupted()?,
     };
     let report = day::play(&options).map_err(|e| format!("bad day: {e}"))?;
     if args.json {
@@ -352,6 +353,18 @@
     Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// A flag that SIGINT and SIGTERM set, so that what was started is ended, whoever sent the signal.
+fn interrupted() -> Result<std::sync::Arc<std::sync::atomic::AtomicBool>, String> {
+    let flag = std::sync::Arc::default();
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        // A second one ends the program at once.
+        signal_hook::flag::register_conditional_shutdown(signal, 2, std::sync::Arc::clone(&flag))
+            .and_then(|_| signal_hook::flag::register(signal, std::sync::Arc::clone(&flag)))
+            .map_err(|e| format!("signals: {e}"))?;
+    }
+    Ok(flag)
+}
+
 fn read_traces(files: &[PathBuf], base: &Scenario, args: &BadDayArgs) -> Result<Recorded, String> {
     if !(args.speed.is_finite() && (0.01..=1000.0).contains(&args.speed)) {
         return Err("--speed: 0.01 to 1000".to_owned());
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -229,6 +229,36 @@
     first.shows("the others, with the new key", |v| state(v, "p-b") == "alive");
 }
 
+#[test]
+fn a_drill_that_is_interrupted_ends_all_that_it_started() {
+    let (_folder, path) = folder();
+    let keep = path.join("kept");
+    let mut drill = Command::new(PROGRAM)
+        .args(["--log", "error", "fleet-drill", "--json", "--placers", "3", "--seconds", "30", "--keep"])
+        .arg(&keep)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("a drill");
+    let of = format!("/proc/{0}/task/{0}/children", drill.id());
+    let started = || -> Vec<u32> {
+        let text = std::fs::read_to_string(&of).unwrap_or_default();
+        text.split_whitespace().filter_map(|n| n.parse().ok()).collect()
+    };
+    let until = Instant::now() + LONG;
+    while started().len() < 3 {
+        assert!(Instant::now() < until, "it starts no placers");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let children = started();
+    kill_process(Pid::from_raw(drill.id() as i32).expect("its number"), Signal::TERM).expect("a signal");
+    assert!(!drill.wait().expect("it ends").success());
+    for child in children {
+        let name = std::fs::read_to_string(format!("/proc/{child}/cmdline")).unwrap_or_default();
+        assert!(!name.contains("placer-"), "{child} runs on: {name}");
+    }
+}
+
 #[test]
 fn faults_in_the_settings_are_named_and_a_placer_without_a_fleet_says_so() {
     let (_folder, path) = folder();
--- a/crates/fleet-drill/src/drill.rs
+++ b/crates/fleet-drill/src/drill.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::Duration;
 
@@ -31,6 +33,10 @@
     pub keep: Option<PathBuf>,
     /// Tell how it goes, on standard error.
     pub progress: bool,
+    /// Placers keep no view: to compare placing.
+    pub without_view: bool,
+    /// Once this is set the drill ends with an error, and so do its processes.
+    pub interrupted: Arc<AtomicBool>,
 }
 
 /// What it came to.
@@ -92,7 +98,7 @@
         max_members: 4096,
     };
     let (news, heard) = channel();
-    let sections = (0..schedule.placers).map(section).collect();
+    let sections = (0..schedule.placers).filter(|_| !drill.without_view).map(section).collect();
     let fleet = FleetPart { sections, acts: schedule.acts(), news };
     let mut scenario = Scenario::standard().stretched(schedule.faults_s + schedule.settle_s);
     scenario.placers = schedule.placers as u32;
@@ -111,6 +117,7 @@
         trace: None,
         arrivals: None,
         fleet: Some(fleet),
+        interrupted: drill.interrupted.clone(),
     };
     let steps = schedule.steps();
     let ends = schedule.faults_s + schedule.settle_s;
--- a/crates/fleet-drill/tests/model.rs
+++ b/crates/fleet-drill/tests/model.rs
@@ -319,6 +319,31 @@
     assert_eq!(model.fleet(0).view(0).version, version);
 }
 
+#[test]
+fn a_datagram_that_is_changed_anywhere_or_cut_is_not_taken() {
+    let mut model = Model::new(20);
+    model.record = true;
+    model.start_all(4);
+    settled(&mut model, 10 * S);
+    model.run(5 * S);
+    model.record = false;
+    let last = model.recorded.iter().rev().find(|(to, bytes)| *to == 1 && bytes.len() > 60);
+    let sound = last.expect("something came").1.clone();
+    let taken = |model: &Model| model.fleet(1).view(0).counters.unauthenticated;
+    let before = taken(&model);
+    for at in 1..sound.len() {
+        let mut forged = sound.clone();
+        forged[at] ^= 1 << (at % 8);
+        model.inject(1, forged);
+        model.inject(1, sound[..at].to_vec());
+    }
+    model.run(MS);
+    let lengths = sound.len() as u64;
+    // Those cut to less than a tag are no datagrams at all.
+    assert!(taken(&model) - before >= 2 * (lengths - 1) - 17, "{} of {lengths}", taken(&model) - before);
+    assert!(model.settled(&model.places()), "{}", model.differences(&model.places()));
+}
+
 #[test]
 fn recorded_datagrams_of_an_earlier_life_bring_nothing_back() {
     let mut model = Model::new(16);
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::mpsc::Sender;
 
 use maplethread_config::{Damping, Fleet};
@@ -34,6 +36,8 @@
     pub arrivals: Option<Vec<Arrival>>,
     /// The placers keep a view of their fleet, and a drill adds what befalls them.
     pub fleet: Option<FleetPart>,
+    /// Once this is set the day ends at once with an error, and so do its processes.
+    pub interrupted: Arc<AtomicBool>,
 }
 
 /// What a drill of the fleet adds to a day.
