--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -15,7 +15,6 @@
 const START: Micros = 1_790_000_000 * S;
 /// The fleet's key.
 pub const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
-const WORLD: &str = "127.0.0.1:1";
 
 enum Ev {
     Arrives(usize, Vec<u8>),
@@ -397,9 +396,4 @@
         }
         bytes
     }
-
-    /// An address outside the network.
-    pub fn nowhere() -> SocketAddr {
-        WORLD.parse().expect("an address")
-    }
 }
