A claim of a name counts for ten seconds, so the view forgets one that is gone

Seen on a last reading: claimed_by stayed in the view for ever after the process that claimed the name had ended. It claims each second while it is there; a claim counts for 10 s now. The model's test of two processes of one name ends the claimant and starts it again.

--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -207,6 +207,11 @@
         &self.processes[&at].fleet
     }
 
+    /// What the member at a place shows now.
+    pub fn view(&self, at: usize) -> maplethread_fleet::View {
+        self.fleet(at).view(self.local(at))
+    }
+
     /// Places with a process.
     pub fn places(&self) -> Vec<usize> {
         self.processes.keys().copied().collect()
--- a/crates/fleet-drill/tests/model.rs
+++ b/crates/fleet-drill/tests/model.rs
@@ -191,6 +191,13 @@
     assert_eq!(views(&model), before, "views go on changing");
     let others: Vec<usize> = model.places().into_iter().filter(|&p| p != 3).collect();
     assert!(model.settled(&others), "{}", model.differences(&model.places()));
+    assert!(model.view(40).claimed_by.is_some() && model.view(3).displaced_by.is_some());
+    model.kill(3);
+    model.run(15 * S);
+    assert_eq!(model.view(40).claimed_by, None, "the one that claimed it is gone");
+    model.start_with(3, 3, -600_000, 1.0);
+    model.run(5 * S);
+    assert!(model.view(40).claimed_by.is_some() && model.view(3).displaced_by.is_some());
     // The later one ends: the earlier one has its name back.
     model.watching = false;
     model.kill(40);
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -21,6 +21,8 @@
 /// The other holder of a name is asked this often whether it is still there, and taken for gone after so many.
 const RIVAL_EVERY: Micros = 1_000_000;
 const RIVAL_GONE: Micros = 5_000_000;
+/// A claim of a name counts for so long.
+const CLAIMED_FOR: Micros = 10_000_000;
 
 impl Fleet {
     /// Takes in a datagram. What is not of this fleet, or can't be read, is counted and changes nothing.
@@ -153,7 +155,7 @@
             }
             _ if from.rank() > me.rank() => self.superseded(now, &from.clone(), false),
             Body::Claim => {
-                let first = self.claimed.is_none_or(|(by, _)| by != from.address);
+                let first = self.claimed_by(now) != Some(from.address);
                 self.claimed = Some((from.address, now));
                 if first {
                     self.outputs.push(Output::Own(Notice::Claimed { by: from.address }));
@@ -165,6 +167,11 @@
         }
     }
 
+    /// Who claims this member's name: it does so each second for as long as it is there.
+    pub(crate) fn claimed_by(&self, now: Micros) -> Option<SocketAddr> {
+        self.claimed.filter(|(_, at)| now < at + CLAIMED_FOR).map(|(by, _)| by)
+    }
+
     /// Somebody holds another life for the one that has this member's name, or this one for down.
     pub(crate) fn superseded(&mut self, now: Micros, by: &Id, down: bool) {
         let me = self.me();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -122,7 +122,7 @@
             settled_ms: now.saturating_sub(self.settled) / 1000,
             health: self.health,
             displaced_by: self.rival.as_ref().map(|r| r.id.address),
-            claimed_by: self.claimed.map(|(by, _)| by),
+            claimed_by: self.claimed_by(now),
             members,
             counters: Counters { full: shared.full, ..self.counters },
         }
