--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -88,10 +88,9 @@
                 self.with_swim(now, &by, |swim, wants| swim.handle_data(&data, wants));
             }
             Body::Pull { buckets, answer } => {
-                self.answer_pull(now, &from, &buckets);
-                if !answer && self.buckets() != buckets {
-                    let buckets = self.buckets();
-                    self.send(now, from.address, Body::Pull { buckets, answer: true });
+                let ours = self.answer_pull(now, &from, &buckets);
+                if !answer && ours != buckets {
+                    self.send(now, from.address, Body::Pull { buckets: ours, answer: true });
                 }
             }
             Body::Members(entries) => self.members(now, &by, entries),
@@ -99,7 +98,7 @@
                 let buckets = self.buckets();
                 self.send(now, from.address, Body::Proof { nonce, buckets });
             }
-            Body::Proof { buckets, .. } => self.answer_pull(now, &from, &buckets),
+            Body::Proof { buckets, .. } => drop(self.answer_pull(now, &from, &buckets)),
             Body::Superseded { .. } | Body::Claim => {}
         }
     }
@@ -119,8 +118,7 @@
                 let by = from.name.to_string();
                 let member = foca::Member::alive(from.clone());
                 self.with_swim(now, &by, |swim, wants| swim.apply_many(std::iter::once(member), true, wants));
-                self.answer_pull(now, from, &buckets);
-                let buckets = self.buckets();
+                let buckets = self.answer_pull(now, from, &buckets);
                 self.send(now, from.address, Body::Pull { buckets, answer: true });
             }
             Body::Challenge(nonce) => {
@@ -233,11 +231,11 @@
         self.table.buckets(&shared.me, shared.records.get(&shared.me.name.hash()))
     }
 
-    /// Sends what this member knows where another one's view differs.
-    fn answer_pull(&mut self, now: Micros, to: &Id, theirs: &[u32]) {
+    /// Sends what this member knows where another one's view differs; what its own view comes to.
+    fn answer_pull(&mut self, now: Micros, to: &Id, theirs: &[u32]) -> Vec<u32> {
         let ours = self.buckets();
         if theirs.len() != BUCKETS || ours == theirs {
-            return;
+            return ours;
         }
         let differs = |name: u64| ours[Table::in_bucket(name)] != theirs[Table::in_bucket(name)];
         let mut entries = Vec::new();
@@ -284,6 +282,7 @@
             page.push(entry);
         }
         self.send_members(now, to.address, page);
+        ours
     }
 
     fn send_members(&mut self, now: Micros, to: SocketAddr, entries: Vec<Entry>) {
