A key's offer is waited for no longer than its window lasts

Cause, from reading: place() looks at the window when it decides, and an offer may then wait for a connection that is being made, up to the settings' connect time (engine offer, link_up), and leave after the window: rule 2. Seen in a test of the module that failed before: an offer 0.1 s before the window's end had a time-out of 1.2 s (tests/rules.rs). Lines: src/control.rs place(), 'again'. Now the time-out ends with the window, and the engine withdraws what is unsent then.

--- a/src/control.rs
+++ b/src/control.rs
@@ -703,13 +703,14 @@
         if open.out || self.too_late(&open.task) {
             return;
         }
-        // Rule 2: what may have run is sent again only as its class allows.
-        let again = match (open.may_run, self.settings.classes[open.task.class].effect) {
-            (None, _) | (_, Effect::Safe) => true,
-            (Some(_), Effect::Unsafe) => false,
-            (Some((sent, _)), Effect::Keyed { window, .. }) => self.now + ANSWER_MARGIN < sent + window,
+        // Rule 2: what may have run is sent again only as its class allows. The time-out ends with the window:
+        // guards against an offer that waits for its connection and leaves after it.
+        let until = match (open.may_run, self.settings.classes[open.task.class].effect) {
+            (None, _) | (_, Effect::Safe) => open.task.give_up_at,
+            (Some(_), Effect::Unsafe) => 0,
+            (Some((sent, _)), Effect::Keyed { window, .. }) => (sent + window).min(open.task.give_up_at),
         };
-        if !again || open.attempts >= self.settings.limits.max_attempts {
+        if until <= self.now + ANSWER_MARGIN || open.attempts >= self.settings.limits.max_attempts {
             self.answer(id, actions);
             return;
         }
@@ -726,7 +727,7 @@
                 return;
             }
         };
-        let time_out = self.patience(&open, level, open.task.give_up_at - self.now);
+        let time_out = self.patience(&open, level, until - self.now);
         actions.push(Action::Offer(id, machine, time_out));
         self.bind(AttemptId { task: id, number: open.attempts }, open.task, machine, level, false);
         if let Some(open) = self.open.get_mut(&id) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -71,7 +71,9 @@
 
 #[test]
 fn keyed_tasks_stay_in_their_group_and_window() {
-    let mut desk = Desk::new(settings(KEYED), 0);
+    let mut many = settings(KEYED);
+    many.limits.max_attempts = 4;
+    let mut desk = Desk::new(many, 0);
     let cells = |n: u32| Listing { cell: n / 2, ..machine(n) };
     desk.list(Scope::Full, (0..8).map(cells).collect());
     let first = desk.ask(task(1, 1, 20 * S)).expect("an offer");
@@ -79,9 +81,13 @@
     let again = offer(&actions).expect("the cell's other machine");
     assert_eq!(again / 2, first / 2);
     assert_ne!(again, first, "the one that failed is avoided");
-    // Past the window nothing is sent, and a refusal would promise too much.
-    desk.now += 4 * S;
+    // Near its end an offer is waited for no longer than the window lasts: it may wait for its connection as long.
+    desk.now += 3_900_000;
     let actions = desk.turn(&[end(1, 1, Ending::Reset, None)]);
+    assert!(time_out(&actions).is_some_and(|out| out <= 100_000), "{actions:?}");
+    // Past the window nothing is sent, and a refusal would promise too much.
+    desk.now += 100_000;
+    let actions = desk.turn(&[end(1, 2, Ending::Reset, None)]);
     assert_eq!(offer(&actions), None);
     assert_eq!(answers(&actions), [Action::Fail(TaskId(1))]);
 }
