--- /dev/null
+++ b/crates/platform/src/channel/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+
+const MS: Micros = 1000;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn answer(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn wants(channel: &mut Channel) -> Vec<Want> {
+    std::mem::take(&mut channel.wants)
+}
+
+fn asks(wants: &[Want], cursor: u64) -> bool {
+    let line = format!("GET /cmd/next?resume={cursor}&block=");
+    wants.iter().any(|w| matches!(w, Want::Send(bytes) if bytes.starts_with(line.as_bytes())))
+}
+
+/// A poll that is out, after event 5.
+fn asked() -> Channel {
+    let mut channel = Channel::new(address(1));
+    channel.tick(0);
+    assert_eq!(wants(&mut channel), [Want::Connect(address(1))]);
+    channel.up(MS, 5);
+    assert!(asks(&wants(&mut channel), 5));
+    channel
+}
+
+#[test]
+fn a_poll_follows_each_answer_on_the_same_connection() {
+    let mut channel = asked();
+    let bytes = answer("{\"cursor\":6,\"cmds\":[{\"cursor\":6}]}");
+    let (used, none) = channel.read(2 * MS, &bytes[..30]);
+    assert_eq!(none, None);
+    let (rest, batch) = channel.read(3 * MS, &bytes[used..]);
+    assert_eq!((used + rest, batch.map(|b| b.cursor)), (bytes.len(), Some(6)));
+    channel.next(3 * MS, 6);
+    assert!(asks(&wants(&mut channel), 6));
+}
+
+#[test]
+fn one_that_breaks_off_mid_event_is_asked_again_at_once_from_the_last_whole_event() {
+    let mut channel = asked();
+    channel.read(2 * MS, &answer("{\"cursor\":6,\"cmds\":[{\"cursor\":6}]}")[..50]);
+    channel.broken(3 * MS);
+    assert_eq!(channel.next_timeout(), 3 * MS);
+    channel.tick(3 * MS);
+    assert_eq!(wants(&mut channel), [Want::Close, Want::Connect(address(1))]);
+    channel.up(4 * MS, 5);
+    assert!(asks(&wants(&mut channel), 5));
+    let (_, batch) = channel.read(5 * MS, &answer("{\"cursor\":6,\"cmds\":[]}"));
+    assert_eq!(batch.map(|b| b.cursor), Some(6));
+}
+
+#[test]
+fn one_that_falls_silent_is_asked_again_soon_after_its_wait() {
+    let mut channel = asked();
+    let due = channel.next_timeout();
+    assert!(due > BLOCK && due <= 2_000 * MS);
+    channel.tick(due);
+    assert_eq!(wants(&mut channel), [Want::Close, Want::Connect(address(1))]);
+    // A connection that never comes up is not waited for either.
+    let due = channel.next_timeout();
+    channel.tick(due);
+    assert_eq!(wants(&mut channel), [Want::Close, Want::Connect(address(1))]);
+}
+
+#[test]
+fn answers_that_cannot_be_read_break_it_off_and_a_refusal_is_not_asked_in_a_loop() {
+    for bytes in [
+        answer("{\"cursor\":"),
+        answer("[]"),
+        b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".to_vec(),
+        vec![0; 40],
+    ] {
+        let mut channel = asked();
+        let (_, batch) = channel.read(2 * MS, &bytes);
+        assert_eq!((batch, wants(&mut channel)), (None, vec![Want::Close]));
+    }
+    let mut channel = Channel::new(address(1));
+    channel.tick(0);
+    channel.broken(MS);
+    assert_eq!(channel.next_timeout(), MS + AGAIN);
+}
+
+#[test]
+fn a_new_address_is_asked_at_once_with_the_numbers_continued() {
+    let mut channel = asked();
+    channel.moved(address(1));
+    assert_eq!(wants(&mut channel), []);
+    channel.moved(address(2));
+    channel.tick(2 * MS);
+    assert_eq!(wants(&mut channel), [Want::Close, Want::Connect(address(2))]);
+    channel.up(3 * MS, 5);
+    assert!(asks(&wants(&mut channel), 5));
+}
