The decisions reckon without room that this protocol does not tell; slow channels, half-written files

- short-deadlines, whose settings promise unasked room in lists: the engine reads none (the protocol's page knows none), but told the decisions that it comes, so that each reckoned with one other placer's load instead of all others' (control.rs asked(), 'blind').
- A configuration read while it is still being written was dropped for good (shell signal); it is read again for 1 s.
- An owner's connection that is closed on its side and not read to its end got releases (reached_on); not any more.
- The listener is closed when the process leaves, so that who connects then is refused and goes elsewhere.

Tests: channel/tests.rs, engine/tests/crossings.rs, platform_terms.rs, many_placers.rs.

--- a/crates/cli/tests/platform_terms.rs
+++ b/crates/cli/tests/platform_terms.rs
@@ -295,3 +295,24 @@
         assert!(after < Duration::from_millis(600), "{sid:x}: {after:?} after it had gone");
     }
 }
+
+#[test]
+fn a_new_configuration_that_is_still_being_written_is_read_once_it_is_whole() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (host, first, second) = (Host::start(), Commands::start(), Commands::start());
+    let known = listed(1, "s-1", host.address, "active");
+    let file = config(folder.path(), first.address, &known);
+    let placer = Placer::start(&file);
+    let mut owner = Owner::connect(&placer);
+    first.poll();
+    config(folder.path(), second.address, &known);
+    let whole = std::fs::read(&file).expect("text");
+    std::fs::write(&file, &whole[..whole.len() / 2]).expect("a file");
+    placer.signal(Signal::HUP);
+    // It has read what there was of it by the time it answers what is said later.
+    owner.send(&probe(1));
+    assert_eq!(owner.hear()["msg"].as_str(), Some("probed"));
+    std::fs::write(&file, &whole).expect("a file");
+    let (_poll, line) = second.poll();
+    assert!(line.starts_with("GET /cmd/next?resume=1&block="), "{line}");
+}
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -13,6 +13,9 @@
 const SLACK: Micros = 400_000;
 /// A connection is made, and a first answer begun, within this.
 const CONNECT_WITHIN: Micros = 400_000;
+/// Where that does not do several times on end, the channel may be slow rather than silent: twice and then four times as
+/// long is given, which still is within 2 s of the wait's end (PROTOCOL's days).
+const MAX_DOUBLINGS: u32 = 2;
 /// The next try after one that failed at once: a channel that refuses is not asked in a loop.
 const AGAIN: Micros = 100_000;
 /// The longest answer.
@@ -44,6 +47,8 @@
     address: SocketAddr,
     state: State,
     reader: Reader,
+    /// How often on end it was too slow, up to `MAX_DOUBLINGS`.
+    slow: u32,
     pub(crate) wants: Vec<Want>,
 }
 
@@ -54,7 +59,7 @@
 impl Channel {
     /// A poll of the channel at this address, due at once.
     pub fn new(address: SocketAddr) -> Channel {
-        Channel { address, state: State::Idle(0), reader: reader(), wants: Vec::new() }
+        Channel { address, state: State::Idle(0), reader: reader(), slow: 0, wants: Vec::new() }
     }
 
     /// The channel is elsewhere from now on.
@@ -81,8 +86,9 @@
         if !matches!(self.state, State::Idle(_)) {
             tracing::warn!(state = ?self.state, "the command channel does not answer");
             self.wants.push(Want::Close);
+            self.slow = (self.slow + 1).min(MAX_DOUBLINGS);
         }
-        self.state = State::Connecting(now + CONNECT_WITHIN);
+        self.state = State::Connecting(now + (CONNECT_WITHIN << self.slow));
         self.reader = reader();
         self.wants.push(Want::Connect(self.address));
     }
@@ -98,7 +104,7 @@
         let target = format!("/cmd/next?resume={cursor}&block={}", BLOCK / 1000);
         let mut bytes = Vec::new();
         write_request(&mut bytes, "GET", &target, &[("Host", &self.address.to_string())], b"");
-        self.state = State::Asked(now + BLOCK + SLACK);
+        self.state = State::Asked(now + BLOCK + (SLACK << self.slow));
         self.wants.push(Want::Send(bytes));
     }
 
@@ -109,7 +115,10 @@
             Ok((Found::Message(message), used)) => {
                 if message.head.status() == 200 {
                     match channel::read(&message.body) {
-                        Ok(batch) => return (used, Some(batch)),
+                        Ok(batch) => {
+                            self.slow = 0;
+                            return (used, Some(batch));
+                        }
                         Err(error) => tracing::warn!(%error, "the command channel's answer can't be read"),
                     }
                 } else {
--- a/crates/platform/src/channel/tests.rs
+++ b/crates/platform/src/channel/tests.rs
@@ -97,3 +97,31 @@
     channel.up(3 * MS, 5);
     assert!(asks(&wants(&mut channel), 5));
 }
+
+#[test]
+fn a_slow_channel_is_given_more_time_until_its_answer_is_read() {
+    let mut channel = asked();
+    // Each answer comes 0.7 s after the wait that was asked for.
+    let late = BLOCK + 700 * MS;
+    let (mut now, mut heard) = (MS, false);
+    for _ in 0..4 {
+        let answered = now + late;
+        if channel.next_timeout() > answered {
+            let (_, batch) = channel.read(answered, &answer("{\"cursor\":6,\"cmds\":[]}"));
+            heard = batch.is_some();
+            break;
+        }
+        // PROTOCOL's days count a silent channel as told 2 s after the wait's end.
+        let due = channel.next_timeout();
+        assert!(due <= now + BLOCK + 2_000 * MS);
+        channel.tick(due);
+        assert_eq!(wants(&mut channel), [Want::Close, Want::Connect(address(1))]);
+        now = due + MS;
+        channel.up(now, 5);
+        assert!(asks(&wants(&mut channel), 5));
+    }
+    assert!(heard);
+    // Once it answers it is expected to do so in time again.
+    channel.next(now, 6);
+    assert!(channel.next_timeout() <= now + BLOCK + SLACK);
+}
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -56,19 +56,26 @@
     pub fn owner_gone(&mut self, owner: OwnerId) {
         let Some(gone) = self.owners.get_mut(&owner) else { return };
         gone.gone = true;
-        for task in std::mem::take(&mut gone.open) {
+        let open = std::mem::take(&mut gone.open);
+        self.not_latest(owner);
+        for task in open {
             self.hang_up(task);
         }
     }
 
+    /// A connection is of no use for what is told to owners.
+    fn not_latest(&mut self, owner: OwnerId) {
+        if self.latest == Some(owner) {
+            let placed = self.owners.iter().filter(|(id, o)| **id != owner && o.placed && !o.gone);
+            self.latest = placed.max_by_key(|(id, o)| (o.heard, **id)).map(|(&id, _)| id);
+        }
+    }
+
     /// An owner's connection is over: what it waits for is given up, what stands stands.
     pub fn owner_closed(&mut self, owner: OwnerId) {
         let Some(closed) = self.owners.remove(&owner) else { return };
         self.arrivals.forget(owner);
-        if self.latest == Some(owner) {
-            let placed = self.owners.iter().filter(|(_, o)| o.placed);
-            self.latest = placed.max_by_key(|(id, o)| (o.heard, **id)).map(|(&id, _)| id);
-        }
+        self.not_latest(owner);
         for task in closed.open {
             self.hang_up(task);
         }
@@ -146,7 +153,7 @@
         if let Some(owner) = self.owners.get_mut(&from) {
             owner.spoke = true;
             owner.open.insert(id);
-            if owner.placed {
+            if owner.placed && !owner.gone {
                 self.latest = Some(from);
             }
         }
@@ -222,7 +229,7 @@
 
     /// An owner's task stands: others' releases may go there too, and those that found no connection.
     pub(super) fn placed(&mut self, owner: OwnerId) {
-        let Some(from) = self.owners.get_mut(&owner) else { return };
+        let Some(from) = self.owners.get_mut(&owner).filter(|o| !o.gone) else { return };
         from.placed = true;
         self.latest = Some(owner);
         for (_, sid, cause) in std::mem::take(&mut self.undelivered) {
@@ -256,7 +263,7 @@
 
     /// The connection that a task's owner can be told on: the one it came on, else another one.
     fn reached_on(&self, owner: OwnerId) -> Option<OwnerId> {
-        Some(owner).filter(|o| self.owners.contains_key(o)).or(self.latest)
+        Some(owner).filter(|o| self.owners.get(o).is_some_and(|o| !o.gone)).or(self.latest)
     }
 
     /// Tells an owner that its task is over: on the connection it came on, else on another one.
--- a/crates/platform/src/engine/tests/crossings.rs
+++ b/crates/platform/src/engine/tests/crossings.rs
@@ -162,3 +162,23 @@
     assert!((8..=10).contains(&tests(0.0)), "{}", tests(0.0));
     assert!((3..=4).contains(&tests(0.004)), "{}", tests(0.004));
 }
+
+#[test]
+fn an_owner_that_goes_may_have_ended_a_task_and_is_told_nothing_more() {
+    let mut rig = Rig::new();
+    let (_, link) = rig.stand(7);
+    rig.stand(8);
+    let task = rig.ask(B, 9);
+    rig.offered(task, 0);
+    rig.host(link, FromHost::Ready(Sid(9), "t".into()));
+    // Its end is known before its last words are read.
+    rig.engine.owner_gone(A);
+    let outputs = rig.says(A, FromOwner::Close(Sid(7), cause::NORMAL));
+    assert!(sends(&outputs, link, 12));
+    // What ends meanwhile is told on another connection, and so is what is handed over on this one.
+    let outputs = rig.host(link, FromHost::Close(Sid(8), cause::NORMAL, None));
+    assert_eq!(to_owners(&outputs), [(B, ToOwner::Close(Sid(8), cause::NORMAL))]);
+    rig.says(A, running(10, "a"));
+    let outputs = rig.host(link, FromHost::Close(Sid(10), cause::NORMAL, None));
+    assert_eq!(to_owners(&outputs), [(B, ToOwner::Close(Sid(10), cause::NORMAL))]);
+}
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -34,6 +34,10 @@
 const CHANNEL_ROUND: usize = 256 << 10;
 /// Rounds of reading before a decision.
 const ROUNDS: usize = 4;
+/// A new configuration that can't be read is read again after this, so often: the old channel is kept for 1.5 s after
+/// SIGHUP (PROTOCOL's days).
+const RELOAD_AFTER: Micros = 100_000;
+const RELOADS: u32 = 10;
 /// Descriptors that are not for owners or hosts: standard ones, listener, epoll, signals, channel, files.
 const RESERVED: usize = 16;
 /// Descriptions that are held at a time may take this part of the memory.
@@ -67,10 +71,11 @@
         clock: Clock::start(),
         poller,
         signals,
-        listener,
+        listener: Some(listener),
         knocking: false,
         paused: None,
         file: config.to_owned(),
+        reload: None,
         round: 0,
         owners: HashMap::new(),
         lingering: BTreeMap::new(),
@@ -98,12 +103,15 @@
     clock: Clock,
     poller: Poller,
     signals: Signals,
-    listener: TcpListener,
+    /// Nothing once the process leaves.
+    listener: Option<TcpListener>,
     /// Connections wait to be accepted.
     knocking: bool,
     /// Nothing is accepted until then, since there is no descriptor for it.
     paused: Option<Micros>,
     file: PathBuf,
+    /// When a new configuration is read, and how often once more.
+    reload: Option<(Micros, u32)>,
     /// Turns of the loop: an owner's connection is read once in each.
     round: u64,
     owners: HashMap<OwnerId, OwnerConn>,
@@ -145,6 +153,7 @@
                 self.poller.wait(Some(Duration::ZERO), &mut ready).map_err(io_error("epoll"))?;
             }
             let now = self.clock.now();
+            self.load_again(now);
             self.channel.tick(now);
             self.ask_channel(now);
             self.engine.turn(now);
@@ -166,7 +175,8 @@
         let stop = self.stop_at.map_or(Micros::MAX, Life::earliest);
         let lingering = self.lingering.values().map(|l| l.until).min().unwrap_or(Micros::MAX);
         let paused = self.paused.unwrap_or(Micros::MAX);
-        let due = engine.min(self.channel.next_timeout()).min(lingering).min(paused);
+        let reload = self.reload.map_or(Micros::MAX, |(at, _)| at);
+        let due = engine.min(self.channel.next_timeout()).min(lingering).min(paused).min(reload);
         due.min(stop.max(self.clock.now() + 10_000))
     }
 
@@ -193,16 +203,8 @@
     fn signal(&mut self, signal: i32) {
         let now = self.clock.now();
         if signal == SIGHUP {
-            match load(&self.file) {
-                Ok((config, _)) => {
-                    tracing::info!(channel = %config.channel, "new configuration");
-                    self.channel.moved(config.channel);
-                    self.engine.told(now, &config.known);
-                }
-                Err(error) => {
-                    tracing::error!(%error, "the new configuration can't be used; the old one is kept")
-                }
-            }
+            self.reload = Some((now, RELOADS));
+            self.load_again(now);
         } else if self.stop_at.is_none() {
             tracing::info!(signal, open = self.engine.open_asks(), "told to end");
             self.stop_at = Some(now);
@@ -210,6 +212,25 @@
         }
     }
 
+    /// Takes in a new configuration. One that can't be read may still be on its way into its file.
+    fn load_again(&mut self, now: Micros) {
+        let Some((_, left)) = self.reload.take_if(|(at, _)| *at <= now) else { return };
+        match load(&self.file) {
+            Ok((config, _)) => {
+                tracing::info!(channel = %config.channel, "new configuration");
+                self.channel.moved(config.channel);
+                self.engine.told(now, &config.known);
+            }
+            Err(error) if left == 0 => {
+                tracing::error!(%error, "the new configuration can't be used; the old one is kept")
+            }
+            Err(error) => {
+                tracing::debug!(%error, "the new configuration can't be used yet");
+                self.reload = Some((now + RELOAD_AFTER, left - 1));
+            }
+        }
+    }
+
     fn channel_ready(&mut self, number: u64, r: &Readiness) {
         let now = self.clock.now();
         if number != self.channel_number {
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -71,7 +71,8 @@
             if self.owners.len() >= self.sockets * MAX_PART.0 / MAX_PART.1 || self.used() >= self.sockets {
                 return self.pause();
             }
-            let stream = match self.listener.accept() {
+            let Some(listener) = &self.listener else { return };
+            let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) => {
@@ -96,7 +97,7 @@
 
     /// Accepts nothing for a while: a listener that is ready and can't be served would be told of in each turn.
     fn pause(&mut self) {
-        if self.paused.is_none() && self.poller.change(&self.listener, LISTENER, false, false).is_ok() {
+        if self.paused.is_none() && self.listen(false) {
             tracing::debug!(owners = self.owners.len(), hosts = self.links.len(), "no descriptor is left");
             self.paused = Some(self.clock.now() + ACCEPT_RETRY);
         }
@@ -112,13 +113,16 @@
     /// What is due for owners' connections.
     pub(super) fn look_after(&mut self, now: Micros) {
         self.lingering.retain(|_, l| l.until > now);
-        if self.paused.is_some_and(|at| at <= now)
-            && self.poller.change(&self.listener, LISTENER, true, false).is_ok()
-        {
+        if self.paused.is_some_and(|at| at <= now) && self.listen(true) {
             self.paused = None;
         }
     }
 
+    /// Has the poller tell of new connections, or not; whether it does as asked.
+    fn listen(&self, on: bool) -> bool {
+        self.listener.as_ref().is_some_and(|l| self.poller.change(l, LISTENER, on, false).is_ok())
+    }
+
     /// Closes the owner's connection that can be spared first; whether there was one. What it has said by now is read
     /// before: it may just have asked.
     pub(super) fn spare(&mut self) -> bool {
@@ -279,7 +283,8 @@
             self.keep_lingering(id, owner.conn, now + LEAVE_WITHIN);
         }
         self.flush(now);
-        let _ = self.poller.remove(&self.listener);
+        // Who connects now is refused at once, and goes elsewhere.
+        self.listener = None;
         let mut ready = Vec::new();
         while !self.lingering.is_empty() {
             let now = self.clock.now();
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use maplethread::{Micros, Settings};
+use maplethread::{LoadReport, Micros, Settings};
 use maplethread_deployment::{Terms, WireError};
 use maplethread_platform_wire::config::Config;
 use serde_json::Value;
@@ -42,6 +42,9 @@
     // Offers wait for connections that are being made, and leave together: what is decided within a window and that time
     // may reach a host that came up cold within one window.
     decisions.rules.fall_window += terms.connect_within + ON_ITS_WAY;
+    // The protocol's page knows neither load reports in hosts' messages nor room in lists, whatever the settings say, and
+    // neither is read here: the decisions reckon without them.
+    (decisions.report, decisions.view) = (LoadReport::Silent, false);
     Ok((decisions, terms))
 }
 
--- a/crates/platform/tests/many_placers.rs
+++ b/crates/platform/tests/many_placers.rs
@@ -170,3 +170,15 @@
         }
     }
 }
+
+#[test]
+fn the_decisions_are_not_promised_what_this_protocol_does_not_tell() {
+    let mut settings = support::settings(0, 3, Connects { within: 250 * MS, take: 0 });
+    settings["domain"]["listsFree"] = true.into();
+    settings["domain"]["freeBy"] = "asked".into();
+    settings["reporting"] = serde_json::json!({"how": "piggyback", "fields": ["x0", "x1"]});
+    let (decisions, terms) = maplethread_platform::decode(&settings).expect("sound settings");
+    assert!(!decisions.view && decisions.report == maplethread::LoadReport::Silent);
+    // What is counted for a cold host holds for the time that a connection may take to come up too.
+    assert!(decisions.rules.fall_window > support::WINDOW + terms.connect_within);
+}
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -177,7 +177,7 @@
     seen: Seen,
 }
 
-fn settings(ordinal: usize, placers: usize, connects: Connects) -> Value {
+pub fn settings(ordinal: usize, placers: usize, connects: Connects) -> Value {
     json!({
         "allowed": {"connectTimeoutMs": connects.within / MS, "idleCloseMs": 30000.0, "maxAttempts": 3, "mayCancel": true,
             "peers": false, "probes": false, "retryAfter": false, "maxRetryAfterMs": 3000.0},
