--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -29,9 +29,9 @@
 const USUAL_PART: (usize, usize) = (1, 2);
 pub(super) const MAX_PART: (usize, usize) = (3, 4);
 /// A connection that is being closed is kept for so long at most, for its owner to read what was written to it...
-const LINGER: Micros = 1_000_000;
+const LINGER: Micros = 5_000_000;
 /// ...while so much more that it sends is read and dropped: a close with bytes unread is a reset, which may destroy what
-/// was written. So many are kept.
+/// was written. One that sends on is held up by its own socket. So many are kept.
 const LINGER_BYTES: usize = 1 << 20;
 const MAX_LINGERING: usize = 64;
 /// The end of the process waits so long for owners to read what was written to them; `Life` leaves time for it.
@@ -259,7 +259,8 @@
         let all = closing.conn.unread().len();
         closing.conn.take(all);
         closing.left = closing.left.saturating_sub(all);
-        if closing.left == 0 || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
+        let held_up = closing.left > 0 || closing.conn.set_reading(false, &self.poller).is_ok();
+        if !held_up || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
             self.lingering.remove(&id);
             self.resume();
         }
