--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -17,7 +17,7 @@
 /// long is given, which still is within 2 s of the wait's end (PROTOCOL's days).
 const MAX_DOUBLINGS: u32 = 2;
 /// The next try after one that failed at once: a channel that refuses is not asked in a loop.
-const AGAIN: Micros = 100_000;
+const RETRY_AFTER: Micros = 100_000;
 /// The longest answer.
 const BODY: usize = 4 << 20;
 
@@ -148,7 +148,7 @@
         self.wants.push(Want::Close);
         self.reader = reader();
         let at_once = matches!(self.state, State::Asked(_));
-        self.state = State::Idle(if at_once { now } else { now + AGAIN });
+        self.state = State::Idle(if at_once { now } else { now + RETRY_AFTER });
     }
 }
 
--- a/crates/platform/src/channel/tests.rs
+++ b/crates/platform/src/channel/tests.rs
@@ -83,7 +83,7 @@
     let mut channel = Channel::new(address(1));
     channel.tick(0);
     channel.broken(MS);
-    assert_eq!(channel.next_timeout(), MS + AGAIN);
+    assert_eq!(channel.next_timeout(), MS + RETRY_AFTER);
 }
 
 #[test]
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -59,7 +59,7 @@
         let open = std::mem::take(&mut gone.open);
         self.not_latest(owner);
         for task in open {
-            self.hang_up(task);
+            self.cancel(task);
         }
     }
 
@@ -77,7 +77,7 @@
         self.arrivals.forget(owner);
         self.not_latest(owner);
         for task in closed.open {
-            self.hang_up(task);
+            self.cancel(task);
         }
     }
 
@@ -98,14 +98,14 @@
                 tracing::debug!(owner = owner.0, %fault, "an owner sent what can't be used");
                 match fault {
                     Fault::Field(sid, ..) => self.turn_away(owner, sid, cause::ERROR),
-                    Fault::TooLong | Fault::Unreadable(_) => self.hang_up_on(owner),
+                    Fault::TooLong | Fault::Unreadable(_) => self.disconnect(owner),
                 }
             }
         }
     }
 
     /// Closes an owner's connection; what it still waits for is given up.
-    fn hang_up_on(&mut self, owner: OwnerId) {
+    fn disconnect(&mut self, owner: OwnerId) {
         self.owner_closed(owner);
         self.outputs.push(Output::CloseOwner(owner));
     }
@@ -115,7 +115,7 @@
     fn turn_away(&mut self, owner: OwnerId, sid: Sid, cause: u8) {
         let task = self.tasks.by_sid(sid).and_then(|id| self.tasks.get(id));
         if task.is_some_and(|e| e.open && e.owner == owner) {
-            self.hang_up_on(owner);
+            self.disconnect(owner);
         } else {
             self.outputs.push(Output::ToOwner(owner, ToOwner::Close(sid, cause)));
         }
@@ -248,12 +248,12 @@
             let machine = stand.machine;
             self.cut(now, machine, sid, cause);
         } else {
-            self.hang_up(id);
+            self.cancel(id);
         }
     }
 
     /// Nobody waits for the answer any more.
-    fn hang_up(&mut self, task: TaskId) {
+    fn cancel(&mut self, task: TaskId) {
         if self.close(task) {
             self.events.push(Event::HungUp(task));
             self.give_up(task, Ending::Cancelled, true);
@@ -288,7 +288,7 @@
     pub(super) fn owner_due(&mut self, owner: OwnerId) {
         if self.owners.get(&owner).is_some_and(|o| !o.spoke) {
             tracing::debug!(owner = owner.0, "an owner that says nothing");
-            self.hang_up_on(owner);
+            self.disconnect(owner);
         }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod channel;
 pub mod engine;
-mod life;
 mod shell;
+mod shutdown;
 mod start;
 
 pub use shell::run;
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::channel::{Channel, Want};
 use crate::engine::{Engine, LinkId, Output, OwnerId};
-use crate::life::Life;
+use crate::shutdown::Shutdown;
 use crate::start::{Error, decode, io_error, load};
 use owners::{Lingering, OwnerConn};
 
@@ -50,7 +50,7 @@
     let unusable = |e: &dyn std::fmt::Display| wrong(format!("settings: {e}"));
     let (decisions, terms) = decode(&settings.settings).map_err(|e| unusable(&e))?;
     let placer = Placer::new(decisions.clone(), settings.seed).map_err(|e| unusable(&e))?;
-    let life = Life::new(terms.longest_deadline);
+    let shutdown = Shutdown::new(terms.longest_deadline);
     let mut engine = Engine::new(terms, &decisions, placer);
     let memory = (settings.limits.memory_mb.clamp(8.0, 65_536.0) as usize) << 20;
     engine.limit_text(memory / TEXT_PART);
@@ -72,20 +72,20 @@
         poller,
         signals,
         listener: Some(listener),
-        knocking: false,
+        accept_due: false,
         paused: None,
         file: config.to_owned(),
         reload: None,
         round: 0,
         owners: HashMap::new(),
         lingering: BTreeMap::new(),
-        held_up: BTreeSet::new(),
+        throttled: BTreeSet::new(),
         links: HashMap::new(),
         last_owner: 0,
         sockets,
-        max_held_up: (memory / owners::MAX_UNWRITTEN / TEXT_PART).max(4),
+        max_throttled: (memory / owners::MAX_UNWRITTEN / TEXT_PART).max(4),
         dirty: BTreeSet::new(),
-        life,
+        shutdown,
         stop_at: None,
     };
     let now = shell.clock.now();
@@ -106,7 +106,7 @@
     /// Nothing once the process leaves.
     listener: Option<TcpListener>,
     /// Connections wait to be accepted.
-    knocking: bool,
+    accept_due: bool,
     /// Nothing is accepted until then, since there is no descriptor for it.
     paused: Option<Micros>,
     file: PathBuf,
@@ -118,15 +118,15 @@
     /// Connections that are being closed.
     lingering: BTreeMap<OwnerId, Lingering>,
     /// Owners that are not read, since they don't read.
-    held_up: BTreeSet<OwnerId>,
-    max_held_up: usize,
+    throttled: BTreeSet<OwnerId>,
+    max_throttled: usize,
     links: HashMap<LinkId, Conn>,
     last_owner: u64,
     /// Descriptors for owners and hosts.
     sockets: usize,
     /// Connections with something to write.
     dirty: BTreeSet<u64>,
-    life: Life,
+    shutdown: Shutdown,
     stop_at: Option<Micros>,
 }
 
@@ -160,19 +160,19 @@
             self.carry_out(now);
             self.flush(now);
             // Only now, with all that is to be said written, can a connection be told to be of no use any more.
-            if std::mem::take(&mut self.knocking) {
+            if std::mem::take(&mut self.accept_due) {
                 self.accept();
             }
             self.look_after(now);
             if self.done(now) {
-                return self.leave();
+                return self.shut_down();
             }
         }
     }
 
     fn next_due(&self) -> Micros {
         let engine = self.engine.next_timeout().unwrap_or(Micros::MAX);
-        let stop = self.stop_at.map_or(Micros::MAX, Life::earliest);
+        let stop = self.stop_at.map_or(Micros::MAX, Shutdown::earliest);
         let lingering = self.lingering.values().map(|l| l.until).min().unwrap_or(Micros::MAX);
         let paused = self.paused.unwrap_or(Micros::MAX);
         let reload = self.reload.map_or(Micros::MAX, |(at, _)| at);
@@ -183,13 +183,13 @@
     fn done(&self, now: Micros) -> bool {
         let Some(at) = self.stop_at else { return false };
         let written = self.owners.values().all(|o| o.conn.unwritten() == 0);
-        self.life.over(at, now, self.engine.open_asks(), written)
+        self.shutdown.over(at, now, self.engine.open_asks(), written)
     }
 
     fn take_in(&mut self, ready: &[Readiness]) {
         for r in ready {
             match r.token {
-                LISTENER => self.knocking = true,
+                LISTENER => self.accept_due = true,
                 SIGNALS => self.signals.take().into_iter().for_each(|signal| self.signal(signal)),
                 token => match token & ((1 << KINDS) - 1) {
                     OWNER => self.owner_ready(OwnerId(token >> KINDS), r),
@@ -208,7 +208,7 @@
         } else if self.stop_at.is_none() {
             tracing::info!(signal, open = self.engine.open_asks(), "told to end");
             self.stop_at = Some(now);
-            self.engine.stop(self.life.answered_by(now));
+            self.engine.stop(self.shutdown.answered_by(now));
         }
     }
 
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -17,9 +17,9 @@
 /// Bytes that may wait for an owner; one that reads too little is cut.
 pub(super) const MAX_UNWRITTEN: usize = 256 << 10;
 /// An owner for which more than this waits is not read...
-const HOLD_UP: usize = 32 << 10;
+const THROTTLE_ABOVE: usize = 32 << 10;
 /// ...until it is less than this.
-const GO_ON: usize = 8 << 10;
+const RESUME_BELOW: usize = 8 << 10;
 /// Connections accepted in one round.
 const ACCEPTS: usize = 256;
 /// Where nothing can be accepted, it is tried again after this, or once a connection is closed.
@@ -34,8 +34,8 @@
 /// was written. One that sends on is held up by its own socket. So many are kept.
 const LINGER_BYTES: usize = 1 << 20;
 const MAX_LINGERING: usize = 64;
-/// The end of the process waits so long for owners to read what was written to them; `Life` leaves time for it.
-const LEAVE_WITHIN: Micros = 250_000;
+/// The end of the process waits so long for owners to read what was written to them; `Shutdown` leaves time for it.
+const CLOSE_WITHIN: Micros = 250_000;
 /// Connections looked at to find one that can be spared.
 const SPARES: usize = 8;
 
@@ -146,7 +146,7 @@
 
     fn drop_owner(&mut self, id: OwnerId) {
         self.owners.remove(&id);
-        self.held_up.remove(&id);
+        self.throttled.remove(&id);
         self.engine.owner_closed(id);
         self.resume();
     }
@@ -214,15 +214,15 @@
             return self.drop_owner(id);
         }
         // One that does not read is not read either, so that what it is owed does not grow; its end is still seen.
-        let held_up = waits > if owner.conn.reading() { HOLD_UP } else { GO_ON };
-        if owner.conn.set_reading(!held_up, &self.poller).is_err() {
+        let throttled = waits > if owner.conn.reading() { THROTTLE_ABOVE } else { RESUME_BELOW };
+        if owner.conn.set_reading(!throttled, &self.poller).is_err() {
             return self.drop_owner(id);
         }
-        if !held_up {
-            self.held_up.remove(&id);
-        } else if self.held_up.insert(id) && self.held_up.len() > self.max_held_up {
+        if !throttled {
+            self.throttled.remove(&id);
+        } else if self.throttled.insert(id) && self.throttled.len() > self.max_throttled {
             let waits = |id: &OwnerId| self.owners.get(id).map_or(0, |o| o.conn.unwritten());
-            if let Some(worst) = self.held_up.iter().copied().max_by_key(waits) {
+            if let Some(worst) = self.throttled.iter().copied().max_by_key(waits) {
                 self.drop_owner(worst);
             }
         }
@@ -231,7 +231,7 @@
     /// Closes an owner's connection once what was written to it can have been read. The engine knows it no more.
     pub(super) fn linger(&mut self, now: Micros, id: OwnerId) {
         let Some(OwnerConn { conn, .. }) = self.owners.remove(&id) else { return };
-        self.held_up.remove(&id);
+        self.throttled.remove(&id);
         self.resume();
         if conn.written() == 0 && conn.unwritten() == 0 {
             return;
@@ -259,8 +259,8 @@
         let all = closing.conn.unread().len();
         closing.conn.take(all);
         closing.left = closing.left.saturating_sub(all);
-        let held_up = closing.left > 0 || closing.conn.set_reading(false, &self.poller).is_ok();
-        if !held_up || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
+        let throttled = closing.left > 0 || closing.conn.set_reading(false, &self.poller).is_ok();
+        if !throttled || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
             self.lingering.remove(&id);
             self.resume();
         }
@@ -268,7 +268,7 @@
 
     /// The end of the process. What has come by now is answered, with a refusal where it is a new ask; then each owner's
     /// connection is half-closed and read on until its owner has closed it too, or time is up.
-    pub(super) fn leave(&mut self) -> Result<(), Error> {
+    pub(super) fn shut_down(&mut self) -> Result<(), Error> {
         self.engine.refuse_all();
         let ids: Vec<OwnerId> = self.owners.keys().copied().collect();
         for &id in &ids {
@@ -281,7 +281,7 @@
         self.links.clear();
         self.channel_conn = None;
         for (id, owner) in std::mem::take(&mut self.owners) {
-            self.keep_lingering(id, owner.conn, now + LEAVE_WITHIN);
+            self.keep_lingering(id, owner.conn, now + CLOSE_WITHIN);
         }
         self.flush(now);
         // Who connects now is refused at once, and goes elsewhere.
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/shutdown.rs
@@ -13,19 +13,19 @@
 const KILLED_AFTER: Micros = 700_000;
 /// Of that, time to write the last answers...
 const TO_WRITE: Micros = 500_000;
-/// ...and time for owners to read them, before the process is gone (`LEAVE_WITHIN` of the shell).
+/// ...and time for owners to read them, before the process is gone (`CLOSE_WITHIN` of the shell).
 const TO_READ: Micros = 300_000;
 
-/// The last part of a placer's life.
+/// The last part of a placer's shutdown.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Life {
+pub(crate) struct Shutdown {
     killed: Micros,
 }
 
-impl Life {
+impl Shutdown {
     /// Under classes whose longest deadline this is.
-    pub(crate) fn new(longest_deadline: Micros) -> Life {
-        Life { killed: longest_deadline.min(LONGEST_COUNTED) + KILLED_AFTER }
+    pub(crate) fn new(longest_deadline: Micros) -> Shutdown {
+        Shutdown { killed: longest_deadline.min(LONGEST_COUNTED) + KILLED_AFTER }
     }
 
     /// When everything has its answer, if the process was told to end at `told`.
@@ -42,7 +42,7 @@
     /// Tasks that stand are no reason to stay: they run on, and the next start is handed them, sooner if this one ends
     /// sooner.
     pub(crate) fn over(self, told: Micros, now: Micros, owed: usize, written: bool) -> bool {
-        now >= self.last(told) || (now >= Life::earliest(told) && owed == 0 && written)
+        now >= self.last(told) || (now >= Shutdown::earliest(told) && owed == 0 && written)
     }
 
     /// When the process ends, whoever still reads.
