--- a/src/control.rs
+++ b/src/control.rs
@@ -703,8 +703,8 @@
         if open.out || self.too_late(&open.task) {
             return;
         }
-        // Rule 2: what may have run is sent again only as its class allows. The time-out ends with the window:
-        // guards against an offer that waits for its connection and leaves after it.
+        // Rule 2: what may have run is sent again only as its class allows. The time-out ends with the
+        // window: guards against an offer that waits for its connection and leaves after it.
         let until = match (open.may_run, self.settings.classes[open.task.class].effect) {
             (None, _) | (_, Effect::Safe) => open.task.give_up_at,
             (Some(_), Effect::Unsafe) => 0,
