--- a/crates/cli/tests/platform_cold.rs
+++ b/crates/cli/tests/platform_cold.rs
@@ -6,9 +6,9 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use platform_support::{Commands, LONG, Owner, Placer, config, listed, read_messages, set_up};
+use platform_support::{Commands, Owner, Placer, changed, listed, read_messages, set_up, wait_until};
 use rustix::net::{AddressFamily, SocketType};
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// A listener whose accept backlog holds one connection, and the address. While that one is not accepted, the kernel
 /// drops what asks for another, and its peer asks again after a second.
@@ -41,17 +41,15 @@
     let started = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64;
     let mut known = listed(1, "s-1", address, "active");
     known["cmds"][0]["nodes"]["endpoints"][0]["since_ms"] = json!(started);
-    let file = config(folder.path(), commands.address, &known);
-    let mut value: Value =
-        serde_json::from_str(&std::fs::read_to_string(&file).expect("text")).expect("JSON");
-    let settings = &mut value["settings"];
-    settings["allowed"]["connectTimeoutMs"] = json!(3_000.0);
-    settings["domain"]["freshOffers"] = json!(BORNE);
-    settings["domain"]["spreadMost"] = json!([1000]);
-    settings["invariants"]["tipAfterMs"] = json!(1_000.0);
-    settings["invariants"]["coldMs"] = json!(120_000.0);
-    settings["classes"][0]["aimMs"] = json!(60_000.0);
-    std::fs::write(&file, value.to_string()).expect("a file");
+    let file = changed(folder.path(), commands.address, &known, |c| {
+        let settings = &mut c["settings"];
+        settings["allowed"]["connectTimeoutMs"] = json!(3_000.0);
+        settings["domain"]["freshOffers"] = json!(BORNE);
+        settings["domain"]["spreadMost"] = json!([1000]);
+        settings["invariants"]["tipAfterMs"] = json!(1_000.0);
+        settings["invariants"]["coldMs"] = json!(120_000.0);
+        settings["classes"][0]["aimMs"] = json!(60_000.0);
+    });
     let placer = Placer::start(&file);
     // More is asked than any window may bring.
     let mut owner = Owner::connect(&placer);
@@ -61,11 +59,7 @@
         owner.send(&ask);
     }
     // The first offers wait for a connection for nearly a second; then there is room in the backlog.
-    let by = Instant::now() + LONG;
-    while !asked_for(address) {
-        assert!(Instant::now() < by, "nobody connects");
-        std::thread::sleep(Duration::from_millis(2));
-    }
+    wait_until("somebody connects", || asked_for(address));
     std::thread::sleep(Duration::from_millis(800));
     listener.accept().expect("the filler");
     let (stream, _) = listener.accept().expect("the placer");
--- a/crates/cli/tests/platform_crossings.rs
+++ b/crates/cli/tests/platform_crossings.rs
@@ -5,9 +5,10 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Instant;
 
-use platform_support::{LONG, Owner, Placer, Served, TEXT, host_says, set_up};
+use platform_support::{
+    LONG, Owner, Placer, Served, TEXT, descriptors, host_says, probe, set_up, wait_until,
+};
 use rustix::net::{AddressFamily, SocketType, sockopt};
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -54,18 +55,6 @@
     })
 }
 
-fn descriptors(placer: &Placer) -> usize {
-    std::fs::read_dir(format!("/proc/{}/fd", placer.child.id())).expect("its descriptors").count()
-}
-
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let by = Instant::now() + LONG;
-    while !holds() {
-        assert!(Instant::now() < by, "{what}");
-        std::thread::sleep(std::time::Duration::from_millis(2));
-    }
-}
-
 /// Sends as much as is taken, in a thread of its own.
 fn pour(stream: &TcpStream, bytes: Vec<u8>) {
     let mut stream = stream.try_clone().expect("a handle");
@@ -121,7 +110,7 @@
     });
     placer.signal(Signal::TERM);
     // It has heard that by the time it answers what is said later.
-    other.send(&json!({"msg": "probe", "sid": "00000000000000aa", "attrs": {}, "code": 0}));
+    other.send(&probe(0xaa));
     assert_eq!(other.hear()["msg"].as_str(), Some("probed"));
     drop(other);
     // It stands still until its time is over, and then finds more than it reads before it ends.
--- a/crates/cli/tests/platform_fleet.rs
+++ b/crates/cli/tests/platform_fleet.rs
@@ -7,8 +7,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use platform_support::{Commands, Host, Owner, Placer, TEXT, config, host_says, listed, set_up};
-use rustix::process::{Pid, Resource, Rlimit, Signal, prlimit};
+use platform_support::{
+    Commands, Host, Owner, Placer, TEXT, changed, descriptors, host_says, limit, listed, set_up,
+};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 
 /// Answers every set-up that reaches the host until the test is over, after a pause each.
@@ -23,13 +25,10 @@
 
 /// A configuration with so many descriptors, whose aim lets an answer take seconds, as on a slow and busy machine.
 fn patient(folder: &Path, channel: SocketAddr, known: &Value, sockets: u64) -> PathBuf {
-    let file = config(folder, channel, known);
-    let mut config: Value =
-        serde_json::from_str(&std::fs::read_to_string(&file).expect("text")).expect("JSON");
-    config["settings"]["classes"][0]["aimMs"] = json!(20_000.0);
-    config["limits"]["sockets"] = json!(sockets);
-    std::fs::write(&file, config.to_string()).expect("a file");
-    file
+    changed(folder, channel, known, |config| {
+        config["settings"]["classes"][0]["aimMs"] = json!(20_000.0);
+        config["limits"]["sockets"] = json!(sockets);
+    })
 }
 
 /// A set-up of a service of its own.
@@ -117,9 +116,7 @@
     let nodes = json!({"index": 1, "snapshot": true, "endpoints": (0..HOSTS).map(entry).collect::<Vec<_>>()});
     let known = json!({"cursor": 1, "cmds": [{"cursor": 1, "nodes": nodes}]});
     let mut placer = Placer::start(&patient(folder.path(), commands.address, &known, LIMIT));
-    let limit = Rlimit { current: Some(LIMIT), maximum: Some(LIMIT) };
-    let pid = Pid::from_raw(placer.child.id() as i32);
-    prlimit(pid, Resource::Nofile, limit).expect("a limit");
+    limit(&placer, LIMIT);
     accept_all(host, Duration::ZERO);
     // More clients than it may hold say nothing, and one asks on until nearly each host has a connection.
     let silent: Vec<TcpStream> =
@@ -130,7 +127,7 @@
         (0..50).for_each(|i| owner.send(&of_service(1 + round * 50 + i, round * 50 + i)));
         placed += answers(&mut owner, 50).0.len();
     }
-    let held = std::fs::read_dir(format!("/proc/{}/fd", placer.child.id())).expect("its descriptors").count();
+    let held = descriptors(&placer);
     assert!(held as u64 <= LIMIT && held > 400, "{held} descriptors");
     assert!(placed >= 1_000, "{placed} of 1200 placed");
     drop(silent);
--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_maplethread");
@@ -264,3 +264,42 @@
         assert!(self.reader.buffer().is_empty());
     }
 }
+
+/// A configuration with changes.
+pub fn changed(
+    folder: &Path,
+    channel: SocketAddr,
+    known: &Value,
+    change: impl FnOnce(&mut Value),
+) -> PathBuf {
+    let file = config(folder, channel, known);
+    let text = std::fs::read_to_string(&file).expect("text");
+    let mut value: Value = serde_json::from_str(&text).expect("JSON");
+    change(&mut value);
+    std::fs::write(&file, value.to_string()).expect("a file");
+    file
+}
+
+pub fn probe(sid: u64) -> Value {
+    json!({"msg": "probe", "sid": format!("{sid:016x}"), "attrs": {}, "code": 0})
+}
+
+/// Sets how many descriptors a placer may hold.
+pub fn limit(placer: &Placer, descriptors: u64) {
+    let limit = Rlimit { current: Some(descriptors), maximum: Some(descriptors) };
+    prlimit(Pid::from_raw(placer.child.id() as i32), Resource::Nofile, limit).expect("a limit");
+}
+
+/// Descriptors that a placer holds.
+pub fn descriptors(placer: &Placer) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", placer.child.id())).expect("its descriptors").count()
+}
+
+/// Waits until something holds that happens soon.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let by = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < by, "{what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/crates/cli/tests/platform_terms.rs
+++ b/crates/cli/tests/platform_terms.rs
@@ -5,34 +5,21 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use platform_support::{
-    Commands, Host, LONG, Owner, Placer, Served, TEXT, config, host_says, listed, set_up,
+    Commands, Host, Owner, Placer, Served, TEXT, changed, config, descriptors, host_says, limit, listed,
+    probe, set_up, wait_until,
 };
-use rustix::process::{Pid, Resource, Rlimit, Signal, prlimit};
-use serde_json::{Value, json};
-
-/// A configuration with changes.
-fn changed(folder: &Path, channel: SocketAddr, known: &Value, change: impl FnOnce(&mut Value)) -> PathBuf {
-    let file = config(folder, channel, known);
-    let text = std::fs::read_to_string(&file).expect("text");
-    let mut value: Value = serde_json::from_str(&text).expect("JSON");
-    change(&mut value);
-    std::fs::write(&file, value.to_string()).expect("a file");
-    file
-}
+use rustix::process::Signal;
+use serde_json::json;
 
 /// An address at which nobody listens.
 fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address")
 }
 
-fn probe(sid: u64) -> Value {
-    json!({"msg": "probe", "sid": format!("{sid:016x}"), "attrs": {}, "code": 0})
-}
-
 /// Processor time that a process has used, in ticks of 10 ms.
 fn ticks(placer: &Placer) -> u64 {
     let stat = std::fs::read_to_string(format!("/proc/{}/stat", placer.child.id())).expect("its state");
@@ -41,11 +28,6 @@
     fields[11].parse::<u64>().expect("user") + fields[12].parse::<u64>().expect("system")
 }
 
-fn limit(placer: &Placer, descriptors: u64) {
-    let limit = Rlimit { current: Some(descriptors), maximum: Some(descriptors) };
-    prlimit(Pid::from_raw(placer.child.id() as i32), Resource::Nofile, limit).expect("a limit");
-}
-
 #[test]
 fn with_all_descriptors_taken_by_idle_clients_it_serves_others_and_finds_discovery_again() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -99,13 +81,7 @@
             Some(owner)
         })
         .collect();
-    let open =
-        || std::fs::read_dir(format!("/proc/{}/fd", placer.child.id())).expect("its descriptors").count();
-    let by = Instant::now() + LONG;
-    while open() < 50 {
-        assert!(Instant::now() < by, "{} descriptors", open());
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait_until("it holds what it may", || descriptors(&placer) >= 50);
     // A loop that spins takes all the processor time there is, about a hundred ticks a second.
     let (before, begin) = (ticks(&placer), Instant::now());
     std::thread::sleep(Duration::from_millis(1500));
--- a/crates/platform/src/engine/arrivals.rs
+++ b/crates/platform/src/engine/arrivals.rs
@@ -41,23 +41,9 @@
         None
     }
 
-    /// Takes one out; whether it was there.
-    pub(super) fn remove(&mut self, owner: OwnerId, task: TaskId) -> bool {
-        let Some(waiting) = self.of.get_mut(&owner) else { return false };
-        let place = waiting.binary_search_by_key(&task, |t| t.id);
-        let found = place.is_ok_and(|n| waiting.remove(n).is_some());
-        if waiting.is_empty() {
-            self.of.remove(&owner);
-            self.order.retain(|o| *o != owner);
-        }
-        found
-    }
-
-    /// Drops what an owner asked that is gone.
-    pub(super) fn forget(&mut self, owner: OwnerId) {
-        if self.of.remove(&owner).is_some() {
-            self.order.retain(|o| *o != owner);
-        }
+    /// Whether the decisions were not told of it yet.
+    pub(super) fn holds(&self, owner: OwnerId, task: TaskId) -> bool {
+        self.of.get(&owner).is_some_and(|waiting| waiting.binary_search_by_key(&task, |t| t.id).is_ok())
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -296,16 +296,13 @@
 
     fn offer(&mut self, now: Micros, task: TaskId, machine: MachineId, wait: Micros) {
         let Some(entry) = self.tasks.get_mut(task) else { return };
-        let number = entry.attempts;
+        let (number, open, used) = (entry.attempts, entry.open, entry.used.clone());
         entry.attempts += 1;
         let until = now + wait;
         let ready = self.fleet.hosts.get(&machine).is_some_and(|h| h.state == MachineState::Ready);
         // A second answer to an earlier attempt of the task must not be taken for the one to this: it may come late
         // (PROTOCOL's days: "a second copy"), and names the task alone. So this one goes on another connection.
-        let link = match self.tasks.get(task) {
-            Some(entry) if ready && entry.open => self.link_to(now, machine, &entry.used.clone()),
-            _ => None,
-        };
+        let link = if ready && open { self.link_to(now, machine, &used) } else { None };
         let Some(link) = link else {
             self.ended(task, number, Ending::Unreachable, None, false);
             return;
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -74,7 +74,6 @@
     /// An owner's connection is over: what it waits for is given up, what stands stands.
     pub fn owner_closed(&mut self, owner: OwnerId) {
         let Some(closed) = self.owners.remove(&owner) else { return };
-        self.arrivals.forget(owner);
         self.not_latest(owner);
         for task in closed.open {
             self.cancel(task);
@@ -173,7 +172,7 @@
     /// An ask whose time is over before the decisions were told of it was never sent on.
     pub(super) fn overdue(&mut self, task: TaskId) {
         let owner = self.tasks.get(task).map(|e| e.owner);
-        if owner.is_some_and(|owner| self.arrivals.remove(owner, task)) {
+        if owner.is_some_and(|owner| self.arrivals.holds(owner, task)) {
             self.answer(task, cause::FULL);
         }
     }
@@ -205,17 +204,15 @@
         // Its end may have come before it: the host tells that on the first connection, its owner on any.
         let ended = self.early.take(now, set_up.sid);
         let machine = self.fleet.by_name(&at, now);
-        match ended {
-            Some(End::Told(host, cause)) if host == machine => {
-                return self.release(now, owner, set_up.sid, cause);
-            }
-            _ => {}
+        if let Some(End::Told(host, cause)) = ended
+            && host == machine
+        {
+            return self.release(now, owner, set_up.sid, cause);
         }
         self.tasks.came_again(now, &set_up.key);
         let task = self.task(class, &set_up, now);
         let sid = set_up.sid;
-        let stand = Stand { number: 0, machine, since: now, cut: None, moved: false };
-        let stand = Some(stand);
+        let stand = Some(Stand { number: 0, machine, since: now, cut: None, moved: false });
         let entry = Entry { set_up, owner, open: false, attempts: 1, out: None, stand, used: Vec::new() };
         let id = self.tasks.add(entry);
         self.tasks.drop_text(id);
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -307,15 +307,16 @@
 
     fn carry_out(&mut self, now: Micros) {
         loop {
-            let outputs = self.engine.outputs();
+            let mut outputs = self.engine.outputs();
             if outputs.is_empty() {
                 return;
             }
-            // What owners are told is written first: to reach a host, an owner's connection may have to be closed.
-            let (told, rest): (Vec<_>, Vec<_>) =
-                outputs.into_iter().partition(|o| matches!(o, Output::ToOwner(..)));
-            told.into_iter().for_each(|output| self.carry_out_one(now, output));
-            rest.into_iter().for_each(|output| self.carry_out_one(now, output));
+            // What owners are told comes first: to reach a host, an owner's connection may have to be closed. The rest
+            // keeps its order.
+            outputs.sort_by_key(|o| !matches!(o, Output::ToOwner(..)));
+            for output in outputs {
+                self.carry_out_one(now, output);
+            }
         }
     }
 
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -44,8 +44,6 @@
     scanned: usize,
     /// The turn in which it was last read.
     read_in: u64,
-    /// It has closed its side.
-    gone: bool,
 }
 
 /// A connection that is being closed.
@@ -87,7 +85,7 @@
             let id = OwnerId(self.last_owner);
             match Conn::accepted(stream, token(OWNER, id.0), &self.poller) {
                 Ok(conn) => {
-                    self.owners.insert(id, OwnerConn { conn, scanned: 0, read_in: 0, gone: false });
+                    self.owners.insert(id, OwnerConn { conn, scanned: 0, read_in: 0 });
                     self.engine.owner_opened(self.clock.now(), id);
                 }
                 Err(error) => tracing::warn!(%error, "an owner's connection"),
@@ -162,7 +160,7 @@
             return self.drain(id);
         }
         let Some(owner) = self.owners.get_mut(&id) else { return };
-        if r.closed && !std::mem::replace(&mut owner.gone, true) {
+        if r.closed {
             // More of what it said may lie unread, such as the ends of tasks that stand; it waits for nothing any more.
             self.engine.owner_gone(id);
         }
