--- /dev/null
+++ b/crates/capacity/src/budget_block.rs
@@ -0,0 +1,86 @@
+//! The generated blocks of the size and of the budgets there.
+
+use crate::markdown::Table;
+use crate::number::{figure, times};
+use crate::quantity::{Across, Quantity};
+use crate::result::{Phase, SweepResult};
+use crate::size::{Budget, DESIGN_SIZE};
+use crate::sweep::phase_of;
+use crate::sweep_block::NOT_MEASURED;
+
+/// The highest figure measured at the size, and the sweep that it is from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeasuredAtSize<'a> {
+    /// The figure.
+    pub value: f64,
+    /// The sweep.
+    pub sweep: &'a str,
+}
+
+/// The highest figure of a phase at the size that the design is made for, over all sweeps, points and placers.
+pub fn measured_at_size(
+    results: &[SweepResult],
+    phase: Phase,
+    quantity: Quantity,
+) -> Option<MeasuredAtSize<'_>> {
+    let of_sweep = |result: &SweepResult| {
+        let at_size = result.points.iter().filter(|point| DESIGN_SIZE.is_met_by(&point.settings));
+        let samples = at_size.filter_map(|point| phase_of(point, phase));
+        samples.filter_map(|sample| quantity.measured(sample, Across::Highest)).reduce(f64::max)
+    };
+    let of_sweeps = results
+        .iter()
+        .filter_map(|result| Some(MeasuredAtSize { value: of_sweep(result)?, sweep: &result.sweep }));
+    of_sweeps.reduce(|highest, next| if next.value > highest.value { next } else { highest })
+}
+
+/// The block of the size.
+pub fn size_block() -> String {
+    let mut table = Table::new(&["", "the size"]);
+    table.row(&["workers", &figure(f64::from(DESIGN_SIZE.workers))]);
+    table.row(&["tasks running", &figure(f64::from(DESIGN_SIZE.tasks))]);
+    table.row(&["task starts a second", &figure(DESIGN_SIZE.starts_per_second)]);
+    table.row(&["control machines, with a placer each", &figure(f64::from(DESIGN_SIZE.control_machines))]);
+    table.into_text()
+}
+
+/// The block of the budgets.
+pub fn budget_block(results: &[SweepResult]) -> String {
+    let mut header = vec!["phase".to_owned()];
+    header.extend(Budget::ALL.map(|budget| budget.quantity().title()));
+    header.push("sweeps".to_owned());
+    let mut table = Table::new(&header);
+    let mut limits = vec!["**budget**".to_owned()];
+    limits.extend(Budget::ALL.map(|budget| format!("**{}**", figure(budget.limit()))));
+    table.row(&limits);
+    for phase in Phase::all() {
+        table.row(&phase_row(results, phase));
+    }
+    format!(
+        "Highest placer of all points at the size (traffic: mean of the placers), with the headroom: the budget over \
+         the measured figure. Bold where the budget is exceeded.\n\n{}",
+        table.into_text()
+    )
+}
+
+fn phase_row(results: &[SweepResult], phase: Phase) -> Vec<String> {
+    let mut row = vec![phase.title()];
+    let mut sweeps: Vec<&str> = Vec::new();
+    for budget in Budget::ALL {
+        let measured = measured_at_size(results, phase, budget.quantity());
+        row.push(measured.map_or(NOT_MEASURED.to_owned(), |m| budget_cell(budget, m.value)));
+        sweeps.extend(measured.map(|m| m.sweep));
+    }
+    sweeps.sort_unstable();
+    sweeps.dedup();
+    row.push(sweeps.join(", "));
+    row
+}
+
+fn budget_cell(budget: Budget, measured: f64) -> String {
+    match budget.headroom(measured) {
+        None => figure(measured),
+        Some(headroom) if headroom < 1.0 => format!("**{} ({})**", figure(measured), times(headroom)),
+        Some(headroom) => format!("{} ({})", figure(measured), times(headroom)),
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/quantity.rs
@@ -0,0 +1,162 @@
+//! What is fitted and budgeted: quantities of one placer process in one phase.
+
+use crate::result::{MessageCount, PhaseSample, ProcessSample, Share};
+
+/// A quantity of one real placer process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Quantity {
+    /// Processor time, percent of a core.
+    Cpu,
+    /// Resident memory, KiB.
+    ResidentMemory,
+    /// Proportional memory, KiB.
+    ProportionalMemory,
+    /// Open descriptors.
+    Descriptors,
+    /// Connections to hosts.
+    HostConnections,
+    /// Messages a second, both directions.
+    Messages(Traffic),
+    /// Bytes of messages a second, both directions.
+    PayloadBytes(Traffic),
+    /// Bytes a second on a wire, both directions.
+    WireBytes(Traffic),
+}
+
+/// Which messages count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Traffic {
+    /// Those that are surely control.
+    Control,
+    /// Those that are surely placing.
+    Placing,
+    /// Those that can be read as either.
+    Either,
+    /// Control in its widest reading: control and either.
+    WideControl,
+    /// All.
+    All,
+}
+
+impl Traffic {
+    /// Every choice, in the order of the page.
+    pub const ALL: [Self; 5] = [Self::Control, Self::Placing, Self::Either, Self::WideControl, Self::All];
+
+    /// Whether messages of this share count.
+    pub fn counts(self, share: Share) -> bool {
+        match self {
+            Self::Control => share == Share::Control,
+            Self::Placing => share == Share::Placing,
+            Self::Either => share == Share::Either,
+            Self::WideControl => share != Share::Placing,
+            Self::All => true,
+        }
+    }
+
+    /// The name in keys of figures.
+    pub fn key(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Placing => "placing",
+            Self::Either => "either",
+            Self::WideControl => "control_or_either",
+            Self::All => "all",
+        }
+    }
+
+    /// The name for readers.
+    pub fn title(self) -> &'static str {
+        match self {
+            Self::WideControl => "control or either",
+            other => other.key(),
+        }
+    }
+}
+
+/// How a figure of several placer processes is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Across {
+    /// The mean of the processes, for laws.
+    Mean,
+    /// The highest process, for budgets. Messages are counted for all placers together, so theirs stays the mean.
+    Highest,
+}
+
+impl Quantity {
+    /// Every quantity, in the order of the page.
+    pub fn all() -> impl Iterator<Item = Self> {
+        let process = [
+            Self::Cpu,
+            Self::ResidentMemory,
+            Self::ProportionalMemory,
+            Self::Descriptors,
+            Self::HostConnections,
+        ];
+        let counts = [Self::Messages, Self::PayloadBytes, Self::WireBytes];
+        process.into_iter().chain(counts.into_iter().flat_map(|count| Traffic::ALL.map(count)))
+    }
+
+    /// The name in keys of figures, such as `cpu` or `control_wire_bytes`.
+    pub fn key(self) -> String {
+        match self {
+            Self::Cpu => "cpu".to_owned(),
+            Self::ResidentMemory => "resident_memory".to_owned(),
+            Self::ProportionalMemory => "proportional_memory".to_owned(),
+            Self::Descriptors => "descriptors".to_owned(),
+            Self::HostConnections => "host_connections".to_owned(),
+            Self::Messages(traffic) => format!("{}_messages", traffic.key()),
+            Self::PayloadBytes(traffic) => format!("{}_payload_bytes", traffic.key()),
+            Self::WireBytes(traffic) => format!("{}_wire_bytes", traffic.key()),
+        }
+    }
+
+    /// The quantity of a key.
+    pub fn from_key(key: &str) -> Option<Self> {
+        Self::all().find(|quantity| quantity.key() == key)
+    }
+
+    /// The name and unit for readers.
+    pub fn title(self) -> String {
+        match self {
+            Self::Cpu => "CPU, % of a core".to_owned(),
+            Self::ResidentMemory => "resident memory, KiB".to_owned(),
+            Self::ProportionalMemory => "proportional memory, KiB".to_owned(),
+            Self::Descriptors => "descriptors".to_owned(),
+            Self::HostConnections => "host connections".to_owned(),
+            Self::Messages(traffic) => format!("messages/s, {}", traffic.title()),
+            Self::PayloadBytes(traffic) => format!("payload B/s, {}", traffic.title()),
+            Self::WireBytes(traffic) => format!("wire B/s, {}", traffic.title()),
+        }
+    }
+
+    /// The quantity of one placer in a phase; nothing where no placer ran or the phase had no length.
+    pub fn measured(self, sample: &PhaseSample, across: Across) -> Option<f64> {
+        match self {
+            Self::Cpu => of_processes(sample, across, |p| p.cpu_cores * 100.0),
+            Self::ResidentMemory => of_processes(sample, across, |p| p.resident_kib as f64),
+            Self::ProportionalMemory => of_processes(sample, across, |p| p.proportional_kib as f64),
+            Self::Descriptors => of_processes(sample, across, |p| f64::from(p.descriptors)),
+            Self::HostConnections => of_processes(sample, across, |p| f64::from(p.host_connections)),
+            Self::Messages(traffic) => of_messages(sample, traffic, |m| m.count),
+            Self::PayloadBytes(traffic) => of_messages(sample, traffic, |m| m.payload_bytes),
+            Self::WireBytes(traffic) => of_messages(sample, traffic, |m| m.wire_bytes),
+        }
+    }
+}
+
+fn of_processes(sample: &PhaseSample, across: Across, of: fn(&ProcessSample) -> f64) -> Option<f64> {
+    let values = sample.placers.iter().map(of);
+    match across {
+        Across::Mean => {
+            (!sample.placers.is_empty()).then(|| values.sum::<f64>() / sample.placers.len() as f64)
+        }
+        Across::Highest => values.reduce(f64::max),
+    }
+}
+
+fn of_messages(sample: &PhaseSample, traffic: Traffic, of: fn(&MessageCount) -> u64) -> Option<f64> {
+    let placer_seconds = sample.placers.len() as f64 * sample.seconds;
+    let counted = sample.messages.iter().filter(|m| traffic.counts(m.kind.share()));
+    let total: f64 = counted.map(|m| of(m) as f64).sum();
+    (placer_seconds > 0.0).then(|| total / placer_seconds)
+}
--- /dev/null
+++ b/crates/cli/src/scale_report.rs
@@ -0,0 +1,105 @@
+//! `maplethread scale report`: reads the results of sweeps, and writes or checks the page and the plots.
+
+use std::fs;
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::Args;
+use maplethread_capacity::{Plot, Regenerated, Report, SweepResult, parse_result, regenerate};
+
+/// Arguments of `scale report`.
+#[derive(Args)]
+pub struct ReportArgs {
+    /// The folder of the results, where the plots are too
+    #[arg(long, default_value = "docs/capacity", value_name = "DIR")]
+    results: PathBuf,
+    /// The page that has the generated parts
+    #[arg(long, default_value = "docs/CAPACITY.md", value_name = "FILE")]
+    page: PathBuf,
+    /// Write nothing, and fail where the page or a plot is not what the results say
+    #[arg(long)]
+    check: bool,
+}
+
+/// Writes or checks the page and the plots.
+pub fn run(args: &ReportArgs) -> Result<ExitCode, String> {
+    let report = Report::new(read_results(&args.results)?, &plot_folder(args));
+    let plots = report.plots().map_err(|e| e.to_string())?;
+    let before = fs::read_to_string(&args.page).map_err(|e| at(&args.page, e))?;
+    let page = regenerate(&before, &report).map_err(|e| at(&args.page, e))?;
+    if args.check { check(args, &before, &page, &plots) } else { write(args, &page, &plots) }
+}
+
+fn at(file: &Path, problem: impl std::fmt::Display) -> String {
+    format!("{}: {problem}", file.display())
+}
+
+/// Where the page finds the plots.
+fn plot_folder(args: &ReportArgs) -> String {
+    let beside = args.page.parent().and_then(|folder| args.results.strip_prefix(folder).ok());
+    beside.unwrap_or(&args.results).display().to_string()
+}
+
+/// The results in a folder; none where it is not there.
+fn read_results(folder: &Path) -> Result<Vec<SweepResult>, String> {
+    let entries = match fs::read_dir(folder) {
+        Ok(entries) => entries,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(error) => return Err(at(folder, error)),
+    };
+    let mut files = Vec::new();
+    for entry in entries {
+        let file = entry.map_err(|e| at(folder, e))?.path();
+        if file.extension().is_some_and(|extension| extension == "json") {
+            files.push(file);
+        }
+    }
+    files.sort();
+    files.iter().map(|file| read_result(file)).collect()
+}
+
+fn read_result(file: &Path) -> Result<SweepResult, String> {
+    let text = fs::read_to_string(file).map_err(|e| at(file, e))?;
+    parse_result(&file.display().to_string(), &text).map_err(|e| e.to_string())
+}
+
+fn write(args: &ReportArgs, page: &Regenerated, plots: &[Plot]) -> Result<ExitCode, String> {
+    for plot in plots {
+        let file = args.results.join(&plot.file_name);
+        fs::write(&file, &plot.svg).map_err(|e| at(&file, e))?;
+    }
+    fs::write(&args.page, &page.text).map_err(|e| at(&args.page, e))?;
+    println!("{}: {} parts changed, {} plots", args.page.display(), page.changed.len(), plots.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check(args: &ReportArgs, before: &str, page: &Regenerated, plots: &[Plot]) -> Result<ExitCode, String> {
+    let mut differing: Vec<String> =
+        page.changed.iter().map(|part| at(&args.page, format!("{part} differs"))).collect();
+    if differing.is_empty() && before != page.text {
+        differing.push(at(&args.page, "a marker is written in another way"));
+    }
+    for plot in plots {
+        let file = args.results.join(&plot.file_name);
+        if let Some(problem) = plot_problem(&file, plot)? {
+            differing.push(at(&file, problem));
+        }
+    }
+    if differing.is_empty() {
+        println!("{}: as the results say", args.page.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    Err(format!(
+        "{}\nnot what the results say; `maplethread scale report` writes it anew",
+        differing.join("\n")
+    ))
+}
+
+fn plot_problem(file: &Path, plot: &Plot) -> Result<Option<&'static str>, String> {
+    match fs::read_to_string(file) {
+        Ok(svg) => Ok((svg != plot.svg).then_some("differs")),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(Some("is not there")),
+        Err(error) => Err(at(file, error)),
+    }
+}
