--- /dev/null
+++ b/crates/capacity/tests/pages.rs
@@ -0,0 +1,165 @@
+//! The page with its blocks and figures, and the plots.
+
+mod support;
+
+use maplethread_capacity::{Fault, PageError, PartName, Phase, Report, regenerate};
+use support::{SIZES, sweep};
+
+const PAGE: &str = "# Capacity\n
+<!-- begin generated: size -->
+<!-- end generated: size -->
+Text, and a figure: <!-- figure: workers/1300/rest/host_connections -->?<!-- /figure --> connections.
+<!-- begin generated: workers -->
+old
+<!-- end generated: workers -->
+<!-- begin generated: budgets -->
+<!-- end generated: budgets -->
+The end.";
+
+fn report(phases: &[Phase]) -> Report {
+    Report::new(vec![sweep(&SIZES, phases)], "capacity")
+}
+
+fn block<'a>(page: &'a str, name: &str) -> &'a str {
+    let (_, after) = page.split_once(&format!("begin generated: {name} -->")).expect("a beginning");
+    after.split_once(&format!("<!-- end generated: {name}")).expect("an end").0
+}
+
+fn row<'a>(text: &'a str, start: &str) -> Vec<&'a str> {
+    let line = text.lines().find(|line| line.starts_with(start));
+    line.unwrap_or_else(|| panic!("no row {start} in\n{text}"))
+        .trim_matches('|')
+        .split('|')
+        .map(str::trim)
+        .collect()
+}
+
+#[test]
+fn blocks_and_figures_are_written_and_the_rest_stays() {
+    let page = regenerate(PAGE, &report(&[Phase::Rest])).expect("a page");
+    assert!(
+        page.text
+            .contains("a figure: <!-- figure: workers/1300/rest/host_connections -->1,300<!-- /figure --> c")
+    );
+    assert!(page.text.starts_with("# Capacity\n") && page.text.ends_with("\nThe end."));
+    assert!(!page.text.contains("\nold\n"));
+    let parts: Vec<String> = page.changed.iter().map(PartName::to_string).collect();
+    let figure = "figure `workers/1300/rest/host_connections`";
+    assert_eq!(parts, ["block `size`", figure, "block `workers`", "block `budgets`"]);
+    let again = regenerate(&page.text, &report(&[Phase::Rest])).expect("a page");
+    assert_eq!((again.text, again.changed), (page.text, Vec::new()));
+}
+
+#[test]
+fn the_parts_that_differ_are_named() {
+    let page = regenerate(PAGE, &report(&[Phase::Rest])).expect("a page").text;
+    let edited = page
+        .replace("figure -->1,300<", "figure -->1,301<")
+        .replace("connections -->1,300", "connections -->9");
+    let found = regenerate(&edited, &report(&[Phase::Rest])).expect("a page");
+    assert_eq!(found.changed, [PartName::Figure("workers/1300/rest/host_connections".to_owned())]);
+    let edited = page.replace("| workers | 1,300 |", "| workers | 1,200 |");
+    let found = regenerate(&edited, &report(&[Phase::Rest])).expect("a page");
+    assert_eq!(found.changed, [PartName::Block("size".to_owned())]);
+}
+
+#[test]
+fn a_line_is_reported_with_what_it_foretold() {
+    let page = regenerate(PAGE, &report(&[Phase::Rest])).expect("a page").text;
+    let workers = block(&page, "workers");
+    let cells = row(workers, "| host connections | a + b·n");
+    assert!(cells[1].contains("b = 1 (1 to 1)"), "{cells:?}");
+    assert_eq!(cells[3..], ["1,300", "1,300 (1,300 to 1,300)", "1,300", "0.0%", "yes", "foretold"]);
+    assert!(workers.contains("| | | | 2,600 | 2,600 (2,600 to 2,600) | 2,600 | 0.0% | yes | |"), "{workers}");
+}
+
+#[test]
+fn budgets_tell_headroom_and_what_was_not_measured() {
+    let fault = Phase::WorstSecond(Fault::RackDies);
+    let page = regenerate(PAGE, &report(&[Phase::Rest, fault])).expect("a page").text;
+    let budgets = block(&page, "budgets");
+    let rest = row(budgets, "| at rest");
+    assert_eq!(rest[1], "1.4 (1.79×)");
+    assert_eq!(rest[4], "**52,000 (0.23×)**", "control payload: 1,300 pings and pongs of 20 bytes a second");
+    assert_eq!(rest[8], "workers");
+    assert_eq!(row(budgets, "| worst second: a rack of 40 dies")[1], "1.4 (1.79×)");
+    let peak = row(budgets, "| at the peak");
+    assert!(peak[1..8].iter().all(|cell| *cell == "not measured"), "{peak:?}");
+    assert!(
+        block(&page, "workers")
+            .contains("Not measured in this sweep: at the peak; worst second: a worker dies")
+    );
+}
+
+#[test]
+fn a_phase_that_is_missing_at_some_sizes_is_told_there() {
+    let mut result = sweep(&SIZES, &[Phase::Rest]);
+    result.points[1].phases.clear();
+    let page = regenerate(PAGE, &Report::new(vec![result], "capacity")).expect("a page").text;
+    let cells = row(block(&page, "workers"), "| at rest | 200 ");
+    assert!(cells[2..7].iter().all(|cell| *cell == "not measured"), "{cells:?}");
+}
+
+#[test]
+fn one_size_is_told_as_too_few_to_fit() {
+    let one = Report::new(vec![sweep(&[1_300], &[Phase::Peak])], "capacity");
+    let page = regenerate(PAGE, &one).expect("a page").text;
+    assert!(block(&page, "workers").contains("Laws at the peak: too few sizes to fit."));
+    assert!(one.plots().expect("plots")[0].svg.starts_with("<svg"));
+}
+
+#[test]
+fn figures_can_be_foretold_erring_coefficients_and_headroom() {
+    let line = |key: &str| format!("<!-- figure: {key} --><!-- /figure -->\n");
+    let keys = [
+        ("workers/2600/rest/cpu/foretold", "2.7"),
+        ("workers/2600/rest/cpu/error", "0.0%"),
+        ("workers/law/rest/resident_memory/b", "8"),
+        ("budget/rest/cpu", "1.4"),
+        ("budget/rest/cpu/headroom", "1.79×"),
+        ("budget/zone_dies/cpu/headroom", "not measured"),
+        ("tasks/24000/rest/cpu", "not measured"),
+    ];
+    let page: String = keys.iter().map(|(key, _)| line(key)).collect();
+    let page = regenerate(&format!("{PAGE}\n{page}"), &report(&[Phase::Rest])).expect("a page").text;
+    for (key, value) in keys {
+        assert!(page.contains(&format!("{key} -->{value}<")), "{key} in\n{page}");
+    }
+}
+
+#[test]
+fn a_sweep_without_results_is_told_as_not_measured() {
+    let page = regenerate(PAGE, &Report::new(Vec::new(), "capacity")).expect("a page").text;
+    assert_eq!(block(&page, "workers").trim(), "This sweep is not measured.");
+    assert!(page.contains("-->not measured<!-- /figure --> connections."));
+}
+
+#[test]
+fn markers_that_are_wrong_are_told_with_their_line() {
+    let error = |page: &str| regenerate(page, &report(&[Phase::Rest])).expect_err("a wrong page");
+    let name = "workers".to_owned();
+    assert_eq!(error("# Capacity\n"), PageError::MissingBlock { name: "size".to_owned() });
+    let renamed = PAGE.replace("generated: workers", "generated: workmen");
+    assert_eq!(error(&renamed), PageError::MissingBlock { name: name.clone() });
+    let unended = PAGE.replace("<!-- end generated: workers -->\n", "");
+    assert_eq!(error(&unended), PageError::UnendedBlock { line: 6, name: name.clone() });
+    let unbegun = PAGE.replace("<!-- begin generated: workers -->\n", "");
+    assert_eq!(error(&unbegun), PageError::UnbegunBlock { line: 7 });
+    let twice = format!("{PAGE}\n<!-- begin generated: workers -->\n<!-- end generated: workers -->");
+    assert_eq!(error(&twice), PageError::RepeatedBlock { line: 12, name });
+    assert_eq!(error(&PAGE.replace("<!-- /figure -->", "")), PageError::UnendedFigure { line: 5 });
+    let unknown = PAGE.replace("host_connections", "warmth");
+    let expected = "line 5: figure `workers/1300/rest/warmth`: no quantity `warmth`";
+    assert_eq!(error(&unknown).to_string(), expected);
+}
+
+#[test]
+fn plots_show_points_and_laws_and_are_the_same_each_time() {
+    let plots = report(&[Phase::Rest, Phase::Peak]).plots().expect("plots");
+    assert_eq!(plots.len(), 1);
+    assert_eq!(plots[0].file_name, "workers.svg");
+    let svg = &plots[0].svg;
+    assert!(svg.starts_with("<svg") && svg.contains("CPU, % of a core") && svg.contains("at the peak"));
+    assert_eq!(svg.matches("<circle").count(), 4 * 2 * SIZES.len(), "a point a size, phase and panel");
+    assert_eq!(plots, report(&[Phase::Rest, Phase::Peak]).plots().expect("plots"));
+}
--- /dev/null
+++ b/crates/capacity/tests/quantities.rs
@@ -0,0 +1,100 @@
+//! Quantities of a placer, budgets and keys.
+
+mod support;
+
+use maplethread_capacity::{
+    Across, Budget, DESIGN_SIZE, Dimension, Fault, FigureKey, KeyError, Phase, Quantity, Traffic,
+    measured_at_size,
+};
+use support::{PLACERS, point, sample, sweep};
+
+fn mean(quantity: Quantity) -> f64 {
+    quantity.measured(&sample(Phase::Rest, 100), Across::Mean).expect("placers")
+}
+
+#[test]
+fn messages_are_those_of_one_placer_in_a_second() {
+    assert_eq!(mean(Quantity::Messages(Traffic::Control)), 200.0);
+    assert_eq!(mean(Quantity::Messages(Traffic::Placing)), 1.0);
+    assert_eq!(mean(Quantity::Messages(Traffic::Either)), 3.0);
+    assert_eq!(mean(Quantity::Messages(Traffic::WideControl)), 203.0);
+    assert_eq!(mean(Quantity::Messages(Traffic::All)), 204.0);
+    assert_eq!(mean(Quantity::PayloadBytes(Traffic::All)), 204.0 * 20.0);
+    assert_eq!(mean(Quantity::WireBytes(Traffic::All)), 204.0 * 100.0);
+}
+
+#[test]
+fn processes_are_taken_as_mean_or_highest() {
+    let mut sample = sample(Phase::Rest, 100);
+    sample.placers[1].host_connections = 200;
+    assert_eq!(Quantity::HostConnections.measured(&sample, Across::Mean), Some(150.0));
+    assert_eq!(Quantity::HostConnections.measured(&sample, Across::Highest), Some(200.0));
+    sample.placers.clear();
+    assert!(Quantity::all().all(|quantity| quantity.measured(&sample, Across::Mean).is_none()));
+}
+
+#[test]
+fn keys_name_one_quantity_and_one_phase_each() {
+    for quantity in Quantity::all() {
+        assert_eq!(Quantity::from_key(&quantity.key()), Some(quantity));
+    }
+    for phase in Phase::all() {
+        assert_eq!(Phase::from_key(phase.key()), Some(phase));
+    }
+    for fault in Fault::ALL {
+        let in_results = serde_json::to_value(fault).expect("JSON");
+        assert_eq!(in_results, fault.key(), "keys are named as in results");
+    }
+}
+
+#[test]
+fn keys_that_are_none_are_told() {
+    let error = |key| FigureKey::parse(key).expect_err("no key");
+    assert_eq!(error("workers"), KeyError::Form);
+    assert_eq!(error("workers/1300/noon/cpu"), KeyError::Phase("noon".to_owned()));
+    assert_eq!(error("workers/1300/rest/heat"), KeyError::Quantity("heat".to_owned()));
+    assert_eq!(error("workers/many/rest/cpu"), KeyError::Size("many".to_owned()));
+    assert_eq!(error("workers/-1/rest/cpu"), KeyError::Size("-1".to_owned()));
+    assert_eq!(error("budget/rest/descriptors"), KeyError::Budget("descriptors".to_owned()));
+}
+
+#[test]
+fn the_size_is_that_of_the_design() {
+    let at_size = point(1_300, &[]).settings;
+    assert!(DESIGN_SIZE.is_met_by(&at_size), "two real and four hollow placers");
+    let mut other = at_size;
+    other.tasks -= 1;
+    assert!(!DESIGN_SIZE.is_met_by(&other));
+    other = at_size;
+    other.hollow_placers -= PLACERS;
+    assert!(!DESIGN_SIZE.is_met_by(&other));
+}
+
+#[test]
+fn headroom_is_the_budget_over_the_measured_figure() {
+    assert_eq!(Budget::Cpu.headroom(1.25), Some(2.0));
+    assert_eq!(Budget::ControlWire.headroom(24_000.0), Some(0.5));
+    assert_eq!(Budget::ResidentMemory.headroom(31_250.0), Some(1.0));
+    assert_eq!(Budget::Cpu.headroom(0.0), None);
+}
+
+#[test]
+fn the_highest_placer_of_all_sweeps_counts_at_the_size() {
+    let mut tasks = sweep(&[1_300], &[Phase::Rest]);
+    tasks.sweep = "tasks".to_owned();
+    tasks.points[0].phases[0].placers[1].resident_kib = 99_999;
+    let results = [sweep(&[800, 1_300], &[Phase::Rest]), tasks];
+    let found = measured_at_size(&results, Phase::Rest, Quantity::ResidentMemory).expect("measured");
+    assert_eq!((found.value, found.sweep), (99_999.0, "tasks"));
+    assert_eq!(measured_at_size(&results, Phase::Peak, Quantity::ResidentMemory), None);
+}
+
+#[test]
+fn laws_are_fitted_to_800_workers_or_half_of_other_dimensions() {
+    let workers = [100.0, 400.0, 800.0, 1_300.0];
+    assert_eq!(Dimension::Workers.fit_limit(&workers), Some(800.0));
+    assert_eq!(Dimension::Placers.fit_limit(&[1.0, 2.0, 4.0, 8.0, 12.0]), Some(6.0));
+    assert_eq!(Dimension::Placers.fit_limit(&[1.0, 6.0, 12.0]), Some(6.0), "all but the largest");
+    assert_eq!(Dimension::Placers.fit_limit(&[1.0]), None);
+    assert_eq!(Dimension::Placers.fit_limit(&[]), None);
+}
