--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod drill;
 mod fleet;
 mod hosts;
+mod scale;
 mod trace;
 mod worker;
 
@@ -87,6 +88,9 @@
     /// Read, cut, sum up and replay the trace files of placers
     #[command(subcommand)]
     Trace(trace::TraceCommand),
+    /// Measure what the placer program costs by the size of its fleet
+    #[command(subcommand)]
+    Scale(scale::ScaleCommand),
 }
 
 #[derive(Args)]
@@ -228,6 +232,7 @@
         Command::FleetDrill(args) => drill::run(&args),
         Command::Fleet(command) => fleet::run(&command),
         Command::Trace(command) => trace::run(&command),
+        Command::Scale(command) => scale::command(&command),
         Command::ConsulStandIn { port, servers, lag_ms } => consul_stand_in(port, servers, lag_ms),
     };
     result.unwrap_or_else(fail)
--- /dev/null
+++ b/crates/cli/src/scale.rs
@@ -0,0 +1,65 @@
+//! `maplethread scale`: what the placer program costs by the size of its fleet.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Subcommand};
+use maplethread_config::Doc;
+use maplethread_scale::{Interrupted, Options, SweepFile, run};
+
+/// What can be done with sweeps.
+#[derive(Subcommand)]
+pub enum ScaleCommand {
+    /// Measure a sweep: real placers under hollow workers, one size after the other
+    Run(RunArgs),
+}
+
+/// Arguments of `scale run`.
+#[derive(Args)]
+pub struct RunArgs {
+    /// The sweep file, as in config/scale
+    file: PathBuf,
+    /// The folder of the results
+    #[arg(long, default_value = "docs/capacity", value_name = "DIR")]
+    output: PathBuf,
+    /// Nothing else uses the loopback interface: count its packets too
+    #[arg(long)]
+    alone: bool,
+}
+
+/// Runs a command on sweeps.
+pub fn command(command: &ScaleCommand) -> Result<ExitCode, String> {
+    match command {
+        ScaleCommand::Run(args) => measure(args),
+    }
+}
+
+fn measure(args: &RunArgs) -> Result<ExitCode, String> {
+    let file = args.file.display().to_string();
+    let text = std::fs::read_to_string(&args.file).map_err(|e| format!("{file}: {e}"))?;
+    let sweep = SweepFile::parse(Doc { file: &file, text: &text }).map_err(|e| e.to_string())?;
+    let name = stem(&args.file)?;
+    let alone = if args.alone { " --alone" } else { "" };
+    let options = Options {
+        sweep,
+        command: format!("maplethread scale run {file}{alone}"),
+        name: name.clone(),
+        program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
+        alone: args.alone,
+        progress: true,
+        interrupted: Interrupted(crate::interrupted()?),
+    };
+    let result = run(&options).map_err(|e| e.to_string())?;
+    let mut json = serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?;
+    json.push('\n');
+    std::fs::create_dir_all(&args.output).map_err(|e| format!("{}: {e}", args.output.display()))?;
+    let path = args.output.join(format!("{name}.json"));
+    std::fs::write(&path, json).map_err(|e| format!("{}: {e}", path.display()))?;
+    println!("{} points in {}", result.points.len(), path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn stem(file: &Path) -> Result<String, String> {
+    let stem = file.file_stem().and_then(|stem| stem.to_str());
+    stem.map(str::to_owned).ok_or_else(|| format!("{}: not the name of a sweep", file.display()))
+}
--- /dev/null
+++ b/crates/scale/src/faults.rs
@@ -0,0 +1,160 @@
+//! Faults at size, each watched second by second from its beginning until the fleet has settled.
+//!
+//! The worst second of a fault is told for each quantity by itself: the processor time of each placer is that of its
+//! own busiest second, and the messages are those of the second with the most bytes on a wire. These seconds need not
+//! be the same one. Memory, descriptors and connections are those at the end of the fault's watch.
+
+use std::time::{Duration, Instant};
+
+use maplethread_capacity::{Fault, MessageCount, Phase, PhaseSample, PointSettings};
+
+use crate::error::ScaleError;
+use crate::fleet::Fleet;
+use crate::phases::settle;
+use crate::sampler::{Moment, Sampler, process_sample};
+use crate::scenario::{RACK, ZONES};
+use crate::sweep_file::Phases;
+
+/// A fault is watched at least this long, so that tasks which are told as lost after 5 s are among it.
+const WATCH_AT_LEAST: f64 = 8.0;
+/// Once all is connected the watch goes on for so many seconds.
+const QUIET_SECONDS: usize = 3;
+
+/// Strikes the fleet with a fault and measures its worst second.
+pub(crate) fn strike(
+    fleet: &mut Fleet,
+    fault: Fault,
+    point: &PointSettings,
+    phases: &Phases,
+    sampler: Sampler,
+) -> Result<PhaseSample, ScaleError> {
+    // These two end the fault before them; every other one finds the fleet whole.
+    if !matches!(fault, Fault::ZoneReturns | Fault::RegionHeals) {
+        make_whole(fleet, point, phases)?;
+    }
+    let mut watch = Watch { sampler, moments: vec![sampler.moment(fleet)] };
+    match fault {
+        Fault::WorkerDies => fleet.kill_workers([0]),
+        Fault::RackDies => fleet.kill_workers(rack(fleet.size().workers)),
+        Fault::ZoneDies => fleet.kill_workers((0..fleet.size().workers).step_by(ZONES)),
+        Fault::ZoneReturns => fleet.start_dead_workers(),
+        Fault::RegionCut => fleet.cut_off((0..fleet.size().workers).step_by(2)),
+        Fault::RegionHeals => fleet.heal(),
+        Fault::WorkerRestarts => restart_workers(fleet, phases, &mut watch)?,
+        Fault::PlacerRestarts => restart_placers(fleet, &mut watch)?,
+    }
+    match fault {
+        Fault::RegionCut => watch.go_on(fleet, phases.region_cut_s, |_, _| Ok(false))?,
+        _ => watch.until_settled(fleet, phases.fault_s)?,
+    }
+    watch.worst_second(fleet, fault)
+}
+
+/// Brings back what earlier faults took away.
+pub(crate) fn make_whole(
+    fleet: &mut Fleet,
+    point: &PointSettings,
+    phases: &Phases,
+) -> Result<(), ScaleError> {
+    fleet.start_dead_workers();
+    fleet.heal();
+    fleet.wait_connected()?;
+    fleet.run_tasks(u64::from(point.tasks))?;
+    settle(fleet, phases)
+}
+
+/// Workers that stand in one rack: cells are filled zone by zone.
+fn rack(workers: usize) -> impl Iterator<Item = usize> {
+    (0..workers).step_by(ZONES).take(RACK)
+}
+
+fn restart_workers(fleet: &Fleet, phases: &Phases, watch: &mut Watch) -> Result<(), ScaleError> {
+    let start = Instant::now();
+    for n in 0..phases.worker_restarts as usize {
+        let at = start + Duration::from_secs_f64(n as f64 * phases.worker_restart_every_s);
+        watch.sample_until(fleet, at)?;
+        fleet.restart_worker(n % fleet.size().workers);
+    }
+    Ok(())
+}
+
+/// One placer after the other; the next one once the last one is connected to all workers again.
+fn restart_placers(fleet: &mut Fleet, watch: &mut Watch) -> Result<(), ScaleError> {
+    for number in 0..fleet.size().placers {
+        fleet.restart_placer(number)?;
+        watch.moments.push(watch.sampler.moment(fleet));
+        fleet.wait_connected()?;
+        watch.moments.push(watch.sampler.moment(fleet));
+    }
+    Ok(())
+}
+
+/// The moments of one fault, a second apart.
+struct Watch {
+    sampler: Sampler,
+    moments: Vec<Moment>,
+}
+
+impl Watch {
+    /// Goes on until a time, with a moment each second.
+    fn sample_until(&mut self, fleet: &Fleet, until: Instant) -> Result<(), ScaleError> {
+        loop {
+            let next = self.moments.last().map_or(until, Moment::next_second);
+            if next > until {
+                return fleet.interrupted().sleep_until(until);
+            }
+            fleet.interrupted().sleep_until(next)?;
+            self.moments.push(self.sampler.moment(fleet));
+        }
+    }
+
+    /// Goes on for at most so many seconds, until `done` says so of the fleet and the seconds so far.
+    fn go_on(
+        &mut self,
+        fleet: &Fleet,
+        at_most: f64,
+        mut done: impl FnMut(&Fleet, f64) -> Result<bool, ScaleError>,
+    ) -> Result<(), ScaleError> {
+        let start = Instant::now();
+        while start.elapsed().as_secs_f64() < at_most {
+            let next = self.moments.last().map_or_else(Instant::now, Moment::next_second);
+            fleet.interrupted().sleep_until(next)?;
+            self.moments.push(self.sampler.moment(fleet));
+            if done(fleet, start.elapsed().as_secs_f64())? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn until_settled(&mut self, fleet: &Fleet, at_most: f64) -> Result<(), ScaleError> {
+        let mut quiet = 0;
+        self.go_on(fleet, at_most, |fleet, seconds| {
+            quiet = if fleet.all_connected()? { quiet + 1 } else { 0 };
+            Ok(quiet >= QUIET_SECONDS && seconds >= WATCH_AT_LEAST)
+        })
+    }
+
+    fn worst_second(&self, fleet: &Fleet, fault: Fault) -> Result<PhaseSample, ScaleError> {
+        let connected = fleet.statuses()?.connected;
+        let mut placers = Vec::new();
+        for (number, host_connections) in connected.into_iter().enumerate() {
+            let cores = self.pairs().map(|(before, after)| after.cores_since(before)[number]);
+            placers.push(process_sample(fleet, number, cores.fold(0.0, f64::max), host_connections)?);
+        }
+        let bytes = |messages: &[MessageCount]| messages.iter().map(|m| m.wire_bytes).sum::<u64>();
+        let seconds = self.pairs().map(|(before, after)| after.messages_since(before));
+        Ok(PhaseSample {
+            phase: Phase::WorstSecond(fault),
+            seconds: 1.0,
+            placers,
+            messages: seconds.max_by_key(|messages| bytes(messages)).unwrap_or_default(),
+            loopback_packets: self.pairs().filter_map(|(before, after)| after.packets_since(before)).max(),
+            answer_us: None,
+        })
+    }
+
+    fn pairs(&self) -> impl Iterator<Item = (&Moment, &Moment)> {
+        self.moments.iter().zip(self.moments.iter().skip(1))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet.rs
@@ -0,0 +1,336 @@
+//! The fleet of one point: hollow workers in this process, and real placers as processes of their own.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use maplethread_config::{HostState, Inventory};
+use maplethread_standin::clients::{Clients, Load};
+use maplethread_standin::day::replace;
+use maplethread_standin::hollow_placers::HollowPlacers;
+use maplethread_standin::processes::Placers;
+use maplethread_standin::rack::{Command, Rack};
+use maplethread_standin::scenario::Scenario;
+use maplethread_standin::settings;
+use maplethread_standin::traffic::TrafficCounter;
+use maplethread_standin::world::World;
+use rustix::process::Signal;
+use tempfile::TempDir;
+
+use crate::error::ScaleError;
+use crate::pause::Interrupted;
+use crate::scenario::scenario;
+
+/// A fleet that has not come to its state after this has failed.
+const SETTLES_WITHIN: Duration = Duration::from_secs(120);
+/// How often the placers are asked for their state.
+const LOOK_EVERY_S: f64 = 0.2;
+/// Hollow placers ping as placers do unless told otherwise, µs.
+const HOLLOW_PING_EVERY: u64 = 1_000_000;
+/// Tasks that are to run before the phases begin are asked for at this rate.
+const PRELOAD_RATE: f64 = 2_000.0;
+/// Rounds of asking for tasks that are missing.
+const PRELOAD_ROUNDS: usize = 4;
+/// Client connections to each placer.
+const CONNECTIONS_EACH: usize = 16;
+const INVENTORY: &str = "hosts.toml";
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// Hollow workers.
+    pub workers: usize,
+    /// Real placers.
+    pub placers: usize,
+    /// Hollow placers.
+    pub hollow_placers: usize,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// A fleet that runs; its processes end when it is dropped.
+pub struct Fleet {
+    size: FleetSize,
+    program: PathBuf,
+    interrupted: Interrupted,
+    folder: TempDir,
+    scenario: Arc<Scenario>,
+    rack: Rack,
+    placers: Placers,
+    hollow_placers: Option<HollowPlacers>,
+    /// Where each placer serves.
+    addresses: Vec<SocketAddr>,
+    counter: TrafficCounter,
+    dead: Vec<usize>,
+    unreachable: Vec<usize>,
+    loads: u64,
+}
+
+/// What the placers tell of themselves.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Statuses {
+    /// Hosts that each is connected to.
+    pub(crate) connected: Vec<u32>,
+    /// Actors over all of them.
+    pub(crate) actors: u64,
+}
+
+impl Fleet {
+    /// Starts a fleet with the placers of this program, and waits until every placer is connected to every worker.
+    pub fn start(size: FleetSize, program: &Path, interrupted: &Interrupted) -> Result<Fleet, ScaleError> {
+        let scenario = Arc::new(scenario(size.workers, size.placers as u32));
+        let world = World::quiet(scenario.class.len());
+        let counter = TrafficCounter::default();
+        let rack = Rack::start_counted(&scenario, &world, size.seed, None, Some(counter.clone()))
+            .map_err(ScaleError::io("hollow workers"))?;
+        let folder = tempfile::tempdir().map_err(ScaleError::io("a folder for settings"))?;
+        let mut fleet = Fleet {
+            size,
+            program: program.to_owned(),
+            interrupted: interrupted.clone(),
+            folder,
+            scenario,
+            rack,
+            placers: Placers::new(),
+            hollow_placers: None,
+            addresses: vec![SocketAddr::from(([0, 0, 0, 0], 0)); size.placers],
+            counter,
+            dead: Vec::new(),
+            unreachable: Vec::new(),
+            loads: 0,
+        };
+        fleet.write_inventory(&fleet.inventory())?;
+        fleet.start_placers()?;
+        fleet.start_hollow_placers()?;
+        fleet.wait_connected()?;
+        Ok(fleet)
+    }
+
+    /// What the fleet's workers and real placers send each other.
+    pub fn counter(&self) -> &TrafficCounter {
+        &self.counter
+    }
+
+    /// Its size.
+    pub fn size(&self) -> FleetSize {
+        self.size
+    }
+
+    pub(crate) fn interrupted(&self) -> &Interrupted {
+        &self.interrupted
+    }
+
+    /// Process ids of the real placers that run.
+    pub(crate) fn pids(&self) -> Vec<Option<u32>> {
+        self.placers.all.iter().map(|p| p.child.as_ref().map(std::process::Child::id)).collect()
+    }
+
+    /// The host list with all workers ready.
+    pub(crate) fn inventory(&self) -> Inventory {
+        let listed = vec![(HostState::Ready, None); self.size.workers];
+        settings::inventory(&self.scenario, &self.rack.addresses, &listed)
+    }
+
+    /// Where the placers read their host list.
+    pub(crate) fn inventory_path(&self) -> PathBuf {
+        self.folder.path().join(INVENTORY)
+    }
+
+    fn write_inventory(&self, inventory: &Inventory) -> Result<(), ScaleError> {
+        write_inventory(&self.inventory_path(), inventory)
+    }
+
+    fn start_placers(&mut self) -> Result<(), ScaleError> {
+        for number in 0..self.size.placers {
+            let config = settings::placer(&self.scenario, number, self.size.seed, None);
+            let path = self.folder.path().join(format!("placer-{number}.toml"));
+            let log = self.folder.path().join(format!("placer-{number}.log"));
+            let text = config.to_toml().map_err(std::io::Error::other).map_err(ScaleError::io("settings"))?;
+            std::fs::write(&path, text).map_err(ScaleError::io(path.display().to_string()))?;
+            self.placers.add(path, log);
+            self.spawn(number)?;
+        }
+        self.wait_serving(self.size.placers)
+    }
+
+    fn spawn(&mut self, number: usize) -> Result<(), ScaleError> {
+        let arguments = ["--log", "warn"].map(str::to_owned);
+        self.placers.spawn(number, &self.program, &arguments).map_err(ScaleError::io("a placer process"))
+    }
+
+    /// Waits until so many more placers serve.
+    fn wait_serving(&mut self, count: usize) -> Result<(), ScaleError> {
+        let until = Instant::now() + SETTLES_WITHIN;
+        let mut serving = 0;
+        while serving < count {
+            self.interrupted.check()?;
+            let serves = self.placers.serves(Duration::from_millis(100));
+            if let Some((number, address)) = serves.map_err(ScaleError::io("a placer process"))? {
+                self.addresses[number] = address;
+                serving += 1;
+            }
+            if Instant::now() > until {
+                let why = format!("{serving} of {count} placers serve after {SETTLES_WITHIN:?}");
+                return Err(ScaleError::NotSettled(why));
+            }
+        }
+        Ok(())
+    }
+
+    fn start_hollow_placers(&mut self) -> Result<(), ScaleError> {
+        if self.size.hollow_placers > 0 {
+            let started =
+                HollowPlacers::start(self.size.hollow_placers, &self.rack.addresses, HOLLOW_PING_EVERY);
+            self.hollow_placers = Some(started.map_err(ScaleError::io("hollow placers"))?);
+        }
+        Ok(())
+    }
+
+    /// What the placers tell of themselves.
+    pub(crate) fn statuses(&self) -> Result<Statuses, ScaleError> {
+        let mut statuses = Statuses::default();
+        for &address in &self.addresses {
+            let (_, status) = maplethread_placer::get_json(address, "/v1/status")
+                .map_err(ScaleError::io(format!("status of the placer at {address}")))?;
+            statuses.connected.push(status["hosts_connected"].as_u64().unwrap_or(0) as u32);
+            statuses.actors += status["actors"].as_u64().unwrap_or(0);
+        }
+        Ok(statuses)
+    }
+
+    /// Workers that placers can be connected to.
+    pub(crate) fn workers_there(&self) -> usize {
+        self.size.workers - self.dead.len() - self.unreachable.len()
+    }
+
+    /// Whether each placer is connected to just the workers that are there.
+    pub(crate) fn all_connected(&self) -> Result<bool, ScaleError> {
+        let there = self.workers_there();
+        let hollow = self.hollow_placers.as_ref().map_or(0, HollowPlacers::connected);
+        let real = self.statuses()?.connected.iter().all(|&n| n as usize == there);
+        Ok(real && hollow >= there * self.size.hollow_placers)
+    }
+
+    /// Waits until each placer is connected to all workers that are there.
+    pub fn wait_connected(&self) -> Result<(), ScaleError> {
+        let until = Instant::now() + SETTLES_WITHIN;
+        while !self.all_connected()? {
+            if Instant::now() > until {
+                let connected = self.statuses()?.connected;
+                let there = self.workers_there();
+                let why = format!("placers are connected to {connected:?} of {there} workers");
+                return Err(ScaleError::NotSettled(why));
+            }
+            self.interrupted.sleep(LOOK_EVERY_S)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the placers hold no more than so many actors.
+    pub fn wait_actors_at_most(&self, most: u64) -> Result<(), ScaleError> {
+        let until = Instant::now() + SETTLES_WITHIN;
+        loop {
+            let actors = self.statuses()?.actors;
+            if actors <= most {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                return Err(ScaleError::NotSettled(format!("{actors} actors are held, {most} were awaited")));
+            }
+            self.interrupted.sleep(LOOK_EVERY_S)?;
+        }
+    }
+
+    /// Clients that will ask at this rate for so long, over all placers in turn.
+    pub fn clients(&mut self, plan: ClientPlan) -> Result<Clients, ScaleError> {
+        self.loads += 1;
+        let load = Load {
+            rate: plan.rate,
+            seconds: plan.seconds,
+            split_s: plan.split_s,
+            connections: CONNECTIONS_EACH * self.size.placers,
+            life_ms: plan.life_ms,
+            name: format!("actor-{}", self.loads),
+        };
+        Clients::connect(load, &self.addresses).map_err(ScaleError::io("clients"))
+    }
+
+    /// Asks for tasks that never end until so many run.
+    pub fn run_tasks(&mut self, tasks: u64) -> Result<(), ScaleError> {
+        for _ in 0..PRELOAD_ROUNDS {
+            let missing = tasks.saturating_sub(self.statuses()?.actors);
+            if missing == 0 {
+                return Ok(());
+            }
+            let seconds = missing as f64 / PRELOAD_RATE;
+            let plan = ClientPlan { rate: PRELOAD_RATE, seconds, split_s: 0.0, life_ms: None };
+            self.clients(plan)?.run().map_err(ScaleError::io("clients"))?;
+            self.interrupted.check()?;
+        }
+        let running = self.statuses()?.actors;
+        let why = format!("{running} tasks run, {tasks} were asked for again and again");
+        if running < tasks { Err(ScaleError::NotSettled(why)) } else { Ok(()) }
+    }
+
+    /// Workers die: their connections are reset and their tasks are lost.
+    pub(crate) fn kill_workers(&mut self, workers: impl IntoIterator<Item = usize>) {
+        for worker in workers {
+            self.rack.command(Command::Crash(worker));
+            self.dead.push(worker);
+        }
+    }
+
+    /// Dead workers come back, cold.
+    pub(crate) fn start_dead_workers(&mut self) {
+        self.dead.drain(..).for_each(|worker| self.rack.command(Command::Start(worker)));
+    }
+
+    /// A worker's process is replaced by a new one, cold.
+    pub(crate) fn restart_worker(&self, worker: usize) {
+        self.rack.command(Command::Crash(worker));
+        self.rack.command(Command::Start(worker));
+    }
+
+    /// Nothing gets to these workers or from them any more.
+    pub(crate) fn cut_off(&mut self, workers: impl IntoIterator<Item = usize>) {
+        for worker in workers {
+            self.rack.command(Command::Reachable(worker, false));
+            self.unreachable.push(worker);
+        }
+    }
+
+    /// All workers can be reached again.
+    pub(crate) fn heal(&mut self) {
+        self.unreachable.drain(..).for_each(|worker| self.rack.command(Command::Reachable(worker, true)));
+    }
+
+    /// Ends a placer in order and starts it anew; it serves when this returns.
+    pub(crate) fn restart_placer(&mut self, number: usize) -> Result<(), ScaleError> {
+        self.placers.signal(number, Signal::TERM).map_err(ScaleError::io("ending a placer"))?;
+        if let Some(mut child) = self.placers.all[number].child.take() {
+            child.wait().map_err(ScaleError::io("ending a placer"))?;
+        }
+        self.spawn(number)?;
+        self.wait_serving(1)
+    }
+}
+
+/// What clients ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientPlan {
+    /// Asks a second.
+    pub rate: f64,
+    /// For so long, s.
+    pub seconds: f64,
+    /// Times of asks due before this are kept apart, s.
+    pub split_s: f64,
+    /// The life of their tasks; without end where missing.
+    pub life_ms: Option<u64>,
+}
+
+/// Replaces a host list as a whole.
+pub(crate) fn write_inventory(path: &Path, inventory: &Inventory) -> Result<(), ScaleError> {
+    let text = toml::to_string(inventory).map_err(std::io::Error::other);
+    text.and_then(|text| replace(path, &text)).map_err(ScaleError::io(path.display().to_string()))
+}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,22 @@
+//! Sweeps that measure what the placer program costs by the size of its fleet: real placer processes under hollow
+//! workers, thousands of hosts in one thread that speak the host protocol on loopback, measured from outside the
+//! processes. The results are those of `maplethread-capacity`.
+
+mod error;
+mod faults;
+mod fleet;
+mod host_list;
+mod machine;
+mod needs;
+mod pause;
+mod phases;
+mod sampler;
+mod scenario;
+mod sweep;
+mod sweep_file;
+
+pub use error::ScaleError;
+pub use fleet::{ClientPlan, Fleet, FleetSize};
+pub use pause::Interrupted;
+pub use sweep::{Options, run};
+pub use sweep_file::{Phases, SweepFile};
--- /dev/null
+++ b/crates/scale/src/pause.rs
@@ -0,0 +1,38 @@
+//! Waiting that ends early when the sweep is interrupted.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::error::ScaleError;
+
+/// A pause looks this often whether it is to end.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Told by a flag that the sweep is to end.
+#[derive(Clone, Debug, Default)]
+pub struct Interrupted(pub Arc<AtomicBool>);
+
+impl Interrupted {
+    /// An error once the flag is set.
+    pub(crate) fn check(&self) -> Result<(), ScaleError> {
+        if self.0.load(Ordering::Relaxed) { Err(ScaleError::Interrupted) } else { Ok(()) }
+    }
+
+    /// Waits until a time.
+    pub(crate) fn sleep_until(&self, until: Instant) -> Result<(), ScaleError> {
+        loop {
+            self.check()?;
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            std::thread::sleep(left.min(LOOK_EVERY));
+        }
+    }
+
+    /// Waits for so many seconds.
+    pub(crate) fn sleep(&self, seconds: f64) -> Result<(), ScaleError> {
+        self.sleep_until(Instant::now() + Duration::from_secs_f64(seconds))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/phases.rs
@@ -0,0 +1,108 @@
+//! The phases without faults: at rest, and at the peak.
+
+use std::thread;
+
+use hdrhistogram::Histogram;
+use maplethread_capacity::{Phase, PhaseSample, PointSettings};
+use maplethread_standin::clients::{Answers, Clients};
+
+use crate::error::ScaleError;
+use crate::fleet::{ClientPlan, Fleet};
+use crate::host_list::ListChanges;
+use crate::sampler::Sampler;
+use crate::sweep_file::Phases;
+
+/// The peak is measured this long after the first of its tasks should have ended, s.
+const ENDS_WITHIN: f64 = 1.0;
+/// Clients and list changes go on this long after the measured peak, so that its end is like its middle, s.
+const TAIL: f64 = 0.5;
+
+/// Measures the fleet at rest.
+pub(crate) fn rest(fleet: &Fleet, phases: &Phases, sampler: Sampler) -> Result<PhaseSample, ScaleError> {
+    settle(fleet, phases)?;
+    let before = sampler.moment(fleet);
+    fleet.interrupted().sleep(phases.rest_s)?;
+    let after = sampler.moment(fleet);
+    sampler.phase(fleet, Phase::Rest, (&before, &after))
+}
+
+/// Waits until all placers are connected to all workers, and for the quiet time after that.
+pub(crate) fn settle(fleet: &Fleet, phases: &Phases) -> Result<(), ScaleError> {
+    fleet.wait_connected()?;
+    fleet.interrupted().sleep(phases.settle_s)
+}
+
+/// Measures the fleet at the peak; nothing where the peak is no different from rest.
+pub(crate) fn peak(
+    fleet: &mut Fleet,
+    point: &PointSettings,
+    phases: &Phases,
+    sampler: Sampler,
+) -> Result<Option<PhaseSample>, ScaleError> {
+    if point.starts_per_second == 0.0 && point.list_changes_per_second == 0.0 {
+        return Ok(None);
+    }
+    settle(fleet, phases)?;
+    let warm_up = phases.task_life_s + ENDS_WITHIN;
+    let whole = warm_up + phases.peak_s + TAIL;
+    let clients = clients(fleet, point, phases, whole)?;
+    let changes = list_changes(fleet, point, whole);
+    let fleet = &*fleet;
+    thread::scope(|scope| {
+        let asking = clients.map(|clients| scope.spawn(move || clients.run()));
+        let changing = changes.map(|changes| scope.spawn(move || changes.run()));
+        fleet.interrupted().sleep(warm_up)?;
+        let before = sampler.moment(fleet);
+        fleet.interrupted().sleep(phases.peak_s)?;
+        let after = sampler.moment(fleet);
+        let mut sample = sampler.phase(fleet, Phase::Peak, (&before, &after))?;
+        if let Some(asking) = asking {
+            let answers =
+                asking.join().map_err(|_| ScaleError::NotSettled("the clients failed".to_owned()))?;
+            sample.answer_us = Some(answered(&answers.map_err(ScaleError::io("clients"))?)?);
+        }
+        if let Some(changing) = changing {
+            changing.join().map_err(|_| ScaleError::NotSettled("the list changes failed".to_owned()))??;
+        }
+        Ok(Some(sample))
+    })
+}
+
+fn clients(
+    fleet: &mut Fleet,
+    point: &PointSettings,
+    phases: &Phases,
+    seconds: f64,
+) -> Result<Option<Clients>, ScaleError> {
+    if point.starts_per_second == 0.0 {
+        return Ok(None);
+    }
+    let plan = ClientPlan {
+        rate: point.starts_per_second,
+        seconds,
+        split_s: phases.task_life_s + ENDS_WITHIN,
+        life_ms: Some((phases.task_life_s * 1000.0) as u64),
+    };
+    fleet.clients(plan).map(Some)
+}
+
+fn list_changes(fleet: &Fleet, point: &PointSettings, seconds: f64) -> Option<ListChanges> {
+    let rate = point.list_changes_per_second;
+    (rate > 0.0).then(|| ListChanges {
+        path: fleet.inventory_path(),
+        inventory: fleet.inventory(),
+        rate,
+        seconds,
+        interrupted: fleet.interrupted().clone(),
+    })
+}
+
+/// Median, 99th percentile and longest time to an answer; an error if not every ask was placed.
+fn answered(answers: &Answers) -> Result<[u64; 3], ScaleError> {
+    if answers.placed < answers.asked {
+        let (placed, asked) = (answers.placed, answers.asked);
+        return Err(ScaleError::NotSettled(format!("{placed} of {asked} asks at the peak were placed")));
+    }
+    let times: &Histogram<u64> = &answers.times[1];
+    Ok([times.value_at_quantile(0.5), times.value_at_quantile(0.99), times.max()])
+}
--- /dev/null
+++ b/crates/scale/src/sampler.rs
@@ -0,0 +1,130 @@
+//! Measures from outside the placer processes: what they have used up to a moment, and what lies between two moments.
+
+use std::time::{Duration, Instant};
+
+use maplethread_capacity::{MessageCount, Phase, PhaseSample, ProcessSample};
+use maplethread_standin::traffic::Traffic;
+use maplethread_standin::usage::{holdings, usage};
+
+use crate::error::ScaleError;
+use crate::fleet::Fleet;
+use crate::machine::loopback_packets;
+
+/// Processor time of one placer process so far.
+#[derive(Clone, Copy, Debug)]
+struct ProcessorTime {
+    pid: u32,
+    cpu_s: f64,
+}
+
+/// What was used up to a moment.
+#[derive(Clone, Debug)]
+pub(crate) struct Moment {
+    at: Instant,
+    processors: Vec<Option<ProcessorTime>>,
+    traffic: Traffic,
+    packets: Option<u64>,
+}
+
+/// Takes moments of one fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sampler {
+    /// Nothing else uses the loopback interface, so its packets can be told.
+    pub(crate) alone: bool,
+}
+
+impl Sampler {
+    /// What was used so far.
+    pub(crate) fn moment(self, fleet: &Fleet) -> Moment {
+        let pids = fleet.pids();
+        let processors = pids.into_iter().map(|pid| processor_time(pid?)).collect();
+        let packets = if self.alone { loopback_packets() } else { None };
+        Moment { at: Instant::now(), processors, traffic: fleet.counter().snapshot(), packets }
+    }
+
+    /// A phase between two moments; memory, descriptors and connections are those of now.
+    pub(crate) fn phase(
+        self,
+        fleet: &Fleet,
+        phase: Phase,
+        span: (&Moment, &Moment),
+    ) -> Result<PhaseSample, ScaleError> {
+        let (before, after) = span;
+        let seconds = after.seconds_since(before);
+        let connected = fleet.statuses()?.connected;
+        let mut placers = Vec::new();
+        for (number, cpu_cores) in after.cores_since(before).into_iter().enumerate() {
+            let host_connections = connected.get(number).copied().unwrap_or(0);
+            placers.push(process_sample(fleet, number, cpu_cores, host_connections)?);
+        }
+        let packets = after.packets.zip(before.packets);
+        Ok(PhaseSample {
+            phase,
+            seconds,
+            placers,
+            messages: after.traffic.since(&before.traffic),
+            loopback_packets: packets.map(|(after, before)| after - before),
+            answer_us: None,
+        })
+    }
+}
+
+impl Moment {
+    /// When a second has passed since.
+    pub(crate) fn next_second(&self) -> Instant {
+        self.at + Duration::from_secs(1)
+    }
+
+    pub(crate) fn seconds_since(&self, earlier: &Moment) -> f64 {
+        (self.at - earlier.at).as_secs_f64()
+    }
+
+    /// Cores that each placer used since an earlier moment; one that was started since counts from its start.
+    pub(crate) fn cores_since(&self, earlier: &Moment) -> Vec<f64> {
+        let seconds = self.seconds_since(earlier).max(1e-9);
+        let pairs = self.processors.iter().zip(&earlier.processors);
+        let used = pairs.map(|(now, before)| match (now, before) {
+            (Some(now), Some(before)) if now.pid == before.pid => now.cpu_s - before.cpu_s,
+            (Some(now), _) => now.cpu_s,
+            (None, _) => 0.0,
+        });
+        used.map(|cpu_s| (cpu_s / seconds).max(0.0)).collect()
+    }
+
+    /// Messages since an earlier moment.
+    pub(crate) fn messages_since(&self, earlier: &Moment) -> Vec<MessageCount> {
+        self.traffic.since(&earlier.traffic)
+    }
+
+    /// Packets of the loopback interface since an earlier moment.
+    pub(crate) fn packets_since(&self, earlier: &Moment) -> Option<u64> {
+        self.packets.zip(earlier.packets).map(|(now, before)| now - before)
+    }
+}
+
+fn processor_time(pid: u32) -> Option<ProcessorTime> {
+    // A process that is just ending can't be read any more.
+    usage(pid).ok().map(|usage| ProcessorTime { pid, cpu_s: usage.cpu_s })
+}
+
+/// What the placer of this number holds now.
+pub(crate) fn process_sample(
+    fleet: &Fleet,
+    number: usize,
+    cpu_cores: f64,
+    host_connections: u32,
+) -> Result<ProcessSample, ScaleError> {
+    let Some(pid) = fleet.pids()[number] else {
+        return Err(ScaleError::NotSettled(format!("placer {number} has ended")));
+    };
+    let failed = || ScaleError::io(format!("/proc/{pid}"));
+    let memory = usage(pid).map_err(failed())?;
+    let holdings = holdings(pid).map_err(failed())?;
+    Ok(ProcessSample {
+        cpu_cores,
+        resident_kib: memory.resident_kib,
+        proportional_kib: holdings.proportional_kib,
+        descriptors: holdings.descriptors,
+        host_connections,
+    })
+}
--- /dev/null
+++ b/crates/scale/src/scenario.rs
@@ -0,0 +1,88 @@
+//! The fleet that a sweep measures, as the stand-in hosts take it: one kind of host with room to spare and one class of
+//! tasks, so that a measured size is limited by the placers and not by the hosts.
+
+use maplethread_config::{Class as ClassRules, Effect, PlacedWhen};
+use maplethread_standin::scenario::{Class, Demand, Fleet, KindShare, Rules, Scenario};
+
+/// Hosts of a rack: what dies together in the smaller of the two faults of many hosts.
+pub(crate) const RACK: usize = 40;
+/// Zones, so that one of them is a quarter of the hosts.
+pub(crate) const ZONES: usize = 4;
+
+/// A fleet of so many hosts and placers.
+pub(crate) fn scenario(workers: usize, placers: u32) -> Scenario {
+    Scenario {
+        name: "scale".to_owned(),
+        seconds: 1.0,
+        placers,
+        slots: None,
+        fleet: fleet(workers),
+        rules: rules(),
+        demand: Demand {
+            load: vec![[0.0, 0.0]],
+            again_ms: [1000.0, 1000.0],
+            settle_ms: 1000,
+            front_notice_ms: 1000,
+        },
+        kind: vec![KindShare { name: "std".to_owned(), cores: 64.0, memory_gib: 512.0, share: 1.0 }],
+        class: vec![class()],
+        trouble: Vec::new(),
+    }
+}
+
+fn fleet(hosts: usize) -> Fleet {
+    Fleet {
+        hosts,
+        zones: (0..ZONES).map(|zone| format!("zone-{zone}")).collect(),
+        cell_size: RACK,
+        placed_when: PlacedWhen::Accepted,
+        over_cores: 1.0,
+        over_memory: 1.0,
+        admit_ms: [1.0, 1.0],
+        line: 256,
+        starts: 16,
+        setup: 1.0,
+        kept: 16,
+        push_out: false,
+        notice_ms: 1000,
+    }
+}
+
+fn rules() -> Rules {
+    Rules {
+        drain_grace_ms: 2000,
+        cold_from: 0.2,
+        cold_for_ms: 5000,
+        fall_multiple: 4.0,
+        fall_window_ms: 2000,
+        fresh_offers: 20.0,
+    }
+}
+
+fn class() -> Class {
+    Class {
+        rules: ClassRules {
+            name: "web-api".to_owned(),
+            effect: Effect::Safe,
+            group: None,
+            window_ms: None,
+            aim_ms: 600,
+            worth: 1.0,
+            start_bonus_s: 10.0,
+            priority: 0,
+            kind: None,
+            spread_over: None,
+            spread_most: None,
+        },
+        share: 1.0,
+        shapes: vec![[0.5, 1.0]],
+        uses: [0.5, 0.5],
+        life_s: 5.0,
+        work_ms: 50.0,
+        deadline_ms: 10_000,
+        late_share: 0.2,
+        calm: 1.0,
+        fade: 1.0,
+        services: 500,
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sweep.rs
@@ -0,0 +1,81 @@
+//! A whole sweep: point after point, each with a fleet of its own.
+
+use std::path::PathBuf;
+use std::time::Instant;
+
+use maplethread_capacity::{Point, PointSettings, RESULT_FORMAT, SweepResult};
+
+use crate::error::ScaleError;
+use crate::faults::{make_whole, strike};
+use crate::fleet::{Fleet, FleetSize};
+use crate::machine::{commit, machine};
+use crate::needs;
+use crate::pause::Interrupted;
+use crate::phases::{peak, rest};
+use crate::sampler::Sampler;
+use crate::sweep_file::SweepFile;
+
+/// How to run a sweep.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The sweep.
+    pub sweep: SweepFile,
+    /// Its name, the stem of its file.
+    pub name: String,
+    /// The command that repeats it.
+    pub command: String,
+    /// The program whose `placer` command is measured.
+    pub program: PathBuf,
+    /// Nothing else uses the loopback interface, so its packets can be told.
+    pub alone: bool,
+    /// Tell how it goes, on standard error.
+    pub progress: bool,
+    /// Ends the sweep.
+    pub interrupted: Interrupted,
+}
+
+/// Runs a sweep, after a look whether each of its points fits on the machine.
+pub fn run(options: &Options) -> Result<SweepResult, ScaleError> {
+    let sweep = &options.sweep;
+    let sizes: Vec<PointSettings> = sweep.values.iter().map(|&value| sweep.point(value)).collect();
+    sizes.iter().try_for_each(needs::check)?;
+    let mut points = Vec::new();
+    for settings in sizes {
+        for &seed in &sweep.seeds {
+            points.push(measure(options, settings, seed)?);
+        }
+    }
+    Ok(SweepResult {
+        format: RESULT_FORMAT,
+        sweep: options.name.clone(),
+        dimension: sweep.dimension,
+        command: options.command.clone(),
+        commit: commit(),
+        machine: machine(),
+        points,
+    })
+}
+
+fn measure(options: &Options, settings: PointSettings, seed: u64) -> Result<Point, ScaleError> {
+    let started = Instant::now();
+    let (phases, sampler) = (&options.sweep.phases, Sampler { alone: options.alone });
+    let size = FleetSize {
+        workers: settings.workers as usize,
+        placers: settings.placers as usize,
+        hollow_placers: settings.hollow_placers as usize,
+        seed,
+    };
+    let mut fleet = Fleet::start(size, &options.program, &options.interrupted)?;
+    make_whole(&mut fleet, &settings, phases)?;
+    let mut samples = vec![rest(&fleet, phases, sampler)?];
+    samples.extend(peak(&mut fleet, &settings, phases, sampler)?);
+    for &fault in &options.sweep.faults {
+        samples.push(strike(&mut fleet, fault, &settings, phases, sampler)?);
+    }
+    if options.progress {
+        let seconds = started.elapsed().as_secs_f64();
+        let dimension = options.sweep.dimension;
+        eprintln!("{dimension:?} {}, seed {seed}: {seconds:.1} s", settings.value(dimension));
+    }
+    Ok(Point { seed, settings, phases: samples })
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -127,7 +127,7 @@
             let name = format!("placer-{number}");
             let log = self.folder.join(format!("{name}.log"));
             self.placers.add(config, log);
-            self.placers.spawn(number, self.options)?;
+            self.placers.spawn(number, &self.options.program, &self.options.placer_arguments())?;
             let zone = self.scenario.fleet.zones[number % self.scenario.fleet.zones.len()].clone();
             fronts.push(Front { name, zone, address: None, life: 1, down: false });
         }
@@ -414,7 +414,7 @@
             }
             PlacerAct::Respawn(number) => {
                 if self.placers.all[number].child.is_none() {
-                    self.placers.spawn(number, self.options)?;
+                    self.placers.spawn(number, &self.options.program, &self.options.placer_arguments())?;
                 }
             }
             PlacerAct::Pause(number) => {
@@ -469,7 +469,7 @@
 }
 
 /// Replaces a file atomically, as operators are told to do with inventories.
-fn replace(path: &Path, text: &str) -> io::Result<()> {
+pub fn replace(path: &Path, text: &str) -> io::Result<()> {
     let mut new = path.as_os_str().to_owned();
     new.push(".new");
     std::fs::write(&new, text)?;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -436,6 +436,11 @@
         }
     }
 
+    /// Whether it holds tasks, so that a span of service matters.
+    pub fn busy(&self) -> bool {
+        !self.tasks.is_empty()
+    }
+
     /// Serves what runs for a span, tells placers how it fares, and evicts when memory runs out.
     pub fn serve(&mut self, from: u64, now: u64, keys: &mut KeyTable, out: &mut Vec<Do>) {
         let grows = 4_000_000.0;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,18 +5,22 @@
 
 pub mod baseline;
 mod calls;
+pub mod clients;
 pub mod day;
 pub mod demand;
 mod drawn;
+pub mod hollow_placers;
 mod host;
 pub mod load;
 pub mod options;
 mod owners;
 mod plan;
-mod processes;
-mod rack;
+pub mod processes;
+pub mod rack;
 pub mod recorded;
 pub mod report;
 pub mod scenario;
-mod settings;
-mod world;
+pub mod settings;
+pub mod traffic;
+pub mod usage;
+pub mod world;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -1,8 +1,6 @@
-//! A load generator for one placer: an open loop of asks at a fixed rate over pipelined connections, against hosts
-//! that accept all at once. Times run from when an ask was due to be sent, not from when it was, so that a placer
-//! that falls behind can't hide it (coordinated omission).
+//! A load generator for one placer: an open loop of asks at a fixed rate, against hosts that accept all at once.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -22,11 +20,12 @@
 use maplethread_placer::Clock;
 use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
 use maplethread_wire::frame::{self, Frame};
-use maplethread_wire::http::{self, Found, Limits, Reader, Role};
 use serde_json::{Value, json};
 
 use crate::calls::register;
+use crate::clients::{Clients, Load};
 use crate::settings::{api, consul, hosts};
+use crate::usage::usage;
 
 /// What load to make.
 #[derive(Clone, Debug)]
@@ -244,18 +243,6 @@
     Ok(())
 }
 
-/// Processor time of a process so far, s, and its memory, KiB.
-fn usage(pid: u32) -> io::Result<(f64, u64)> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    let rss = rss.and_then(|l| l.split_whitespace().next()).and_then(|k| k.parse().ok()).unwrap_or(0);
-    // Clock ticks are 10 ms on Linux.
-    Ok(((ticks(11) + ticks(12)) / 100.0, rss))
-}
-
 struct KillOnDrop(Child);
 
 impl Drop for KillOnDrop {
@@ -351,8 +338,15 @@
     let idle_from = usage(pid)?;
     std::thread::sleep(Duration::from_secs(1));
     let idle_to = usage(pid)?;
-    let clock = Clock::start();
-    let mut clients = Clients::connect(options, address, clock)?;
+    let load = Load {
+        rate: options.rate,
+        seconds: options.seconds,
+        split_s: options.seconds / 2.0,
+        connections: options.connections,
+        life_ms: None,
+        name: "actor".to_owned(),
+    };
+    let clients = Clients::connect(load, &[address])?;
     let storm = servers.as_ref().zip(options.storm).map(|(servers, rate)| {
         let (at, hosts) = (servers.addresses[0], inventory.host.clone());
         let (half, rate) = (options.seconds / 2.0, rate.max(0.1));
@@ -366,135 +360,32 @@
             }
         })
     });
-    clients.run()?;
+    let answers = clients.run()?;
     if let Some(storm) = storm {
         let _ = storm.join();
     }
     let loaded = usage(pid)?;
-    let took = clients.took_s;
+    let took = answers.took_s;
     std::thread::sleep(Duration::from_millis(600));
     let (_, status) = maplethread_placer::get_json(address, "/v1/status?full")?;
     let decide = |q: &str| status["gauges"]["decide_us"][q].as_u64().unwrap_or(0);
     let quantiles = |h: &Histogram<u64>| {
         [h.value_at_quantile(0.5), h.value_at_quantile(0.99), h.value_at_quantile(0.999), h.max()]
     };
-    let h = &clients.times;
+    let halves = &answers.times;
+    let mut all = halves[0].clone();
+    all.add(&halves[1]).map_err(io::Error::other)?;
     Ok(Measured {
         rate: options.rate,
-        answered_rate: h.len() as f64 / took,
-        asks: clients.asked,
-        placed: clients.placed,
-        place_us: quantiles(h),
-        halves_us: [quantiles(&clients.halves[0]), quantiles(&clients.halves[1])],
+        answered_rate: all.len() as f64 / took,
+        asks: answers.asked,
+        placed: answers.placed,
+        place_us: quantiles(&all),
+        halves_us: [quantiles(&halves[0]), quantiles(&halves[1])],
         decide_us: [decide("p50"), decide("p99")],
-        rss_kib: [idle_to.1, usage(pid)?.1],
+        rss_kib: [idle_to.resident_kib, usage(pid)?.resident_kib],
         actors: status["actors"].as_u64().unwrap_or(0),
         spent: status["gauges"]["spent_us"].clone(),
-        cpu: [idle_to.0 - idle_from.0, (loaded.0 - idle_to.0) / took],
+        cpu: [idle_to.cpu_s - idle_from.cpu_s, (loaded.cpu_s - idle_to.cpu_s) / took],
     })
 }
-
-struct Clients<'a> {
-    options: &'a Options,
-    poller: Poller,
-    clock: Clock,
-    conns: Vec<(Conn, Reader, VecDeque<u64>)>,
-    asked: u64,
-    placed: u64,
-    times: Histogram<u64>,
-    halves: [Histogram<u64>; 2],
-    took_s: f64,
-    outcomes: BTreeMap<u16, u64>,
-}
-
-impl<'a> Clients<'a> {
-    fn connect(options: &'a Options, address: SocketAddr, clock: Clock) -> io::Result<Clients<'a>> {
-        let poller = Poller::new()?;
-        let mut conns = Vec::new();
-        for token in 0..options.connections.max(1) {
-            let stream = std::net::TcpStream::connect(address)?;
-            let conn = Conn::accepted(stream, token as u64, &poller)?;
-            conns.push((conn, Reader::new(Role::Responses, Limits::default()), VecDeque::new()));
-        }
-        let times = Histogram::new_with_bounds(1, 120_000_000, 3).map_err(io::Error::other)?;
-        let (asked, placed, took_s) = (0, 0, 0.0);
-        let halves = [times.clone(), times.clone()];
-        Ok(Clients {
-            options,
-            poller,
-            clock,
-            conns,
-            asked,
-            placed,
-            times,
-            halves,
-            took_s,
-            outcomes: BTreeMap::new(),
-        })
-    }
-
-    fn run(&mut self) -> io::Result<()> {
-        let start = self.clock.now();
-        let total = (self.options.rate * self.options.seconds) as u64;
-        let due_at = |n: u64, rate: f64| start + (n as f64 * 1e6 / rate) as u64;
-        let mut ready = Vec::new();
-        let give_up = start + (self.options.seconds * 1e6) as u64 + 30_000_000;
-        let mut open = 0u64;
-        while self.asked < total || open > 0 {
-            let now = self.clock.now();
-            if now > give_up {
-                break;
-            }
-            let mut touched = vec![false; self.conns.len()];
-            while self.asked < total && due_at(self.asked, self.options.rate) <= now {
-                let n = self.asked;
-                let at = n as usize % self.conns.len();
-                let due = due_at(n, self.options.rate);
-                let (conn, _, waiting) = &mut self.conns[at];
-                let body = format!(
-                    "{{\"service\":\"service-{}\",\"actor\":\"actor-{n}\",\"class\":\"web-api\",\"cores\":0.5,\"memory_gib\":1,\"budget_ms\":10000}}",
-                    n % 500
-                );
-                http::write_request(conn.out(), "POST", "/v1/actors", &[("Host", "placer")], body.as_bytes());
-                waiting.push_back(due);
-                touched[at] = true;
-                self.asked += 1;
-                open += 1;
-            }
-            for (at, _) in touched.iter().enumerate().filter(|(_, t)| **t) {
-                self.conns[at].0.flush(&self.poller)?;
-            }
-            let wait = if self.asked < total {
-                due_at(self.asked, self.options.rate).saturating_sub(now)
-            } else {
-                50_000
-            };
-            ready.clear();
-            self.poller.wait(Some(Duration::from_micros(wait)), &mut ready)?;
-            for r in &ready {
-                let (conn, reader, waiting) = &mut self.conns[r.token as usize];
-                conn.flush(&self.poller)?;
-                conn.fill(256 << 10, 512 << 10);
-                loop {
-                    let (found, used) = reader.read(conn.unread()).map_err(io::Error::other)?;
-                    conn.take(used);
-                    let Found::Message(message) = found else { break };
-                    let now = self.clock.now();
-                    if let Some(due) = waiting.pop_front() {
-                        let took = now.saturating_sub(due).max(1);
-                        self.times.saturating_record(took);
-                        let half = usize::from((due - start) as f64 >= self.options.seconds * 5e5);
-                        self.halves[half].saturating_record(took);
-                        open -= 1;
-                    }
-                    *self.outcomes.entry(message.head.status()).or_default() += 1;
-                    if message.body.windows(8).any(|w| w == b"\"placed\"") {
-                        self.placed += 1;
-                    }
-                }
-            }
-        }
-        self.took_s = (self.clock.now() - start) as f64 / 1e6;
-        Ok(())
-    }
-}
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -40,6 +40,21 @@
     pub interrupted: Arc<AtomicBool>,
 }
 
+impl Options {
+    /// Arguments of the day's placers besides their settings.
+    pub(crate) fn placer_arguments(&self) -> Vec<String> {
+        let mut arguments = Vec::new();
+        if self.keep.is_some() {
+            arguments.extend(["--log", "debug"].map(str::to_owned));
+        }
+        if self.random || self.rogue > 0 {
+            arguments.extend(["--decider", "random", "--rogue"].map(str::to_owned));
+            arguments.push(self.rogue.to_string());
+        }
+        arguments
+    }
+}
+
 /// What a drill of the fleet adds to a day.
 #[derive(Clone, Debug)]
 pub struct FleetPart {
--- a/crates/standin/src/processes.rs
+++ b/crates/standin/src/processes.rs
@@ -2,27 +2,27 @@
 
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Process, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::options::Options;
-
 /// One placer.
-pub(crate) struct PlacerProcess {
-    pub config: PathBuf,
-    pub log: PathBuf,
+pub struct PlacerProcess {
+    pub(crate) config: PathBuf,
+    pub(crate) log: PathBuf,
+    /// Its process while it runs.
     pub child: Option<Child>,
-    pub paused: bool,
+    pub(crate) paused: bool,
     /// Times that it was started.
     pub starts: u64,
 }
 
 /// All placers of a day; those that still run when it is dropped are killed.
-pub(crate) struct Placers {
+pub struct Placers {
+    /// Each placer, by number.
     pub all: Vec<PlacerProcess>,
     told: mpsc::Sender<Start>,
     starting: mpsc::Receiver<Start>,
@@ -32,28 +32,25 @@
 type Start = (usize, u64, Option<SocketAddr>);
 
 impl Placers {
-    pub(crate) fn new() -> Placers {
+    /// No placers yet.
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Placers {
         let (told, starting) = mpsc::channel();
         Placers { all: Vec::new(), told, starting }
     }
 
     /// Adds a placer that does not run yet.
-    pub(crate) fn add(&mut self, config: PathBuf, log: PathBuf) {
+    pub fn add(&mut self, config: PathBuf, log: PathBuf) {
         self.all.push(PlacerProcess { config, log, child: None, paused: false, starts: 0 });
     }
 
-    /// Starts a placer.
-    pub(crate) fn spawn(&mut self, number: usize, options: &Options) -> io::Result<()> {
+    /// Starts a placer: the `placer` command of this program, with these arguments besides its settings.
+    pub fn spawn(&mut self, number: usize, program: &Path, arguments: &[String]) -> io::Result<()> {
         let placer = &mut self.all[number];
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&placer.log)?;
-        let mut process = Process::new(&options.program);
+        let mut process = Process::new(program);
         process.arg("placer").arg("--config").arg(&placer.config).arg("--log-format").arg("text");
-        if options.keep.is_some() {
-            process.arg("--log").arg("debug");
-        }
-        if options.random || options.rogue > 0 {
-            process.arg("--decider").arg("random").arg("--rogue").arg(options.rogue.to_string());
-        }
+        process.args(arguments);
         let mut child = process.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn()?;
         let out = child.stdout.take();
         placer.child = Some(child);
@@ -71,7 +68,7 @@
 
     /// The next placer that has begun to serve, and where; waits up to `within` for it. One that ended before it served,
     /// and was not killed, is an error.
-    pub(crate) fn serves(&mut self, within: Duration) -> io::Result<Option<(usize, SocketAddr)>> {
+    pub fn serves(&mut self, within: Duration) -> io::Result<Option<(usize, SocketAddr)>> {
         while let Ok((number, start, address)) = self.starting.recv_timeout(within) {
             let placer = &self.all[number];
             match address {
@@ -87,7 +84,7 @@
     }
 
     /// Sends a signal to a placer that runs.
-    pub(crate) fn signal(&self, number: usize, signal: Signal) -> io::Result<()> {
+    pub fn signal(&self, number: usize, signal: Signal) -> io::Result<()> {
         if let Some(child) = &self.all[number].child
             && let Some(pid) = Pid::from_raw(child.id() as i32)
         {
@@ -97,7 +94,7 @@
     }
 
     /// Tells all to stop, and ends those that do not.
-    pub(crate) fn stop(&mut self) {
+    pub fn stop(&mut self) {
         for number in 0..self.all.len() {
             let _ = self.signal(number, Signal::TERM);
         }
--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -1,7 +1,7 @@
 //! Stand-in hosts on sockets: many in one thread, each on a port of its own, all that they send and receive
 //! recorded.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
@@ -10,13 +10,16 @@
 use std::time::Duration;
 
 use maplethread_admission::KeyTable;
+use maplethread_capacity::Direction;
 use maplethread_engine::Timers;
 use maplethread_judge::Seen;
 use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
 use maplethread_wire::frame::{self, Frame};
 
+use crate::hollow_placers;
 use crate::host::{Do, Faults, Host, Later, Spec};
 use crate::scenario::Scenario;
+use crate::traffic::{Counted, LinkTraffic, TrafficCounter, kind_of};
 use crate::world::{Dice, World};
 
 const WAKER: u64 = 0;
@@ -24,6 +27,8 @@
 const CONNS: u64 = 1 << 33;
 /// Simulated service is reckoned this often, µs.
 const TICK: u64 = 100_000;
+/// Bytes that may wait to be written to one placer.
+const MOST_UNWRITTEN: usize = 4 << 20;
 
 /// What is done to hosts.
 #[derive(Clone, Debug)]
@@ -38,6 +43,8 @@
     Faults(usize, Faults),
     /// Its connections are reset in the middle of a frame.
     ResetMidFrame(usize),
+    /// Whether packets reach it, and its own reach others; it lives on meanwhile.
+    Reachable(usize, bool),
     /// The thread ends.
     End,
 }
@@ -60,6 +67,17 @@
         world: &World,
         seed: u64,
         at: Option<&[SocketAddr]>,
+    ) -> io::Result<Rack> {
+        Rack::start_counted(scenario, world, seed, at, None)
+    }
+
+    /// The same, with all that real placers and these hosts send each other counted.
+    pub fn start_counted(
+        scenario: &Arc<Scenario>,
+        world: &World,
+        seed: u64,
+        at: Option<&[SocketAddr]>,
+        counter: Option<TrafficCounter>,
     ) -> io::Result<Rack> {
         let mut dice = Dice::new(seed, 3);
         let mut slots = Vec::new();
@@ -87,7 +105,15 @@
             addresses.push(address);
             let set = Dice::new(dice.seed(), number as u64);
             let host = Host::new(spec, scenario.clone(), world.clone(), set, false);
-            slots.push(Slot { host, address, listener: None, epoch: 0, down: true, fresh: Some(listener) });
+            slots.push(Slot {
+                host,
+                address,
+                listener: None,
+                epoch: 0,
+                down: true,
+                reachable: true,
+                fresh: Some(listener),
+            });
         }
         let commands = Arc::new(Mutex::new(VecDeque::new()));
         let started = Arc::new(Mutex::new(vec![0; slots.len()]));
@@ -104,6 +130,8 @@
             waker: rustix::io::dup(&waker)?,
             started: started.clone(),
             ended: false,
+            counter,
+            dirty: BTreeSet::new(),
         };
         for slot in 0..run.slots.len() {
             run.up(slot)?;
@@ -144,6 +172,7 @@
     /// Counts processes, so that timers of an old one are known as such.
     epoch: u64,
     down: bool,
+    reachable: bool,
     fresh: Option<TcpListener>,
 }
 
@@ -151,6 +180,16 @@
     conn: Conn,
     slot: usize,
     placer: Option<Arc<str>>,
+    /// Frames that wait to be written.
+    unwritten: Vec<Counted>,
+    traffic: LinkTraffic,
+}
+
+impl Link {
+    /// Whether its traffic counts: that of hollow placers does not.
+    fn counts(&self) -> bool {
+        self.placer.as_deref().is_none_or(|name| !hollow_placers::is_hollow(name))
+    }
 }
 
 struct Run {
@@ -167,6 +206,10 @@
     waker: OwnedFd,
     started: Arc<Mutex<Vec<u64>>>,
     ended: bool,
+    /// Nothing is counted without it.
+    counter: Option<TrafficCounter>,
+    /// Connections with something new to write.
+    dirty: BTreeSet<u64>,
 }
 
 impl Run {
@@ -184,6 +227,7 @@
                     token if token >= CONNS => self.link_ready(token, r),
                     token => self.accept((token - LISTENERS) as usize),
                 }
+                self.flush_dirty();
             }
             let now = self.world.clock.now();
             while let Some((slot, epoch, later)) = self.timers.due(now) {
@@ -191,16 +235,18 @@
                     let mut out = Vec::new();
                     self.slots[slot].host.due(now, later, &mut self.keys, &mut out);
                     self.carry_out(slot, out);
+                    self.flush_dirty();
                 }
             }
             if ticked + TICK <= now {
                 for slot in 0..self.slots.len() {
-                    if !self.slots[slot].down {
+                    if !self.slots[slot].down && self.slots[slot].host.busy() {
                         let mut out = Vec::new();
                         self.slots[slot].host.serve(ticked, now, &mut self.keys, &mut out);
                         self.carry_out(slot, out);
                     }
                 }
+                self.flush_dirty();
                 ticked = now;
             }
         }
@@ -230,10 +276,12 @@
                     links.into_iter().for_each(|token| self.send(token, Frame::Drain));
                 }
                 Some(Command::Faults(slot, faults)) => self.slots[slot].host.ail(faults),
+                Some(Command::Reachable(slot, reachable)) => self.set_reachable(slot, reachable),
                 Some(Command::ResetMidFrame(slot)) => {
                     let links: Vec<u64> =
                         self.conns.iter().filter(|(_, l)| l.slot == slot).map(|(&t, _)| t).collect();
                     for token in links {
+                        self.flush(token);
                         if let Some(link) = self.conns.get_mut(&token) {
                             link.conn.out().extend_from_slice(&[9, 0, 0, 0, 7]);
                             let _ = link.conn.flush(&self.poller);
@@ -283,14 +331,34 @@
         {
             self.next += 1;
             let token = self.next;
-            if let Ok(conn) = Conn::accepted(stream, token, &self.poller) {
-                self.conns.insert(token, Link { conn, slot: number, placer: None });
+            let Ok(mut conn) = Conn::accepted(stream, token, &self.poller) else { continue };
+            if !self.slots[number].reachable && conn.set_reading(false, &self.poller).is_err() {
+                continue;
+            }
+            let (unwritten, traffic) = (Vec::new(), LinkTraffic::default());
+            self.conns.insert(token, Link { conn, slot: number, placer: None, unwritten, traffic });
+        }
+    }
+
+    /// The connections of an unreachable host stay as they are, unread and unwritten, until their placers give them up.
+    fn set_reachable(&mut self, number: usize, reachable: bool) {
+        self.slots[number].reachable = reachable;
+        let links: Vec<u64> = self.conns.iter().filter(|(_, l)| l.slot == number).map(|(&t, _)| t).collect();
+        for token in links {
+            let Some(link) = self.conns.get_mut(&token) else { continue };
+            if link.conn.set_reading(reachable, &self.poller).is_err() {
+                self.lose(token, true);
             }
+            self.dirty.insert(token);
         }
     }
 
     fn lose(&mut self, token: u64, reset: bool) {
-        let Some(link) = self.conns.remove(&token) else { return };
+        let Some(mut link) = self.conns.remove(&token) else { return };
+        self.dirty.remove(&token);
+        if let Some(counter) = self.counter.as_ref().filter(|_| link.counts()) {
+            counter.closed(&mut link.traffic, reset);
+        }
         if let Some(placer) = link.placer {
             let host = self.slots[link.slot].host.spec.name.clone();
             self.world.see(Seen::LinkLost { host, link: token });
@@ -306,6 +374,12 @@
 
     fn link_ready(&mut self, token: u64, r: &Readiness) {
         let Some(link) = self.conns.get_mut(&token) else { return };
+        if !self.slots[link.slot].reachable {
+            if r.closed {
+                self.lose(token, false);
+            }
+            return;
+        }
         if r.write && link.conn.flush(&self.poller).is_err() {
             self.lose(token, false);
             return;
@@ -314,11 +388,13 @@
             return;
         }
         let outcome = link.conn.fill(256 << 10, 512 << 10);
+        let mut segment = Vec::new();
         while let Some(link) = self.conns.get_mut(&token) {
             match frame::decode(link.conn.unread()) {
                 Ok((frame, used)) => {
                     link.conn.take(used);
                     let Some(frame) = frame else { break };
+                    segment.push(Counted { kind: kind_of(&frame), bytes: used as u64 });
                     self.frame(token, frame);
                 }
                 Err(_) => {
@@ -327,11 +403,20 @@
                 }
             }
         }
+        self.count_read(token, &segment);
         if matches!(outcome, ReadOutcome::Closed | ReadOutcome::Broken) {
             self.lose(token, false);
         }
     }
 
+    fn count_read(&mut self, token: u64, segment: &[Counted]) {
+        let now = self.world.clock.now();
+        let Some(link) = self.conns.get_mut(&token).filter(|l| l.counts()) else { return };
+        if let Some(counter) = &self.counter {
+            counter.segment(&mut link.traffic, now, Direction::FromPlacer, segment);
+        }
+    }
+
     fn frame(&mut self, token: u64, frame: Frame) {
         let now = self.world.clock.now();
         let Some(link) = self.conns.get_mut(&token) else { return };
@@ -391,14 +476,37 @@
         }
     }
 
+    /// Adds a frame to what its connection is to write once all that is at hand is done.
     fn send(&mut self, token: u64, frame: Frame) {
         let Some(link) = self.conns.get_mut(&token) else { return };
         let host = self.slots[link.slot].host.spec.name.clone();
+        let before = link.conn.out().len();
         frame::encode(&frame, link.conn.out());
+        let bytes = (link.conn.out().len() - before) as u64;
+        link.unwritten.push(Counted { kind: kind_of(&frame), bytes });
         self.world.see(Seen::FromHost { host, link: token, frame });
-        let broken = link.conn.flush(&self.poller).is_err();
+        self.dirty.insert(token);
+    }
+
+    fn flush_dirty(&mut self) {
+        while let Some(token) = self.dirty.pop_first() {
+            self.flush(token);
+        }
+    }
+
+    fn flush(&mut self, token: u64) {
+        let now = self.world.clock.now();
+        let Some(link) = self.conns.get_mut(&token) else { return };
+        let mut broken = false;
+        if self.slots[link.slot].reachable {
+            broken = link.conn.flush(&self.poller).is_err();
+            let segment = std::mem::take(&mut link.unwritten);
+            if let Some(counter) = self.counter.as_ref().filter(|_| link.counts()) {
+                counter.segment(&mut link.traffic, now, Direction::ToPlacer, &segment);
+            }
+        }
         // A placer that stands still reads nothing; what waits for it is bounded.
-        if broken || link.conn.unwritten() > 4 << 20 {
+        if broken || link.conn.unwritten() > MOST_UNWRITTEN {
             self.lose(token, true);
         }
     }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -18,7 +18,7 @@
 }
 
 /// Settings of the placer of this number on a day. `servers` are those of its catalogue, if it reads one.
-pub(crate) fn placer(
+pub fn placer(
     s: &Scenario,
     number: usize,
     seed: u64,
@@ -111,7 +111,7 @@
 }
 
 /// The inventory, of hosts at these addresses and as listed.
-pub(crate) fn inventory(
+pub fn inventory(
     scenario: &Scenario,
     addresses: &[SocketAddr],
     listed: &[(HostState, Option<u64>)],
--- /dev/null
+++ b/crates/standin/src/traffic.rs
@@ -0,0 +1,177 @@
+//! Counts the messages between placers and hosts, by kind and direction, and models their bytes on a wire.
+//!
+//! Model of a wire:
+//! - Frames that one read or one write carries share a segment; its header of [`HEADER`] bytes (IPv4, TCP with the
+//!   timestamp option) is split among them.
+//! - A segment that is answered with data on the same connection within [`DELAYED_ACK`] is acknowledged by that data.
+//!   Otherwise a lone acknowledgement of [`HEADER`] bytes goes back, one for all segments of a direction within that
+//!   time. It is counted for the last message of the segment, and once the next segment of the connection is seen or
+//!   the connection ends.
+//! - Setting up a connection takes SYN, SYN-ACK and ACK, and closing it two FINs, of which the second acknowledges the
+//!   first, and an ACK.
+//! - Links are loss-free: nothing is sent twice, and segments longer than the MTU count once.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use maplethread_capacity::{Direction, MessageCount, MessageKind};
+use maplethread_wire::frame::Frame;
+
+/// Bytes of the IPv4 and TCP headers of a segment with timestamps.
+pub const HEADER: u64 = 52;
+/// Bytes of a segment that opens a connection, with its options.
+const SYN: u64 = 60;
+/// Data this soon after a segment acknowledges it, µs: the delayed acknowledgement of Linux.
+const DELAYED_ACK: u64 = 40_000;
+
+/// A frame as it is counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Counted {
+    /// Its kind.
+    pub kind: MessageKind,
+    /// Its bytes.
+    pub bytes: u64,
+}
+
+/// The kind under which a frame is counted.
+pub fn kind_of(frame: &Frame) -> MessageKind {
+    match frame {
+        Frame::Hello { .. } => MessageKind::Hello,
+        Frame::Offer(_) => MessageKind::Offer,
+        Frame::Cancel(_) => MessageKind::Cancel,
+        Frame::Stop(_) => MessageKind::Stop,
+        Frame::Probe(_) => MessageKind::Probe,
+        Frame::Ping(_) => MessageKind::Ping,
+        Frame::Pong(_) => MessageKind::Pong,
+        Frame::Accepted(..) => MessageKind::Accepted,
+        Frame::Refused(..) => MessageKind::Refused,
+        Frame::Started(..) => MessageKind::Started,
+        Frame::Ended(..) => MessageKind::Ended,
+        Frame::Note(..) => MessageKind::Note,
+        Frame::Report(..) => MessageKind::Report,
+        Frame::Drain => MessageKind::Drain,
+        Frame::Held(..) => MessageKind::Held,
+        Frame::HeldEnd => MessageKind::HeldEnd,
+        Frame::Bye(_) => MessageKind::Bye,
+    }
+}
+
+/// The messages since the counter was made; shared by its clones.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficCounter {
+    counts: Arc<Mutex<Traffic>>,
+}
+
+/// Messages by kind and direction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Traffic {
+    by_kind: BTreeMap<(MessageKind, Direction), Sums>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Sums {
+    count: u64,
+    payload_bytes: u64,
+    wire_bytes: u64,
+}
+
+/// A segment that nothing has acknowledged yet.
+#[derive(Clone, Copy, Debug)]
+struct Unacknowledged {
+    at: u64,
+    last: MessageKind,
+    direction: Direction,
+}
+
+/// What the counter remembers of one connection.
+#[derive(Debug, Default)]
+pub struct LinkTraffic {
+    unacknowledged: Option<Unacknowledged>,
+    opened: bool,
+}
+
+impl TrafficCounter {
+    /// All that was counted so far.
+    pub fn snapshot(&self) -> Traffic {
+        self.counts().clone()
+    }
+
+    /// A connection was set up; only the first call for a link counts.
+    pub fn opened(&self, link: &mut LinkTraffic) {
+        if std::mem::replace(&mut link.opened, true) {
+            return;
+        }
+        let mut counts = self.counts();
+        counts.add(MessageKind::Connection, Direction::FromPlacer, 1, 0, SYN + HEADER);
+        counts.add(MessageKind::Connection, Direction::ToPlacer, 1, 0, SYN);
+    }
+
+    /// A connection ended: in order, or by a reset.
+    pub fn closed(&self, link: &mut LinkTraffic, reset: bool) {
+        self.opened(link);
+        let mut counts = self.counts();
+        if let Some(segment) = link.unacknowledged.take() {
+            counts.lone_acknowledgement(segment);
+        }
+        let from_placer = if reset { 0 } else { 2 * HEADER };
+        counts.add(MessageKind::Connection, Direction::FromPlacer, 0, 0, from_placer);
+        counts.add(MessageKind::Connection, Direction::ToPlacer, 0, 0, HEADER);
+    }
+
+    /// A segment with these frames was read or written at a time, µs.
+    pub fn segment(&self, link: &mut LinkTraffic, now: u64, direction: Direction, frames: &[Counted]) {
+        let Some(last) = frames.last() else { return };
+        self.opened(link);
+        let mut counts = self.counts();
+        if let Some(earlier) = link.unacknowledged.take()
+            && now > earlier.at + DELAYED_ACK
+        {
+            counts.lone_acknowledgement(earlier);
+        }
+        let share = HEADER / frames.len() as u64;
+        let rest = HEADER % frames.len() as u64;
+        for frame in frames {
+            counts.add(frame.kind, direction, 1, frame.bytes, frame.bytes + share);
+        }
+        counts.add(last.kind, direction, 0, 0, rest);
+        link.unacknowledged = Some(Unacknowledged { at: now, last: last.kind, direction });
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Traffic> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Traffic {
+    fn add(&mut self, kind: MessageKind, direction: Direction, count: u64, payload: u64, wire: u64) {
+        let sums = self.by_kind.entry((kind, direction)).or_default();
+        sums.count += count;
+        sums.payload_bytes += payload;
+        sums.wire_bytes += wire;
+    }
+
+    /// The acknowledgement is a packet against the segment's direction, and counted with the message that caused it.
+    fn lone_acknowledgement(&mut self, segment: Unacknowledged) {
+        self.add(segment.last, segment.direction, 0, 0, HEADER);
+    }
+
+    /// What came since an earlier snapshot, without what did not come at all.
+    pub fn since(&self, earlier: &Traffic) -> Vec<MessageCount> {
+        let counts = self.by_kind.iter().map(|(&(kind, direction), sums)| {
+            let before = earlier.by_kind.get(&(kind, direction)).copied().unwrap_or_default();
+            MessageCount {
+                kind,
+                direction,
+                count: sums.count - before.count,
+                payload_bytes: sums.payload_bytes - before.payload_bytes,
+                wire_bytes: sums.wire_bytes - before.wire_bytes,
+            }
+        });
+        counts.filter(|c| c.count > 0 || c.wire_bytes > 0).collect()
+    }
+
+    /// Messages of a kind so far, both directions.
+    pub fn count(&self, kind: MessageKind) -> u64 {
+        self.by_kind.iter().filter(|((k, _), _)| *k == kind).map(|(_, sums)| sums.count).sum()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/usage.rs
@@ -0,0 +1,45 @@
+//! What a process uses, as the operating system counts it in `/proc`.
+
+use std::io;
+
+/// Clock ticks a second in `/proc`, on every Linux that matters here.
+const TICKS_A_SECOND: f64 = 100.0;
+
+/// What a process uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time so far, user and system, s.
+    pub cpu_s: f64,
+    /// Resident memory, KiB.
+    pub resident_kib: u64,
+}
+
+/// Memory and descriptors of a process, which take longer to count than [`usage`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Holdings {
+    /// Proportional memory, KiB: pages that processes share are parted among them.
+    pub proportional_kib: u64,
+    /// Open descriptors.
+    pub descriptors: u32,
+}
+
+/// Processor time of a process so far and its memory.
+pub fn usage(pid: u32) -> io::Result<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    Ok(Usage { cpu_s: (ticks(11) + ticks(12)) / TICKS_A_SECOND, resident_kib: kib(&status, "VmRSS:") })
+}
+
+/// Proportional memory and open descriptors of a process.
+pub fn holdings(pid: u32) -> io::Result<Holdings> {
+    let rollup = std::fs::read_to_string(format!("/proc/{pid}/smaps_rollup"))?;
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd"))?.count() as u32;
+    Ok(Holdings { proportional_kib: kib(&rollup, "Pss:"), descriptors })
+}
+
+fn kib(text: &str, key: &str) -> u64 {
+    let line = text.lines().find_map(|l| l.strip_prefix(key));
+    line.and_then(|l| l.split_whitespace().next()).and_then(|k| k.parse().ok()).unwrap_or(0)
+}
