Capacity report: constants as a law, answer times, shorter tables

A noisy constant cost was told as a power law, and times to answers could not stand in the page's sentences.

--- a/crates/capacity/src/budget_block.rs
+++ b/crates/capacity/src/budget_block.rs
@@ -58,7 +58,7 @@
     }
     format!(
         "Highest placer of all points at the size (traffic: mean of the placers), with the headroom: the budget over \
-         the measured figure. Bold where the budget is exceeded.\n\n{}",
+         the\nmeasured figure. Bold where the budget is exceeded.\n\n{}",
         table.into_text()
     )
 }
--- a/crates/capacity/src/law.rs
+++ b/crates/capacity/src/law.rs
@@ -5,6 +5,8 @@
 pub enum Law {
     /// a + b·n
     Linear,
+    /// a, whatever the size
+    Constant,
     /// a + b·n + c·n·ln n
     LinearLogarithmic,
     /// a·n^b, fitted to logarithms
@@ -12,13 +14,14 @@
 }
 
 impl Law {
-    /// Every law, the simplest first.
-    pub const ALL: [Self; 3] = [Self::Linear, Self::LinearLogarithmic, Self::Power];
+    /// Every law, the line first.
+    pub const ALL: [Self; 4] = [Self::Linear, Self::Constant, Self::LinearLogarithmic, Self::Power];
 
     /// The law as a formula.
     pub fn formula(self) -> &'static str {
         match self {
             Self::Linear => "a + b·n",
+            Self::Constant => "a",
             Self::LinearLogarithmic => "a + b·n + c·n·ln n",
             Self::Power => "a·n^b",
         }
@@ -28,16 +31,17 @@
     pub fn coefficient_names(self) -> &'static [&'static str] {
         match self {
             Self::Linear => &["a", "b"],
+            Self::Constant => &["a"],
             Self::LinearLogarithmic => &["a", "b", "c"],
             Self::Power => &["ln a", "b"],
         }
     }
 
-    /// The fewest different sizes to fit the law to. Two make a line; a law that bends needs one more than it has
+    /// The fewest different sizes to fit the law to. Two make a line or a constant; a law that bends needs one more than it has
     /// coefficients, or it would pass through any points.
     pub fn min_sizes(self) -> usize {
         match self {
-            Self::Linear => 2,
+            Self::Linear | Self::Constant => 2,
             Self::LinearLogarithmic => 4,
             Self::Power => 3,
         }
@@ -47,6 +51,7 @@
     pub(crate) fn terms(self, size: f64) -> Option<Vec<f64>> {
         match self {
             Self::Linear => Some(vec![1.0, size]),
+            Self::Constant => Some(vec![1.0]),
             Self::LinearLogarithmic if size > 0.0 => Some(vec![1.0, size, size * size.ln()]),
             Self::LinearLogarithmic => (size == 0.0).then(|| vec![1.0, 0.0, 0.0]),
             Self::Power => (size > 0.0).then(|| vec![1.0, size.ln()]),
@@ -56,7 +61,7 @@
     /// The scale that a law is fitted on: logarithms for the power law, which has none of a cost of 0.
     pub(crate) fn to_fitted_scale(self, value: f64) -> Option<f64> {
         match self {
-            Self::Linear | Self::LinearLogarithmic => Some(value),
+            Self::Linear | Self::Constant | Self::LinearLogarithmic => Some(value),
             Self::Power => (value > 0.0).then(|| value.ln()),
         }
     }
@@ -64,7 +69,7 @@
     /// Back from [`Law::to_fitted_scale`].
     pub(crate) fn to_measured_scale(self, value: f64) -> f64 {
         match self {
-            Self::Linear | Self::LinearLogarithmic => value,
+            Self::Linear | Self::Constant | Self::LinearLogarithmic => value,
             Self::Power => value.exp(),
         }
     }
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -27,7 +27,7 @@
 pub use page::{Contents, PageError, PartName, Regenerated, regenerate};
 pub use parse::{PointProblem, ResultError, parse_result};
 pub use plot::{PlotError, sweep_plot};
-pub use quantity::{Across, Quantity, Traffic};
+pub use quantity::{Across, AnswerTime, Quantity, Traffic};
 pub use report::{BUDGET_BLOCK, Plot, Report, SIZE_BLOCK};
 pub use result::{
     Dimension, Direction, Fault, Machine, MessageCount, MessageKind, Phase, PhaseSample, Point,
--- a/crates/capacity/src/quantity.rs
+++ b/crates/capacity/src/quantity.rs
@@ -15,6 +15,8 @@
     Descriptors,
     /// Connections to hosts.
     HostConnections,
+    /// Time from an ask to its answer, ms, of all placers together.
+    Answer(AnswerTime),
     /// Messages a second, both directions.
     Messages(Traffic),
     /// Bytes of messages a second, both directions.
@@ -23,6 +25,40 @@
     WireBytes(Traffic),
 }
 
+/// Which time from an ask to its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerTime {
+    /// The median.
+    Median,
+    /// The 99th percentile.
+    Percentile99,
+    /// The longest.
+    Longest,
+}
+
+impl AnswerTime {
+    /// Every choice, in the order of results.
+    pub const ALL: [Self; 3] = [Self::Median, Self::Percentile99, Self::Longest];
+
+    fn key(self) -> &'static str {
+        match self {
+            Self::Median => "answer_p50",
+            Self::Percentile99 => "answer_p99",
+            Self::Longest => "answer_longest",
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            Self::Median => "answer p50, ms",
+            Self::Percentile99 => "answer p99, ms",
+            Self::Longest => "longest answer, ms",
+        }
+    }
+}
+
+const US_PER_MS: f64 = 1000.0;
+
 /// Which messages count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Traffic {
@@ -93,7 +129,8 @@
             Self::HostConnections,
         ];
         let counts = [Self::Messages, Self::PayloadBytes, Self::WireBytes];
-        process.into_iter().chain(counts.into_iter().flat_map(|count| Traffic::ALL.map(count)))
+        let answers = AnswerTime::ALL.map(Self::Answer);
+        process.into_iter().chain(answers).chain(counts.into_iter().flat_map(|count| Traffic::ALL.map(count)))
     }
 
     /// The name in keys of figures, such as `cpu` or `control_wire_bytes`.
@@ -104,6 +141,7 @@
             Self::ProportionalMemory => "proportional_memory".to_owned(),
             Self::Descriptors => "descriptors".to_owned(),
             Self::HostConnections => "host_connections".to_owned(),
+            Self::Answer(time) => time.key().to_owned(),
             Self::Messages(traffic) => format!("{}_messages", traffic.key()),
             Self::PayloadBytes(traffic) => format!("{}_payload_bytes", traffic.key()),
             Self::WireBytes(traffic) => format!("{}_wire_bytes", traffic.key()),
@@ -123,13 +161,14 @@
             Self::ProportionalMemory => "proportional memory, KiB".to_owned(),
             Self::Descriptors => "descriptors".to_owned(),
             Self::HostConnections => "host connections".to_owned(),
+            Self::Answer(time) => time.title().to_owned(),
             Self::Messages(traffic) => format!("messages/s, {}", traffic.title()),
             Self::PayloadBytes(traffic) => format!("payload B/s, {}", traffic.title()),
             Self::WireBytes(traffic) => format!("wire B/s, {}", traffic.title()),
         }
     }
 
-    /// The quantity of one placer in a phase; nothing where no placer ran or the phase had no length.
+    /// The quantity of one placer in a phase; nothing where no placer ran, the phase had no length, or nothing was asked.
     pub fn measured(self, sample: &PhaseSample, across: Across) -> Option<f64> {
         match self {
             Self::Cpu => of_processes(sample, across, |p| p.cpu_cores * 100.0),
@@ -137,6 +176,7 @@
             Self::ProportionalMemory => of_processes(sample, across, |p| p.proportional_kib as f64),
             Self::Descriptors => of_processes(sample, across, |p| f64::from(p.descriptors)),
             Self::HostConnections => of_processes(sample, across, |p| f64::from(p.host_connections)),
+            Self::Answer(time) => sample.answer_us.map(|times| times[time as usize] as f64 / US_PER_MS),
             Self::Messages(traffic) => of_messages(sample, traffic, |m| m.count),
             Self::PayloadBytes(traffic) => of_messages(sample, traffic, |m| m.payload_bytes),
             Self::WireBytes(traffic) => of_messages(sample, traffic, |m| m.wire_bytes),
--- a/crates/capacity/src/study.rs
+++ b/crates/capacity/src/study.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// The position of the simplest law that is not missed by more than another: the line unless it missed.
+/// The position of the line unless it missed, otherwise of the law with the smallest error at the sizes held out.
 fn choose(trials: &[Trial]) -> Option<usize> {
     if trials.first()?.verdict() != Verdict::Missed {
         return Some(0);
--- a/crates/capacity/src/sweep_block.rs
+++ b/crates/capacity/src/sweep_block.rs
@@ -3,7 +3,7 @@
 use crate::fit::Interval;
 use crate::markdown::{Table, folded};
 use crate::number::{figure, percent};
-use crate::quantity::{Across, Quantity, Traffic};
+use crate::quantity::{Across, AnswerTime, Quantity, Traffic};
 use crate::result::{Phase, PhaseSample, SweepResult};
 use crate::study::{HeldOut, MAX_RELATIVE_ERROR, Study, Trial, Verdict};
 use crate::sweep::phase_of;
@@ -11,6 +11,9 @@
 /// What stands where nothing was measured.
 pub const NOT_MEASURED: &str = "not measured";
 
+/// What stands where there is nothing to measure, such as answers where nothing is asked.
+const ABSENT: &str = "–";
+
 /// Traffic columns of the tables of points.
 const SHOWN_TRAFFIC: [Traffic; 4] = [Traffic::Control, Traffic::Placing, Traffic::Either, Traffic::All];
 
@@ -18,10 +21,10 @@
 pub fn sweep_block(result: &SweepResult, plot: &str) -> String {
     let mut text = provenance(result);
     text += &format!("\n![{}: cost of a placer over {}]({plot})\n", result.sweep, result.dimension.title());
-    text += "\nProcesses, mean of the placers; answers are those of all placers.\n\n";
+    text += "\nMean of the placers; packets and answers are those of all placers together.\n\n";
     text += &process_table(result);
-    text += "\nTraffic of one placer a second, both directions.\n\n";
-    text += &traffic_table(result);
+    text +=
+        &format!("\n{}", folded("Traffic of one placer a second, both directions", &traffic_table(result)));
     text += &missing_phases(result);
     text += &fits(result);
     text
@@ -45,46 +48,38 @@
 }
 
 fn process_table(result: &SweepResult) -> String {
-    let size = result.dimension.title();
-    let header = [
-        "phase",
-        size,
-        "CPU, % of a core",
-        "resident, KiB",
-        "proportional, KiB",
-        "descriptors",
-        "host connections",
-        "packets",
-        "answer p50, ms",
-        "p99",
-        "longest",
-    ];
-    let quantities = [
+    let columns = [
         Quantity::Cpu,
         Quantity::ResidentMemory,
         Quantity::ProportionalMemory,
         Quantity::Descriptors,
         Quantity::HostConnections,
+        Quantity::Answer(AnswerTime::Median),
+        Quantity::Answer(AnswerTime::Percentile99),
+        Quantity::Answer(AnswerTime::Longest),
     ];
+    let mut header = header(result, &columns);
+    header.push("loopback packets/s".to_owned());
     let mut table = Table::new(&header);
     rows(result, |mut cells, sample| {
-        cells.extend(quantities.map(|quantity| measured_cell(quantity, sample)));
-        cells.push(sample.and_then(|s| s.loopback_packets).map_or("–".to_owned(), |n| figure(n as f64)));
-        match sample.and_then(|s| s.answer_us) {
-            Some(times) => cells.extend(times.map(|us| figure(us as f64 / 1000.0))),
-            None => cells.extend(["–"; 3].map(str::to_owned)),
-        }
+        cells.extend(columns.map(|quantity| measured_cell(quantity, sample)));
+        let packets = sample.and_then(|s| Some(s.loopback_packets? as f64 / s.seconds));
+        cells.push(packets.map_or(ABSENT.to_owned(), figure));
         table.row(&cells);
     });
     table.into_text()
 }
 
+fn header(result: &SweepResult, columns: &[Quantity]) -> Vec<String> {
+    let mut header = vec!["phase".to_owned(), result.dimension.title().to_owned()];
+    header.extend(columns.iter().map(|quantity| quantity.title()));
+    header
+}
+
 fn traffic_table(result: &SweepResult) -> String {
     let counts = [Quantity::Messages, Quantity::PayloadBytes, Quantity::WireBytes];
     let columns: Vec<Quantity> = counts.into_iter().flat_map(|count| SHOWN_TRAFFIC.map(count)).collect();
-    let mut header = vec!["phase".to_owned(), result.dimension.title().to_owned()];
-    header.extend(columns.iter().map(|quantity| quantity.title()));
-    let mut table = Table::new(&header);
+    let mut table = Table::new(&header(result, &columns));
     rows(result, |mut cells, sample| {
         cells.extend(columns.iter().map(|&quantity| measured_cell(quantity, sample)));
         table.row(&cells);
@@ -93,8 +88,8 @@
 }
 
 fn measured_cell(quantity: Quantity, sample: Option<&PhaseSample>) -> String {
-    let measured = sample.and_then(|sample| quantity.measured(sample, Across::Mean));
-    measured.map_or(NOT_MEASURED.to_owned(), figure)
+    let Some(sample) = sample else { return NOT_MEASURED.to_owned() };
+    quantity.measured(sample, Across::Mean).map_or(ABSENT.to_owned(), figure)
 }
 
 fn missing_phases(result: &SweepResult) -> String {
@@ -108,14 +103,18 @@
 }
 
 fn fits(result: &SweepResult) -> String {
-    let mut text = String::new();
+    let mut text = format!(
+        "\nA law counts as foretold where each size held out was foretold within {:.0}%. Where the line was not, the law \
+         with the smallest error at these sizes is shown; they chose it, so they are no test of it.\n",
+        MAX_RELATIVE_ERROR * 100.0
+    );
     for phase in result.measured_phases() {
         let Some(limit) = phase_limit(result, phase) else {
-            text += &format!("\nLaws {}: too few sizes to fit.\n", phase.title());
+            text += &format!("\nLaws, {}: too few sizes to fit.\n", phase.title());
             continue;
         };
         let title = format!(
-            "Laws {}, fitted to sizes up to {} {}",
+            "Laws, {}: fitted to sizes up to {} {}",
             phase.title(),
             figure(limit),
             result.dimension.title()
@@ -134,7 +133,7 @@
     let header = [
         "quantity",
         "law and coefficients (95%)",
-        "residual",
+        "residual (root mean square)",
         "size held out",
         "foretold (95%)",
         "measured",
@@ -145,7 +144,11 @@
     let mut table = Table::new(&header);
     let mut always_zero = Vec::new();
     for quantity in Quantity::all() {
-        if result.observations(phase, quantity).iter().all(|o| o.value == 0.0) {
+        let observations = result.observations(phase, quantity);
+        if observations.is_empty() {
+            continue;
+        }
+        if observations.iter().all(|o| o.value == 0.0) {
             always_zero.push(quantity.title());
         } else if let Some(study) = result.study(phase, quantity) {
             fit_rows(&mut table, quantity, &study);
@@ -163,7 +166,7 @@
     let trial = study.chosen();
     let mut cells = vec![quantity.title(), law_cell(study), figure(trial.fit.residual_root_mean_square())];
     if trial.held_out.is_empty() {
-        cells.extend(["–"; 5].map(str::to_owned));
+        cells.extend([ABSENT; 5].map(str::to_owned));
         cells.push(verdict_cell(trial));
         table.row(&cells);
     }
@@ -201,7 +204,7 @@
     let inside = match held_out.in_interval() {
         Some(true) => "yes",
         Some(false) => "no",
-        None => "–",
+        None => ABSENT,
     };
     vec![
         figure(held_out.measured.size),
--- a/crates/capacity/tests/laws.rs
+++ b/crates/capacity/tests/laws.rs
@@ -49,6 +49,18 @@
     assert!(close(coefficients[0].value, 0.01_f64.ln()) && close(coefficients[1].value, 2.0));
 }
 
+#[test]
+fn a_constant_is_found_where_noise_tilts_the_line() {
+    let costs = [100.0, 101.0, 102.0, 104.0, 104.0, 101.0, 102.0];
+    let measure = |(&size, value): (&u32, f64)| Observation { size: f64::from(size), value };
+    let measured: Vec<Observation> = SIZES.iter().zip(costs).map(measure).collect();
+    let study = Study::new(LIMIT, &measured).expect("enough sizes");
+    assert_eq!(study.line().expect("a line").verdict(), Verdict::Missed);
+    let trial = study.chosen();
+    assert_eq!((trial.fit.law(), trial.verdict()), (Law::Constant, Verdict::Foretold));
+    assert!(close(trial.fit.value(5_000.0), 102.2));
+}
+
 #[test]
 fn a_step_above_the_fitted_sizes_is_foretold_by_no_law() {
     let step = |n: f64| if n > 1_000.0 { 5_000.0 + n } else { 100.0 + n };
