--- a/crates/capacity/src/plot.rs
+++ b/crates/capacity/src/plot.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 
 use crate::fit::Observation;
+use crate::number::figure;
 use crate::quantity::{Quantity, Traffic};
 use crate::result::{Phase, SweepResult};
 use crate::study::Study;
@@ -21,7 +22,7 @@
 
 const SIZE: (u32, u32) = (1200, 800);
 /// Pieces that the curve of a law is drawn in.
-const CURVE_STEPS: u32 = 60;
+const CURVE_STEPS: u32 = 12;
 /// Room above the highest value.
 const HEADROOM: f64 = 1.1;
 const POINT_RADIUS: i32 = 4;
@@ -71,7 +72,13 @@
         .x_label_area_size(40)
         .y_label_area_size(80)
         .build_cartesian_2d(0.0..largest * 1.05, 0.0..highest * HEADROOM)?;
-    chart.configure_mesh().light_line_style(WHITE).x_desc(result.dimension.title()).draw()?;
+    chart
+        .configure_mesh()
+        .light_line_style(WHITE)
+        .x_desc(result.dimension.title())
+        .x_label_formatter(&|size| figure(*size))
+        .y_label_formatter(&|value| figure(*value))
+        .draw()?;
     for ((phase, colour), observations) in SERIES.into_iter().zip(&observed) {
         let study = Study::of_dimension(result.dimension, observations);
         let limit = study.as_ref().map_or(f64::INFINITY, Study::limit);
