Engine: heartbeats of followers and cancelled attempts by their usual names

Due::Beat and beat() told followers that their connection lives: FollowerHeartbeat and heartbeat_followers(). An attempt's called_off is cancelled, as its frame is. Counters and what is told to clients keep their names.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -49,7 +49,7 @@
         });
         self.counters.offers += 1;
         let (sent, until) = (self.now, self.now + wait);
-        let (stage, runs, called_off, stop, unwanted) = (Stage::Out, false, false, None, false);
+        let (stage, runs, cancelled, stop, unwanted) = (Stage::Out, false, false, None, false);
         let attempt = Attempt {
             id,
             host,
@@ -61,7 +61,7 @@
             frame_end,
             stage,
             runs,
-            called_off,
+            cancelled,
             stop,
             unwanted,
         };
@@ -88,7 +88,7 @@
         if attempt.stage == Stage::Seated || attempt.until > self.now {
             return;
         }
-        if !attempt.called_off {
+        if !attempt.cancelled {
             let host = attempt.host;
             self.send(host, &Frame::Cancel(wire), false);
         }
@@ -98,7 +98,7 @@
     /// Nobody waits for this attempt any more.
     pub(crate) fn call_off(&mut self, wire: u64) {
         let Some(attempt) = self.attempts.get_mut(&wire) else { return };
-        if std::mem::replace(&mut attempt.called_off, true) {
+        if std::mem::replace(&mut attempt.cancelled, true) {
             return;
         }
         self.counters.called_off += 1;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -105,7 +105,7 @@
     /// An actor counts as settled.
     Settled,
     /// Followers hear that the connection lives.
-    Beat,
+    FollowerHeartbeat,
 }
 
 /// An ask without an answer.
@@ -182,7 +182,7 @@
     pub frame_end: u64,
     pub stage: Stage,
     pub runs: bool,
-    pub called_off: bool,
+    pub cancelled: bool,
     /// It is to stop, because a client or the decider said so.
     pub stop: Option<&'static str>,
     /// Its actor is told as ended or lost, or placed elsewhere: nobody hears of its end.
@@ -417,7 +417,7 @@
                 let unsettled = &self.unsettled;
                 self.late.retain(|wire, key| unsettled.get(key).is_some_and(|(_, w)| w == wire));
             }
-            Due::Beat => self.beat(),
+            Due::FollowerHeartbeat => self.heartbeat_followers(),
         }
     }
 
--- a/crates/engine/src/followers.rs
+++ b/crates/engine/src/followers.rs
@@ -10,7 +10,7 @@
 /// Bytes of events that may wait for a follower to read; more wait in the ring.
 const FOLLOWER_BYTES: usize = 64 << 10;
 /// Followers hear at least this often that the connection lives.
-const BEAT: u64 = 10_000_000;
+const HEARTBEAT: u64 = 10_000_000;
 
 impl<D: Decide> Engine<D> {
     pub(crate) fn follow(&mut self, id: ClientId, slot: u64, after: Option<u64>, life: Option<u64>) {
@@ -48,7 +48,7 @@
         client.unread += out.len();
         self.outputs.push(Output::ToClient(id, out));
         if self.followers.is_empty() {
-            self.timers.set(self.now + BEAT, Due::Beat);
+            self.timers.set(self.now + HEARTBEAT, Due::FollowerHeartbeat);
         }
         self.followers.insert(id);
     }
@@ -87,7 +87,7 @@
         }
     }
 
-    pub(crate) fn beat(&mut self) {
+    pub(crate) fn heartbeat_followers(&mut self) {
         for &id in &self.followers {
             if let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread == 0) {
                 let mut out = Vec::new();
@@ -97,7 +97,7 @@
             }
         }
         if !self.followers.is_empty() {
-            self.timers.set(self.now + BEAT, Due::Beat);
+            self.timers.set(self.now + HEARTBEAT, Due::FollowerHeartbeat);
         }
     }
 }
--- a/crates/engine/src/sessions/adoption.rs
+++ b/crates/engine/src/sessions/adoption.rs
@@ -63,7 +63,7 @@
             frame_end: 0,
             stage: Stage::Seated,
             runs,
-            called_off: false,
+            cancelled: false,
             stop: unwanted.then_some("unwanted"),
             unwanted,
         };
--- a/crates/engine/src/sessions/starts.rs
+++ b/crates/engine/src/sessions/starts.rs
@@ -12,7 +12,7 @@
     pub(super) fn accepted(&mut self, wire: u64, took_ms: u32) {
         let accepts = self.placed_when_accepted();
         let Some(attempt) = self.attempts.get_mut(&wire) else { return };
-        if attempt.called_off || attempt.stage != Stage::Out {
+        if attempt.cancelled || attempt.stage != Stage::Out {
             return;
         }
         attempt.stage = Stage::Accepted;
@@ -23,7 +23,7 @@
 
     pub(super) fn started(&mut self, wire: u64, took_ms: u32) {
         let Some(attempt) = self.attempts.get_mut(&wire) else { return };
-        if attempt.called_off || attempt.stage == Stage::Out || std::mem::replace(&mut attempt.runs, true) {
+        if attempt.cancelled || attempt.stage == Stage::Out || std::mem::replace(&mut attempt.runs, true) {
             return;
         }
         if attempt.stage != Stage::Seated {
