Settings of heartbeats to idle hosts: max_idle_pings_per_s and max_idle_ping_interval_ms

The rate of all of them together, 40 a second where not set (7 of the 12 KB/s that a placer at rest may use), and the longest interval of each, 90 s (silent connections are forgotten on the way after four to six minutes). Not in use yet.

Ran: the configuration's tests; a faulty figure is told with its line and key.

--- a/crates/config/src/checks.rs
+++ b/crates/config/src/checks.rs
@@ -99,7 +99,7 @@
             api.listen,
             "a loopback address, as plain text is spoken on loopback addresses only",
         );
-        let least: [(&str, u64, u64); 16] = [
+        let least: [(&str, u64, u64); 17] = [
             ("api.max_clients", api.max_clients as u64, 1),
             ("api.max_asks", api.max_asks as u64, 1),
             ("api.max_actors", api.max_actors as u64, 1),
@@ -114,6 +114,7 @@
             ("hosts.connect_within_ms", hosts.connect_within_ms, 1),
             ("hosts.reconnect_first_ms", hosts.reconnect_first_ms, 1),
             ("hosts.ping_every_ms", hosts.ping_every_ms, 10),
+            ("hosts.max_idle_pings_per_s", hosts.max_idle_pings_per_s.into(), 1),
             ("hosts.max_unwritten_bytes", hosts.max_unwritten_bytes as u64, 4096),
             ("placing.max_attempts", self.placing.max_attempts.into(), 1),
         ];
@@ -125,6 +126,9 @@
         faults.given(rising, "hosts.reconnect_most_ms", most, "at least hosts.reconnect_first_ms");
         let longer = hosts.silent_after_ms > hosts.ping_every_ms;
         faults.given(longer, "hosts.silent_after_ms", hosts.silent_after_ms, "above hosts.ping_every_ms");
+        let interval = hosts.max_idle_ping_interval_ms;
+        let allowed = "above hosts.ping_every_ms";
+        faults.given(interval > hosts.ping_every_ms, "hosts.max_idle_ping_interval_ms", interval, allowed);
         let one = hosts.inventory.is_some() != self.consul.is_some();
         faults.check(one, "hosts.inventory", "either this or [consul] tells of the hosts");
     }
--- a/crates/config/src/defaults.rs
+++ b/crates/config/src/defaults.rs
@@ -120,6 +120,15 @@
 pub(crate) fn silent_after() -> u64 {
     3_000
 }
+/// A ping, its answer and the last acknowledgement are 174 bytes with their TCP/IP headers: 7 kB/s of the 12 KB/s that a
+/// placer at rest may use. See docs/liveness.md.
+pub(crate) fn max_idle_pings_per_s() -> u32 {
+    40
+}
+/// Well below the four to six minutes after which load balancers and firewalls forget a silent connection.
+pub(crate) fn max_idle_ping_interval() -> u64 {
+    90_000
+}
 pub(crate) fn lost_after() -> u64 {
     5_000
 }
--- a/crates/config/src/placer.rs
+++ b/crates/config/src/placer.rs
@@ -132,12 +132,18 @@
     /// ...up to this, and each is drawn between half and the whole.
     #[serde(default = "d::reconnect_most")]
     pub reconnect_most_ms: u64,
-    /// A host is pinged this often...
+    /// A host with attempts or tasks of this placer is pinged this often, unless it is heard anyway...
     #[serde(default = "d::ping_every")]
     pub ping_every_ms: u64,
     /// ...and cut off when it is silent for so long.
     #[serde(default = "d::silent_after")]
     pub silent_after_ms: u64,
+    /// Pings a second to all other hosts together, so that each of them is pinged the less often the more they are...
+    #[serde(default = "d::max_idle_pings_per_s")]
+    pub max_idle_pings_per_s: u32,
+    /// ...but at least this often.
+    #[serde(default = "d::max_idle_ping_interval")]
+    pub max_idle_ping_interval_ms: u64,
     /// Tasks of a host without a connection for this long are told as lost.
     #[serde(default = "d::lost_after")]
     pub lost_after_ms: u64,
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -163,6 +163,8 @@
         reconnect_most_ms: 2000,
         ping_every_ms: 1000,
         silent_after_ms: 3000,
+        max_idle_pings_per_s: 40,
+        max_idle_ping_interval_ms: 90_000,
         lost_after_ms: 5000,
         max_unwritten_bytes: 256 << 10,
     }
