Engine: heartbeats as crates/liveness says, the ping timer of each host gone

Each connection had a timer a second for its ping, whatever the host did. The engine now tells the crate what it hears and where attempts come and go, sends the heartbeats that it names and cuts off hosts that it tells as silent. Hosts with attempts or tasks are pinged and cut off as before; ticks of hosts that greet together are spread by the engine's jitter. The status counts heartbeats.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -80,6 +80,7 @@
         if let Some(host) = self.hosts.get_mut(&host) {
             host.attempts.insert(wire);
         }
+        self.use_changed(host);
         self.timers.set(until, Due::Attempt(wire));
     }
 
@@ -153,6 +154,7 @@
             }
             None => Arc::from(""),
         };
+        self.use_changed(attempt.host);
         let seated = attempt.stage == Stage::Seated;
         let never_ran = matches!(ending, Ending::Refused | Ending::Unreachable);
         if known_dead || never_ran {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,6 +6,7 @@
 
 use maplethread::{Action, AttemptId, Event, Lack, MachineId, Micros, Room, Settings, Task, TaskId};
 use maplethread_config::{PlacedWhen, PlacerConfig};
+use maplethread_liveness::Liveness;
 use maplethread_wire::frame::{self, Copies, Frame, Load};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -18,6 +19,7 @@
 use crate::life::{LifeEvent, Ring};
 use crate::names::{Numbers, hash};
 use crate::notes::{Kept, Notes};
+use crate::sessions::heartbeats;
 use crate::{ClientId, Decide, HostId};
 
 /// Service and actor.
@@ -28,7 +30,7 @@
 pub struct Boot {
     /// When the process started, Unix time in ms; tells lives of one placer apart.
     pub started_ms: u64,
-    /// Seed of the engine's random numbers, which only spread retries to connect.
+    /// Seed of the engine's random numbers, which only spread retries to connect and heartbeats.
     pub seed: u64,
 }
 
@@ -67,6 +69,8 @@
     pub turned_away: u64,
     /// Offers sent.
     pub offers: u64,
+    /// Heartbeats sent to hosts.
+    pub heartbeats: u64,
     /// Asks whose first offer had to wait for a host to be allowed.
     pub held: u64,
     /// Attempts called off.
@@ -94,8 +98,6 @@
     Connect(HostId, u64),
     /// A connection must be greeted by now.
     Greet(HostId, u64),
-    /// Ping a host, and see whether it is silent.
-    Ping(HostId, u64),
     /// Tasks of a host without connection are lost.
     Lost(HostId, u64),
     /// A probe's time is over.
@@ -221,6 +223,8 @@
     pub(crate) outputs: Vec<Output>,
     pub(crate) timers: Timers<Due>,
     pub(crate) hosts: BTreeMap<HostId, Host>,
+    /// Their signs of life.
+    pub(crate) liveness: Liveness<HostId>,
     pub(crate) by_name: BTreeMap<Arc<str>, HostId>,
     /// Hosts that are gone: their number, connections so far, and since when. One that comes back is the same host:
     /// what it was sent a moment ago still counts.
@@ -276,6 +280,7 @@
             outputs: Vec::new(),
             timers: Timers::default(),
             hosts: BTreeMap::new(),
+            liveness: heartbeats::liveness(&config.hosts),
             by_name: BTreeMap::new(),
             gone: BTreeMap::new(),
             cells: Numbers::default(),
@@ -325,7 +330,10 @@
 
     /// When [`Engine::turn`] is to be called at the latest.
     pub fn next_timeout(&self) -> Option<Micros> {
-        if self.events.is_empty() { self.timers.next() } else { Some(self.now) }
+        if !self.events.is_empty() {
+            return Some(self.now);
+        }
+        self.timers.next().into_iter().chain(self.liveness.next()).min()
     }
 
     /// What is to be done since the last call.
@@ -368,6 +376,7 @@
         while let Some(due) = self.timers.due(self.now) {
             self.fall_due(due);
         }
+        self.heartbeats_due();
         let mut actions = Vec::new();
         for _ in 0..ROUNDS {
             if self.events.is_empty() {
@@ -402,7 +411,6 @@
             Due::LastWord(task) => self.last_words.push(task),
             Due::Connect(host, epoch) => self.connect_due(host, epoch),
             Due::Greet(host, epoch) => self.greet_due(host, epoch),
-            Due::Ping(host, epoch) => self.ping_due(host, epoch),
             Due::Lost(host, epoch) => self.lost_due(host, epoch),
             Due::Probe(nonce) => {
                 if let Some(host) = self.probes.remove(&nonce) {
--- a/crates/engine/src/hosts.rs
+++ b/crates/engine/src/hosts.rs
@@ -46,8 +46,6 @@
     /// Bytes queued on this connection since it was made, and those that the kernel took.
     pub queued: u64,
     pub written: u64,
-    /// When it last said anything.
-    pub heard: u64,
     /// Attempts and tasks there, by their number on the wire.
     pub attempts: BTreeSet<u64>,
     /// Those of them that it has not yet named since it greeted.
@@ -58,7 +56,7 @@
 
 impl Host {
     /// A host of the inventory.
-    pub fn new(id: HostId, entry: &HostEntry, label: u64, now: u64) -> Host {
+    pub fn new(id: HostId, entry: &HostEntry, label: u64) -> Host {
         let listing = mt::Listing {
             machine: mt::MachineId(id.0),
             label,
@@ -84,7 +82,6 @@
             tries: 0,
             queued: 0,
             written: 0,
-            heard: now,
             attempts: BTreeSet::new(),
             unnamed: BTreeSet::new(),
             tried: false,
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -3,7 +3,7 @@
 mod adoption;
 mod connections;
 mod frames;
-mod heartbeats;
+pub(crate) mod heartbeats;
 mod inventory;
 mod starts;
 
--- a/crates/engine/src/sessions/connections.rs
+++ b/crates/engine/src/sessions/connections.rs
@@ -63,6 +63,7 @@
             return;
         }
         let was = std::mem::replace(&mut host.link, Link::Down);
+        self.liveness.removed(id);
         tracing::info!(host = %host.name, ?was, "connection lost");
         let attempts: Vec<u64> = host.attempts.iter().copied().collect();
         let (epoch, tries, wanted) = (host.epoch, host.tries, host.wanted());
--- a/crates/engine/src/sessions/frames.rs
+++ b/crates/engine/src/sessions/frames.rs
@@ -3,7 +3,7 @@
 use maplethread::{Ending, Event, MachineId, Note};
 use maplethread_wire::frame::{self, Frame, NoteKind, Reason};
 
-use crate::engine::{Due, Engine, Stage};
+use crate::engine::{Engine, Stage};
 use crate::hosts::Link;
 use crate::{Decide, HostId};
 
@@ -41,9 +41,8 @@
     }
 
     pub(super) fn host_frame(&mut self, id: HostId, frame: Frame) -> Result<(), String> {
-        let now = self.now;
+        self.sign_of_life(id, &frame);
         let Some(host) = self.hosts.get_mut(&id) else { return Ok(()) };
-        host.heard = now;
         let link = host.link;
         match frame {
             Frame::Hello { major, name, started_ms, .. } if link == Link::Greeting => {
@@ -60,8 +59,7 @@
                 (host.link, host.greeted) = (Link::Naming, host.epoch);
                 let seated = |w: &u64| self.attempts.get(w).is_some_and(|a| a.stage == Stage::Seated);
                 host.unnamed = host.attempts.iter().copied().filter(seated).collect();
-                let (epoch, every) = (host.epoch, self.config.hosts.ping_every_ms * 1000);
-                self.timers.set(now + every, Due::Ping(id, epoch));
+                self.watch(id);
                 Ok(())
             }
             Frame::Held(offer, runs) if link == Link::Naming => {
@@ -80,6 +78,7 @@
                 for wire in missing {
                     self.end(wire, Ending::Reset, None, None, true);
                 }
+                self.use_changed(id);
                 self.relist(id);
                 self.events.push(Event::Linked(MachineId(id.0), true));
                 Ok(())
--- a/crates/engine/src/sessions/heartbeats.rs
+++ b/crates/engine/src/sessions/heartbeats.rs
@@ -1,28 +1,64 @@
-//! Heartbeats to hosts, and hosts that are cut off for their silence.
+//! Heartbeats to hosts, and hosts that are cut off for their silence, as [`maplethread_liveness`] says.
 
+use maplethread_config::Hosts;
+use maplethread_liveness::{Due, Liveness, Settings, Sign};
 use maplethread_wire::frame::Frame;
 
-use crate::engine::{Due, Engine};
+use crate::engine::Engine;
 use crate::hosts::Link;
 use crate::{Decide, HostId};
 
+/// No hosts yet; how often they are pinged is set.
+pub(crate) fn liveness(hosts: &Hosts) -> Liveness<HostId> {
+    Liveness::new(Settings {
+        ping_every: hosts.ping_every_ms * 1000,
+        silent_after: hosts.silent_after_ms * 1000,
+        max_idle_pings_per_s: hosts.max_idle_pings_per_s,
+        max_idle_interval: hosts.max_idle_ping_interval_ms * 1000,
+    })
+}
+
 impl<D: Decide> Engine<D> {
-    pub(crate) fn ping_due(&mut self, id: HostId, epoch: u64) {
-        let (every, silent) = (self.config.hosts.ping_every_ms, self.config.hosts.silent_after_ms);
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        if host.epoch != epoch || host.link == Link::Down {
-            return;
+    /// Sends the heartbeats that are due, and cuts off hosts whose silence is final.
+    pub(crate) fn heartbeats_due(&mut self) {
+        for due in self.liveness.due(self.now, self.stalled) {
+            match due {
+                Due::Heartbeat(id) => self.heartbeat(id),
+                Due::Silent(id) => {
+                    tracing::warn!(host = %self.host_name(id), "silent; connection dropped");
+                    self.cut(id);
+                }
+            }
         }
-        if self.stalled {
-            // The silence was this placer's own.
-            host.heard = self.now;
+    }
+
+    fn heartbeat(&mut self, id: HostId) {
+        let epoch = self.hosts.get(&id).map_or(0, |h| h.epoch);
+        match self.send(id, &Frame::Ping(epoch as u32), true) {
+            Some(_) => self.counters.heartbeats += 1,
+            None => self.liveness.heartbeat_not_sent(id),
         }
-        if host.heard + silent * 1000 <= self.now {
-            tracing::warn!(host = %host.name, "silent; connection dropped");
-            self.cut(id);
-            return;
+    }
+
+    /// A host has greeted: its silence counts from now on.
+    pub(super) fn watch(&mut self, id: HostId) {
+        let first_tick_after = self.jitter(self.config.hosts.ping_every_ms * 1000);
+        self.liveness.greeted(self.now, id, first_tick_after);
+    }
+
+    /// A host was heard to say something.
+    pub(super) fn sign_of_life(&mut self, id: HostId, frame: &Frame) {
+        let sign = if matches!(frame, Frame::Pong(_)) { Sign::Answer } else { Sign::Traffic };
+        self.liveness.heard(self.now, id, sign);
+    }
+
+    /// Attempts at a host have come or gone. One that is still naming what it holds counts as in use.
+    pub(crate) fn use_changed(&mut self, id: HostId) {
+        let Some(host) = self.hosts.get(&id).filter(|h| h.link == Link::Up) else { return };
+        if host.attempts.is_empty() {
+            self.liveness.use_ends(id);
+        } else {
+            self.liveness.use_begins(self.now, id);
         }
-        self.send(id, &Frame::Ping(epoch as u32), true);
-        self.timers.set(self.now + every * 1000, Due::Ping(id, epoch));
     }
 }
--- a/crates/engine/src/sessions/inventory.rs
+++ b/crates/engine/src/sessions/inventory.rs
@@ -69,7 +69,7 @@
                         (HostId(self.next_host - 1), 0)
                     }
                 };
-                let mut host = Host::new(id, entry, hash(&entry.name), self.now);
+                let mut host = Host::new(id, entry, hash(&entry.name));
                 (host.epoch, host.born) = (epoch, epoch);
                 let place = [&entry.zone, &entry.cell, &entry.kind].map(|p| p.as_str().into());
                 self.notes.add(|| Kept::Host { machine: id.0, name: host.name.clone(), place });
