--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -33,25 +33,34 @@
     /// The next frame but pings, which are answered; nothing if the connection has ended or `within` is over.
     pub fn next_within(&mut self, within: Duration) -> Option<Frame> {
         let until = Instant::now() + within;
+        loop {
+            match self.read_frame(until)? {
+                Frame::Ping(nonce) => self.send(&Frame::Pong(nonce)),
+                frame => return Some(frame),
+            }
+        }
+    }
+
+    /// The next frame, of whichever kind; nothing is answered.
+    pub fn next_silently(&mut self) -> Option<Frame> {
+        self.read_frame(Instant::now() + PATIENCE)
+    }
+
+    fn read_frame(&mut self, until: Instant) -> Option<Frame> {
         loop {
             let (frame, used) = frame::decode(&self.buffer).expect("sound frames");
             self.buffer.drain(..used);
-            match frame {
-                Some(Frame::Ping(nonce)) => self.send(&Frame::Pong(nonce)),
-                Some(frame) => return Some(frame),
-                None => {
-                    let left = until.checked_duration_since(Instant::now())?;
-                    self.stream
-                        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
-                        .expect("a timeout");
-                    let mut bytes = [0; 4096];
-                    match self.stream.read(&mut bytes) {
-                        Ok(0) => return None,
-                        Ok(n) => self.buffer.extend_from_slice(&bytes[..n]),
-                        Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                        Err(_) => return None,
-                    }
-                }
+            if frame.is_some() {
+                return frame;
+            }
+            let left = until.checked_duration_since(Instant::now())?;
+            self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).expect("a timeout");
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return None,
+                Ok(n) => self.buffer.extend_from_slice(&bytes[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(_) => return None,
             }
         }
     }
--- a/crates/engine/src/sessions/adoption.rs
+++ b/crates/engine/src/sessions/adoption.rs
@@ -71,7 +71,6 @@
         if let Some(host) = self.hosts.get_mut(&id) {
             host.attempts.insert(wire);
         }
-        self.use_changed(id);
         self.events.push(Event::Running(task, MachineId(id.0)));
         if unwanted {
             self.send(id, &Frame::Stop(wire), false);
