Judge: tasks that a host names anew to their placer count in spreads again

Cause: what was released once kept the time of its release. After a restart of a placer, or a new connection, its tasks were held again but still counted as released when a spread over its limit was settled, so rule 5 was not judged for them. Change: holding a task anew removes its release; it counts from 150 ms after the host named it (the placer reads it then). Measured: crates/judge/tests/spreads.rs fails without the change (0 broken of 1) and passes with it.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -80,6 +80,8 @@
     /// When attempts stopped counting in spreads, and spreads over their limit that are looked at once what was
     /// sent before must have been read everywhere.
     pub(crate) released: BTreeMap<u64, u64>,
+    /// Attempts that a host named anew to their placer, from when the placer must have read that.
+    pub(crate) taken_over: BTreeMap<u64, u64>,
     pub(crate) spreads: VecDeque<(u64, String, u32, Vec<u64>)>,
     /// What a placer holds at a host, and the host has not named since it greeted, by host and connection.
     pub(crate) unnamed: BTreeMap<(Name, u64), BTreeSet<u64>>,
@@ -120,6 +122,7 @@
         told_start: BTreeMap::new(),
         cold_offers: BTreeMap::new(),
         released: BTreeMap::new(),
+        taken_over: BTreeMap::new(),
         spreads: VecDeque::new(),
         unnamed: BTreeMap::new(),
         orphans: VecDeque::new(),
@@ -349,6 +352,8 @@
                     if !own && !ended && self.services.contains_key(&offer.attempt) {
                         self.release(offer.attempt);
                         self.hold(offer.attempt, &placer, life, &offer.service);
+                        let read = self.reached(&placer, at) + self.figures.slack;
+                        self.taken_over.insert(offer.attempt, read);
                     }
                 }
             }
--- a/crates/judge/src/rule_5.rs
+++ b/crates/judge/src/rule_5.rs
@@ -19,7 +19,8 @@
         let held = self.held.get(&(placer.clone(), life));
         let all = held.and_then(|h| h.by_service.get(service));
         let there = |wire: &&u64| self.attempts.get(wire).is_some_and(|a| there(&a.host));
-        let wires: Vec<u64> = all.into_iter().flatten().filter(there).copied().collect();
+        let known = |wire: &&u64| self.taken_over.get(wire).is_none_or(|&read| read <= self.at);
+        let wires: Vec<u64> = all.into_iter().flatten().filter(there).filter(known).copied().collect();
         if wires.len() as u32 > most {
             let count = wires.len();
             let what = format!(
@@ -44,6 +45,8 @@
         let held = self.held.entry((placer.clone(), life)).or_default();
         held.by_service.entry(service.to_owned()).or_default().insert(wire);
         self.services.insert(wire, (placer.clone(), life, service.to_owned()));
+        // Who is told of a task anew, by a host that names what it holds, holds it again.
+        self.released.remove(&wire);
     }
 
     /// Tasks whose host was without a connection for long enough count as lost.
--- /dev/null
+++ b/crates/judge/tests/spreads.rs
@@ -0,0 +1,108 @@
+//! Rule 5: attempts out and running tasks count, also those that a placer learned of from a host which named what it
+//! holds.
+
+use std::sync::Arc;
+
+use maplethread_judge::{ClassRule, Figures, Place, Record, Seen, Where, judge};
+use maplethread_wire::frame::{Copies, Frame, Load, Offer};
+
+const S: u64 = 1_000_000;
+/// Two may be on one host.
+const MOST: u32 = 2;
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+fn figures() -> Figures {
+    Figures {
+        classes: vec![ClassRule { name: "c".into(), keyed: None, spread: Some((Place::Host, MOST)) }],
+        hosts: vec![Where { host: name("h"), zone: name("z"), cell: name("k") }],
+        placers: 1,
+        drain_grace: 2 * S,
+        cold_for: 6 * S,
+        fall_window: 2 * S,
+        fresh_offers: 16.0,
+        lost_after: 5 * S,
+        reprieve: S / 2,
+        slack: 150_000,
+    }
+}
+
+fn offer(attempt: u64) -> Offer {
+    Offer {
+        attempt,
+        number: 0,
+        service: "s".into(),
+        actor: format!("a{attempt}"),
+        class: "c".into(),
+        request: format!("r{attempt}"),
+        asks: Load { cores: 1.0, memory: 1.0 },
+        priority: 0,
+        copies: Copies::Safe,
+        life_ms: 0,
+        wait_ms: 100,
+    }
+}
+
+fn link(link: u64, life: u64) -> Seen {
+    Seen::Link { host: name("h"), link, placer: name("p"), life }
+}
+
+fn sends(link: u64, attempt: u64) -> Seen {
+    Seen::FromPlacer { host: name("h"), link, frame: Frame::Offer(offer(attempt)) }
+}
+
+fn host_says(link: u64, frame: Frame) -> Seen {
+    Seen::FromHost { host: name("h"), link, frame }
+}
+
+/// How often rule 5 was broken.
+fn broken(seen: &[(u64, Seen)]) -> u64 {
+    let records: Vec<Record> = seen.iter().map(|(at, seen)| Record { at: *at, seen: seen.clone() }).collect();
+    judge(&records, &figures()).counts().get(&5).copied().unwrap_or(0)
+}
+
+/// A placer places two tasks on a host and is killed; its next life is told of both, and offers a third so long after.
+fn third_after_a_restart(after: u64) -> u64 {
+    let started = |attempt| host_says(1, Frame::Accepted(attempt, 1));
+    broken(&[
+        (S, link(1, 1)),
+        (S + 1, sends(1, 1)),
+        (S + 2, started(1)),
+        (S + 3, sends(1, 2)),
+        (S + 4, started(2)),
+        (2 * S, Seen::LinkLost { host: name("h"), link: 1 }),
+        (3 * S, link(2, 2)),
+        (3 * S + 1, host_says(2, Frame::Held(offer(1), true))),
+        (3 * S + 2, host_says(2, Frame::Held(offer(2), true))),
+        (3 * S + 3, host_says(2, Frame::HeldEnd)),
+        (3 * S + 4 + after, sends(2, 3)),
+        (9 * S, Seen::PlacerUp { placer: name("other") }),
+    ])
+}
+
+#[test]
+fn tasks_of_an_earlier_life_count_once_the_next_one_must_have_read_of_them() {
+    assert_eq!(third_after_a_restart(S), 1);
+    assert_eq!(third_after_a_restart(0), 0, "it may have been sent before that was read");
+}
+
+#[test]
+fn a_third_task_counts_while_two_run_and_not_once_one_has_ended() {
+    let day = |ended: Option<u64>| {
+        let mut seen = vec![(S, link(1, 1)), (S + 1, sends(1, 1)), (S + 2, sends(1, 2))];
+        seen.extend(ended.map(|at| {
+            (at, host_says(1, Frame::Ended(1, maplethread_wire::frame::Reason::Unknown, true, None)))
+        }));
+        seen.push((2 * S, sends(1, 3)));
+        seen.push((9 * S, Seen::PlacerUp { placer: name("other") }));
+        seen.sort_by_key(|(at, _)| *at);
+        broken(&seen)
+    };
+    assert_eq!(day(None), 1);
+    assert_eq!(day(Some(S + 10)), 0);
+    // Word of the end may cross the offer.
+    assert_eq!(day(Some(2 * S + 100_000)), 0);
+    assert_eq!(day(Some(2 * S + 200_000)), 1);
+}
