--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -16,6 +16,8 @@
 use maplethread_standin::baseline::RandomChoice;
 use maplethread_standin::day;
 use maplethread_standin::recorded::{self, Recorded};
+use maplethread_standin::report::Report;
+use maplethread_standin::rogue::RogueOutcome;
 use maplethread_standin::scenario::Scenario;
 
 #[derive(Parser)]
@@ -350,7 +352,29 @@
         }
         print!("{}", report.text());
     }
-    Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(day_status(&report))
+}
+
+/// The exit status of a day with a rogue that had no occasion to break its rule.
+const NO_OCCASION: u8 = 3;
+/// The exit status of a day with a rogue that broke its rule, which the judge missed.
+const MISSED: u8 = 4;
+
+/// A day with a rogue never succeeds: the judge caught it, or the day does not show that it can.
+fn day_status(report: &Report) -> ExitCode {
+    let Some(rogue) = report.rogue else {
+        return if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+    };
+    match rogue.outcome() {
+        RogueOutcome::Caught => ExitCode::FAILURE,
+        RogueOutcome::NoOccasion => not_caught(&rogue.text(), NO_OCCASION),
+        RogueOutcome::Missed => not_caught(&rogue.text(), MISSED),
+    }
+}
+
+fn not_caught(why: &str, status: u8) -> ExitCode {
+    eprintln!("maplethread: {why}");
+    ExitCode::from(status)
 }
 
 /// A flag that SIGINT and SIGTERM set, so that what was started is ended, whoever sent the signal.
--- a/crates/cli/tests/bad_day.rs
+++ b/crates/cli/tests/bad_day.rs
@@ -114,6 +114,37 @@
     rogue(5);
 }
 
+/// The exit status of a day on which a rogue had no occasion to break its rule.
+const NO_OCCASION: i32 = 3;
+
+#[test]
+fn a_rogue_without_an_occasion_does_not_pass_for_a_day_that_kept_the_rules() {
+    // No host drains and none is gone, so there is nothing for rogue 3 to ignore.
+    let quiet = ["--without", "shrink", "--without", "host_crash", "--seconds", "3"];
+    let day = [&["--scenario", ROGUE_DAY, "--seed", "2", "--rogue", "3"][..], &quiet].concat();
+    let (code, report) = bad_day(&day);
+    assert_eq!(code, Some(NO_OCCASION), "{report:#}");
+    assert_eq!(report["rogue"], serde_json::json!({"number": 3, "moves": 0, "caught": 0}), "{report:#}");
+}
+
+/// A rogue on a short standard day, where nothing was arranged for it.
+fn rogue_on_a_short_standard_day(rogue: u8, rule: &str) {
+    let (code, report) = bad_day(&["--seconds", "12", "--seed", "1", "--rogue", &rogue.to_string()]);
+    assert!(report["rogue"]["moves"].as_u64() > Some(0), "no occasion: {report:#}");
+    assert!(report["broken"][rule].as_u64() > Some(0), "the judge missed rule {rule}: {report:#}");
+    assert_eq!((code, &report["rogue"]["caught"]), (Some(1), &report["broken"][rule]), "{report:#}");
+}
+
+#[test]
+fn rogue_5_has_its_occasion_on_a_short_standard_day() {
+    rogue_on_a_short_standard_day(5, "5");
+}
+
+#[test]
+fn rogue_6_has_its_occasion_on_a_short_standard_day() {
+    rogue_on_a_short_standard_day(6, "1");
+}
+
 #[test]
 fn a_placer_that_keeps_the_rules_keeps_them_on_the_rogues_day_too() {
     let (code, report) = bad_day(&["--scenario", ROGUE_DAY, "--seed", "2"]);
--- a/crates/standin/src/baseline.rs
+++ b/crates/standin/src/baseline.rs
@@ -1,6 +1,7 @@
 //! A decider that draws hosts at random: the baseline that the module is compared with, behind the same seam. It
 //! keeps the five rules by guards of its own, and each of them can be taken away, so that the judge can be shown a
-//! placer that breaks it. It is a baseline only.
+//! placer that breaks it. Each move that a guard would have forbidden is told to the log, so that a day can tell a rogue
+//! that had no occasion from one that the judge missed. It is a baseline only.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -19,12 +20,18 @@
 const TICK: u64 = 0;
 /// A rogue that keeps quiet around pauses takes this for one.
 const STOOD_STILL: Micros = 300_000;
+/// The `rogue` that breaks no rule.
+const KEEPS_ALL: u8 = 0;
+/// Log line of a rogue for each of its moves that its own guard forbids.
+pub(crate) const MOVE_AGAINST_RULE: &str = "a move against the rule, on purpose";
 
 struct Open {
     task: Task,
     attempts: u32,
     out: bool,
     may_run: Option<(Micros, MachineId)>,
+    /// Machines that refused it; at most as many as attempts.
+    refused_by: Vec<MachineId>,
 }
 
 /// Random choice among the hosts that the rules allow.
@@ -88,9 +95,12 @@
             Event::Asked(task) => {
                 self.dropped += 1;
                 if self.rogue == 1 && self.dropped.is_multiple_of(7) {
+                    self.log_move();
                     return;
                 }
-                self.open.insert(task.id, Open { task: *task, attempts: 0, out: false, may_run: None });
+                let open =
+                    Open { task: *task, attempts: 0, out: false, may_run: None, refused_by: Vec::new() };
+                self.open.insert(task.id, open);
                 let last = task.give_up_at.saturating_sub(MARGIN);
                 actions.push(Action::Wake(last.saturating_sub(self.now), task.id.0 + 1));
                 self.todo.push_back(task.id);
@@ -110,6 +120,7 @@
                 }
                 // What refused a moment ago is likely to do so again.
                 if end.ending == Ending::Refused {
+                    open.refused_by.push(machine);
                     self.on_hold.push_back(id.task)
                 } else {
                     self.todo.push_back(id.task)
@@ -149,19 +160,12 @@
         if open.out || task.give_up_at <= self.now + MARGIN {
             return;
         }
-        let again = match (open.may_run, class.effect) {
-            (None, _) | (_, Effect::Safe) => true,
-            (Some((sent, _)), Effect::Keyed { window, .. }) => {
-                self.now + MARGIN < sent + window || self.rogue == 2
-            }
-            (Some(_), Effect::Unsafe) => self.rogue == 2,
-        };
-        if !again || open.attempts >= self.settings.limits.max_attempts {
+        if !self.may_send_again(open, self.rogue) || open.attempts >= self.settings.limits.max_attempts {
             self.answer(id, actions);
             return;
         }
         let allowed: Vec<MachineId> =
-            self.machines.values().filter(|m| self.allowed(m, open)).map(|m| m.machine).collect();
+            self.machines.values().filter(|m| self.allowed(m, open, self.rogue)).map(|m| m.machine).collect();
         if allowed.is_empty() {
             self.on_hold.push_back(id);
             return;
@@ -172,10 +176,19 @@
                 let cold: Vec<MachineId> = allowed.iter().copied().filter(|id| self.cold(id)).collect();
                 cold[self.dice.below(cold.len())]
             }
-            // Always the same place for a service.
-            5 => allowed[(task.service.0 % allowed.len() as u64) as usize],
+            // Where most of the service is, of those that may take it: one place is full as soon as can be.
+            5 => {
+                let willing: Vec<MachineId> =
+                    allowed.iter().copied().filter(|id| !open.refused_by.contains(id)).collect();
+                let from = if willing.is_empty() { &allowed } else { &willing };
+                let crowded = self.most_crowded(from, class.spread, task.service);
+                crowded[self.dice.below(crowded.len())]
+            }
             _ => allowed[self.dice.below(allowed.len())],
         };
+        if !self.keeps_rules(machine, open) {
+            self.log_move();
+        }
         let number = open.attempts;
         // Giving up before a host can have answered makes for attempts that may have run.
         let patience = if self.rogue == 2 { 3_000 } else { class.aim };
@@ -193,15 +206,53 @@
         }
     }
 
-    fn allowed(&self, machine: &Listing, open: &Open) -> bool {
+    fn log_move(&self) {
+        tracing::info!(rogue = self.rogue, "{MOVE_AGAINST_RULE}");
+    }
+
+    /// Whether all guards allow an offer of this task to this machine.
+    fn keeps_rules(&self, machine: MachineId, open: &Open) -> bool {
+        let allowed = self.machines.get(&machine).is_some_and(|m| self.allowed(m, open, KEEPS_ALL));
+        allowed && self.may_send_again(open, KEEPS_ALL)
+    }
+
+    /// The machines in whose place most of the service is.
+    fn most_crowded(
+        &self,
+        machines: &[MachineId],
+        spread: Option<(Place, u32)>,
+        service: ServiceId,
+    ) -> Vec<MachineId> {
+        let count = |machine: &MachineId| {
+            let listing = self.machines.get(machine);
+            spread.zip(listing).map_or(0, |((place, _), at)| self.count(place, at, service))
+        };
+        let counts: Vec<u32> = machines.iter().map(count).collect();
+        let most = counts.iter().copied().max().unwrap_or(0);
+        machines.iter().zip(&counts).filter(|(_, count)| **count == most).map(|(id, _)| *id).collect()
+    }
+
+    /// Whether what may have run may be sent once more, for one that breaks the rule `rogue`.
+    fn may_send_again(&self, open: &Open, rogue: u8) -> bool {
+        match (open.may_run, self.settings.classes[open.task.class].effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some((sent, _)), Effect::Keyed { window, .. }) => {
+                self.now + MARGIN < sent + window || rogue == 2
+            }
+            (Some(_), Effect::Unsafe) => rogue == 2,
+        }
+    }
+
+    /// Whether the guards of the host allow an offer, for one that breaks the rule `rogue`.
+    fn allowed(&self, machine: &Listing, open: &Open, rogue: u8) -> bool {
         let class = &self.settings.classes[open.task.class];
-        let state = machine.state == MachineState::Ready || self.rogue == 3;
+        let state = machine.state == MachineState::Ready || rogue == 3;
         let state = state && !self.unlinked.contains(&machine.machine);
         if !state || class.kind.is_some_and(|kind| kind != machine.kind) {
             return false;
         }
         if let (Some((_, first)), Effect::Keyed { group, .. }, true) =
-            (open.may_run, class.effect, self.rogue != 2)
+            (open.may_run, class.effect, rogue != 2)
         {
             let first = self.machines.get(&first);
             let same = match group {
@@ -213,12 +264,12 @@
                 return false;
             }
         }
-        let spread = class.spread.filter(|_| self.rogue != 5);
+        let spread = class.spread.filter(|_| rogue != 5);
         if spread.is_some_and(|(place, most)| self.count(place, machine, open.task.service) >= most) {
             return false;
         }
         let rules = &self.settings.rules;
-        if self.cold(&machine.machine) && self.rogue != 4 {
+        if self.cold(&machine.machine) && rogue != 4 {
             let part = (rules.fresh_offers * 0.9 / f64::from(self.settings.placers)) as usize;
             let sends = self.sends.get(&machine.machine);
             let lately =
@@ -252,21 +303,24 @@
     }
 
     fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
-        if self.rogue == 6 && now > self.now + STOOD_STILL {
-            // What was open when it stood still is kept quiet about.
-            self.open.clear();
-        }
+        let quiet = self.rogue == 6 && now > self.now + STOOD_STILL;
         self.now = self.now.max(now);
         for event in events {
             self.take(event, actions);
         }
+        if quiet {
+            // What was open when it stood still, and what came meanwhile, is kept quiet about.
+            self.open.values().for_each(|_| self.log_move());
+            self.open.clear();
+        }
         if !self.ticking {
             self.todo.extend(self.on_hold.drain(..));
         }
         while let Some(id) = self.todo.pop_front() {
             self.place(id, actions);
         }
-        if !self.on_hold.is_empty() && !self.ticking {
+        // One that takes long times without a turn for pauses needs turns all the time.
+        if (self.rogue == 6 || !self.on_hold.is_empty()) && !self.ticking {
             self.ticking = true;
             actions.push(Action::Wake(HOLD, TICK));
         }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -10,7 +10,7 @@
 
 use maplethread_config::{HostState, Inventory};
 use maplethread_consul_standin::{Faults as CatalogueFaults, LockNews, Servers, Settings as ServerSettings};
-use maplethread_judge::{Seen, judge};
+use maplethread_judge::{Seen, Verdict, judge};
 use rustix::process::Signal;
 
 use crate::calls::register;
@@ -23,6 +23,7 @@
 use crate::processes::Placers;
 use crate::rack::{Command, Rack};
 use crate::report::{FirstAsks, Report, returns};
+use crate::rogue::{Rogue, moves_told};
 use crate::scenario::Scenario;
 use crate::settings::{self, inventory};
 use crate::world::{Dice, World};
@@ -201,7 +202,32 @@
         let verdict = judge(&record, &settings::figures(&self.scenario));
         let returns = returns(&record, &self.returned);
         let first = FirstAsks::of(&record);
-        Ok(Report { verdict, first, service, lost, double_s, place_us, decide_us, held, returns, record })
+        let rogue = self.rogue(&verdict)?;
+        Ok(Report {
+            verdict,
+            first,
+            service,
+            lost,
+            double_s,
+            place_us,
+            decide_us,
+            held,
+            returns,
+            rogue,
+            record,
+        })
+    }
+
+    /// What became of placers that broke a rule on purpose, once they have ended.
+    fn rogue(&self, verdict: &Verdict) -> io::Result<Option<Rogue>> {
+        if self.options.rogue == 0 {
+            return Ok(None);
+        }
+        let mut moves = 0;
+        for (log, from) in self.placers.logs() {
+            moves += moves_told(log, from)?;
+        }
+        Ok(Some(Rogue::new(self.options.rogue, moves, verdict)))
     }
 
     /// An error once the day is interrupted; its processes end with it.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 mod rack;
 pub mod recorded;
 pub mod report;
+pub mod rogue;
 pub mod scenario;
 mod settings;
 mod world;
--- a/crates/standin/src/processes.rs
+++ b/crates/standin/src/processes.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Process, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -15,6 +15,8 @@
 pub(crate) struct PlacerProcess {
     pub config: PathBuf,
     pub log: PathBuf,
+    /// How long the log was before the day.
+    pub log_from: u64,
     pub child: Option<Child>,
     pub paused: bool,
     /// Times that it was started.
@@ -39,7 +41,8 @@
 
     /// Adds a placer that does not run yet.
     pub(crate) fn add(&mut self, config: PathBuf, log: PathBuf) {
-        self.all.push(PlacerProcess { config, log, child: None, paused: false, starts: 0 });
+        let log_from = std::fs::metadata(&log).map_or(0, |file| file.len());
+        self.all.push(PlacerProcess { config, log, log_from, child: None, paused: false, starts: 0 });
     }
 
     /// Starts a placer.
@@ -50,6 +53,9 @@
         process.arg("placer").arg("--config").arg(&placer.config).arg("--log-format").arg("text");
         if options.keep.is_some() {
             process.arg("--log").arg("debug");
+        } else if options.rogue > 0 {
+            // Its moves against the rule are counted from the log.
+            process.arg("--log").arg("info");
         }
         if options.random || options.rogue > 0 {
             process.arg("--decider").arg("random").arg("--rogue").arg(options.rogue.to_string());
@@ -96,6 +102,11 @@
         Ok(())
     }
 
+    /// Each placer's log of this day: the file, and where in it the day begins.
+    pub(crate) fn logs(&self) -> impl Iterator<Item = (&Path, u64)> {
+        self.all.iter().map(|placer| (placer.log.as_path(), placer.log_from))
+    }
+
     /// Tells all to stop, and ends those that do not.
     pub(crate) fn stop(&mut self) {
         for number in 0..self.all.len() {
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -8,6 +8,7 @@
 use maplethread_wire::frame::Frame;
 use serde_json::{Value, json};
 
+use crate::rogue::Rogue;
 use crate::world::{Lost, Service};
 
 /// What a day came to.
@@ -30,6 +31,8 @@
     pub held: BTreeMap<String, u64>,
     /// Offers to a host in the second after its health came back: how many returns, the mean and the most.
     pub returns: (usize, f64, usize),
+    /// What became of the placers that broke a rule on purpose, if they did.
+    pub rogue: Option<Rogue>,
     /// The record, for frames that show a broken rule.
     pub record: Vec<Record>,
 }
@@ -77,6 +80,7 @@
                 "crowded": self.lost.crowded,
             },
             "double_s": self.double_s,
+            "rogue": self.rogue.map(|r| json!({"number": r.number, "moves": r.moves, "caught": r.caught})),
             "broken": broken,
             "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
             "numbers": {
@@ -181,6 +185,9 @@
         } else {
             writeln!(out, "RULES BROKEN: {:?} (rule: times)", v.counts())
         };
+        if let Some(rogue) = &self.rogue {
+            let _ = writeln!(out, "{}", rogue.text());
+        }
         out
     }
 }
--- /dev/null
+++ b/crates/standin/src/rogue.rs
@@ -0,0 +1,91 @@
+//! What became of a placer that breaks a rule on purpose. Such a day shows that the judge can catch a broken rule, so it
+//! must not pass for a good one where the rule was not caught: the rogue had no occasion, or the judge missed it.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Seek, SeekFrom};
+use std::path::Path;
+
+use maplethread_judge::Verdict;
+
+use crate::baseline::MOVE_AGAINST_RULE;
+
+/// The rogue that breaks rule 1 around pauses only.
+const QUIET_AROUND_PAUSES: u8 = 6;
+
+/// A placer that breaks a rule on purpose, at the end of its day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rogue {
+    /// Its number, as told with `--rogue`.
+    pub number: u8,
+    /// Its moves that its own guard forbids. The rule itself may allow some of them, such as an offer within the grace of
+    /// a drain.
+    pub moves: u64,
+    /// How often the judge found that rule broken.
+    pub caught: u64,
+}
+
+/// Whether the judge caught a rogue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RogueOutcome {
+    /// The judge found the rule broken.
+    Caught,
+    /// There was nothing to catch: the rogue made no move against the rule.
+    NoOccasion,
+    /// The rogue moved against the rule, and the judge found the rule kept.
+    Missed,
+}
+
+impl Rogue {
+    pub(crate) fn new(number: u8, moves: u64, verdict: &Verdict) -> Rogue {
+        let caught = verdict.counts().get(&rule_of(number)).copied().unwrap_or(0);
+        Rogue { number, moves, caught }
+    }
+
+    /// Whether the judge caught it.
+    pub fn outcome(&self) -> RogueOutcome {
+        match (self.caught, self.moves) {
+            (0, 0) => RogueOutcome::NoOccasion,
+            (0, _) => RogueOutcome::Missed,
+            _ => RogueOutcome::Caught,
+        }
+    }
+
+    /// The outcome in a line.
+    pub fn text(&self) -> String {
+        let Rogue { number, moves, caught } = self;
+        let rule = rule_of(*number);
+        match self.outcome() {
+            RogueOutcome::Caught => {
+                format!(
+                    "rogue {number} moved against rule {rule} {moves} times; the judge found it broken {caught} times"
+                )
+            }
+            RogueOutcome::NoOccasion => {
+                format!(
+                    "rogue {number} had no occasion to break rule {rule}: this day tells nothing of the judge"
+                )
+            }
+            RogueOutcome::Missed => {
+                format!(
+                    "rogue {number} moved against rule {rule} {moves} times, and the judge found the rule kept"
+                )
+            }
+        }
+    }
+}
+
+/// The rule that a rogue breaks.
+fn rule_of(rogue: u8) -> u8 {
+    if rogue == QUIET_AROUND_PAUSES { 1 } else { rogue }
+}
+
+/// The moves against its rule that a placer told its log from this offset on.
+pub(crate) fn moves_told(log: &Path, from: u64) -> io::Result<u64> {
+    let mut file = File::open(log)?;
+    file.seek(SeekFrom::Start(from))?;
+    let mut moves = 0;
+    for line in BufReader::new(file).split(b'\n') {
+        moves += u64::from(String::from_utf8_lossy(&line?).contains(MOVE_AGAINST_RULE));
+    }
+    Ok(moves)
+}
--- /dev/null
+++ b/crates/standin/tests/rogue.rs
@@ -0,0 +1,114 @@
+//! Rogues make their own occasions: rogue 5 needs no luck to break a spread limit, and rogue 6 only a pause.
+
+use std::collections::BTreeMap;
+
+use maplethread::{
+    Action, Event, Listing, MachineId, MachineState, Room, Scope, ServiceId, Settings, Task, TaskId,
+};
+use maplethread_config::{Doc, PlacerConfig};
+use maplethread_engine::Decide;
+use maplethread_standin::baseline::RandomChoice;
+use maplethread_standin::rogue::{Rogue, RogueOutcome};
+
+const CONFIG: &str = include_str!("../../../config/placer.toml");
+/// The class that is spread over zones.
+const WEB_API: usize = 0;
+/// So many of a service may be in one zone.
+const MOST: u32 = 4;
+const ZONES: u32 = 3;
+const MACHINES: u32 = 15;
+
+fn settings() -> Settings {
+    PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound").settings()
+}
+
+fn zone_of(machine: MachineId) -> u32 {
+    machine.0 % ZONES
+}
+
+fn listing(number: u32) -> Listing {
+    let machine = MachineId(number);
+    Listing {
+        machine,
+        label: u64::from(number),
+        zone: zone_of(machine),
+        cell: number,
+        kind: 0,
+        state: MachineState::Ready,
+        started: None,
+        unasked: None,
+    }
+}
+
+fn ask(id: u64) -> Event {
+    Event::Asked(Task {
+        id: TaskId(id),
+        service: ServiceId(9),
+        class: WEB_API,
+        asks: Room::new(0.5, 1.0),
+        life: None,
+        give_up_at: 60_000_000,
+        again: false,
+    })
+}
+
+/// Asks one more than a zone may have of one service, while connections to hosts come and go between any two asks, and
+/// tells the most offers that one zone was sent.
+fn most_in_a_zone(rogue: u8, seed: u64) -> u32 {
+    let mut placer = RandomChoice::new(settings(), seed, rogue);
+    let mut actions = Vec::new();
+    let machines = (0..MACHINES).map(listing).collect();
+    placer.turn(0, &[Event::Listed { scope: Scope::Full, machines }], &mut actions);
+    for id in 0..=u64::from(MOST) {
+        let lost = Event::Linked(MachineId(id as u32), false);
+        placer.turn(id + 1, &[lost, ask(id)], &mut actions);
+    }
+    let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
+    for action in &actions {
+        if let Action::Offer(_, machine, _) = action {
+            *zones.entry(zone_of(*machine)).or_default() += 1;
+        }
+    }
+    zones.values().copied().max().unwrap_or(0)
+}
+
+#[test]
+fn rogue_5_fills_one_place_up_however_the_list_of_hosts_changes() {
+    for seed in 0..50 {
+        assert_eq!(most_in_a_zone(5, seed), MOST + 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn who_keeps_the_rules_stays_within_the_limit() {
+    for seed in 0..50 {
+        assert!(most_in_a_zone(0, seed) <= MOST, "seed {seed}");
+    }
+}
+
+#[test]
+fn rogue_6_keeps_quiet_about_what_came_while_it_stood_still_and_about_nothing_else() {
+    let mut placer = RandomChoice::new(settings(), 1, 6);
+    let mut actions = Vec::new();
+    let machines = (0..MACHINES).map(listing).collect();
+    placer.turn(0, &[Event::Listed { scope: Scope::Full, machines }], &mut actions);
+    // It is woken all the time, so that only a pause lies between two of its turns that are far apart.
+    assert!(actions.iter().any(|a| matches!(a, Action::Wake(after, _) if *after < 300_000)), "{actions:?}");
+    let offers = |actions: &[Action], task: u64| {
+        actions.iter().any(|a| matches!(a, Action::Offer(id, ..) if *id == TaskId(task)))
+    };
+    placer.turn(100_000, &[ask(1)], &mut actions);
+    assert!(offers(&actions, 1));
+    placer.turn(1_000_000, &[ask(2)], &mut actions);
+    assert!(!offers(&actions, 2), "asked while it stood still");
+    placer.turn(1_100_000, &[ask(3)], &mut actions);
+    assert!(offers(&actions, 3));
+}
+
+#[test]
+fn what_the_judge_did_not_catch_is_told_from_what_there_was_not_to_catch() {
+    let outcome = |moves, caught| Rogue { number: 5, moves, caught }.outcome();
+    assert_eq!(outcome(0, 0), RogueOutcome::NoOccasion);
+    assert_eq!(outcome(7, 0), RogueOutcome::Missed);
+    assert_eq!(outcome(7, 2), RogueOutcome::Caught);
+}
