--- a/crates/cli/tests/platform_crossings.rs
+++ b/crates/cli/tests/platform_crossings.rs
@@ -7,11 +7,11 @@
 use std::net::{SocketAddr, TcpStream};
 
 use platform_support::{
-    LONG, Owner, Placer, Served, TEXT, descriptors, host_says, probe, set_up, wait_until,
+    LONG, Owner, Placer, Served, TEXT, descriptors, host_says, probe, running, set_up, wait_until,
 };
 use rustix::net::{AddressFamily, SocketType, sockopt};
 use rustix::process::Signal;
-use serde_json::{Value, json};
+use serde_json::Value;
 
 /// A connection whose receive buffer is so small that answers wait at the sender.
 fn narrow(to: SocketAddr) -> TcpStream {
@@ -158,14 +158,8 @@
 #[test]
 fn an_end_that_comes_before_the_task_is_handed_over_is_not_lost() {
     let Served { _folder, _commands, host, placer: _placer, mut owner } = Served::start();
-    let running = |sid: &str| {
-        let mut at = set_up(sid, 0);
-        at["attrs"].as_object_mut().expect("an object").remove("left");
-        at["attrs"]["extras"] = json!("cores:1;memory:2;service:00000000b4d65521;at:s-1");
-        at
-    };
     // One task opens the connection on which the host tells of another one, which is handed over later.
-    owner.send(&running("00000000000000a1"));
+    owner.send(&running("00000000000000a1", "s-1"));
     owner.send(&set_up("00000000000000a2", 60_000));
     let (mut stream, message) = host.next(1);
     let mut other = message.clone();
@@ -173,7 +167,7 @@
     host_says(&mut stream, 12, &other, 61, &[16]);
     host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
     assert_eq!(owner.hear()["msg"].as_str(), Some("ready"), "the end before it was read");
-    owner.send(&running("00000000000000a3"));
+    owner.send(&running("00000000000000a3", "s-1"));
     let told = owner.hear();
     assert_eq!((told["sid"].as_str(), told["code"].as_u64()), (Some("00000000000000a3"), Some(16)));
 }
--- a/crates/cli/tests/platform_fleet.rs
+++ b/crates/cli/tests/platform_fleet.rs
@@ -2,57 +2,14 @@
 
 mod platform_support;
 
-use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use platform_support::{
-    Commands, Host, Owner, Placer, TEXT, changed, descriptors, host_says, limit, listed, set_up,
+    Commands, Host, Owner, Placer, accept_all, answers, descriptors, limit, listed, of_service, patient,
 };
 use rustix::process::Signal;
-use serde_json::{Value, json};
-
-/// Answers every set-up that reaches the host until the test is over, after a pause each.
-fn accept_all(host: Host, pause: Duration) {
-    std::thread::spawn(move || {
-        for (mut stream, message) in host.heard.iter().filter(|(_, m)| m[0] == 1) {
-            std::thread::sleep(pause);
-            host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
-        }
-    });
-}
-
-/// A configuration with so many descriptors, whose aim lets an answer take seconds, as on a slow and busy machine.
-fn patient(folder: &Path, channel: SocketAddr, known: &Value, sockets: u64) -> PathBuf {
-    changed(folder, channel, known, |config| {
-        config["settings"]["classes"][0]["aimMs"] = json!(20_000.0);
-        config["limits"]["sockets"] = json!(sockets);
-    })
-}
-
-/// A set-up of a service of its own.
-fn of_service(sid: u64, service: u64) -> Value {
-    let mut set_up = set_up(&format!("{sid:016x}"), 20_000);
-    set_up["attrs"]["key"] = json!(format!("{sid:016x}"));
-    set_up["attrs"]["extras"] = json!(format!("cores:0.1;memory:0.1;service:{service:016x}"));
-    set_up
-}
-
-/// The ids of the next answers that place a task, and how many answers did not.
-fn answers(owner: &mut Owner, count: usize) -> (BTreeSet<String>, usize) {
-    let (mut placed, mut other) = (BTreeSet::new(), 0);
-    for _ in 0..count {
-        let answer = owner.hear();
-        let sid = answer["sid"].as_str().expect("an id").to_owned();
-        if answer["msg"] == "ready" {
-            assert!(placed.insert(sid), "a second answer: {answer}");
-        } else {
-            other += 1;
-        }
-    }
-    (placed, other)
-}
+use serde_json::json;
 
 #[test]
 fn a_tenth_told_to_end_while_all_are_given_a_new_configuration_leaves_no_request_unanswered() {
--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for owners, hosts and the command channel of the operators' platform, around real placers on loopback.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -303,3 +304,66 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// Accepts every set-up that reaches the host until the test is over, after a pause each; tells whose they were, and when
+/// they came.
+pub fn accept_all(host: Host, pause: Duration) -> Receiver<(u64, Instant)> {
+    let (tell, reached) = channel();
+    std::thread::spawn(move || {
+        for (mut stream, message) in host.heard.iter().filter(|(_, m)| m[0] == 1) {
+            let _ = tell.send((sid_of(&message), Instant::now()));
+            std::thread::sleep(pause);
+            host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
+        }
+    });
+    reached
+}
+
+/// The id of the task that a message to a host is about.
+pub fn sid_of(message: &[u8]) -> u64 {
+    u64::from_be_bytes(message[1..9].try_into().expect("an id"))
+}
+
+/// A task that runs on this host already, as its owner hands it over.
+pub fn running(sid: &str, host: &str) -> Value {
+    let mut at = set_up(sid, 0);
+    at["attrs"].as_object_mut().expect("an object").remove("left");
+    at["attrs"]["extras"] = json!(format!("cores:1;memory:2;service:00000000b4d65521;at:{host}"));
+    at
+}
+
+/// An address at which nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address")
+}
+
+/// A configuration with so many descriptors, whose aim lets an answer take seconds, as on a slow and busy machine.
+pub fn patient(folder: &Path, channel: SocketAddr, known: &Value, sockets: u64) -> PathBuf {
+    changed(folder, channel, known, |config| {
+        config["settings"]["classes"][0]["aimMs"] = json!(20_000.0);
+        config["limits"]["sockets"] = json!(sockets);
+    })
+}
+
+/// A set-up of a service of its own.
+pub fn of_service(sid: u64, service: u64) -> Value {
+    let mut set_up = set_up(&format!("{sid:016x}"), 20_000);
+    set_up["attrs"]["key"] = json!(format!("{sid:016x}"));
+    set_up["attrs"]["extras"] = json!(format!("cores:0.1;memory:0.1;service:{service:016x}"));
+    set_up
+}
+
+/// The ids of the next answers that place a task, and how many answers did not.
+pub fn answers(owner: &mut Owner, count: usize) -> (BTreeSet<String>, usize) {
+    let (mut placed, mut other) = (BTreeSet::new(), 0);
+    for _ in 0..count {
+        let answer = owner.hear();
+        let sid = answer["sid"].as_str().expect("an id").to_owned();
+        if answer["msg"] == "ready" {
+            assert!(placed.insert(sid), "a second answer: {answer}");
+        } else {
+            other += 1;
+        }
+    }
+    (placed, other)
+}
--- a/crates/cli/tests/platform_terms.rs
+++ b/crates/cli/tests/platform_terms.rs
@@ -4,22 +4,17 @@
 mod platform_support;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use platform_support::{
     Commands, Host, Owner, Placer, Served, TEXT, changed, config, descriptors, host_says, limit, listed,
-    probe, set_up, wait_until,
+    nobody, probe, set_up, sid_of, wait_until,
 };
 use rustix::process::Signal;
 use serde_json::json;
 
-/// An address at which nobody listens.
-fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address")
-}
-
 /// Processor time that a process has used, in ticks of 10 ms.
 fn ticks(placer: &Placer) -> u64 {
     let stat = std::fs::read_to_string(format!("/proc/{}/stat", placer.child.id())).expect("its state");
@@ -96,7 +91,7 @@
     while served < 150 {
         let (mut stream, message) = host.next(1);
         host_says(&mut stream, 9, &message, 63, TEXT.as_bytes());
-        let sid = u64::from_be_bytes(message[1..9].try_into().expect("an id"));
+        let sid = sid_of(&message);
         let mut owner = waiting[sid as usize - 1].take().expect("one answer each");
         assert_eq!(owner.hear()["msg"].as_str(), Some("ready"));
         served += 1;
@@ -256,7 +251,7 @@
         let (mut reached, until) = (Vec::new(), Instant::now() + Duration::from_secs(7));
         while let Some(left) = until.checked_duration_since(Instant::now()) {
             let Ok((mut stream, message)) = host.heard.recv_timeout(left) else { break };
-            let sid = u64::from_be_bytes(message[1..9].try_into().expect("an id"));
+            let sid = sid_of(&message);
             if message[0] == 1 && GONE.contains(&sid) {
                 reached.push((sid, Instant::now()));
             } else if message[0] == 1 && sid == GONE.end {
