--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod rack;
 pub mod recorded;
 pub mod report;
+pub mod rogue;
 pub mod scenario;
 pub mod settings;
 pub mod traffic;
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -46,6 +46,9 @@
         let mut arguments = Vec::new();
         if self.keep.is_some() {
             arguments.extend(["--log", "debug"].map(str::to_owned));
+        } else if self.rogue > 0 {
+            // Its moves against the rule are counted from the log.
+            arguments.extend(["--log", "info"].map(str::to_owned));
         }
         if self.random || self.rogue > 0 {
             arguments.extend(["--decider", "random", "--rogue"].map(str::to_owned));
--- a/crates/standin/src/processes.rs
+++ b/crates/standin/src/processes.rs
@@ -13,6 +13,8 @@
 pub struct PlacerProcess {
     pub(crate) config: PathBuf,
     pub(crate) log: PathBuf,
+    /// How long the log was before the day.
+    pub(crate) log_from: u64,
     /// Its process while it runs.
     pub child: Option<Child>,
     pub(crate) paused: bool,
@@ -41,7 +43,8 @@
 
     /// Adds a placer that does not run yet.
     pub fn add(&mut self, config: PathBuf, log: PathBuf) {
-        self.all.push(PlacerProcess { config, log, child: None, paused: false, starts: 0 });
+        let log_from = std::fs::metadata(&log).map_or(0, |file| file.len());
+        self.all.push(PlacerProcess { config, log, log_from, child: None, paused: false, starts: 0 });
     }
 
     /// Starts a placer: the `placer` command of this program, with these arguments besides its settings.
@@ -93,6 +96,11 @@
         Ok(())
     }
 
+    /// Each placer's log of this day: the file, and where in it the day begins.
+    pub(crate) fn logs(&self) -> impl Iterator<Item = (&Path, u64)> {
+        self.all.iter().map(|placer| (placer.log.as_path(), placer.log_from))
+    }
+
     /// Tells all to stop, and ends those that do not.
     pub fn stop(&mut self) {
         for number in 0..self.all.len() {
