--- a/crates/capacity/src/figure.rs
+++ b/crates/capacity/src/figure.rs
@@ -1,15 +1,4 @@
-//! Keys of figures inside sentences.
-//!
-//! | key | figure |
-//! | --- | --- |
-//! | `SWEEP/SIZE/PHASE/QUANTITY` | measured at the size, mean of the placers |
-//! | `SWEEP/SIZE/PHASE/QUANTITY/foretold` | foretold of a size held out |
-//! | `SWEEP/SIZE/PHASE/QUANTITY/error` | foretold less measured, percent of the measured |
-//! | `SWEEP/law/PHASE/QUANTITY/COEFFICIENT` | a coefficient of the law, `a`, `b` or `c` (`ln a` of a power law) |
-//! | `budget/PHASE/QUANTITY` | measured at the size that the design is made for, highest placer |
-//! | `budget/PHASE/QUANTITY/headroom` | the budget over it |
-//!
-//! `PHASE` is `rest`, `peak` or a fault such as `zone_dies`; `QUANTITY` is such as `cpu` or `control_wire_bytes`.
+//! Keys of figures inside sentences; the documentation of the crate has their forms.
 
 use thiserror::Error;
 
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -1,4 +1,31 @@
 //! Capacity planning from measured sweeps, free of I/O: the format of results, and what is derived from them.
+//!
+//! A [`SweepResult`] is read by [`parse_result`]. A [`Study`] fits laws to its smaller sizes and lets them foretell the
+//! larger ones; a [`Budget`] is held against what was measured at the [`DESIGN_SIZE`]. A [`Report`] renders all of it as
+//! the generated parts of a Markdown page, which [`regenerate`] puts in their places, and as plots.
+//!
+//! Blocks of the page stand between markers on lines of their own, figures between markers inside a line:
+//!
+//! ```markdown
+//! <!-- begin generated: NAME -->
+//! <!-- end generated: NAME -->
+//!
+//! A placer takes <!-- figure: workers/1300/peak/cpu -->1.2<!-- /figure --> percent of a core.
+//! ```
+//!
+//! The name of a block is that of a sweep, or [`SIZE_BLOCK`] or [`BUDGET_BLOCK`]. The key of a figure is one of
+//!
+//! | key | figure |
+//! | --- | --- |
+//! | `SWEEP/SIZE/PHASE/QUANTITY` | measured at the size, mean of the placers |
+//! | `SWEEP/SIZE/PHASE/QUANTITY/foretold` | foretold of a size held out |
+//! | `SWEEP/SIZE/PHASE/QUANTITY/error` | foretold less measured, percent of the measured |
+//! | `SWEEP/law/PHASE/QUANTITY/COEFFICIENT` | a coefficient of the law: `a`, `b` or `c` (`ln a` of a power law) |
+//! | `budget/PHASE/QUANTITY` | measured at the size that the design is made for, highest placer |
+//! | `budget/PHASE/QUANTITY/headroom` | the budget over it |
+//!
+//! `PHASE` is `rest`, `peak` or a fault such as `zone_dies` ([`Phase::from_key`]); `QUANTITY` is such as `cpu` or
+//! `control_wire_bytes` ([`Quantity::from_key`]).
 
 mod budget_block;
 mod dimension;
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -1,17 +1,11 @@
 //! A Markdown page with generated parts: blocks between markers on their own lines, and figures inside sentences.
-//!
-//! ```markdown
-//! <!-- begin generated: NAME -->
-//! ...
-//! <!-- end generated: NAME -->
-//!
-//! A placer takes <!-- figure: KEY -->1.2<!-- /figure --> percent of a core.
-//! ```
 
 use std::collections::BTreeSet;
 
 use thiserror::Error;
 
+use crate::figure::KeyError;
+
 const BEGIN: &str = "<!-- begin generated:";
 const END: &str = "<!-- end generated:";
 const FIGURE: &str = "<!-- figure:";
@@ -25,7 +19,7 @@
     /// The text of a block.
     fn block(&self, name: &str) -> String;
     /// The text of a figure, or what is wrong with its key.
-    fn figure(&self, key: &str) -> Result<String, String>;
+    fn figure(&self, key: &str) -> Result<String, KeyError>;
 }
 
 /// Why a page cannot be generated.
@@ -75,7 +69,7 @@
         /// The key.
         key: String,
         /// What is wrong with it.
-        problem: String,
+        problem: KeyError,
     },
 }
 
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -1,7 +1,7 @@
 //! What is derived from all results: the blocks and figures of the page, and the plots.
 
 use crate::budget_block::{budget_block, measured_at_size, size_block};
-use crate::figure::{FigureKey, SweepAspect};
+use crate::figure::{FigureKey, KeyError, SweepAspect};
 use crate::number::{figure, percent, times};
 use crate::page::Contents;
 use crate::plot::{PlotError, sweep_plot};
@@ -97,8 +97,8 @@
         }
     }
 
-    fn figure(&self, key: &str) -> Result<String, String> {
-        let key = FigureKey::parse(key).map_err(|error| error.to_string())?;
+    fn figure(&self, key: &str) -> Result<String, KeyError> {
+        let key = FigureKey::parse(key)?;
         Ok(self.key_figure(&key).unwrap_or_else(|| NOT_MEASURED.to_owned()))
     }
 }
