Capacity: bounds of measured values, so that no result overflows

Two counts of placers could overflow, and lengths near 0 made rates without end, for which plots have no axis.

--- a/crates/capacity/src/parse.rs
+++ b/crates/capacity/src/parse.rs
@@ -7,6 +7,12 @@
 
 use crate::result::{Phase, Point, RESULT_FORMAT, SweepResult};
 
+/// The shortest phase, s.
+const MIN_SECONDS: f64 = 0.001;
+
+/// No rate, length or processor time is larger.
+const MAX_MEASURE: f64 = 1e9;
+
 /// Why a text is no result.
 #[derive(Debug, Error)]
 pub enum ResultError {
@@ -50,16 +56,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum PointProblem {
     /// A phase without a length.
-    #[error("phase {}: seconds has to be a number above 0", .0.key())]
+    #[error("phase {}: seconds has to be a number from {MIN_SECONDS} to {MAX_MEASURE}", .0.key())]
     Seconds(Phase),
     /// Processor time that cannot be.
-    #[error("phase {}: cpu_cores has to be a number from 0", .0.key())]
+    #[error("phase {}: cpu_cores has to be a number from 0 to {MAX_MEASURE}", .0.key())]
     Cpu(Phase),
     /// A phase that is there twice.
     #[error("phase {} is there twice", .0.key())]
     RepeatedPhase(Phase),
     /// A size that cannot be.
-    #[error("settings: rates have to be numbers from 0")]
+    #[error("settings: rates have to be numbers from 0 to {MAX_MEASURE}")]
     Rate,
 }
 
@@ -108,7 +114,7 @@
         if !seen.insert(sample.phase) {
             return Err(PointProblem::RepeatedPhase(sample.phase));
         }
-        if !is_measure(sample.seconds) || sample.seconds == 0.0 {
+        if !is_measure(sample.seconds) || sample.seconds < MIN_SECONDS {
             return Err(PointProblem::Seconds(sample.phase));
         }
         if !sample.placers.iter().all(|placer| is_measure(placer.cpu_cores)) {
@@ -119,5 +125,5 @@
 }
 
 fn is_measure(value: f64) -> bool {
-    value.is_finite() && value >= 0.0
+    (0.0..=MAX_MEASURE).contains(&value)
 }
--- a/crates/capacity/src/result.rs
+++ b/crates/capacity/src/result.rs
@@ -98,7 +98,7 @@
     pub fn value(&self, dimension: Dimension) -> f64 {
         match dimension {
             Dimension::Workers => f64::from(self.workers),
-            Dimension::Placers => f64::from(self.placers + self.hollow_placers),
+            Dimension::Placers => f64::from(self.placers) + f64::from(self.hollow_placers),
             Dimension::Tasks => f64::from(self.tasks),
             Dimension::StartsPerSecond => self.starts_per_second,
             Dimension::ListChangesPerSecond => self.list_changes_per_second,
--- a/crates/capacity/tests/pages.rs
+++ b/crates/capacity/tests/pages.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use maplethread_capacity::{Fault, PageError, PartName, Phase, Report, regenerate};
+use maplethread_capacity::{Dimension, Fault, PageError, PartName, Phase, ProcessSample, Report, regenerate};
 use support::{SIZES, sweep};
 
 const PAGE: &str = "# Capacity\n
@@ -152,6 +152,29 @@
     assert_eq!(error(&unknown).to_string(), expected);
 }
 
+#[test]
+fn the_largest_values_and_none_at_all_are_rendered() {
+    let mut largest = sweep(&[1, 2, 3, 4, 1_000_000_000], &[Phase::Rest, Phase::Peak]);
+    largest.dimension = Dimension::Placers;
+    for point in &mut largest.points {
+        (point.settings.placers, point.settings.hollow_placers) = (point.settings.workers, u32::MAX - 1);
+        for sample in &mut point.phases {
+            sample.seconds = 0.001;
+            sample.answer_us = Some([u64::MAX; 3]);
+            sample.placers[0] =
+                ProcessSample { cpu_cores: 1e9, proportional_kib: u64::MAX, ..sample.placers[0] };
+            sample.messages[0].wire_bytes = u64::MAX;
+        }
+    }
+    let mut none = sweep(&[0, 0], &[Phase::Rest]);
+    none.points[0].phases[0].placers.clear();
+    for result in [largest, none, sweep(&[], &[])] {
+        let report = Report::new(vec![result], "capacity");
+        assert!(regenerate(PAGE, &report).is_ok());
+        assert!(report.plots().is_ok());
+    }
+}
+
 #[test]
 fn plots_show_points_and_laws_and_are_the_same_each_time() {
     let plots = report(&[Phase::Rest, Phase::Peak]).plots().expect("plots");
--- a/crates/capacity/tests/results.rs
+++ b/crates/capacity/tests/results.rs
@@ -59,13 +59,16 @@
 #[test]
 fn values_that_cannot_be_are_told_with_their_point() {
     let no_length = written(|json| json["points"][1]["phases"][0]["seconds"] = 0.into());
-    let problem = "phase rest: seconds has to be a number above 0";
+    let problem = "phase rest: seconds has to be a number from 0.001 to 1000000000";
     assert_eq!(error_of(&no_length), format!("{FILE}: points[1]: {problem}"));
     let negative = written(|json| json["points"][0]["phases"][0]["placers"][1]["cpu_cores"] = (-1).into());
-    let problem = "phase rest: cpu_cores has to be a number from 0";
+    let problem = "phase rest: cpu_cores has to be a number from 0 to 1000000000";
     assert_eq!(error_of(&negative), format!("{FILE}: points[0]: {problem}"));
     let rate = written(|json| json["points"][0]["settings"]["starts_per_second"] = (-1).into());
-    assert_eq!(error_of(&rate), format!("{FILE}: points[0]: settings: rates have to be numbers from 0"));
+    assert_eq!(
+        error_of(&rate),
+        format!("{FILE}: points[0]: settings: rates have to be numbers from 0 to 1000000000")
+    );
     let twice = written(|json| {
         let phase = json["points"][0]["phases"][0].clone();
         json["points"][0]["phases"].as_array_mut().expect("phases").push(phase);
