--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -15,8 +15,6 @@
 use crate::scenario::{RACK, ZONES};
 use crate::sweep_file::Phases;
 
-/// A fault is watched at least this long, so that tasks which are told as lost after 5 s are among it.
-const WATCH_AT_LEAST: f64 = 8.0;
 /// Once all is connected the watch goes on for so many seconds.
 const QUIET_SECONDS: usize = 3;
 
@@ -45,7 +43,7 @@
     }
     match fault {
         Fault::RegionCut => watch.go_on(fleet, phases.region_cut_s, |_, _| Ok(false))?,
-        _ => watch.until_settled(fleet, phases.fault_s)?,
+        _ => watch.until_settled(fleet, phases)?,
     }
     watch.worst_second(fleet, fault)
 }
@@ -127,11 +125,11 @@
         Ok(())
     }
 
-    fn until_settled(&mut self, fleet: &Fleet, at_most: f64) -> Result<(), ScaleError> {
+    fn until_settled(&mut self, fleet: &Fleet, phases: &Phases) -> Result<(), ScaleError> {
         let mut quiet = 0;
-        self.go_on(fleet, at_most, |fleet, seconds| {
+        self.go_on(fleet, phases.fault_s, |fleet, seconds| {
             quiet = if fleet.all_connected()? { quiet + 1 } else { 0 };
-            Ok(quiet >= QUIET_SECONDS && seconds >= WATCH_AT_LEAST)
+            Ok(quiet >= QUIET_SECONDS && seconds >= phases.fault_at_least_s)
         })
     }
 
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -45,6 +45,7 @@
         kept: 16,
         push_out: false,
         notice_ms: 1000,
+        measures_together: true,
     }
 }
 
--- a/crates/scale/src/sweep_file.rs
+++ b/crates/scale/src/sweep_file.rs
@@ -78,7 +78,9 @@
     pub peak_s: f64,
     /// Tasks that start at the peak live so long, s; the peak is measured once the first of them have ended.
     pub task_life_s: f64,
-    /// A fault is watched at most this long, s.
+    /// A fault is watched at least this long, s: tasks are told as lost some seconds after their hosts...
+    pub fault_at_least_s: f64,
+    /// ...and at most this long, s.
     pub fault_s: f64,
     /// The region stays cut for so long, s.
     pub region_cut_s: f64,
@@ -95,6 +97,7 @@
             rest_s: 10.0,
             peak_s: 10.0,
             task_life_s: 3.0,
+            fault_at_least_s: 8.0,
             fault_s: 20.0,
             region_cut_s: 60.0,
             worker_restarts: 20,
@@ -167,7 +170,8 @@
             self.check_value(value, &key, doc)?;
         }
         self.check_base(doc)?;
-        self.check_phases(doc)
+        self.check_phases(doc)?;
+        self.check_faults(doc)
     }
 
     fn check_dimension(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
@@ -194,6 +198,21 @@
         doc.check(!whole || value.fract() == 0.0, key, format!("{value} is given; a whole number is needed"))
     }
 
+    /// Faults that end another one come right after it.
+    fn check_faults(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
+        for (index, fault) in self.faults.iter().enumerate() {
+            let needed = match fault {
+                Fault::ZoneReturns => Fault::ZoneDies,
+                Fault::RegionHeals => Fault::RegionCut,
+                _ => continue,
+            };
+            let before = index.checked_sub(1).map(|before| self.faults[before]);
+            let key = format!("faults[{index}]");
+            doc.check(before == Some(needed), &key, format!("{fault:?} comes right after {needed:?}"))?;
+        }
+        Ok(())
+    }
+
     fn check_base(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
         let base = self.base;
         let bounds = [
@@ -216,6 +235,7 @@
             ("phases.rest_s", phases.rest_s, 1.0, MAX_SECONDS),
             ("phases.peak_s", phases.peak_s, 1.0, MAX_SECONDS),
             ("phases.task_life_s", phases.task_life_s, 0.001, MAX_SECONDS),
+            ("phases.fault_at_least_s", phases.fault_at_least_s, 1.0, phases.fault_s),
             ("phases.fault_s", phases.fault_s, 1.0, MAX_SECONDS),
             ("phases.region_cut_s", phases.region_cut_s, 1.0, MAX_SECONDS),
             ("phases.worker_restarts", f64::from(phases.worker_restarts), 1.0, f64::from(MAX_WORKERS)),
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -99,8 +99,12 @@
     /// Offers while it is cold.
     offers: Vec<u64>,
     worst_told: BTreeMap<Arc<str>, u64>,
+    /// When it last measured all that runs, where it measures together.
+    measured: u64,
 }
 
+/// What runs is measured, and told to its placers, this often, µs.
+const MEASURE_EVERY: u64 = 2_000_000;
 /// Over this share of memory all tasks slow down, and placers are told.
 const TIGHT: f64 = 0.92;
 
@@ -133,6 +137,7 @@
             dice,
             offers: Vec::new(),
             worst_told: BTreeMap::new(),
+            measured: now,
         }
     }
 
@@ -465,6 +470,9 @@
             .map(|t| (t.offer.priority, cores_of(t, self.faults.hot)))
             .collect();
         let starting: f64 = self.admission.taken().filter(|t| t.1 == Stage::Starting).map(|_| 0.5).sum();
+        let together = self.scenario.fleet.measures_together;
+        let measures = together && self.measured + MEASURE_EVERY <= now;
+        let measured = if measures { std::mem::replace(&mut self.measured, now) } else { self.measured };
         let mut worst: BTreeMap<Arc<str>, (u64, f64)> = BTreeMap::new();
         let mut notes = Vec::new();
         for (&attempt, task) in &mut self.tasks {
@@ -483,7 +491,9 @@
                     *entry = (attempt, served);
                 }
             }
-            if task.noted + 2_000_000 <= now {
+            let due =
+                if together { measures && since <= measured } else { task.noted + MEASURE_EVERY <= now };
+            if due {
                 task.noted = now;
                 notes.push((
                     task.placer.clone(),
--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -499,11 +499,12 @@
         let Some(link) = self.conns.get_mut(&token) else { return };
         let mut broken = false;
         if self.slots[link.slot].reachable {
-            broken = link.conn.flush(&self.poller).is_err();
+            // Counted first: whoever has read it finds it counted.
             let segment = std::mem::take(&mut link.unwritten);
             if let Some(counter) = self.counter.as_ref().filter(|_| link.counts()) {
                 counter.segment(&mut link.traffic, now, Direction::ToPlacer, &segment);
             }
+            broken = link.conn.flush(&self.poller).is_err();
         }
         // A placer that stands still reads nothing; what waits for it is bounded.
         if broken || link.conn.unwritten() > MOST_UNWRITTEN {
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -62,6 +62,9 @@
     pub push_out: bool,
     /// The inventory tells changes after so long, ms.
     pub notice_ms: u64,
+    /// A host measures all that runs at the same moments, as node agents do, and not each task at its own.
+    #[serde(default)]
+    pub measures_together: bool,
 }
 
 /// Figures of the rules.
