--- a/crates/capacity/src/budget_block.rs
+++ b/crates/capacity/src/budget_block.rs
@@ -2,6 +2,7 @@
 
 use crate::markdown::Table;
 use crate::number::{figure, times};
+use crate::other_points::other_points;
 use crate::quantity::{Across, Quantity};
 use crate::result::{Phase, SweepResult};
 use crate::size::{Budget, DESIGN_SIZE};
@@ -24,7 +25,7 @@
     quantity: Quantity,
 ) -> Option<MeasuredAtSize<'_>> {
     let of_sweep = |result: &SweepResult| {
-        let at_size = result.points.iter().filter(|point| DESIGN_SIZE.is_met_by(&point.settings));
+        let at_size = result.points.iter().filter(|point| DESIGN_SIZE.is_met_by(&point.settings, phase));
         let samples = at_size.filter_map(|point| phase_of(point, phase));
         samples.filter_map(|sample| quantity.measured(sample, Across::Highest)).reduce(f64::max)
     };
@@ -58,8 +59,9 @@
     }
     format!(
         "Highest placer of all points at the size (traffic: mean of the placers), with the headroom: the budget over \
-         the\nmeasured figure. Bold where the budget is exceeded.\n\n{}",
-        table.into_text()
+         the\nmeasured figure. Bold where the budget is exceeded.\n\n{}{}",
+        table.into_text(),
+        other_points(results)
     )
 }
 
@@ -77,7 +79,8 @@
     row
 }
 
-fn budget_cell(budget: Budget, measured: f64) -> String {
+/// A measured figure with its headroom, bold where the budget is exceeded.
+pub fn budget_cell(budget: Budget, measured: f64) -> String {
     match budget.headroom(measured) {
         None => figure(measured),
         Some(headroom) if headroom < 1.0 => format!("**{} ({})**", figure(measured), times(headroom)),
--- a/crates/capacity/src/dimension.rs
+++ b/crates/capacity/src/dimension.rs
@@ -22,12 +22,12 @@
         }
     }
 
-    /// The size up to which laws are fitted, of sizes in rising order without repeats: 800 workers, in other dimensions
-    /// half of the largest. Where that leaves fewer than three sizes, all but the largest are fitted.
+    /// The size up to which laws are fitted, of sizes in rising order without repeats: 800 workers, otherwise and in
+    /// smaller fleets half of the largest. Where that leaves fewer than three sizes, all but the largest are fitted.
     pub fn fit_limit(self, sizes: &[f64]) -> Option<f64> {
         let (&largest, smaller) = sizes.split_last()?;
         let limit = match self {
-            Self::Workers => MAX_FITTED_WORKERS,
+            Self::Workers if largest > MAX_FITTED_WORKERS => MAX_FITTED_WORKERS,
             _ => largest / 2.0,
         };
         let fitted = sizes.iter().filter(|&&size| size <= limit).count();
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -34,6 +34,7 @@
 mod law;
 mod markdown;
 mod number;
+mod other_points;
 mod page;
 mod parse;
 mod phase;
--- a/crates/capacity/src/size.rs
+++ b/crates/capacity/src/size.rs
@@ -1,7 +1,7 @@
 //! The size that the design is made for, and what a placer may cost there.
 
 use crate::quantity::{Quantity, Traffic};
-use crate::result::PointSettings;
+use crate::result::{Phase, PointSettings};
 
 /// A size of the whole installation.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,11 +32,13 @@
 const BYTES_PER_KIB: f64 = 1024.0;
 
 impl Size {
-    /// Whether a point was measured at this size: real and hollow placers count alike.
-    pub fn is_met_by(&self, settings: &PointSettings) -> bool {
+    /// Whether a phase of a point was measured at this size: real and hollow placers count alike, and nothing starts at
+    /// rest.
+    pub fn is_met_by(&self, settings: &PointSettings, phase: Phase) -> bool {
+        let starts_as_often = settings.starts_per_second == self.starts_per_second;
         settings.workers == self.workers
             && settings.tasks == self.tasks
-            && settings.starts_per_second == self.starts_per_second
+            && (starts_as_often || phase == Phase::Rest)
             && settings.placers.saturating_add(settings.hollow_placers) == self.control_machines
     }
 }
--- a/crates/capacity/tests/pages.rs
+++ b/crates/capacity/tests/pages.rs
@@ -89,6 +89,20 @@
     );
 }
 
+#[test]
+fn points_short_of_the_size_are_told_apart_from_it() {
+    let mut result = sweep(&[800, 1_300], &[Phase::Peak]);
+    result.points[1].settings.tasks = 12_000;
+    let page = regenerate(PAGE, &Report::new(vec![result], "capacity")).expect("a page").text;
+    let (at_size, other) = block(&page, "budgets").split_once("<details>").expect("other points");
+    assert_eq!(row(at_size, "| at the peak")[1], "not measured");
+    assert_eq!(
+        row(other, "| at the peak")[..6],
+        ["at the peak", "workers", "6", "12,000", "190", "1.4 (1.79×)"]
+    );
+    assert_eq!(other.matches("| at the peak").count(), 1, "fewer workers are not listed");
+}
+
 #[test]
 fn a_phase_that_is_missing_at_some_sizes_is_told_there() {
     let mut result = sweep(&SIZES, &[Phase::Rest]);
