Capacity: the miss of a line without a sign, and a test of its figure

The largest miss is told without its direction, so a plus sign before it was wrong.

Run: cargo test -p maplethread-capacity, 39 passed; clippy clean.

--- a/crates/capacity/src/sweep_block.rs
+++ b/crates/capacity/src/sweep_block.rs
@@ -188,7 +188,7 @@
     let coefficients: Vec<String> = names.iter().zip(fit.coefficients()).map(coefficient).collect();
     let mut text = format!("{}: {}", fit.law().formula(), coefficients.join(", "));
     if let Some(error) = missed_line_error(study) {
-        text += &format!("; a line misses by {}", percent(error));
+        text += &format!("; a line misses by {}", percent(error).trim_start_matches('+'));
     }
     text
 }
--- a/crates/capacity/tests/pages.rs
+++ b/crates/capacity/tests/pages.rs
@@ -103,6 +103,22 @@
     assert_eq!(other.matches("| at the peak").count(), 1, "fewer workers are not listed");
 }
 
+#[test]
+fn the_law_that_was_found_is_told_with_the_error_of_the_line() {
+    let mut result = sweep(&SIZES, &[Phase::Rest]);
+    for point in &mut result.points {
+        let workers = u64::from(point.settings.workers);
+        for placer in &mut point.phases[0].placers {
+            placer.resident_kib = workers * workers;
+        }
+    }
+    let page = regenerate(PAGE, &Report::new(vec![result], "capacity")).expect("a page").text;
+    let cells = row(block(&page, "workers"), "| resident memory, KiB | a·n^b");
+    // The line through these squares is 242,000 + 892.68 (n - 420): 2,188,049 at 2,600, of 6,760,000.
+    assert!(cells[1].contains("b = 2 (2 to 2); a line misses by 67.6%"), "{cells:?}");
+    assert_eq!((cells[7], cells[8]), ("yes", "foretold"));
+}
+
 #[test]
 fn a_phase_that_is_missing_at_some_sizes_is_told_there() {
     let mut result = sweep(&SIZES, &[Phase::Rest]);
