--- a/crates/capacity/tests/pages.rs
+++ b/crates/capacity/tests/pages.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use maplethread_capacity::{Fault, PageError, PartName, Phase, Report, regenerate};
+use maplethread_capacity::{Dimension, Fault, PageError, PartName, Phase, ProcessSample, Report, regenerate};
 use support::{SIZES, sweep};
 
 const PAGE: &str = "# Capacity\n
@@ -89,6 +89,36 @@
     );
 }
 
+#[test]
+fn points_short_of_the_size_are_told_apart_from_it() {
+    let mut result = sweep(&[800, 1_300], &[Phase::Peak]);
+    result.points[1].settings.tasks = 12_000;
+    let page = regenerate(PAGE, &Report::new(vec![result], "capacity")).expect("a page").text;
+    let (at_size, other) = block(&page, "budgets").split_once("<details>").expect("other points");
+    assert_eq!(row(at_size, "| at the peak")[1], "not measured");
+    assert_eq!(
+        row(other, "| at the peak")[..6],
+        ["at the peak", "workers", "6", "12,000", "190", "1.4 (1.79×)"]
+    );
+    assert_eq!(other.matches("| at the peak").count(), 1, "fewer workers are not listed");
+}
+
+#[test]
+fn the_law_that_was_found_is_told_with_the_error_of_the_line() {
+    let mut result = sweep(&SIZES, &[Phase::Rest]);
+    for point in &mut result.points {
+        let workers = u64::from(point.settings.workers);
+        for placer in &mut point.phases[0].placers {
+            placer.resident_kib = workers * workers;
+        }
+    }
+    let page = regenerate(PAGE, &Report::new(vec![result], "capacity")).expect("a page").text;
+    let cells = row(block(&page, "workers"), "| resident memory, KiB | a·n^b");
+    // The line through these squares is 242,000 + 892.68 (n - 420): 2,188,049 at 2,600, of 6,760,000.
+    assert!(cells[1].contains("b = 2 (2 to 2); a line misses by 67.6%"), "{cells:?}");
+    assert_eq!((cells[7], cells[8]), ("yes", "foretold"));
+}
+
 #[test]
 fn a_phase_that_is_missing_at_some_sizes_is_told_there() {
     let mut result = sweep(&SIZES, &[Phase::Rest]);
@@ -152,6 +182,29 @@
     assert_eq!(error(&unknown).to_string(), expected);
 }
 
+#[test]
+fn the_largest_values_and_none_at_all_are_rendered() {
+    let mut largest = sweep(&[1, 2, 3, 4, 1_000_000_000], &[Phase::Rest, Phase::Peak]);
+    largest.dimension = Dimension::Placers;
+    for point in &mut largest.points {
+        (point.settings.placers, point.settings.hollow_placers) = (point.settings.workers, u32::MAX - 1);
+        for sample in &mut point.phases {
+            sample.seconds = 0.001;
+            sample.answer_us = Some([u64::MAX; 3]);
+            sample.placers[0] =
+                ProcessSample { cpu_cores: 1e9, proportional_kib: u64::MAX, ..sample.placers[0] };
+            sample.messages[0].wire_bytes = u64::MAX;
+        }
+    }
+    let mut none = sweep(&[0, 0], &[Phase::Rest]);
+    none.points[0].phases[0].placers.clear();
+    for result in [largest, none, sweep(&[], &[])] {
+        let report = Report::new(vec![result], "capacity");
+        assert!(regenerate(PAGE, &report).is_ok());
+        assert!(report.plots().is_ok());
+    }
+}
+
 #[test]
 fn plots_show_points_and_laws_and_are_the_same_each_time() {
     let plots = report(&[Phase::Rest, Phase::Peak]).plots().expect("plots");
