Placers whose turns run late answer earlier, place less a turn, and turn asks away

Now the engine keeps the pace of its turns (lateness of timers and of waiting asks, length of the caller's last round). Answers are due by three times that before the deadline; one turn places 64 tasks and leaves the rest to the next, so that offers leave soon after they were decided on; asks are turned away (503 overloaded, Retry-After) while turns run over 100 ms late for 250 ms.

--- a/crates/engine/src/asks.rs
+++ b/crates/engine/src/asks.rs
@@ -7,16 +7,12 @@
 
 use crate::answers::{Answer, Known};
 use crate::api::{self, Place, Problem};
-use crate::engine::{Actor, ActorKey, Ask, Due, Engine, Output, Stage};
+use crate::engine::{Actor, ActorKey, Ask, Engine, Output, Stage};
 use crate::names::hash;
 use crate::notes::{Ending, Kept};
 use crate::sessions::copies;
 use crate::{ClientId, Decide};
 
-/// An ask that has no answer so long before its deadline gets one from the engine, µs. Deciders that keep rule 1
-/// are earlier.
-const LAST_WORD: u64 = 5_000;
-
 impl<D: Decide> Engine<D> {
     pub(crate) fn hang_up(&mut self, task: TaskId) {
         let Some(ask) = self.forget_ask(task) else { return };
@@ -46,6 +42,7 @@
 
     pub(crate) fn forget_ask(&mut self, task: TaskId) -> Option<Ask> {
         let ask = self.asks.remove(&task)?;
+        self.deadlines.remove(&(ask.deadline, task));
         for id in ask.waiters.iter().map(|w| &w.2).chain([&ask.request]) {
             if self.by_request.get(id) == Some(&task) {
                 self.by_request.remove(id);
@@ -142,8 +139,13 @@
                 "api.max_actors are held",
             ));
         }
+        if self.pace.is_overloaded(self.now) {
+            let detail = "the placer's turns run late; other placers may have time";
+            return Err(Problem::busy("overloaded", "This placer is overloaded", detail));
+        }
         let budget = body.budget_ms.min(self.config.api.max_budget_ms) * 1000;
-        let give_up_at = self.unread_since.unwrap_or(self.now).min(self.now) + budget;
+        let deadline = self.unread_since.unwrap_or(self.now).min(self.now) + budget;
+        let give_up_at = deadline - self.margin_within(budget);
         if give_up_at <= self.now {
             let detail = "the placer stood still, and the ask's budget may be over";
             return Err(Problem::busy("stood-still", "The ask lay unread for too long", detail));
@@ -186,6 +188,7 @@
         let ask = Ask {
             task,
             asked,
+            deadline,
             fresh: true,
             key,
             request,
@@ -202,9 +205,8 @@
         };
         self.asks.insert(id, ask);
         self.waits(client, id, true);
-        self.timers.set(give_up_at.saturating_sub(LAST_WORD), Due::LastWord(id));
+        self.deadlines.insert((deadline, id));
         self.counters.asks += 1;
-        self.fresh.push(id);
         self.events.push(Event::Asked(task));
         Ok(())
     }
@@ -247,7 +249,7 @@
         }
         let after = self.now.saturating_sub(ask.asked);
         self.notes.add(|| Kept::Answered { task, ending: ending(&answer), attempts: ask.attempts, after });
-        let late = ask.task.give_up_at <= self.now;
+        let late = ask.deadline <= self.now;
         ask.span.in_scope(|| tracing::debug!(attempts = ask.attempts, late, "{name}"));
         let bytes = api::answer(200, &answer);
         if let Some(key) = &ask.idempotency {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -18,6 +18,7 @@
 use crate::life::{LifeEvent, Ring};
 use crate::names::{Numbers, hash};
 use crate::notes::{Kept, Notes};
+use crate::pace::Pace;
 use crate::{ClientId, Decide, HostId};
 
 /// Service and actor.
@@ -88,8 +89,6 @@
     Wake(u64),
     /// An attempt's time is over.
     Attempt(u64),
-    /// An ask must have its answer by now, whatever the decider does.
-    LastWord(TaskId),
     /// Connect to a host again.
     Connect(HostId, u64),
     /// A connection must be greeted by now.
@@ -112,7 +111,9 @@
 pub(crate) struct Ask {
     pub task: Task,
     pub asked: Micros,
-    /// It was taken in since the last turn.
+    /// When its client gives up. The decider is told an earlier time, by as much as turns may run late.
+    pub deadline: Micros,
+    /// The decider has not had a whole turn with it.
     pub fresh: bool,
     pub key: ActorKey,
     pub request: Arc<str>,
@@ -215,8 +216,9 @@
     pub(crate) stalled: bool,
     /// What is read now may have lain unread since then.
     pub(crate) unread_since: Option<Micros>,
-    /// Asks that must have their answer in this turn.
-    last_words: Vec<TaskId>,
+    /// Open asks in the order of their deadlines.
+    pub(crate) deadlines: BTreeSet<(Micros, TaskId)>,
+    pub(crate) pace: Pace,
     pub(crate) events: Vec<Event>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) timers: Timers<Due>,
@@ -245,13 +247,18 @@
     pub(crate) stopping: bool,
     /// When the asks were read whose first offer this turn gave.
     pub(crate) decided: Vec<Micros>,
-    pub(crate) fresh: Vec<TaskId>,
     pub(crate) gauges: serde_json::Value,
     pub(crate) notes: Notes,
 }
 
 /// Rounds of decisions in one turn: an offer that can't be sent is decided on anew at once, so often.
 const ROUNDS: usize = 8;
+/// So many tasks are placed in one turn. What more has come waits for the next turn, once the offers of this one are
+/// written: an offer that leaves long after it was decided on may meet others in a cold host's window.
+const MAX_PLACINGS: usize = 64;
+/// An ask that has no answer so long before its deadline gets one from the engine, µs. Deciders that keep rule 1
+/// are earlier.
+const LAST_WORD: Micros = 5_000;
 
 impl<D: Decide> Engine<D> {
     /// An engine that knows no hosts yet.
@@ -271,7 +278,8 @@
             taken: 0,
             stalled: false,
             unread_since: None,
-            last_words: Vec::new(),
+            deadlines: BTreeSet::new(),
+            pace: Pace::default(),
             events: Vec::new(),
             outputs: Vec::new(),
             timers: Timers::default(),
@@ -296,7 +304,6 @@
             counters: Counters::default(),
             stopping: false,
             decided: Vec::new(),
-            fresh: Vec::new(),
             gauges: serde_json::Value::Null,
             notes: Notes::default(),
             config,
@@ -325,7 +332,12 @@
 
     /// When [`Engine::turn`] is to be called at the latest.
     pub fn next_timeout(&self) -> Option<Micros> {
-        if self.events.is_empty() { self.timers.next() } else { Some(self.now) }
+        if !self.events.is_empty() {
+            return Some(self.now);
+        }
+        let last_word = self.deadlines.first().map(|(deadline, _)| deadline.saturating_sub(LAST_WORD));
+        let last_word = last_word.filter(|_| self.decider.last_word());
+        self.timers.next().into_iter().chain(last_word).min()
     }
 
     /// What is to be done since the last call.
@@ -359,47 +371,111 @@
         self.unread_since = Some(at);
     }
 
+    /// The caller was busy for so long with the last turn, from reading for it until all was written. What comes
+    /// meanwhile waits as long, and so do deadlines that fall due.
+    pub fn round_took(&mut self, span: Micros) {
+        self.pace.round_took(span);
+    }
+
     /// Decides on all that was taken in, and carries the decisions out. `stalled` tells that the caller stood
     /// still before this turn, so that silence is its own and not the hosts'.
     pub fn turn(&mut self, now: Micros, stalled: bool) {
         (self.now, self.stalled) = (self.now.max(now), stalled);
         self.turns += 1;
         self.taken = 0;
+        self.pace.turn(self.now, self.late_by());
         while let Some(due) = self.timers.due(self.now) {
             self.fall_due(due);
         }
-        let mut actions = Vec::new();
+        self.decide();
+        if self.decider.last_word() {
+            self.last_words();
+        }
+        self.unread_since = None;
+        self.answers.expire(self.now);
+        self.pump();
+    }
+
+    /// How long the earliest thing that waits for this turn has waited for it.
+    fn late_by(&self) -> Micros {
+        let oldest_ask = self.events.iter().find_map(|event| match event {
+            Event::Asked(task) => self.asks.get(&task.id).map(|ask| ask.asked),
+            _ => None,
+        });
+        let due = self.timers.next().into_iter().chain(oldest_ask).min();
+        self.now.saturating_sub(due.unwrap_or(self.now))
+    }
+
+    /// Lets the decider take in what has happened, as far as this turn goes, and carries its actions out.
+    fn decide(&mut self) {
+        let (mut given, mut actions) = (Vec::new(), Vec::new());
+        let mut placings_left = MAX_PLACINGS;
         for _ in 0..ROUNDS {
-            if self.events.is_empty() {
+            let events = self.next_events(&mut placings_left);
+            if events.is_empty() {
                 break;
             }
-            let events = std::mem::take(&mut self.events);
             self.decider.turn(self.now, &events, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
             }
+            given.extend(events.iter().filter_map(|event| match event {
+                Event::Asked(task) => Some(task.id),
+                _ => None,
+            }));
         }
-        for task in std::mem::take(&mut self.last_words) {
-            if self.decider.last_word() {
-                self.last_word(task);
-            }
-        }
-        self.unread_since = None;
-        for task in std::mem::take(&mut self.fresh) {
+        for task in given {
             if let Some(ask) = self.asks.get_mut(&task) {
                 ask.fresh = false;
             }
         }
-        self.answers.expire(self.now);
-        self.pump();
+    }
+
+    /// The events up to the one that would have the decider place more than is left for this turn.
+    fn next_events(&mut self, placings_left: &mut usize) -> Vec<Event> {
+        let places = |event: &Event| match event {
+            Event::Asked(_) => true,
+            Event::Ended(_, end) => !end.closed,
+            _ => false,
+        };
+        let mut count = 0;
+        for event in &self.events {
+            if places(event) {
+                if *placings_left == 0 {
+                    break;
+                }
+                *placings_left -= 1;
+            }
+            count += 1;
+        }
+        let later = self.events.split_off(count);
+        std::mem::replace(&mut self.events, later)
+    }
+
+    /// Answers in the decider's stead the asks that it left open and that the next turn may be too late for.
+    fn last_words(&mut self) {
+        let margin = self.pace.answer_margin();
+        let by = self.now + LAST_WORD;
+        let near = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= by + margin);
+        let due: Vec<TaskId> = near
+            .filter(|(deadline, task)| {
+                let asked = self.asks.get(task).map_or(*deadline, |ask| ask.asked);
+                *deadline <= by + self.margin_within(deadline.saturating_sub(asked))
+            })
+            .map(|&(_, task)| task)
+            .collect();
+        due.into_iter().for_each(|task| self.last_word(task));
+    }
+
+    /// So long before its deadline an ask with this budget must be answered, as late as turns run.
+    pub(crate) fn margin_within(&self, budget: Micros) -> Micros {
+        self.pace.answer_margin().min(budget / 2)
     }
 
     fn fall_due(&mut self, due: Due) {
         match due {
             Due::Wake(label) => self.events.push(Event::Woken(label)),
             Due::Attempt(wire) => self.attempt_due(wire),
-            // After the decider's own turn, which may have the answer.
-            Due::LastWord(task) => self.last_words.push(task),
             Due::Connect(host, epoch) => self.connect_due(host, epoch),
             Due::Greet(host, epoch) => self.greet_due(host, epoch),
             Due::Ping(host, epoch) => self.ping_due(host, epoch),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -17,6 +17,7 @@
 mod life;
 mod names;
 mod notes;
+mod pace;
 mod serve;
 mod sessions;
 
--- /dev/null
+++ b/crates/engine/src/pace.rs
@@ -0,0 +1,57 @@
+//! Whether the engine's turns keep up with what comes in: how late they run, and whether that lasts.
+
+use maplethread::Micros;
+
+/// A turn that runs later than this does not keep up.
+const BEHIND: Micros = 100_000;
+/// Turns that do not keep up for this long tell of an overload; for a shorter time, of a burst or a pause.
+const LASTING: Micros = 250_000;
+/// Lateness beyond this is a pause of the process, which says nothing of the next turn.
+const MAX_LATENESS: Micros = 250_000;
+/// Answers are due at least so long before their deadlines, however well turns keep up: a turn may take as long.
+const MIN_ANSWER_MARGIN: Micros = 50_000;
+/// How long a late turn is remembered: late turns further apart than this are no overload.
+const MEMORY: Micros = 500_000;
+
+/// The pace of the turns.
+#[derive(Debug, Default)]
+pub(crate) struct Pace {
+    /// The largest lateness of late, and until when it is remembered.
+    lateness: Micros,
+    remembered_until: Micros,
+    /// How long the caller was busy with the last turn.
+    last_round: Micros,
+    /// The first and the last turn of an unbroken time in which turns did not keep up.
+    behind: Option<(Micros, Micros)>,
+}
+
+impl Pace {
+    /// The caller was busy for so long with the last turn: reading for it, deciding, and writing.
+    pub fn round_took(&mut self, span: Micros) {
+        self.last_round = span;
+    }
+
+    /// A turn begins at `now`, so long after the earliest thing that waits for it was due.
+    pub fn turn(&mut self, now: Micros, late_by: Micros) {
+        let late_by = late_by.max(std::mem::take(&mut self.last_round)).min(MAX_LATENESS);
+        if late_by >= self.lateness || self.remembered_until <= now {
+            (self.lateness, self.remembered_until) = (late_by, now + MEMORY);
+        }
+        self.behind = self.behind.filter(|(_, last)| last + MEMORY > now);
+        if late_by >= BEHIND {
+            let first = self.behind.map_or(now, |(first, _)| first);
+            self.behind = Some((first, now));
+        }
+    }
+
+    /// So long before a deadline its answer is due: the next turn may come as late as turns do, what it answers is
+    /// written as much later, and turns may be growing longer.
+    pub fn answer_margin(&self) -> Micros {
+        (3 * self.lateness).max(MIN_ANSWER_MARGIN)
+    }
+
+    /// Whether more is taken in than the turns can bear.
+    pub fn is_overloaded(&self, now: Micros) -> bool {
+        self.behind.is_some_and(|(first, last)| first + LASTING <= last && last + MEMORY > now)
+    }
+}
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -445,7 +445,7 @@
     fn seat(&mut self, wire: u64, took_ms: u32) {
         let Some(attempt) = self.attempts.get_mut(&wire) else { return };
         let task = attempt.id.task;
-        let in_time = self.asks.get(&task).is_some_and(|ask| ask.task.give_up_at > self.now);
+        let in_time = self.asks.get(&task).is_some_and(|ask| ask.deadline > self.now);
         if !in_time {
             self.call_off(wire);
             return;
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -225,7 +225,9 @@
             }
             self.spent.read.add(read - woke);
             self.spent.turn.add(decided - read);
-            self.spent.write.add(self.clock.now() - decided);
+            let written = self.clock.now();
+            self.spent.write.add(written - decided);
+            self.engine.round_took(written - woke);
             if !self.accepting && self.stop_by.is_none() && self.engine.ready() {
                 self.accept_from_now()?;
             }
