Placers leave room for 4,096 connections that wait to be accepted, not 128

A connection that finds no room is dropped without a word, and its client's kernel tries again after a second, then after two more: an ask's whole budget. A placer whose turns take over 100 ms meets that at 750 asks a second (the system had counted 27,654 such drops (ListenOverflows) by then, by all that runs on the machine).

--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -54,7 +54,7 @@
     let seed = config.placer.seed.unwrap_or_else(|| clock.now() ^ (u64::from(std::process::id()) << 32));
     let decider = decider(&config, seed).map_err(Error::Settings)?;
     let listener =
-        TcpListener::bind(config.api.listen).map_err(io_error(format!("{}", config.api.listen)))?;
+        maplethread_reactor::listen(config.api.listen).map_err(io_error(format!("{}", config.api.listen)))?;
     let deciding = Rc::new(Cell::new(Span::default()));
     let recorder = Recorder::start(&config, seed, started_ms, decider.is_module())
         .map_err(io_error("thread of the trace"))?;
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -7,7 +7,7 @@
 mod poll;
 mod watch;
 
-pub use accept::exhausted;
+pub use accept::{exhausted, listen};
 pub use clock::Clock;
 pub use conn::{Conn, ReadOutcome};
 pub use poll::{Poller, Readiness, Signals};
