--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -7,6 +7,7 @@
 
 use crate::figures::Figures;
 use crate::numbers::Numbers;
+use crate::read_late::ReadLate;
 use crate::record::{Outcome, Record, Seen, Where};
 use crate::rule_1::{Absences, absences, unreadable};
 use crate::verdict::{Broken, Verdict};
@@ -76,6 +77,8 @@
     pub(crate) listed_start: BTreeMap<Name, u64>,
     /// Placers that have been told of a host's present start, since when.
     pub(crate) told_start: BTreeMap<(Name, Name), u64>,
+    /// Offers to cold hosts, in the order in which they were read: when they may have arrived at the earliest, from
+    /// whom, whether it knew, and the record.
     pub(crate) cold_offers: BTreeMap<Name, VecDeque<(u64, Name, bool, usize)>>,
     /// When attempts stopped counting in spreads, and spreads over their limit that are looked at once what was
     /// sent before must have been read everywhere.
@@ -93,6 +96,8 @@
     pub(crate) absences: BTreeMap<Name, Absences>,
     /// Times in which the inventory could not be read.
     pub(crate) unreadable: Vec<(u64, u64)>,
+    /// How late the readers of the record were.
+    pub(crate) read_late: ReadLate,
     /// Numbers that are leased.
     pub(crate) numbers: Numbers,
 }
@@ -127,6 +132,7 @@
         doubles: VecDeque::new(),
         absences: absences(records),
         unreadable: unreadable(records),
+        read_late: ReadLate::default(),
         numbers: Numbers::default(),
     };
     for (number, record) in records.iter().enumerate() {
@@ -251,6 +257,7 @@
             | Seen::PlacerDown { .. }
             | Seen::PlacerPaused { .. }
             | Seen::PlacerGoesOn { .. } => self.number_seen(seen),
+            Seen::ReadLate { reader, since } => self.read_late.note(*reader, *since),
             Seen::InventoryUnreadable => {}
         }
     }
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -5,6 +5,7 @@
 mod figures;
 mod judge;
 mod numbers;
+mod read_late;
 mod record;
 mod rule_1;
 mod rule_2;
@@ -15,5 +16,5 @@
 
 pub use figures::{ClassRule, Figures, Group, Place};
 pub use judge::judge;
-pub use record::{Outcome, Record, Seen, Where};
+pub use record::{Outcome, Reader, Record, Seen, Where};
 pub use verdict::{Broken, Verdict};
--- /dev/null
+++ b/crates/judge/src/read_late.rs
@@ -0,0 +1,34 @@
+//! How late the readers of the record were: what was sent in time and read late is not its sender's fault.
+
+use crate::judge::Judge;
+use crate::record::Reader;
+
+/// Since when each reader had not looked, where it told that it was late.
+#[derive(Default)]
+pub(crate) struct ReadLate {
+    hosts: Option<u64>,
+    clients: Option<u64>,
+}
+
+impl ReadLate {
+    /// What this reader reads from here on may have come at any time since, if it is late.
+    pub(crate) fn note(&mut self, reader: Reader, since: Option<u64>) {
+        match reader {
+            Reader::Hosts => self.hosts = since,
+            Reader::Clients => self.clients = since,
+        }
+    }
+}
+
+impl Judge<'_> {
+    /// What is read now came no earlier than this: the slack before, or where the reader itself had not looked for longer,
+    /// when it last found nothing more to read.
+    pub(crate) fn earliest_arrival(&self, reader: Reader) -> u64 {
+        let since = match reader {
+            Reader::Hosts => self.read_late.hosts,
+            Reader::Clients => self.read_late.clients,
+        };
+        let usual = self.at.saturating_sub(self.figures.slack);
+        since.map_or(usual, |since| since.min(usual))
+    }
+}
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -70,10 +70,22 @@
     PlacerDown { placer: Arc<str> },
     /// It was made to stand still.
     PlacerPaused { placer: Arc<str> },
+    /// A reader is late: what it reads from here on may have come at any time since this one, when it last found nothing
+    /// more to read. Or it is in time again.
+    ReadLate { reader: Reader, since: Option<u64> },
     /// It goes on.
     PlacerGoesOn { placer: Arc<str> },
 }
 
+/// Whose traffic a reader reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reader {
+    /// What placers send to hosts.
+    Hosts,
+    /// What placers answer to clients.
+    Clients,
+}
+
 /// What was seen, and when: µs on one clock for all.
 #[derive(Clone, Debug)]
 pub struct Record {
--- /dev/null
+++ b/crates/judge/tests/read_late.rs
@@ -0,0 +1,126 @@
+//! What a late reader of the record changes: no sender is blamed for it, and nothing else is excused.
+
+use std::sync::Arc;
+
+use maplethread_judge::{Figures, Outcome, Reader, Record, Seen, Where, judge};
+use maplethread_wire::frame::{Copies, Frame, Load, Offer};
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+fn figures() -> Figures {
+    Figures {
+        classes: Vec::new(),
+        hosts: vec![Where { host: name("h"), zone: name("z"), cell: name("c") }],
+        placers: 1,
+        drain_grace: 2 * S,
+        cold_for: 1000 * S,
+        fall_window: 2 * S,
+        fresh_offers: 16.0,
+        lost_after: 5 * S,
+        reprieve: S / 2,
+        slack: 150 * MS,
+    }
+}
+
+/// How often a rule is broken by these records.
+fn broken(rule: u8, mut records: Vec<Record>) -> u64 {
+    records.sort_by_key(|r| r.at);
+    judge(&records, &figures()).counts().get(&rule).copied().unwrap_or(0)
+}
+
+fn late(reader: Reader, at: u64, since: Option<u64>) -> Record {
+    Record { at, seen: Seen::ReadLate { reader, since } }
+}
+
+#[test]
+fn an_answer_is_late_only_if_its_reader_looked_after_the_deadline() {
+    let deadline = 13 * S;
+    let answered_after = |span: u64, notes: Vec<Record>| {
+        let asked = Seen::Asked { request: name("r"), placer: name("p"), class: name("c"), budget_us: 3 * S };
+        let answered = Seen::Answered { request: name("r"), outcome: Outcome::Failed };
+        let mut records =
+            vec![Record { at: 10 * S, seen: asked }, Record { at: deadline + span, seen: answered }];
+        records.extend(notes);
+        broken(1, records)
+    };
+    let clients = |since| late(Reader::Clients, deadline + 200 * MS, Some(since));
+    assert_eq!(answered_after(150 * MS, vec![]), 0, "within the slack");
+    assert_eq!(answered_after(151 * MS, vec![]), 1);
+    assert_eq!(answered_after(300 * MS, vec![clients(deadline - MS)]), 0, "it may have come before");
+    assert_eq!(
+        answered_after(300 * MS, vec![clients(deadline + MS)]),
+        1,
+        "there was nothing after the deadline"
+    );
+    let in_time_again = late(Reader::Clients, deadline + 250 * MS, None);
+    assert_eq!(answered_after(300 * MS, vec![clients(deadline - MS), in_time_again]), 1);
+    let hosts = late(Reader::Hosts, deadline + 200 * MS, Some(deadline - MS));
+    assert_eq!(answered_after(300 * MS, vec![hosts]), 1, "another reader");
+}
+
+fn offer(at: u64, attempt: u64) -> Record {
+    let offer = Offer {
+        attempt,
+        number: 0,
+        service: "s".into(),
+        actor: "a".into(),
+        class: "c".into(),
+        request: attempt.to_string(),
+        asks: Load { cores: 1.0, memory: 1.0 },
+        priority: 0,
+        copies: Copies::Safe,
+        life_ms: 0,
+        wait_ms: 100,
+    };
+    Record { at, seen: Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Offer(offer) } }
+}
+
+#[test]
+fn offers_that_were_read_late_count_from_the_earliest_time_at_which_they_came() {
+    // As many as a cold host bears, read at 10 s, and one more after `gap`.
+    let offered = |gap: u64, notes: Vec<Record>| {
+        let link = Seen::Link { host: name("h"), link: 1, placer: name("p"), life: 1 };
+        let mut records = vec![
+            Record { at: 0, seen: Seen::HostUp { host: name("h"), started_ms: 0 } },
+            Record { at: 1, seen: link },
+        ];
+        records.extend((0..16).map(|n| offer(10 * S, n)));
+        records.push(offer(10 * S + gap, 16));
+        records.extend(notes);
+        broken(4, records)
+    };
+    let hosts = |since| late(Reader::Hosts, 10 * S - MS, Some(since));
+    assert_eq!(offered(1_900 * MS, vec![]), 0, "within the slack");
+    assert_eq!(offered(1_500 * MS, vec![]), 1);
+    let again = || late(Reader::Hosts, 10 * S + MS, None);
+    assert_eq!(
+        offered(1_500 * MS, vec![hosts(9_400 * MS), again()]),
+        0,
+        "the first came up to 600 ms before"
+    );
+    assert_eq!(offered(1_500 * MS, vec![hosts(9_600 * MS), again()]), 1, "400 ms explain nothing");
+    let second = late(Reader::Hosts, 11 * S, Some(10 * S + MS));
+    assert_eq!(offered(1_500 * MS, vec![second]), 1, "a late second offer was sent even sooner");
+}
+
+#[test]
+fn news_that_a_host_drains_binds_whenever_offers_are_read() {
+    let offered = |at: u64, notes: Vec<Record>| {
+        let link = Seen::Link { host: name("h"), link: 1, placer: name("p"), life: 1 };
+        let drain = Seen::FromHost { host: name("h"), link: 1, frame: Frame::Drain };
+        let mut records =
+            vec![Record { at: S, seen: link }, Record { at: 10 * S, seen: drain }, offer(at, 1)];
+        records.extend(notes);
+        broken(3, records)
+    };
+    let hosts = |since| late(Reader::Hosts, 12 * S, Some(since));
+    assert_eq!(offered(12_100 * MS, vec![]), 0, "within the slack");
+    assert_eq!(offered(12_500 * MS, vec![]), 1);
+    assert_eq!(offered(12_500 * MS, vec![hosts(11_900 * MS)]), 0, "it may have come within the grace");
+    assert_eq!(offered(12_500 * MS, vec![hosts(12_001 * MS)]), 1);
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,5 +10,5 @@
 pub use accept::{exhausted, listen};
 pub use clock::Clock;
 pub use conn::{Conn, ReadOutcome};
-pub use poll::{Poller, Readiness, Signals};
+pub use poll::{MAX_READY, Poller, Readiness, Signals};
 pub use watch::FileWatch;
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -7,6 +7,9 @@
 use rustix::event::epoll;
 use rustix::event::{EventfdFlags, Timespec, eventfd};
 
+/// So many descriptors are told ready at once; with fewer, none that was ready is left out.
+pub const MAX_READY: usize = 256;
+
 /// What a registered descriptor is ready for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Readiness {
@@ -63,7 +66,8 @@
             tv_nsec: i64::from(t.subsec_nanos()) as _,
         });
         let mut room =
-            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) }; 256];
+            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) };
+                MAX_READY];
         let mut waited = epoll::wait(&self.epoll, &mut room, timeout.as_ref());
         if waited == Err(rustix::io::Errno::INTR) {
             // A process that was stopped and goes on comes here, and much may be ready by now.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod drawn;
 mod host;
 pub mod load;
+mod looks;
 pub mod options;
 mod owners;
 mod plan;
--- a/crates/standin/src/owners.rs
+++ b/crates/standin/src/owners.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use maplethread_engine::Timers;
-use maplethread_judge::{Outcome, Seen};
-use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_judge::{Outcome, Reader as RecordReader, Seen};
+use maplethread_reactor::{Conn, MAX_READY, Poller, ReadOutcome, Readiness};
 use maplethread_wire::http::{self, Decoder, Found, Limits, Reader, Role, Step};
 use serde_json::{Value, json};
 
 use crate::demand::Arrival;
+use crate::looks::Looks;
 use crate::scenario::Scenario;
 use crate::world::{Dice, World};
 
@@ -22,6 +23,9 @@
 /// recording may be late by.
 pub const SLACK: u64 = 150_000;
 
+/// Owners have at least so many connections at a time, however few descriptors are left.
+const MIN_CONNECTIONS: usize = 64;
+
 /// A placer as the front layer sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Front {
@@ -73,6 +77,7 @@
         let arrivals = arrivals.into_iter();
         let mut run = Run {
             poller: Poller::new()?,
+            max_connections: max_connections(&scenario),
             scenario,
             world,
             arrivals,
@@ -85,6 +90,7 @@
             followers: BTreeMap::new(),
             next: 1,
             timers: Timers::default(),
+            looks: Looks::new(RecordReader::Clients, start),
             open: 0,
             place_us: Vec::new(),
         };
@@ -111,6 +117,14 @@
     }
 }
 
+/// So many connections leave the hosts of this process the descriptors that they need, and an eighth of all for the rest.
+fn max_connections(scenario: &Scenario) -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let limit = limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
+    let hosts = scenario.fleet.hosts * (1 + scenario.placers as usize);
+    (limit - limit / 8).saturating_sub(hosts).max(MIN_CONNECTIONS)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// A timer leads to the next ask.
@@ -169,6 +183,7 @@
     poller: Poller,
     scenario: Arc<Scenario>,
     world: World,
+    max_connections: usize,
     /// Those to come.
     arrivals: std::vec::IntoIter<Arrival>,
     mood: Arc<Mutex<Mood>>,
@@ -181,6 +196,7 @@
     followers: BTreeMap<usize, u64>,
     next: u64,
     timers: Timers<Due>,
+    looks: Looks,
     /// Asks without an answer.
     open: usize,
     place_us: Vec<u64>,
@@ -198,6 +214,7 @@
             let next = self.timers.next().unwrap_or(now + 50_000).min(now + 50_000);
             ready.clear();
             self.poller.wait(Some(Duration::from_micros(next.saturating_sub(now))), &mut ready)?;
+            self.looks.looked(now, ready.len() < MAX_READY);
             for r in &ready {
                 self.link_ready(r);
             }
@@ -218,6 +235,7 @@
             Due::Ask(owner) => self.ask(now, owner),
             Due::Deadline(owner, ask) => {
                 if self.owners[owner].asks == ask {
+                    self.read_first(owner);
                     self.hang_up(now, owner, false);
                 }
             }
@@ -350,10 +368,14 @@
         }
     }
 
+    /// A connection without an ask. Where there are as many as may be, none: the owner tries again later.
     fn connection(&mut self, placer: usize, address: SocketAddr, life: u64) -> io::Result<u64> {
         if let Some(token) = self.idle.get_mut(&(placer, life)).and_then(Vec::pop) {
             return Ok(token);
         }
+        if self.conns.len() >= self.max_connections {
+            return Err(io::Error::other("as many connections as this process has descriptors for"));
+        }
         self.connect(placer, address, life, |reader| Use::Asks { reader, owner: None, hung_up: false })
     }
 
@@ -380,6 +402,12 @@
         }
     }
 
+    /// Reads what has come for an owner: an answer that lies unread, since this thread is late, has been given.
+    fn read_first(&mut self, owner: usize) {
+        let State::Asking(token) = self.owners[owner].state else { return };
+        self.link_ready(&Readiness { token, read: true, write: false, closed: false });
+    }
+
     /// Gives up on an ask: by closing the connection at once, by an explicit word, or a while later, to see that
     /// nothing is said after the deadline.
     fn hang_up(&mut self, now: u64, owner: usize, early: bool) {
@@ -546,6 +574,9 @@
             None if hung_up => return,
             None => self.owners[owner].request.clone(),
         };
+        if let Some(late) = self.looks.reads(now) {
+            self.world.see(late);
+        }
         self.world.see(Seen::Answered { request, outcome: outcome.clone() });
         if hung_up {
             return;
