--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -11,11 +11,12 @@
 
 use maplethread_admission::KeyTable;
 use maplethread_engine::Timers;
-use maplethread_judge::Seen;
-use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_judge::{Reader, Seen};
+use maplethread_reactor::{Conn, MAX_READY, Poller, ReadOutcome, Readiness};
 use maplethread_wire::frame::{self, Frame};
 
 use crate::host::{Do, Faults, Host, Later, Spec};
+use crate::looks::Looks;
 use crate::scenario::Scenario;
 use crate::world::{Dice, World};
 
@@ -100,6 +101,7 @@
             by_placer: BTreeMap::new(),
             next: CONNS,
             timers: Timers::default(),
+            looks: Looks::new(Reader::Hosts, world.clock.now()),
             commands: commands.clone(),
             waker: rustix::io::dup(&waker)?,
             started: started.clone(),
@@ -163,6 +165,7 @@
     by_placer: BTreeMap<(usize, Arc<str>), u64>,
     next: u64,
     timers: Timers<(usize, u64, Later)>,
+    looks: Looks,
     commands: Arc<Mutex<VecDeque<Command>>>,
     waker: OwnedFd,
     started: Arc<Mutex<Vec<u64>>>,
@@ -178,6 +181,7 @@
             let next = self.timers.next().unwrap_or(u64::MAX).min(ticked + TICK);
             ready.clear();
             self.poller.wait(Some(Duration::from_micros(next.saturating_sub(now))), &mut ready)?;
+            self.looks.looked(now, ready.len() < MAX_READY);
             for r in &ready {
                 match r.token {
                     WAKER => self.commanded()?,
@@ -368,6 +372,9 @@
             return;
         }
         let Some(placer) = link.placer.clone() else { return };
+        if let Some(late) = self.looks.reads(now) {
+            self.world.see(late);
+        }
         self.world.see(Seen::FromPlacer { host, link: token, frame: frame.clone() });
         let mut out = Vec::new();
         self.slots[number].host.frame(now, &placer, frame, &mut self.keys, &mut out);
