What ends an attempt counts from when it can have been sent, where it is read late

Two attempts out and spreads are now settled once all that was sent by then is read, and a call-off or a lost connection counts from the reader's last look; where the reader is in time nothing changes. Test on both sides of the bound.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -137,8 +137,9 @@
     };
     for (number, record) in records.iter().enumerate() {
         (judge.at, judge.number) = (record.at, number);
-        judge.settle_spreads(record.at);
-        judge.settle_doubles(record.at);
+        let read_through = judge.hosts_read_through(&record.seen);
+        judge.settle_spreads(read_through);
+        judge.settle_doubles(read_through);
         judge.lose_orphans(record.at);
         judge.take(&record.seen);
     }
@@ -176,17 +177,17 @@
                 self.told_start.entry((placer.clone(), host.clone())).or_insert(at);
             }
             Seen::LinkLost { host, link } => {
-                let mut unanswered = Vec::new();
+                let (mut unanswered, lost_at) = (Vec::new(), self.sent_to_host());
                 for (&wire, attempt) in &mut self.attempts {
                     if attempt.host == *host && attempt.link == *link {
-                        attempt.over = attempt.over.or(Some(at));
+                        attempt.over = attempt.over.or(Some(lost_at));
                         if !attempt.accepted {
                             unanswered.push(wire);
                         }
                     }
                 }
                 // The placer hears no more of what was not answered; of the rest once it is connected again.
-                unanswered.into_iter().for_each(|wire| self.release(wire));
+                unanswered.into_iter().for_each(|wire| self.release_at(wire, lost_at));
                 self.unnamed.remove(&(host.clone(), *link));
                 if let Some((placer, _)) = self.links.remove(&(host.clone(), *link)) {
                     let after = if self.gone.contains(host) { 0 } else { self.figures.lost_after };
@@ -300,11 +301,12 @@
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
             Frame::Cancel(wire) | Frame::Stop(wire) => {
+                let sent = self.sent_to_host();
                 if let Some(attempt) = self.attempts.get_mut(wire) {
-                    attempt.over = attempt.over.or(Some(at));
+                    attempt.over = attempt.over.or(Some(sent));
                     // The placer counts it no more.
                     if !attempt.accepted || matches!(frame, Frame::Cancel(_)) {
-                        self.release(*wire);
+                        self.release_at(*wire, sent);
                     }
                 }
             }
--- a/crates/judge/src/read_late.rs
+++ b/crates/judge/src/read_late.rs
@@ -1,13 +1,15 @@
 //! How late the readers of the record were: what was sent in time and read late is not its sender's fault.
 
 use crate::judge::Judge;
-use crate::record::Reader;
+use crate::record::{Reader, Seen};
 
 /// Since when each reader had not looked, where it told that it was late.
 #[derive(Default)]
 pub(crate) struct ReadLate {
     hosts: Option<u64>,
     clients: Option<u64>,
+    /// All that was sent to hosts by this time is read.
+    hosts_read_through: u64,
 }
 
 impl ReadLate {
@@ -21,6 +23,20 @@
 }
 
 impl Judge<'_> {
+    /// All that was sent to hosts by this time has been read, as far as is known from the record up to here.
+    pub(crate) fn hosts_read_through(&mut self, seen: &Seen) -> u64 {
+        if matches!(seen, Seen::FromPlacer { .. }) {
+            let through = self.earliest_arrival(Reader::Hosts);
+            self.read_late.hosts_read_through = self.read_late.hosts_read_through.max(through);
+        }
+        self.read_late.hosts_read_through
+    }
+
+    /// When what is read now at a host was sent: just now, or where the reader is late, as early as it can have been.
+    pub(crate) fn sent_to_host(&self) -> u64 {
+        self.read_late.hosts.map_or(self.at, |since| since.min(self.at))
+    }
+
     /// What is read now came no earlier than this: the slack before, or where the reader itself had not looked for longer,
     /// when it last found nothing more to read.
     pub(crate) fn earliest_arrival(&self, reader: Reader) -> u64 {
--- a/crates/judge/src/rule_5.rs
+++ b/crates/judge/src/rule_5.rs
@@ -31,12 +31,17 @@
 
     /// The host is done with an attempt: it counts in no spread any more.
     pub(crate) fn release(&mut self, wire: u64) {
+        self.release_at(wire, self.at);
+    }
+
+    /// The same, since then.
+    pub(crate) fn release_at(&mut self, wire: u64, at: u64) {
         if let Some((placer, life, service)) = self.services.remove(&wire)
             && let Some(held) = self.held.get_mut(&(placer, life))
             && let Some(all) = held.by_service.get_mut(&service)
         {
             all.remove(&wire);
-            self.released.insert(wire, self.at);
+            self.released.insert(wire, at);
         }
     }
 
--- a/crates/judge/tests/read_late.rs
+++ b/crates/judge/tests/read_late.rs
@@ -124,3 +124,32 @@
     assert_eq!(offered(12_500 * MS, vec![hosts(11_900 * MS)]), 0, "it may have come within the grace");
     assert_eq!(offered(12_500 * MS, vec![hosts(12_001 * MS)]), 1);
 }
+
+#[test]
+fn an_earlier_attempt_was_over_if_that_was_sent_in_time_whenever_it_is_read() {
+    // Two offers for one ask to two hosts, and the first called off: read after `gap`.
+    let doubled = |gap: u64, notes: Vec<Record>| {
+        let link = |link: u64| Record {
+            at: link,
+            seen: Seen::Link { host: name("h"), link, placer: name("p"), life: 1 },
+        };
+        let mut second = offer(10 * S, 2);
+        if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
+            (*link, offer.request) = (2, "1".to_owned());
+        }
+        let cancel = Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) };
+        let mut records = vec![link(1), link(2), offer(9 * S, 1), second];
+        records.push(Record { at: 10 * S + gap, seen: cancel });
+        // Time goes on at others while the reader is away.
+        records.push(Record { at: 10 * S + 200 * MS, seen: Seen::PlacerUp { placer: name("q") } });
+        records.push(offer(20 * S, 3));
+        records.extend(notes);
+        broken(2, records)
+    };
+    let late_since =
+        |since| vec![late(Reader::Hosts, 10 * S + 300 * MS, Some(since)), late(Reader::Hosts, 11 * S, None)];
+    assert_eq!(doubled(140 * MS, vec![]), 0, "within the slack");
+    assert_eq!(doubled(400 * MS, vec![]), 1);
+    assert_eq!(doubled(400 * MS, late_since(10 * S + 100 * MS)), 0, "it may have been sent within the slack");
+    assert_eq!(doubled(400 * MS, late_since(10 * S + 200 * MS)), 1, "there was nothing of it by then");
+}
