--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -295,6 +295,9 @@
 
     fn lose(&mut self, token: u64, reset: bool) {
         let Some(link) = self.conns.remove(&token) else { return };
+        if let Some(late) = self.looks.reads(self.world.clock.now()) {
+            self.world.see(late);
+        }
         if let Some(placer) = link.placer {
             let host = self.slots[link.slot].host.spec.name.clone();
             self.world.see(Seen::LinkLost { host, link: token });
