--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -7,6 +7,7 @@
 
 use crate::figures::Figures;
 use crate::numbers::Numbers;
+use crate::read_late::ReadLate;
 use crate::record::{Outcome, Record, Seen, Where};
 use crate::rule_1::{Absences, absences, unreadable};
 use crate::verdict::{Broken, Verdict};
@@ -76,6 +77,8 @@
     pub(crate) listed_start: BTreeMap<Name, u64>,
     /// Placers that have been told of a host's present start, since when.
     pub(crate) told_start: BTreeMap<(Name, Name), u64>,
+    /// Offers to cold hosts, in the order in which they were read: when they may have arrived at the earliest, from
+    /// whom, whether it knew, and the record.
     pub(crate) cold_offers: BTreeMap<Name, VecDeque<(u64, Name, bool, usize)>>,
     /// When attempts stopped counting in spreads, and spreads over their limit that are looked at once what was
     /// sent before must have been read everywhere.
@@ -95,6 +98,8 @@
     pub(crate) absences: BTreeMap<Name, Absences>,
     /// Times in which the inventory could not be read.
     pub(crate) unreadable: Vec<(u64, u64)>,
+    /// How late the readers of the record were.
+    pub(crate) read_late: ReadLate,
     /// Numbers that are leased.
     pub(crate) numbers: Numbers,
 }
@@ -130,12 +135,14 @@
         doubles: VecDeque::new(),
         absences: absences(records),
         unreadable: unreadable(records),
+        read_late: ReadLate::default(),
         numbers: Numbers::default(),
     };
     for (number, record) in records.iter().enumerate() {
         (judge.at, judge.number) = (record.at, number);
-        judge.settle_spreads(record.at);
-        judge.settle_doubles(record.at);
+        let read_through = judge.hosts_read_through(&record.seen);
+        judge.settle_spreads(read_through);
+        judge.settle_doubles(read_through);
         judge.lose_orphans(record.at);
         judge.take(&record.seen);
     }
@@ -173,17 +180,17 @@
                 self.told_start.entry((placer.clone(), host.clone())).or_insert(at);
             }
             Seen::LinkLost { host, link } => {
-                let mut unanswered = Vec::new();
+                let (mut unanswered, lost_at) = (Vec::new(), self.sent_to_host());
                 for (&wire, attempt) in &mut self.attempts {
                     if attempt.host == *host && attempt.link == *link {
-                        attempt.over = attempt.over.or(Some(at));
+                        attempt.over = attempt.over.or(Some(lost_at));
                         if !attempt.accepted {
                             unanswered.push(wire);
                         }
                     }
                 }
                 // The placer hears no more of what was not answered; of the rest once it is connected again.
-                unanswered.into_iter().for_each(|wire| self.release(wire));
+                unanswered.into_iter().for_each(|wire| self.release_at(wire, lost_at));
                 self.unnamed.remove(&(host.clone(), *link));
                 if let Some((placer, _)) = self.links.remove(&(host.clone(), *link)) {
                     let after = if self.gone.contains(host) { 0 } else { self.figures.lost_after };
@@ -254,6 +261,7 @@
             | Seen::PlacerDown { .. }
             | Seen::PlacerPaused { .. }
             | Seen::PlacerGoesOn { .. } => self.number_seen(seen),
+            Seen::ReadLate { reader, since } => self.read_late.note(*reader, *since),
             Seen::InventoryUnreadable => {}
         }
     }
@@ -296,11 +304,12 @@
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
             Frame::Cancel(wire) | Frame::Stop(wire) => {
+                let sent = self.sent_to_host();
                 if let Some(attempt) = self.attempts.get_mut(wire) {
-                    attempt.over = attempt.over.or(Some(at));
+                    attempt.over = attempt.over.or(Some(sent));
                     // The placer counts it no more.
                     if !attempt.accepted || matches!(frame, Frame::Cancel(_)) {
-                        self.release(*wire);
+                        self.release_at(*wire, sent);
                     }
                 }
             }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -7,8 +7,8 @@
 mod poll;
 mod watch;
 
-pub use accept::exhausted;
+pub use accept::{exhausted, listen};
 pub use clock::Clock;
 pub use conn::{Conn, ReadOutcome};
-pub use poll::{Poller, Readiness, Signals};
+pub use poll::{MAX_READY, Poller, Readiness, Signals};
 pub use watch::FileWatch;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hollow_placers;
 mod host;
 pub mod load;
+mod looks;
 pub mod options;
 mod owners;
 mod plan;
--- a/crates/standin/src/rack.rs
+++ b/crates/standin/src/rack.rs
@@ -12,12 +12,13 @@
 use maplethread_admission::KeyTable;
 use maplethread_capacity::Direction;
 use maplethread_engine::Timers;
-use maplethread_judge::Seen;
-use maplethread_reactor::{Conn, Poller, ReadOutcome, Readiness};
+use maplethread_judge::{Reader, Seen};
+use maplethread_reactor::{Conn, MAX_READY, Poller, ReadOutcome, Readiness};
 use maplethread_wire::frame::{self, Frame};
 
 use crate::hollow_placers;
 use crate::host::{Do, Faults, Host, Later, Spec};
+use crate::looks::Looks;
 use crate::scenario::Scenario;
 use crate::traffic::{Counted, LinkTraffic, TrafficCounter, kind_of};
 use crate::world::{Dice, World};
@@ -126,6 +127,7 @@
             by_placer: BTreeMap::new(),
             next: CONNS,
             timers: Timers::default(),
+            looks: Looks::new(Reader::Hosts, world.clock.now()),
             commands: commands.clone(),
             waker: rustix::io::dup(&waker)?,
             started: started.clone(),
@@ -202,6 +204,7 @@
     by_placer: BTreeMap<(usize, Arc<str>), u64>,
     next: u64,
     timers: Timers<(usize, u64, Later)>,
+    looks: Looks,
     commands: Arc<Mutex<VecDeque<Command>>>,
     waker: OwnedFd,
     started: Arc<Mutex<Vec<u64>>>,
@@ -221,6 +224,7 @@
             let next = self.timers.next().unwrap_or(u64::MAX).min(ticked + TICK);
             ready.clear();
             self.poller.wait(Some(Duration::from_micros(next.saturating_sub(now))), &mut ready)?;
+            self.looks.looked(now, ready.len() < MAX_READY);
             for r in &ready {
                 match r.token {
                     WAKER => self.commanded()?,
@@ -359,6 +363,9 @@
         if let Some(counter) = self.counter.as_ref().filter(|_| link.counts()) {
             counter.closed(&mut link.traffic, reset);
         }
+        if let Some(late) = self.looks.reads(self.world.clock.now()) {
+            self.world.see(late);
+        }
         if let Some(placer) = link.placer {
             let host = self.slots[link.slot].host.spec.name.clone();
             self.world.see(Seen::LinkLost { host, link: token });
@@ -453,6 +460,9 @@
             return;
         }
         let Some(placer) = link.placer.clone() else { return };
+        if let Some(late) = self.looks.reads(now) {
+            self.world.see(late);
+        }
         self.world.see(Seen::FromPlacer { host, link: token, frame: frame.clone() });
         let mut out = Vec::new();
         self.slots[number].host.frame(now, &placer, frame, &mut self.keys, &mut out);
