Scale: members of the placers' view, placers restarted in steps with samples in between

Cause: the view's datagrams are counted by the placers themselves and were not among the messages; a restart of a placer held up the samples, so that its worst second was longer than a second.

--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -16,7 +16,7 @@
 const SHORT_LIFE_MS: u64 = 50;
 
 fn fleet(workers: usize, placers: usize, hollow_placers: usize) -> Fleet {
-    let size = FleetSize { workers, placers, hollow_placers, seed: 7 };
+    let size = FleetSize { workers, placers, hollow_placers, with_view: false, seed: 7 };
     Fleet::start(size, Path::new(PROGRAM), &Interrupted::default()).expect("a fleet")
 }
 
@@ -120,6 +120,24 @@
     assert_eq!(one(&traffic, MessageKind::Hello, Direction::FromPlacer).count, 3);
 }
 
+#[test]
+fn the_datagrams_of_a_view_are_among_the_messages_of_its_sweep() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("view.toml");
+    let text = "dimension = \"members\"\nvalues = [2]\n[base]\nworkers = 2\nplacers = 1\n\
+                [phases]\nsettle_s = 0\nrest_s = 3\n";
+    std::fs::write(&file, text).expect("a file");
+    let (code, errors) = run(&["scale", "run", &file.display().to_string()], folder.path());
+    assert_eq!(code, Some(0), "{errors}");
+    let text = std::fs::read_to_string(folder.path().join("view.json")).expect("results");
+    let result: SweepResult = serde_json::from_str(&text).expect("the format of results");
+    let rest = &result.points[0].phases[0];
+    assert_eq!((rest.phase, rest.placers.len()), (Phase::Rest, 2));
+    let datagrams = one(&rest.messages, MessageKind::FleetDatagram, Direction::FromPlacer);
+    assert!(datagrams.count > 0, "{:?}", rest.messages);
+    assert_eq!(datagrams.wire_bytes, datagrams.payload_bytes + datagrams.count * 28);
+}
+
 fn run(arguments: &[&str], output: &Path) -> (Option<i32>, String) {
     let out = Command::new(PROGRAM).args(arguments).arg("--output").arg(output).output().expect("it runs");
     (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
@@ -169,7 +187,7 @@
     let cases = [
         ("dimension = \"workers\"\nvalues = [100]\n", "open descriptors"),
         ("dimension = \"config_changes_per_hour\"\nvalues = [1]\n", "no reload"),
-        ("dimension = \"members\"\nvalues = [3]\n", "not measured yet"),
+        ("dimension = \"members\"\nvalues = [300]\n", "values[0]: 300 is given"),
         ("dimension = \"workers\"\nvalues = [0]\n", "values[0]: 0 is given"),
         ("dimension = \"workers\"\nvalues = [4]\nfaults = [\"zone_returns\"]\n", "faults[0]"),
         ("dimension = \"workers\"\nvalue = [4]\n", "did you mean `values`"),
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -15,6 +15,9 @@
 use crate::scenario::{RACK, ZONES};
 use crate::sweep_file::Phases;
 
+/// A step of a fault is looked after this often, and has failed after this.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+const STEP_WITHIN: Duration = Duration::from_secs(60);
 /// Once all is connected the watch goes on for so many seconds.
 const QUIET_SECONDS: usize = 3;
 
@@ -39,7 +42,7 @@
         Fault::RegionCut => fleet.cut_off((0..fleet.size().workers).step_by(2)),
         Fault::RegionHeals => fleet.heal(),
         Fault::WorkerRestarts => restart_workers(fleet, phases, &mut watch)?,
-        Fault::PlacerRestarts => restart_placers(fleet, &mut watch)?,
+        Fault::PlacerRestarts => restart_placers(fleet, phases, &mut watch)?,
     }
     match fault {
         Fault::RegionCut => watch.go_on(fleet, phases.region_cut_s, |_, _| Ok(false))?,
@@ -77,12 +80,16 @@
 }
 
 /// One placer after the other; the next one once the last one is connected to all workers again.
-fn restart_placers(fleet: &mut Fleet, watch: &mut Watch) -> Result<(), ScaleError> {
+fn restart_placers(fleet: &mut Fleet, phases: &Phases, watch: &mut Watch) -> Result<(), ScaleError> {
+    let start = Instant::now();
     for number in 0..fleet.size().placers {
-        fleet.restart_placer(number)?;
-        watch.moments.push(watch.sampler.moment(fleet));
-        fleet.wait_connected()?;
-        watch.moments.push(watch.sampler.moment(fleet));
+        let at = start + Duration::from_secs_f64(number as f64 * phases.placer_restart_every_s);
+        watch.sample_until(fleet, at)?;
+        fleet.end_placer(number)?;
+        watch.wait(fleet, |fleet| fleet.placer_ended(number))?;
+        fleet.spawn(number)?;
+        watch.wait(fleet, Fleet::placer_serves)?;
+        watch.wait(fleet, |fleet| fleet.all_connected())?;
     }
     Ok(())
 }
@@ -106,6 +113,23 @@
         }
     }
 
+    /// Goes on until the fleet has done something.
+    fn wait(
+        &mut self,
+        fleet: &mut Fleet,
+        mut done: impl FnMut(&mut Fleet) -> Result<bool, ScaleError>,
+    ) -> Result<(), ScaleError> {
+        let start = Instant::now();
+        while !done(fleet)? {
+            if start.elapsed() > STEP_WITHIN {
+                let why = format!("a step of a fault took longer than {STEP_WITHIN:?}");
+                return Err(ScaleError::NotSettled(why));
+            }
+            self.sample_until(fleet, Instant::now() + LOOK_EVERY)?;
+        }
+        Ok(())
+    }
+
     /// Goes on for at most so many seconds, until `done` says so of the fleet and the seconds so far.
     fn go_on(
         &mut self,
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::error::ScaleError;
 use crate::pause::Interrupted;
 use crate::scenario::scenario;
+use crate::view::{self, Datagrams};
 
 /// A fleet that has not come to its state after this has failed.
 const SETTLES_WITHIN: Duration = Duration::from_secs(120);
@@ -45,6 +46,8 @@
     pub placers: usize,
     /// Hollow placers.
     pub hollow_placers: usize,
+    /// Whether the real placers keep a view of each other.
+    pub with_view: bool,
     /// Seed of all that is drawn.
     pub seed: u64,
 }
@@ -104,6 +107,7 @@
         fleet.start_placers()?;
         fleet.start_hollow_placers()?;
         fleet.wait_connected()?;
+        fleet.wait_seen()?;
         Ok(fleet)
     }
 
@@ -142,8 +146,11 @@
     }
 
     fn start_placers(&mut self) -> Result<(), ScaleError> {
+        let members = if self.size.with_view { self.size.placers } else { 0 };
+        let mut sections = view::sections(members, self.folder.path())?.into_iter();
         for number in 0..self.size.placers {
-            let config = settings::placer(&self.scenario, number, self.size.seed, None);
+            let mut config = settings::placer(&self.scenario, number, self.size.seed, None);
+            config.fleet = sections.next();
             let path = self.folder.path().join(format!("placer-{number}.toml"));
             let log = self.folder.path().join(format!("placer-{number}.log"));
             let text = config.to_toml().map_err(std::io::Error::other).map_err(ScaleError::io("settings"))?;
@@ -154,7 +161,8 @@
         self.wait_serving(self.size.placers)
     }
 
-    fn spawn(&mut self, number: usize) -> Result<(), ScaleError> {
+    /// Starts a placer that does not run.
+    pub(crate) fn spawn(&mut self, number: usize) -> Result<(), ScaleError> {
         let arguments = ["--log", "warn"].map(str::to_owned);
         self.placers.spawn(number, &self.program, &arguments).map_err(ScaleError::io("a placer process"))
     }
@@ -227,6 +235,36 @@
         Ok(())
     }
 
+    /// Waits until all placers that keep a view see each other.
+    fn wait_seen(&self) -> Result<(), ScaleError> {
+        let until = Instant::now() + SETTLES_WITHIN;
+        loop {
+            let views: Result<Vec<view::Seen>, ScaleError> =
+                self.viewers().iter().map(|&at| view::look(at)).collect();
+            if views?.iter().all(|seen| seen.live == self.size.placers) {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                let why = format!("placers do not see each other after {SETTLES_WITHIN:?}");
+                return Err(ScaleError::NotSettled(why));
+            }
+            self.interrupted.sleep(LOOK_EVERY_S)?;
+        }
+    }
+
+    /// Placers that keep a view of each other.
+    fn viewers(&self) -> &[SocketAddr] {
+        if self.size.with_view { &self.addresses } else { &[] }
+    }
+
+    /// Datagrams that each placer with a view has sent; none for one that is just being restarted.
+    pub(crate) fn datagrams(&self) -> Vec<Datagrams> {
+        self.viewers()
+            .iter()
+            .map(|&at| view::look(at).map_or_else(|_| Datagrams::default(), |s| s.sent))
+            .collect()
+    }
+
     /// Waits until the placers hold no more than so many actors.
     pub fn wait_actors_at_most(&self, most: u64) -> Result<(), ScaleError> {
         let until = Instant::now() + SETTLES_WITHIN;
@@ -305,14 +343,28 @@
         self.unreachable.drain(..).for_each(|worker| self.rack.command(Command::Reachable(worker, true)));
     }
 
-    /// Ends a placer in order and starts it anew; it serves when this returns.
-    pub(crate) fn restart_placer(&mut self, number: usize) -> Result<(), ScaleError> {
-        self.placers.signal(number, Signal::TERM).map_err(ScaleError::io("ending a placer"))?;
-        if let Some(mut child) = self.placers.all[number].child.take() {
-            child.wait().map_err(ScaleError::io("ending a placer"))?;
+    /// Tells a placer to end in order.
+    pub(crate) fn end_placer(&self, number: usize) -> Result<(), ScaleError> {
+        self.placers.signal(number, Signal::TERM).map_err(ScaleError::io("ending a placer"))
+    }
+
+    /// Whether a placer that was told to end has ended.
+    pub(crate) fn placer_ended(&mut self, number: usize) -> Result<bool, ScaleError> {
+        let Some(child) = &mut self.placers.all[number].child else { return Ok(true) };
+        let ended = child.try_wait().map_err(ScaleError::io("ending a placer"))?.is_some();
+        if ended {
+            self.placers.all[number].child = None;
+        }
+        Ok(ended)
+    }
+
+    /// Whether a placer that was started has begun to serve since the last call.
+    pub(crate) fn placer_serves(&mut self) -> Result<bool, ScaleError> {
+        let serves = self.placers.serves(Duration::ZERO).map_err(ScaleError::io("a placer process"))?;
+        if let Some((number, address)) = serves {
+            self.addresses[number] = address;
         }
-        self.spawn(number)?;
-        self.wait_serving(1)
+        Ok(serves.is_some())
     }
 }
 
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -14,6 +14,7 @@
 mod scenario;
 mod sweep;
 mod sweep_file;
+mod view;
 
 pub use error::ScaleError;
 pub use fleet::{ClientPlan, Fleet, FleetSize};
--- a/crates/scale/src/sampler.rs
+++ b/crates/scale/src/sampler.rs
@@ -9,6 +9,7 @@
 use crate::error::ScaleError;
 use crate::fleet::Fleet;
 use crate::machine::loopback_packets;
+use crate::view::{Datagrams, sent_since};
 
 /// Processor time of one placer process so far.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +24,7 @@
     at: Instant,
     processors: Vec<Option<ProcessorTime>>,
     traffic: Traffic,
+    datagrams: Vec<Datagrams>,
     packets: Option<u64>,
 }
 
@@ -39,7 +41,8 @@
         let pids = fleet.pids();
         let processors = pids.into_iter().map(|pid| processor_time(pid?)).collect();
         let packets = if self.alone { loopback_packets() } else { None };
-        Moment { at: Instant::now(), processors, traffic: fleet.counter().snapshot(), packets }
+        let datagrams = fleet.datagrams();
+        Moment { at: Instant::now(), processors, traffic: fleet.counter().snapshot(), datagrams, packets }
     }
 
     /// A phase between two moments; memory, descriptors and connections are those of now.
@@ -57,13 +60,12 @@
             let host_connections = connected.get(number).copied().unwrap_or(0);
             placers.push(process_sample(fleet, number, cpu_cores, host_connections)?);
         }
-        let packets = after.packets.zip(before.packets);
         Ok(PhaseSample {
             phase,
             seconds,
             placers,
-            messages: after.traffic.since(&before.traffic),
-            loopback_packets: packets.map(|(after, before)| after - before),
+            messages: after.messages_since(before),
+            loopback_packets: after.packets_since(before),
             answer_us: None,
         })
     }
@@ -93,7 +95,9 @@
 
     /// Messages since an earlier moment.
     pub(crate) fn messages_since(&self, earlier: &Moment) -> Vec<MessageCount> {
-        self.traffic.since(&earlier.traffic)
+        let mut messages = self.traffic.since(&earlier.traffic);
+        messages.extend(sent_since(&self.datagrams, &earlier.datagrams));
+        messages
     }
 
     /// Packets of the loopback interface since an earlier moment.
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -1,8 +1,9 @@
 //! The fleet that a sweep measures, as the stand-in hosts take it: one kind of host with room to spare and one class of
 //! tasks, so that a measured size is limited by the placers and not by the hosts.
 
-use maplethread_config::{Class as ClassRules, Effect, PlacedWhen};
+use maplethread_config::PlacedWhen;
 use maplethread_standin::scenario::{Class, Demand, Fleet, KindShare, Rules, Scenario};
+use maplethread_standin::settings::plain_class;
 
 /// Hosts of a rack: what dies together in the smaller of the two faults of many hosts.
 pub(crate) const RACK: usize = 40;
@@ -62,19 +63,7 @@
 
 fn class() -> Class {
     Class {
-        rules: ClassRules {
-            name: "web-api".to_owned(),
-            effect: Effect::Safe,
-            group: None,
-            window_ms: None,
-            aim_ms: 600,
-            worth: 1.0,
-            start_bonus_s: 10.0,
-            priority: 0,
-            kind: None,
-            spread_over: None,
-            spread_most: None,
-        },
+        rules: plain_class(),
         share: 1.0,
         shapes: vec![[0.5, 1.0]],
         uses: [0.5, 0.5],
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -63,6 +63,7 @@
         workers: settings.workers as usize,
         placers: settings.placers as usize,
         hollow_placers: settings.hollow_placers as usize,
+        with_view: settings.members > 0,
         seed,
     };
     let mut fleet = Fleet::start(size, &options.program, &options.interrupted)?;
--- a/crates/scale/src/sweep_file.rs
+++ b/crates/scale/src/sweep_file.rs
@@ -88,6 +88,8 @@
     pub worker_restarts: u32,
     /// ...and the time between two of them, s.
     pub worker_restart_every_s: f64,
+    /// Time between two restarts of placers at least, s; each waits until the one before is connected again.
+    pub placer_restart_every_s: f64,
 }
 
 impl Default for Phases {
@@ -102,6 +104,7 @@
             region_cut_s: 60.0,
             worker_restarts: 20,
             worker_restart_every_s: 0.5,
+            placer_restart_every_s: 5.0,
         }
     }
 }
@@ -154,7 +157,10 @@
             Dimension::StartsPerSecond => point.starts_per_second = value,
             Dimension::ListChangesPerSecond => point.list_changes_per_second = value,
             Dimension::ConfigChangesPerHour => point.config_changes_per_hour = value,
-            Dimension::Members => point.members = whole,
+            Dimension::Members => {
+                point.members = whole;
+                point.placers = whole;
+            }
         }
         point
     }
@@ -175,14 +181,9 @@
     }
 
     fn check_dimension(&self, doc: Doc<'_>) -> Result<(), ConfigError> {
-        let why_not = match self.dimension {
-            Dimension::ConfigChangesPerHour => {
-                "a placer reads its settings once, when it starts: it has no reload to be measured"
-            }
-            Dimension::Members => "the placers' view of each other is not measured yet",
-            _ => return Ok(()),
-        };
-        Err(doc.error("dimension", why_not))
+        let has_reload = self.dimension != Dimension::ConfigChangesPerHour;
+        let why_not = "a placer reads its settings once, when it starts: it has no reload to be measured";
+        doc.check(has_reload, "dimension", why_not)
     }
 
     fn check_value(&self, value: f64, key: &str, doc: Doc<'_>) -> Result<(), ConfigError> {
@@ -192,7 +193,8 @@
             Dimension::Tasks => (0.0, f64::from(MAX_TASKS), true),
             Dimension::StartsPerSecond => (0.0, MAX_STARTS, false),
             Dimension::ListChangesPerSecond => (0.0, MAX_LIST_CHANGES, false),
-            Dimension::ConfigChangesPerHour | Dimension::Members => return Ok(()),
+            Dimension::Members => (1.0, f64::from(MAX_PLACERS), true),
+            Dimension::ConfigChangesPerHour => return Ok(()),
         };
         check_bounds(doc, Bounded { key, value, least, most })?;
         doc.check(!whole || value.fract() == 0.0, key, format!("{value} is given; a whole number is needed"))
@@ -240,6 +242,7 @@
             ("phases.region_cut_s", phases.region_cut_s, 1.0, MAX_SECONDS),
             ("phases.worker_restarts", f64::from(phases.worker_restarts), 1.0, f64::from(MAX_WORKERS)),
             ("phases.worker_restart_every_s", phases.worker_restart_every_s, 0.001, MAX_SECONDS),
+            ("phases.placer_restart_every_s", phases.placer_restart_every_s, 0.0, MAX_SECONDS),
         ];
         bounds
             .into_iter()
--- /dev/null
+++ b/crates/scale/src/view.rs
@@ -0,0 +1,80 @@
+//! The placers' view of each other: their `[fleet]` sections, and the datagrams that each has sent by its own count.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+
+use maplethread_capacity::{Direction, MessageCount, MessageKind};
+use maplethread_config::Fleet as FleetSection;
+
+use crate::error::ScaleError;
+
+/// A key for fleets on loopback only.
+const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+const KEY_FILE: &str = "fleet.key";
+/// Members that the others look for when they start.
+const MOST_SEEDS: usize = 3;
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADER: u64 = 28;
+
+/// Datagrams that a placer has sent so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Datagrams {
+    /// The start of the process that counted them.
+    life: u64,
+    count: u64,
+    bytes: u64,
+}
+
+/// What a placer's view shows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen {
+    /// Live members, itself included.
+    pub(crate) live: usize,
+    pub(crate) sent: Datagrams,
+}
+
+/// Sections for so many members on free ports, with a key in this folder; all else as it is by default.
+pub(crate) fn sections(members: usize, folder: &Path) -> Result<Vec<FleetSection>, ScaleError> {
+    let failed = || ScaleError::io("ports of the fleet's view");
+    std::fs::write(folder.join(KEY_FILE), KEY).map_err(failed())?;
+    // All are held until all are known, so that no port is given twice.
+    let sockets: Result<Vec<UdpSocket>, io::Error> =
+        (0..members).map(|_| UdpSocket::bind("127.0.0.1:0")).collect();
+    let addresses: Result<Vec<SocketAddr>, io::Error> =
+        sockets.map_err(failed())?.iter().map(UdpSocket::local_addr).collect();
+    let addresses = addresses.map_err(failed())?;
+    let seeds: Vec<String> =
+        addresses.iter().take(MOST_SEEDS).map(|address| format!("\"{address}\"")).collect();
+    let seeds = seeds.join(", ");
+    let section = |address: &SocketAddr| {
+        let text = format!("listen = \"{address}\"\nseeds = [{seeds}]\nkey_file = \"{KEY_FILE}\"\n");
+        toml::from_str(&text).map_err(io::Error::other).map_err(failed())
+    };
+    addresses.iter().map(section).collect()
+}
+
+/// What the placer at this address shows of the others.
+pub(crate) fn look(address: SocketAddr) -> Result<Seen, ScaleError> {
+    let (_, view) = maplethread_placer::get_json(address, "/v1/fleet")
+        .map_err(ScaleError::io(format!("view of the placer at {address}")))?;
+    let members = view["members"].as_array().map_or(&[][..], Vec::as_slice);
+    let live = 1 + members.iter().filter(|member| member["state"] == "alive").count();
+    let number = |value: &serde_json::Value| value.as_u64().unwrap_or(0);
+    let counters = &view["counters"];
+    let (count, bytes) = (number(&counters["sent"]), number(&counters["sent_bytes"]));
+    Ok(Seen { live, sent: Datagrams { life: number(&view["life"]), count, bytes } })
+}
+
+/// Datagrams of all placers between two moments; those of a process that ended in between are not known.
+pub(crate) fn sent_since(now: &[Datagrams], before: &[Datagrams]) -> Option<MessageCount> {
+    let (mut count, mut bytes) = (0, 0);
+    for (now, before) in now.iter().zip(before) {
+        let before = if now.life == before.life { *before } else { Datagrams::default() };
+        count += now.count - before.count;
+        bytes += now.bytes - before.bytes;
+    }
+    let wire_bytes = bytes + count * HEADER;
+    let (kind, direction) = (MessageKind::FleetDatagram, Direction::FromPlacer);
+    (count > 0).then_some(MessageCount { kind, direction, count, payload_bytes: bytes, wire_bytes })
+}
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -12,8 +12,7 @@
 
 use hdrhistogram::Histogram;
 use maplethread_config::{
-    Class, Damping, Effect, HostEntry, HostState, Hosts, Identity, Inventory, Kind, PlacerConfig, Placing,
-    Prices, Rules,
+    Damping, HostEntry, HostState, Hosts, Identity, Inventory, Kind, PlacerConfig, Placing, Prices, Rules,
 };
 use maplethread_consul_standin::{Servers, Settings as ServerSettings};
 use maplethread_engine::Timers;
@@ -24,7 +23,7 @@
 
 use crate::calls::register;
 use crate::clients::{Clients, Load};
-use crate::settings::{api, consul, hosts};
+use crate::settings::{api, consul, hosts, plain_class};
 use crate::usage::usage;
 
 /// What load to make.
@@ -304,19 +303,7 @@
         prices: Prices::default(),
         trace: options.trace.clone().map(crate::settings::trace),
         kind: vec![Kind { name: "std".to_owned(), cores: 1e6, memory_gib: 1e6 }],
-        class: vec![Class {
-            name: "web-api".to_owned(),
-            effect: Effect::Safe,
-            group: None,
-            window_ms: None,
-            aim_ms: 600,
-            worth: 1.0,
-            start_bonus_s: 10.0,
-            priority: 0,
-            kind: None,
-            spread_over: None,
-            spread_most: None,
-        }],
+        class: vec![plain_class()],
     };
     let path = folder.path().join("placer.toml");
     std::fs::write(&path, config.to_toml().map_err(io::Error::other)?)?;
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -134,6 +134,23 @@
     Inventory { host: (0..scenario.fleet.hosts).map(entry).collect() }
 }
 
+/// A class of tasks that may be started twice, is wanted alike everywhere and has no limits.
+pub fn plain_class() -> maplethread_config::Class {
+    maplethread_config::Class {
+        name: "web-api".to_owned(),
+        effect: maplethread_config::Effect::Safe,
+        group: None,
+        window_ms: None,
+        aim_ms: 600,
+        worth: 1.0,
+        start_bonus_s: 10.0,
+        priority: 0,
+        kind: None,
+        spread_over: None,
+        spread_most: None,
+    }
+}
+
 pub(crate) fn api() -> Api {
     Api {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
--- a/crates/standin/src/traffic.rs
+++ b/crates/standin/src/traffic.rs
@@ -9,7 +9,8 @@
 //!   the connection ends.
 //! - Setting up a connection takes SYN, SYN-ACK and ACK, and closing it two FINs, of which the second acknowledges the
 //!   first, and an ACK.
-//! - Links are loss-free: nothing is sent twice, and segments longer than the MTU count once.
+//! - Links are loss-free: nothing is sent twice, and segments longer than the MTU count once. Attempts to connect to a
+//!   host that is down are not seen and not counted.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
