--- a/crates/cli/tests/platform_acceptance.rs
+++ b/crates/cli/tests/platform_acceptance.rs
@@ -11,7 +11,8 @@
 
 use platform_support::{
     Commands, Host, Owner, Placer, Served, TEXT, accept_all, answers, changed, config, descriptors,
-    host_says, listed, nobody, of_service, parameter, patient, probe, running, set_up, sid_of, wait_until,
+    host_says, limit, listed, nobody, of_service, parameter, patient, probe, running, set_up, sid_of,
+    wait_until,
 };
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -281,3 +282,24 @@
     assert_eq!(waits.hear()["msg"].as_str(), Some("ready"));
     assert!(host.heard.try_iter().all(|(_, message)| message[0] != 1), "another attempt");
 }
+
+#[test]
+fn discovery_that_comes_back_at_its_address_is_followed_while_idle_clients_hold_all_descriptors() {
+    const LIMIT: u64 = 80;
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = Host::start();
+    // Discovery is down, at an address that nobody connects from.
+    let down = TcpListener::bind("127.0.79.1:0").and_then(|l| l.local_addr()).expect("an address");
+    let known = listed(1, "s-1", host.address, "leaving");
+    let placer = Placer::start(&patient(folder.path(), down, &known, LIMIT));
+    limit(&placer, LIMIT);
+    let _idle: Vec<TcpStream> =
+        (0..200).map(|_| TcpStream::connect(placer.address).expect("a connection")).collect();
+    let mut owner = Owner::connect(&placer);
+    ask_and_wait(&mut owner, 1);
+    let commands = Commands::at(down);
+    commands.tell(poll_after(&commands, 1), &listed(2, "s-1", host.address, "active"));
+    let _poll = poll_after(&commands, 2);
+    let _reached = accept_all(host, Duration::ZERO);
+    assert_eq!(answers(&mut owner, 1).0.len(), 1);
+}
--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -145,7 +145,11 @@
 
 impl Commands {
     pub fn start() -> Commands {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Commands::at(([127, 0, 0, 1], 0).into())
+    }
+
+    pub fn at(address: SocketAddr) -> Commands {
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("its address");
         let (tell, polls) = channel();
         std::thread::spawn(move || {
