Fleet: answers copy only the entries they send; the model judges changes lazily

Cause: 4,000 members do not finish in the model. By profile there is no single cause. Two parts were avoidable: each answer to a pull copied every differing entry (27% of the time at 1,000 members, joining) and threw away all but 120; for each change of a view the model formatted the name of every process, cubic when all join, even where the change could not be a false alarm.

Change: count, draw, then copy at most 120; look for the process only for a change that calls a member down by the teller's own test.

Tests of simnet, fleet, fleet-drill, ownership pass.

--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use maplethread_fleet::{Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State};
+use maplethread_fleet::{
+    Change, Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State,
+};
 use maplethread_simnet::Net;
 use maplethread_timers::Timers;
 
@@ -315,11 +317,7 @@
                     }
                 }
                 Output::Changed(change) => {
-                    let runs = self.processes.values().any(|p| name(p.name) == change.name && !p.paused);
-                    let down = change.to == Some(State::Down) && change.from.is_some_and(State::live);
-                    // Whose judgement it is counts, not who heard of it.
-                    let judged = change.by == OWN_TEST;
-                    self.seen.false_alarms += u64::from(self.watching && runs && down && judged);
+                    self.seen.false_alarms += u64::from(self.is_false_alarm(&change));
                     let text = format!("{by} {change:?} {}", self.now);
                     let step = text.bytes().fold(0_u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
                     self.seen.trace = self.seen.trace.rotate_left(5) ^ step;
@@ -340,6 +338,19 @@
         }
     }
 
+    /// Whether a change calls a running member down by the judgement of the one that tells it, not by hearsay. Cheap tests
+    /// come first: with all members joining at once there are as many changes as pairs of members, and looking for each
+    /// one's process would take cubic time.
+    fn is_false_alarm(&self, change: &Change) -> bool {
+        let went_down = change.to == Some(State::Down) && change.from.is_some_and(State::live);
+        self.watching && went_down && change.by == OWN_TEST && self.runs(&change.name)
+    }
+
+    /// Whether some process of this name runs and is not paused.
+    fn runs(&self, member: &str) -> bool {
+        self.processes.values().any(|process| !process.paused && name(process.name) == member)
+    }
+
     /// Whether the members at these places see each other, all alike, and nobody else as live.
     pub fn settled(&self, places: &[usize]) -> bool {
         let first = self.fleet(places[0]).digest();
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -503,7 +503,7 @@
 
     /// A number below `n`.
     pub(crate) fn draw(&mut self, n: usize) -> usize {
-        (self.rng.next_u64() % n.max(1) as u64) as usize
+        draw(&mut self.rng, n)
     }
 
     /// Between three quarters of a period and five.
@@ -551,6 +551,11 @@
     }
 }
 
+/// A number below `n`.
+pub(crate) fn draw(rng: &mut Pcg64Mcg, n: usize) -> usize {
+    (rng.next_u64() % n.max(1) as u64) as usize
+}
+
 /// The library for one life.
 fn swim(
     settings: &Settings,
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
-use crate::core::{Due, Fleet, MOST_ADDRESSES, Output, Rival};
+use crate::core::{Due, Fleet, MOST_ADDRESSES, Output, Rival, draw};
 use crate::id::{Id, Record};
 use crate::packet::{BUCKETS, Body, Entry, LONGEST, Liveness, Packet, Unusable};
+use crate::swim::Shared;
 use crate::table::{Micros, State, Table};
 use crate::view::Notice;
 
@@ -237,39 +238,7 @@
         if theirs.len() != BUCKETS || ours == theirs {
             return ours;
         }
-        let differs = |name: u64| ours[Table::in_bucket(name)] != theirs[Table::in_bucket(name)];
-        let mut entries = Vec::new();
-        let shared = self.shared.borrow();
-        for member in self.swim.iter_membership_state() {
-            let name = member.id().name.hash();
-            // Also what is known of the other itself: so it hears of a suspicion that was lost on the way.
-            if differs(name) {
-                let state = match member.state() {
-                    foca::State::Alive => Liveness::Alive,
-                    foca::State::Suspect => Liveness::Suspect,
-                    foca::State::Down => Liveness::Down,
-                };
-                let record = shared.records.get(&name).cloned();
-                entries.push(Entry {
-                    id: member.id().clone(),
-                    incarnation: member.incarnation(),
-                    state,
-                    record,
-                });
-            }
-        }
-        let me = shared.me.clone();
-        let record = shared.records.get(&me.name.hash()).cloned();
-        drop(shared);
-        if differs(me.name.hash()) {
-            entries.push(Entry { id: me, incarnation: 0, state: Liveness::Alive, record });
-        }
-        // Where not all can be told at once, different ones are each time.
-        if entries.len() > ENTRIES {
-            let first = self.draw(entries.len());
-            entries.rotate_left(first);
-            entries.truncate(ENTRIES);
-        }
+        let entries = self.entries_that_differ(&ours, theirs);
         let mut page = Vec::new();
         let mut room = 0;
         for entry in entries {
@@ -285,6 +254,24 @@
         ours
     }
 
+    /// What this member knows of members in the parts in which two views differ, itself included; at most [`ENTRIES`].
+    /// Only those are copied: in a large fleet there may be thousands.
+    fn entries_that_differ(&mut self, ours: &[u32], theirs: &[u32]) -> Vec<Entry> {
+        let differs = |id: &Id| {
+            let bucket = Table::in_bucket(id.name.hash());
+            ours[bucket] != theirs[bucket]
+        };
+        let me = foca::Member::alive(self.me());
+        // Also what is known of the other itself: so it hears of a suspicion that was lost on the way.
+        let members = || self.swim.iter_membership_state().chain([&me]).filter(|member| differs(member.id()));
+        let count = members().count();
+        // Where not all can be told at once, different ones are each time.
+        let first = if count > ENTRIES { draw(&mut self.rng, count) } else { 0 };
+        let shared = self.shared.borrow();
+        let chosen = members().skip(first).chain(members().take(first)).take(ENTRIES);
+        chosen.map(|member| entry(member, &shared)).collect()
+    }
+
     fn send_members(&mut self, now: Micros, to: SocketAddr, entries: Vec<Entry>) {
         if !entries.is_empty() {
             self.send(now, to, Body::Members(entries));
@@ -398,6 +385,17 @@
     }
 }
 
+/// What is told of a member.
+fn entry(member: &foca::Member<Id>, shared: &Shared) -> Entry {
+    let state = match member.state() {
+        foca::State::Alive => Liveness::Alive,
+        foca::State::Suspect => Liveness::Suspect,
+        foca::State::Down => Liveness::Down,
+    };
+    let record = shared.records.get(&member.id().name.hash()).cloned();
+    Entry { id: member.id().clone(), incarnation: member.incarnation(), state, record }
+}
+
 /// Numbers by which strangers are asked change this often, and count for so long again: less than the shortest memory of
 /// the gone, so that an answer of an earlier life, sent again by somebody, is out of date before that life is forgotten.
 const EPOCH: Micros = 5_000_000;
