--- a/crates/fleet-drill/examples/measure.rs
+++ b/crates/fleet-drill/examples/measure.rs
@@ -48,9 +48,9 @@
         model.kill(size);
         crashes.push(until(&mut model, &places, size, |s| !s.is_some_and(State::live)));
         // Two halves for a minute.
-        model.net.part(&[(0..size / 2).collect(), (size / 2..size).collect()]);
+        model.network.partition(&[(0..size / 2).collect(), (size / 2..size).collect()]);
         model.run(60 * S);
-        model.net.heal();
+        model.network.heal();
         heals.push(model.settles(&places, 300 * S).expect("it heals"));
         let before = model.seen().bytes;
         (size / 2..size).for_each(|p| model.kill(p));
@@ -76,7 +76,7 @@
 
 fn alarms(loss: f64, hours: u64) {
     let mut model = Model::new(11);
-    model.net.usual.loss = loss;
+    model.network.default_link.loss = loss;
     model.start_all(16);
     model.run(60 * S);
     let before = model.seen().false_alarms;
--- a/crates/fleet-drill/src/drawn.rs
+++ b/crates/fleet-drill/src/drawn.rs
@@ -1,7 +1,7 @@
 //! Schedules of faults drawn from a seed, for the model: which kinds exist at all is drawn too.
 
 use maplethread_fleet::State;
-use maplethread_simnet::Way;
+use maplethread_simnet::Link;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 
@@ -26,7 +26,7 @@
 
 /// Faults stop this long after the start; settling is waited for this long.
 const UNTIL: u64 = 90 * S;
-const MOST: u64 = 90 * S;
+const SETTLE_WITHIN: u64 = 90 * S;
 
 /// Plays the schedule of a seed.
 pub fn play(seed: u64) -> Played {
@@ -43,7 +43,8 @@
     model.watching = false;
     if kinds & 1 != 0 {
         let (loss, late) = (draw(25) as f64 / 100.0, draw(5) as f64 / 100.0);
-        model.net.usual = Way { loss, double: 0.05, most: 50 * MS, late, late_by: 30 * S, ..Way::default() };
+        model.network.default_link =
+            Link { loss, duplicate: 0.05, max_latency: 50 * MS, late, late_by: 30 * S, ..Link::default() };
     }
     let (mut gone, mut next) = (Vec::new(), 1000);
     let mut now = 10 * S;
@@ -75,26 +76,26 @@
                 for &place in &places {
                     parts[draw(ways) as usize].push(place);
                 }
-                model.net.part(&parts);
+                model.network.partition(&parts);
             }
             6 if kinds & 64 != 0 => {
                 let other = places[draw(places.len() as u64) as usize];
-                model.net.cut(at, other);
+                model.network.cut(at, other);
             }
-            7 if kinds & 128 != 0 => model.net.heal(),
+            7 if kinds & 128 != 0 => model.network.heal(),
             _ => {}
         }
         let step = 200 * MS + draw(6 * S);
         model.run(step);
         now += step;
     }
-    model.net.heal();
-    model.net.usual = Way::default();
+    model.network.heal();
+    model.network.default_link = Link::default();
     // Whoever stands still goes on, and what was late has come.
     model.run(20 * S);
     model.seeds_again();
     let places = model.places();
-    let settled = model.settles(&places, MOST);
+    let settled = model.settles(&places, SETTLE_WITHIN);
     let ghosts = if settled.is_some() {
         model.run(40 * S);
         let running: Vec<usize> = places.iter().map(|&p| model.member_at(p)).collect();
--- a/crates/fleet-drill/src/drill.rs
+++ b/crates/fleet-drill/src/drill.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use crate::judge::{Truth, Verdict, judge};
-use crate::network::{Carried, Network};
+use crate::proxy::{NetworkProxy, Traffic};
 use crate::schedule::{Schedule, Step};
 use crate::watch::{Watched, Watchers};
 
@@ -46,7 +46,7 @@
     /// Of the five rules, with service and times.
     pub day: Report,
     /// What the network carried.
-    pub carried: Carried,
+    pub traffic: Traffic,
     /// How long the drill lasted, s.
     pub lasted_s: f64,
 }
@@ -59,12 +59,12 @@
 
     /// As one object.
     pub fn json(&self) -> Value {
-        let per_member = self.carried.bytes as f64 / self.lasted_s / self.fleet.members.max(1) as f64;
+        let per_member = self.traffic.bytes as f64 / self.lasted_s / self.fleet.members.max(1) as f64;
         json!({
             "fleet": self.fleet.json(), "day": self.day.json(),
             "network": {
-                "datagrams": self.carried.sent, "bytes": self.carried.bytes, "passed_on": self.carried.delivered,
-                "strangers": self.carried.strangers, "bytes_a_second_a_member": per_member.round(),
+                "datagrams": self.traffic.sent, "bytes": self.traffic.bytes, "passed_on": self.traffic.delivered,
+                "strangers": self.traffic.strangers, "bytes_a_second_a_member": per_member.round(),
             },
         })
     }
@@ -76,16 +76,16 @@
 /// Plays a drill.
 pub fn play(drill: &Drill) -> io::Result<Outcome> {
     let schedule = &drill.schedule;
-    let network = Network::start(schedule.placers, drill.seed)?;
+    let proxy = NetworkProxy::start(schedule.placers, drill.seed)?;
     let temporary = tempfile::tempdir()?;
     let key_file = temporary.path().join("fleet.key");
     std::fs::write(&key_file, KEY)?;
     let faster = u64::from(schedule.faster.max(1));
     let section = |place: usize| Fleet {
         name: "drill".to_owned(),
-        listen: network.listen(place),
-        advertise: Some(network.advertise(place)),
-        seeds: (0..schedule.placers.min(3)).map(|p| network.advertise(p)).collect(),
+        listen: proxy.listen(place),
+        advertise: Some(proxy.advertise(place)),
+        seeds: (0..schedule.placers.min(3)).map(|p| proxy.advertise(p)).collect(),
         key_file: key_file.clone(),
         probe_every_ms: 1000 / faster,
         probe_within_ms: 300 / faster,
@@ -124,8 +124,8 @@
     let clock = Clock::start();
     let started = clock.now();
     std::thread::scope(|scope| {
-        let network = &network;
-        let watching = scope.spawn(move || watch(&heard, network, steps, ends));
+        let proxy = &proxy;
+        let watching = scope.spawn(move || watch(&heard, proxy, steps, ends));
         // The sender goes with the options, so the watcher ends with the day.
         let day = day::play(&options);
         drop(options);
@@ -143,7 +143,7 @@
         let end = begun + (ends * 1e6) as u64;
         let fleet = judge(&Truth::of(&news), &watched, &faults, quiet, end);
         let lasted_s = (clock.now() - started) as f64 / 1e6;
-        Ok(Outcome { fleet, day, carried: network.carried(), lasted_s })
+        Ok(Outcome { fleet, day, traffic: proxy.traffic(), lasted_s })
     })
 }
 
@@ -151,7 +151,7 @@
 /// showed, and when the drill began.
 fn watch(
     heard: &Receiver<DayNews>,
-    network: &Network,
+    proxy: &NetworkProxy,
     steps: Vec<(u64, Step)>,
     ends_s: f64,
 ) -> (Vec<DayNews>, Watched, u64) {
@@ -176,7 +176,7 @@
         let Some(begun) = begun else { continue };
         let now = clock.now().saturating_sub(begun);
         while let Some((_, step)) = steps.next_if(|s| s.0 <= now) {
-            step.take(&mut network.faults());
+            step.apply(&mut proxy.faults());
         }
         // What is shown once owners have stopped, and placers are told to end, says nothing of the drill.
         if now as f64 >= ends_s * 1e6
--- a/crates/fleet-drill/src/lib.rs
+++ b/crates/fleet-drill/src/lib.rs
@@ -5,6 +5,6 @@
 pub mod drill;
 pub mod judge;
 pub mod model;
-pub mod network;
+pub mod proxy;
 pub mod schedule;
 pub mod watch;
--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -7,7 +7,7 @@
 use maplethread_fleet::{
     Change, Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State,
 };
-use maplethread_simnet::Net;
+use maplethread_simnet::Network;
 use maplethread_timers::Timers;
 
 /// A millisecond.
@@ -57,7 +57,7 @@
 pub struct Model {
     now: Micros,
     /// The network between places.
-    pub net: Net,
+    pub network: Network,
     /// The pace of members that start from now on.
     pub pace: Pace,
     /// Keys of members that start from now on.
@@ -113,7 +113,7 @@
     pub fn new(seed: u64) -> Model {
         Model {
             now: START,
-            net: Net::new(seed),
+            network: Network::new(seed),
             pace: Pace::default(),
             keys: keys(KEY),
             seeds: vec![0],
@@ -312,7 +312,7 @@
                     self.seen.sent += 1;
                     self.seen.bytes += bytes.len() as u64;
                     let Some(to) = place(to) else { continue };
-                    for takes in self.net.send(at, to) {
+                    for takes in self.network.send(at, to) {
                         self.queue.set(self.now + takes, Ev::Arrives(to, bytes.clone()));
                     }
                 }
@@ -365,10 +365,10 @@
         })
     }
 
-    /// Lets time pass until these are settled: how long it took, or nothing if it took longer than `most`.
-    pub fn settles(&mut self, places: &[usize], most: Micros) -> Option<Micros> {
+    /// Lets time pass until these are settled: how long it took, or nothing if it took longer than `within`.
+    pub fn settles(&mut self, places: &[usize], within: Micros) -> Option<Micros> {
         let from = self.now;
-        while self.now <= from + most {
+        while self.now <= from + within {
             if self.settled(places) {
                 return Some(self.now - from);
             }
--- a/crates/fleet-drill/src/network.rs
+++ b/crates/fleet-drill/src/proxy.rs
@@ -1,5 +1,5 @@
 //! A faulty network between real processes: each place has a loopback address where its process listens and another that
-//! it advertises. What comes to the second is lost, delayed, doubled or passed on to the first, by who sent it.
+//! it advertises. What comes to the second is lost, delayed, duplicated or passed on to the first, by who sent it.
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -9,21 +9,21 @@
 use std::time::Duration;
 
 use maplethread_reactor::{Clock, Poller, Readiness};
-use maplethread_simnet::Net;
+use maplethread_simnet::Network;
 use maplethread_timers::Timers;
 
 /// The port at which all listen and are reached.
 const PORT: u16 = 7946;
 /// The longest datagram that is carried; members send at most 1,200 bytes.
-const LONGEST: usize = 2048;
-/// Datagrams on their way at a time; further ones are lost.
-const MOST_ON_WAY: usize = 1 << 16;
+const MAX_DATAGRAM: usize = 2048;
+/// Datagrams in flight at a time; further ones are lost.
+const MAX_IN_FLIGHT: usize = 1 << 16;
 
 static NETWORKS: AtomicU32 = AtomicU32::new(0);
 
-/// What was carried.
+/// Datagrams and bytes that the proxy carried.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Carried {
+pub struct Traffic {
     /// Datagrams that came from a place.
     pub sent: u64,
     /// Their bytes.
@@ -34,11 +34,11 @@
     pub strangers: u64,
 }
 
-/// The network, carried on by a thread until it is dropped.
-pub struct Network {
+/// A proxy before each process, run by one thread until it is dropped.
+pub struct NetworkProxy {
     base: [u8; 2],
-    net: Arc<Mutex<Net>>,
-    carried: Arc<Mutex<Carried>>,
+    network: Arc<Mutex<Network>>,
+    traffic: Arc<Mutex<Traffic>>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -47,9 +47,9 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Network {
+impl NetworkProxy {
     /// A network of so many places, at most 250, on addresses that nobody uses.
-    pub fn start(places: usize, seed: u64) -> io::Result<Network> {
+    pub fn start(places: usize, seed: u64) -> io::Result<NetworkProxy> {
         if places > 250 {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "at most 250 places"));
         }
@@ -59,13 +59,19 @@
             socket.set_nonblocking(true)?;
             poller.add(socket, n as u64, false)?;
         }
-        let net = Arc::new(Mutex::new(Net::new(seed)));
-        let carried = Arc::new(Mutex::new(Carried::default()));
+        let network = Arc::new(Mutex::new(Network::new(seed)));
+        let traffic = Arc::new(Mutex::new(Traffic::default()));
         let stop = Arc::new(AtomicBool::new(false));
-        let carrier =
-            Carrier { base, sockets, poller, net: net.clone(), carried: carried.clone(), stop: stop.clone() };
+        let carrier = Carrier {
+            base,
+            sockets,
+            poller,
+            network: network.clone(),
+            traffic: traffic.clone(),
+            stop: stop.clone(),
+        };
         let thread = std::thread::Builder::new().name("network".to_owned()).spawn(move || carrier.run())?;
-        Ok(Network { base, net, carried, stop, thread: Some(thread) })
+        Ok(NetworkProxy { base, network, traffic, stop, thread: Some(thread) })
     }
 
     /// Looks for a part of the loopback network in which all addresses are free.
@@ -102,17 +108,17 @@
     }
 
     /// The faults.
-    pub fn faults(&self) -> MutexGuard<'_, Net> {
-        lock(&self.net)
+    pub fn faults(&self) -> MutexGuard<'_, Network> {
+        lock(&self.network)
     }
 
-    /// What was carried so far.
-    pub fn carried(&self) -> Carried {
-        *lock(&self.carried)
+    /// The traffic so far.
+    pub fn traffic(&self) -> Traffic {
+        *lock(&self.traffic)
     }
 }
 
-impl Drop for Network {
+impl Drop for NetworkProxy {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
@@ -133,20 +139,20 @@
     base: [u8; 2],
     sockets: Vec<UdpSocket>,
     poller: Poller,
-    net: Arc<Mutex<Net>>,
-    carried: Arc<Mutex<Carried>>,
+    network: Arc<Mutex<Network>>,
+    traffic: Arc<Mutex<Traffic>>,
     stop: Arc<AtomicBool>,
 }
 
 impl Carrier {
     fn run(self) {
         let clock = Clock::start();
-        let mut on_way: Timers<(usize, Vec<u8>)> = Timers::default();
+        let mut in_flight: Timers<(usize, Vec<u8>)> = Timers::default();
         let mut ready: Vec<Readiness> = Vec::new();
-        let mut bytes = [0; LONGEST];
+        let mut bytes = [0; MAX_DATAGRAM];
         while !self.stop.load(Ordering::Relaxed) {
             let now = clock.now();
-            let next = on_way.next().map_or(20_000, |at| at.saturating_sub(now).min(20_000));
+            let next = in_flight.next().map_or(20_000, |at| at.saturating_sub(now).min(20_000));
             ready.clear();
             if self.poller.wait(Some(Duration::from_micros(next)), &mut ready).is_err() {
                 return;
@@ -155,21 +161,21 @@
                 let to = r.token as usize;
                 for _ in 0..256 {
                     let Ok((n, from)) = self.sockets[to].recv_from(&mut bytes) else { break };
-                    self.takes(clock.now(), &mut on_way, from, to, &bytes[..n]);
+                    self.receive(clock.now(), &mut in_flight, from, to, &bytes[..n]);
                 }
             }
             let now = clock.now();
-            while let Some((to, bytes)) = on_way.due(now) {
+            while let Some((to, bytes)) = in_flight.due(now) {
                 let passed = self.sockets[to].send_to(&bytes, listen(self.base, to));
-                lock(&self.carried).delivered += u64::from(passed.is_ok());
+                lock(&self.traffic).delivered += u64::from(passed.is_ok());
             }
         }
     }
 
-    fn takes(
+    fn receive(
         &self,
         now: u64,
-        on_way: &mut Timers<(usize, Vec<u8>)>,
+        in_flight: &mut Timers<(usize, Vec<u8>)>,
         from: SocketAddr,
         to: usize,
         bytes: &[u8],
@@ -180,17 +186,17 @@
             }
             _ => None,
         };
-        let mut carried = lock(&self.carried);
+        let mut traffic = lock(&self.traffic);
         let Some(place) = place.filter(|&p| p < self.sockets.len()) else {
-            carried.strangers += 1;
+            traffic.strangers += 1;
             return;
         };
-        carried.sent += 1;
-        carried.bytes += bytes.len() as u64;
-        drop(carried);
-        for takes in lock(&self.net).send(place, to) {
-            if on_way.len() < MOST_ON_WAY {
-                on_way.set(now + takes, (to, bytes.to_vec()));
+        traffic.sent += 1;
+        traffic.bytes += bytes.len() as u64;
+        drop(traffic);
+        for delay in lock(&self.network).send(place, to) {
+            if in_flight.len() < MAX_IN_FLIGHT {
+                in_flight.set(now + delay, (to, bytes.to_vec()));
             }
         }
     }
--- a/crates/fleet-drill/src/schedule.rs
+++ b/crates/fleet-drill/src/schedule.rs
@@ -1,7 +1,7 @@
 //! What befalls a drill's network and placers, and when: from a TOML file or drawn from a seed.
 
 use maplethread_config::{ConfigErrors, Doc, parse};
-use maplethread_simnet::{Net, Way};
+use maplethread_simnet::{Link, Network};
 use maplethread_standin::options::PlacerAct;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -62,12 +62,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Kind {
-    /// Every way loses this share, doubles a twentieth, and takes up to so many ms.
+    /// Every link loses this share, duplicates a twentieth, and takes up to so many ms.
     Loss {
         /// The share.
         share: f64,
-        /// The longest way, ms.
-        most_ms: f64,
+        /// The longest latency, ms.
+        #[serde(rename = "most_ms")]
+        max_latency_ms: f64,
     },
     /// This share comes so much later.
     Late {
@@ -76,7 +77,7 @@
         /// By so much, s.
         by_s: f64,
     },
-    /// One way between two is worse than the others.
+    /// The link from one to another is worse than the others.
     Link {
         /// The sender.
         from: usize,
@@ -84,8 +85,9 @@
         to: usize,
         /// The share that is lost.
         share: f64,
-        /// The longest time, ms.
-        most_ms: f64,
+        /// The longest latency, ms.
+        #[serde(rename = "most_ms")]
+        max_latency_ms: f64,
     },
     /// Nothing comes through between these parts; who is not named is in the first.
     Partition {
@@ -133,27 +135,27 @@
 /// A step of the network's faults.
 #[derive(Clone, Debug)]
 pub enum Step {
-    /// The usual way is this from now on.
-    Usual(Way),
-    /// One way is this from now on.
-    Way(usize, usize, Way),
-    /// Parts.
-    Part(Vec<Vec<usize>>),
-    /// Nothing from one to the other.
+    /// The default link is this from now on.
+    SetDefaultLink(Link),
+    /// The link from one to the other is this from now on.
+    SetLink(usize, usize, Link),
+    /// Partitions, in place of earlier ones.
+    Partition(Vec<Vec<usize>>),
+    /// A one-way cut.
     Cut(usize, usize),
     /// The end of it.
-    Mend(usize, usize),
+    Restore(usize, usize),
 }
 
 impl Step {
-    /// Does it.
-    pub fn take(&self, net: &mut Net) {
+    /// Takes the step.
+    pub fn apply(&self, network: &mut Network) {
         match self {
-            Step::Usual(way) => net.usual = *way,
-            Step::Way(from, to, way) => net.way(*from, *to, *way),
-            Step::Part(parts) => net.part(parts),
-            Step::Cut(from, to) => net.cut(*from, *to),
-            Step::Mend(from, to) => net.mend(*from, *to),
+            Step::SetDefaultLink(link) => network.default_link = *link,
+            Step::SetLink(from, to, link) => network.set_link(*from, *to, *link),
+            Step::Partition(parts) => network.partition(parts),
+            Step::Cut(from, to) => network.cut(*from, *to),
+            Step::Restore(from, to) => network.restore(*from, *to),
         }
     }
 }
@@ -209,11 +211,14 @@
             let for_s = (1.0 + draw(80) as f64 / 10.0).min(faults_s - at_s - 0.5);
             let (from, to) = (draw(placers as u64), draw(placers as u64));
             let kind = match draw(10) {
-                9 if from != to => {
-                    Kind::Link { from, to, share: draw(100) as f64 / 100.0, most_ms: 5.0 + draw(500) as f64 }
-                }
+                9 if from != to => Kind::Link {
+                    from,
+                    to,
+                    share: draw(100) as f64 / 100.0,
+                    max_latency_ms: 5.0 + draw(500) as f64,
+                },
                 0 if kinds & 1 != 0 => {
-                    Kind::Loss { share: draw(25) as f64 / 100.0, most_ms: 5.0 + draw(60) as f64 }
+                    Kind::Loss { share: draw(25) as f64 / 100.0, max_latency_ms: 5.0 + draw(60) as f64 }
                 }
                 1 if kinds & 2 != 0 => Kind::Late { share: draw(10) as f64 / 100.0, by_s: draw(15) as f64 },
                 2 if kinds & 4 != 0 => {
@@ -259,35 +264,36 @@
         for fault in &self.fault {
             let (at, until) = (us(fault.at_s), us(fault.at_s + fault.for_s));
             match &fault.kind {
-                Kind::Loss { share, most_ms } => {
-                    let way =
-                        Way { loss: *share, double: 0.05, most: us(most_ms / 1000.0), ..Way::default() };
-                    steps.push((at, Step::Usual(way)));
-                    steps.push((until, Step::Usual(Way::default())));
+                Kind::Loss { share, max_latency_ms } => {
+                    let max_latency = us(max_latency_ms / 1000.0);
+                    let link = Link { loss: *share, duplicate: 0.05, max_latency, ..Link::default() };
+                    steps.push((at, Step::SetDefaultLink(link)));
+                    steps.push((until, Step::SetDefaultLink(Link::default())));
                 }
                 Kind::Late { share, by_s } => {
-                    let way = Way { late: *share, late_by: us(*by_s), ..Way::default() };
-                    steps.push((at, Step::Usual(way)));
-                    steps.push((until, Step::Usual(Way::default())));
+                    let link = Link { late: *share, late_by: us(*by_s), ..Link::default() };
+                    steps.push((at, Step::SetDefaultLink(link)));
+                    steps.push((until, Step::SetDefaultLink(Link::default())));
                 }
-                Kind::Link { from, to, share, most_ms } => {
-                    let way = Way { loss: *share, most: us(most_ms / 1000.0), ..Way::default() };
-                    steps.push((at, Step::Way(*from, *to, way)));
-                    steps.push((until, Step::Way(*from, *to, Way::default())));
+                Kind::Link { from, to, share, max_latency_ms } => {
+                    let max_latency = us(max_latency_ms / 1000.0);
+                    let link = Link { loss: *share, max_latency, ..Link::default() };
+                    steps.push((at, Step::SetLink(*from, *to, link)));
+                    steps.push((until, Step::SetLink(*from, *to, Link::default())));
                 }
                 Kind::Partition { parts } => {
-                    steps.push((at, Step::Part(parts.clone())));
-                    steps.push((until, Step::Part(Vec::new())));
+                    steps.push((at, Step::Partition(parts.clone())));
+                    steps.push((until, Step::Partition(Vec::new())));
                 }
                 Kind::OneWay { from, to } => {
                     steps.push((at, Step::Cut(*from, *to)));
-                    steps.push((until, Step::Mend(*from, *to)));
+                    steps.push((until, Step::Restore(*from, *to)));
                 }
                 Kind::Unheard { placers } => {
                     for &from in placers {
                         for to in (0..self.placers).filter(|&to| to != from) {
                             steps.push((at, Step::Cut(from, to)));
-                            steps.push((until, Step::Mend(from, to)));
+                            steps.push((until, Step::Restore(from, to)));
                         }
                     }
                 }
@@ -295,12 +301,12 @@
                     for second in 0..fault.for_s as u64 {
                         let at = at + second * 1_000_000;
                         let step: fn(usize, usize) -> Step =
-                            if second % 2 == 0 { Step::Cut } else { Step::Mend };
+                            if second % 2 == 0 { Step::Cut } else { Step::Restore };
                         steps.push((at, step(*from, *to)));
                         steps.push((at, step(*to, *from)));
                     }
-                    steps.push((until, Step::Mend(*from, *to)));
-                    steps.push((until, Step::Mend(*to, *from)));
+                    steps.push((until, Step::Restore(*from, *to)));
+                    steps.push((until, Step::Restore(*to, *from)));
                 }
                 Kind::Kill { .. } | Kind::Lose { .. } | Kind::Pause { .. } | Kind::RollingRestart => {}
             }
@@ -350,8 +356,8 @@
 }
 
 /// Takes some of the free ones, at most so many.
-fn some(draw: &mut impl FnMut(u64) -> usize, free: &mut Vec<usize>, most: usize) -> Vec<usize> {
-    let n = (1 + draw(most.max(1) as u64)).min(free.len());
+fn some(draw: &mut impl FnMut(u64) -> usize, free: &mut Vec<usize>, max: usize) -> Vec<usize> {
+    let n = (1 + draw(max.max(1) as u64)).min(free.len());
     (0..n).map(|_| free.swap_remove(draw(free.len() as u64))).collect()
 }
 
--- a/crates/fleet-drill/tests/model.rs
+++ b/crates/fleet-drill/tests/model.rs
@@ -3,10 +3,10 @@
 use maplethread_fleet::{Notice, State};
 use maplethread_fleet_drill::model::{MS, Model, S};
 
-fn settled(model: &mut Model, most: u64) -> u64 {
+fn settled(model: &mut Model, within: u64) -> u64 {
     let places = model.places();
-    let took = model.settles(&places, most);
-    took.unwrap_or_else(|| panic!("not settled within {most} us:\n{}", model.differences(&places)))
+    let took = model.settles(&places, within);
+    took.unwrap_or_else(|| panic!("not settled within {within} us:\n{}", model.differences(&places)))
 }
 
 #[test]
@@ -24,7 +24,7 @@
 fn equal_seeds_give_equal_runs() {
     let run = |seed| {
         let mut model = Model::new(seed);
-        model.net.usual.loss = 0.1;
+        model.network.default_link.loss = 0.1;
         model.start_all(20);
         model.run(20 * S);
         model.kill(3);
@@ -39,7 +39,7 @@
 fn a_crash_is_seen_by_all_within_the_bound_also_under_loss() {
     for (seed, loss) in [(1, 0.0), (2, 0.05), (3, 0.2), (4, 0.2)] {
         let mut model = Model::new(seed);
-        model.net.usual.loss = loss;
+        model.network.default_link.loss = loss;
         model.start_all(16);
         settled(&mut model, 30 * S);
         model.kill(5);
@@ -72,13 +72,13 @@
         settled(&mut model, 10 * S);
         model.watching = false;
         let parts = [(0..13).collect::<Vec<_>>(), vec![13, 14], vec![15]];
-        model.net.part(&parts);
+        model.network.partition(&parts);
         model.run(60 * S);
         for part in &parts {
             assert!(model.settled(part), "{}", model.differences(part));
         }
         model.run(30 * S);
-        model.net.heal();
+        model.network.heal();
         let took = settled(&mut model, 60 * S);
         assert!(took < 40 * S, "forgotten after {forget} s: {took}");
     }
@@ -87,7 +87,7 @@
 #[test]
 fn a_loss_of_a_fifth_calls_next_to_nobody_down() {
     let mut model = Model::new(3);
-    model.net.usual.loss = 0.2;
+    model.network.default_link.loss = 0.2;
     model.start_all(16);
     model.run(600 * S);
     assert!(model.seen().false_alarms <= 16, "{:?}", model.seen().false_alarms);
@@ -208,7 +208,7 @@
 #[test]
 fn one_that_leaves_has_left_and_old_news_do_not_bring_it_back() {
     let mut model = Model::new(10);
-    model.net.usual.late = 0.05;
+    model.network.default_link.late = 0.05;
     model.start_all(10);
     settled(&mut model, 10 * S);
     model.leave(4);
@@ -227,13 +227,13 @@
     model.start_all(8);
     settled(&mut model, 10 * S);
     model.watching = false;
-    model.net.part(&[(0..4).collect(), (4..8).collect()]);
+    model.network.partition(&[(0..4).collect(), (4..8).collect()]);
     model.run(20 * S);
     // Both halves renew as they meet; a tenth of what they say then comes much later.
-    model.net.heal();
-    (model.net.usual.late, model.net.usual.late_by) = (0.1, 15 * S);
+    model.network.heal();
+    (model.network.default_link.late, model.network.default_link.late_by) = (0.1, 15 * S);
     model.run(6 * S);
-    model.net.usual.late = 0.0;
+    model.network.default_link.late = 0.0;
     settled(&mut model, 10 * S);
     let renewed = |model: &Model| {
         model.seen().notices.iter().filter(|(_, n)| matches!(n, Notice::Renewed { .. })).count()
@@ -250,18 +250,18 @@
     model.start_all(12);
     settled(&mut model, 10 * S);
     for n in 0..12 {
-        model.net.cut(n, (n + 1) % 12);
+        model.network.cut(n, (n + 1) % 12);
     }
     model.run(60 * S);
     assert_eq!(model.seen().false_alarms, 0, "others reach them");
-    model.net.heal();
+    model.network.heal();
     for n in 3..12 {
-        model.net.cut(n, 0);
-        model.net.cut(0, n);
+        model.network.cut(n, 0);
+        model.network.cut(0, n);
     }
     model.run(60 * S);
     assert!(model.seen().false_alarms <= 12, "{}", model.seen().false_alarms);
-    model.net.heal();
+    model.network.heal();
     settled(&mut model, 30 * S);
 }
 
@@ -271,11 +271,11 @@
     model.start_all(8);
     settled(&mut model, 10 * S);
     model.watching = false;
-    (0..7).for_each(|to| model.net.cut(7, to));
+    (0..7).for_each(|to| model.network.cut(7, to));
     let rest: Vec<usize> = (0..7).collect();
     model.run(40 * S);
     assert!(model.settled(&rest), "{}", model.differences(&rest));
-    model.net.heal();
+    model.network.heal();
     settled(&mut model, 40 * S);
 }
 
@@ -285,10 +285,10 @@
     model.start_all(10);
     settled(&mut model, 10 * S);
     for _ in 0..30 {
-        model.net.cut(1, 2);
-        model.net.cut(2, 1);
+        model.network.cut(1, 2);
+        model.network.cut(2, 1);
         model.run(S);
-        model.net.heal();
+        model.network.heal();
         model.run(S);
     }
     assert_eq!(model.seen().false_alarms, 0);
@@ -415,7 +415,7 @@
 #[test]
 fn what_members_say_of_themselves_is_seen_by_all() {
     let mut model = Model::new(18);
-    model.net.usual.loss = 0.1;
+    model.network.default_link.loss = 0.1;
     model.start_all(10);
     settled(&mut model, 20 * S);
     let mut facts = maplethread_fleet_drill::model::facts(1);
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use maplethread_ownership::{Output, Saved, Settings, Voter};
-use maplethread_simnet::{Net, Way};
+use maplethread_simnet::{Link, Network};
 use maplethread_timers::Timers;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -33,7 +33,7 @@
 
 struct World {
     now: Micros,
-    net: Net,
+    network: Network,
     queue: Timers<Ev>,
     processes: BTreeMap<u64, Process>,
     rng: Pcg64Mcg,
@@ -66,7 +66,7 @@
             .collect();
         let mut world = World {
             now: START,
-            net: Net::new(seed),
+            network: Network::new(seed),
             queue: Timers::default(),
             processes,
             rng,
@@ -135,7 +135,7 @@
                     }
                 }
                 Output::Send(to, bytes) => {
-                    for takes in self.net.send(id as usize, to as usize) {
+                    for takes in self.network.send(id as usize, to as usize) {
                         self.queue.set(self.now + takes, Ev::Arrives(to, bytes.clone()));
                     }
                 }
@@ -267,11 +267,11 @@
         world.run(40 * S);
         let now = world.actor().expect("one acts");
         let others: Vec<usize> = (1..=3).filter(|&p| p != now as usize).collect();
-        world.net.part(&[others, vec![now as usize]]);
+        world.network.partition(&[others, vec![now as usize]]);
         world.run(S);
         world.until_acting(8 * S);
         assert_ne!(world.actor(), Some(now));
-        world.net.heal();
+        world.network.heal();
         world.run(10 * S);
         // One that stood still for long finds its lease over before it acts.
         let paused = world.actor().expect("one acts");
@@ -298,8 +298,8 @@
             _ => (1, 2),
         };
         // One hears nothing of the owner and asks for votes, which the other refuses, as it hears the owner.
-        world.net.cut(owner as usize, cut);
-        world.net.cut(cut, owner as usize);
+        world.network.cut(owner as usize, cut);
+        world.network.cut(cut, owner as usize);
         world.run(4 * S + offset * 7 * MS);
         assert_eq!(world.actor(), Some(owner));
         // Started anew in no time it has forgotten that; the owner's lease counts on it still.
@@ -314,12 +314,12 @@
     let mut world = World::new(5, 3);
     world.until_acting(8 * S);
     let epoch = world.acted.expect("one acted").1;
-    world.net.part(&[vec![1], vec![2], vec![3]]);
+    world.network.partition(&[vec![1], vec![2], vec![3]]);
     world.run(3 * S);
     let before = world.acting;
     world.run(3_600 * S);
     assert_eq!(world.acting, before, "one acted without a majority");
-    world.net.heal();
+    world.network.heal();
     (1..=3).for_each(|id| world.crash(id, S));
     world.run(2 * S);
     world.until_acting(10 * S);
@@ -408,16 +408,17 @@
                 for p in 1..=voters as usize {
                     parts[world.draw(2) as usize].push(p);
                 }
-                world.net.part(&parts);
+                world.network.partition(&parts);
             }
             1 => {
                 let other = 1 + world.draw(voters);
-                world.net.cut(id as usize, other as usize);
+                world.network.cut(id as usize, other as usize);
             }
             2 => {
                 let (loss, late) = (world.draw(30) as f64 / 100.0, world.draw(10) as f64 / 100.0);
                 let late_by = 500 * MS + world.draw(20 * S);
-                world.net.usual = Way { loss, double: 0.1, least: 200, most: 300 * MS, late, late_by };
+                world.network.default_link =
+                    Link { loss, duplicate: 0.1, min_latency: 200, max_latency: 300 * MS, late, late_by };
             }
             3 | 4 => {
                 let wait = 10 * MS + world.draw(4 * S);
@@ -434,14 +435,14 @@
                     world.crash(id, wait);
                 }
             }
-            _ => world.net.heal(),
+            _ => world.network.heal(),
         }
         let span = 100 * MS + world.draw(4 * S);
         world.run(span);
     }
     world.crash_between = false;
-    world.net.heal();
-    world.net.usual = Way::default();
+    world.network.heal();
+    world.network.default_link = Link::default();
     world.run(15 * S);
     world.until_acting(40 * S);
 }
--- /dev/null
+++ b/crates/simnet/tests/network.rs
@@ -0,0 +1,106 @@
+//! Faults of the network: what is delivered, how often and after how long.
+
+use maplethread_simnet::{Link, Micros, Network};
+
+const DATAGRAMS: usize = 10_000;
+
+/// All deliveries of many datagrams over one link.
+fn deliveries(network: &mut Network) -> Vec<Vec<Micros>> {
+    (0..DATAGRAMS).map(|_| network.send(0, 1)).collect()
+}
+
+fn with_link(link: Link) -> Network {
+    let mut network = Network::new(1);
+    network.default_link = link;
+    network
+}
+
+/// Whether a count is within a tenth of this share of the datagrams.
+fn near(count: usize, share: f64) -> bool {
+    let expected = DATAGRAMS as f64 * share;
+    (count as f64 - expected).abs() < expected / 10.0
+}
+
+#[test]
+fn a_network_without_faults_delivers_each_datagram_once_within_the_latency() {
+    let link = Link::default();
+    for delays in deliveries(&mut Network::new(1)) {
+        assert_eq!(delays.len(), 1);
+        assert!((link.min_latency..link.max_latency).contains(&delays[0]), "{delays:?}");
+    }
+}
+
+#[test]
+fn equal_seeds_give_equal_deliveries() {
+    let run = |seed| {
+        let mut network = Network::new(seed);
+        network.default_link.loss = 0.3;
+        deliveries(&mut network)
+    };
+    assert_eq!(run(7), run(7));
+    assert_ne!(run(7), run(8));
+}
+
+#[test]
+fn the_loss_rate_is_kept_and_counted() {
+    let mut network = with_link(Link { loss: 0.2, ..Link::default() });
+    let lost = deliveries(&mut network).iter().filter(|delays| delays.is_empty()).count();
+    assert!(near(lost, 0.2), "{lost}");
+    assert_eq!(network.lost, lost as u64);
+}
+
+#[test]
+fn duplicates_are_delivered_twice_each_copy_with_a_latency_of_its_own() {
+    let mut network = with_link(Link { duplicate: 0.1, ..Link::default() });
+    let twice: Vec<Vec<Micros>> = deliveries(&mut network).into_iter().filter(|d| d.len() == 2).collect();
+    assert!(near(twice.len(), 0.1), "{}", twice.len());
+    assert!(twice.iter().any(|delays| delays[0] != delays[1]));
+}
+
+#[test]
+fn late_datagrams_take_that_much_longer() {
+    let late_by = 1_000_000;
+    let mut network = with_link(Link { late: 0.1, late_by, ..Link::default() });
+    let late = deliveries(&mut network).iter().flatten().filter(|&&delay| delay >= late_by).count();
+    assert!(near(late, 0.1), "{late}");
+}
+
+#[test]
+fn equal_least_and_longest_latency_is_a_fixed_one() {
+    let mut network = with_link(Link { min_latency: 500, max_latency: 500, ..Link::default() });
+    assert!(deliveries(&mut network).iter().all(|delays| *delays == [500]));
+}
+
+#[test]
+fn a_cut_is_one_way_until_it_is_restored() {
+    let mut network = Network::new(1);
+    network.cut(0, 1);
+    assert!(network.send(0, 1).is_empty());
+    assert_eq!(network.send(1, 0).len(), 1);
+    assert_eq!(network.lost, 1);
+    network.restore(0, 1);
+    assert_eq!(network.send(0, 1).len(), 1);
+}
+
+#[test]
+fn partitions_hear_only_themselves_and_places_not_named_are_in_the_first() {
+    let mut network = Network::new(1);
+    network.partition(&[vec![0, 1], vec![2]]);
+    assert_eq!(network.send(0, 1).len(), 1);
+    assert!(network.send(0, 2).is_empty());
+    assert!(network.send(2, 1).is_empty());
+    assert_eq!(network.send(9, 0).len(), 1);
+    network.partition(&[]);
+    assert_eq!(network.send(0, 2).len(), 1);
+}
+
+#[test]
+fn healing_ends_cuts_partitions_and_links_that_differ() {
+    let mut network = Network::new(1);
+    network.cut(0, 1);
+    network.partition(&[vec![0], vec![2]]);
+    network.set_link(0, 3, Link { loss: 1.0, ..Link::default() });
+    assert!([1, 2, 3].iter().all(|&to| network.send(0, to).is_empty()));
+    network.heal();
+    assert!([1, 2, 3].iter().all(|&to| network.send(0, to).len() == 1));
+}
