--- a/crates/fleet-drill/src/judge.rs
+++ b/crates/fleet-drill/src/judge.rs
@@ -7,6 +7,9 @@
 
 use crate::watch::{Sample, Watched};
 
+#[cfg(test)]
+mod tests;
+
 /// A placer's process over time: whether it runs, and whether it stands still.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Is {
@@ -179,80 +182,3 @@
         })
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::watch::Told;
-
-    const S: u64 = 1_000_000;
-
-    fn truth() -> Truth {
-        let api = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-        let mut news: Vec<DayNews> = (0..3).map(|p| DayNews::Serves(S, p, api)).collect();
-        news.push(DayNews::Befell(10 * S, PlacerAct::Kill(2)));
-        Truth::of(&news)
-    }
-
-    fn sample(at: u64, digest: &str, live: &[usize]) -> Sample {
-        Sample { at, digest: digest.to_owned(), live: live.iter().map(|&p| name(p)).collect() }
-    }
-
-    /// Two that stay, which settle at 13 s and 14 s after the third was killed at 10 s.
-    fn sound() -> Watched {
-        let mut watched = Watched::default();
-        for (placer, settles) in [(0, 13), (1, 14)] {
-            let samples = (1..20).map(|s| {
-                if s < settles { sample(s * S, "three", &[0, 1, 2]) } else { sample(s * S, "two", &[0, 1]) }
-            });
-            watched.samples.insert(placer, samples.collect());
-        }
-        watched
-    }
-
-    #[test]
-    fn a_drill_that_settles_is_told_with_its_times() {
-        let verdict = judge(&truth(), &sound(), &[], 11 * S, 20 * S);
-        assert_eq!((verdict.broken.len(), verdict.settled_s, verdict.members), (0, Some(3.0), 2));
-        assert_eq!((verdict.seen_gone_s, verdict.false_alarms), (vec![3.0], 0));
-    }
-
-    #[test]
-    fn ghosts_members_that_are_missing_unlike_views_and_silence_are_each_told() {
-        let told = |change: &dyn Fn(&mut Watched)| {
-            let mut watched = sound();
-            change(&mut watched);
-            let verdict = judge(&truth(), &watched, &[], 11 * S, 20 * S);
-            assert_eq!(verdict.settled_s, None);
-            verdict.broken.join("; ")
-        };
-        let push = |placer: usize, last: Sample| {
-            move |w: &mut Watched| w.samples.entry(placer).or_default().push(last.clone())
-        };
-        assert!(told(&push(1, sample(20 * S, "two", &[0, 1, 2]))).contains("still holds"));
-        assert!(told(&push(0, sample(20 * S, "two", &[0]))).contains("lacks"));
-        assert!(told(&push(1, sample(20 * S, "another", &[0, 1]))).contains("another view"));
-        assert!(told(&|w: &mut Watched| drop(w.samples.remove(&1))).contains("no view"));
-    }
-
-    #[test]
-    fn who_is_called_down_while_it_runs_counts_and_who_was_killed_does_not() {
-        let mut watched = sound();
-        let down = |at: u64, name: &str, by: &str| Told {
-            at,
-            what: json!({"name": name, "from": "suspect", "to": "down", "by": by}),
-        };
-        let own = maplethread_fleet::OWN_TEST;
-        // One that runs, by the teller's own test; the same by hearsay; and the one that was killed.
-        let told = vec![
-            down(19 * S, "placer-1", own),
-            down(19 * S, "placer-1", "placer-9"),
-            down(13 * S, "placer-2", own),
-        ];
-        watched.told.insert(0, told);
-        let verdict = judge(&truth(), &watched, &[], 11 * S, 20 * S);
-        assert_eq!((verdict.false_alarms, verdict.alarms_under_faults), (1, 0));
-        let verdict = judge(&truth(), &watched, &[(13 * S, 15 * S)], 11 * S, 20 * S);
-        assert_eq!((verdict.false_alarms, verdict.alarms_under_faults), (0, 1));
-    }
-}
--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -2,7 +2,6 @@
 //! are the unchanged core.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use maplethread_fleet::{
     Change, Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State,
@@ -10,13 +9,17 @@
 use maplethread_simnet::Network;
 use maplethread_timers::Timers;
 
+mod fixtures;
+mod settling;
+
+use fixtures::place;
+pub use fixtures::{KEY, address, facts, keys, name};
+
 /// A millisecond.
 pub const MS: Micros = 1_000;
 /// A second.
 pub const S: Micros = 1_000_000;
 const START: Micros = 1_790_000_000 * S;
-/// The fleet's key.
-pub const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 enum Ev {
     Arrives(usize, Vec<u8>),
@@ -77,37 +80,6 @@
     pub record: bool,
 }
 
-/// The address of a place.
-pub fn address(place: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (place >> 8) as u8, place as u8], 7946))
-}
-
-fn place(address: SocketAddr) -> Option<usize> {
-    match address {
-        SocketAddr::V4(v4) if v4.port() == 7946 && v4.ip().octets()[..2] == [10, 0] => {
-            let [_, _, high, low] = v4.ip().octets();
-            Some(usize::from(high) << 8 | usize::from(low))
-        }
-        _ => None,
-    }
-}
-
-/// A member's name.
-pub fn name(n: usize) -> String {
-    format!("p-{n}")
-}
-
-/// Keys from text that is known to be sound.
-pub fn keys(text: &str) -> Keys {
-    Keys::parse(text, "model").expect("sound keys")
-}
-
-/// Facts of a usual member.
-pub fn facts(started_ms: u64) -> Facts {
-    let text = |t: &str| t.to_owned().try_into().expect("sound");
-    Facts { version: text("0.2.0"), zone: text("a"), started_ms, draining: false, number: None, load: 0 }
-}
-
 impl Model {
     /// A network without members.
     pub fn new(seed: u64) -> Model {
@@ -351,59 +323,6 @@
         self.processes.values().any(|process| !process.paused && name(process.name) == member)
     }
 
-    /// Whether the members at these places see each other, all alike, and nobody else as live.
-    pub fn settled(&self, places: &[usize]) -> bool {
-        let first = self.fleet(places[0]).digest();
-        let names: Vec<String> = places.iter().map(|p| name(self.processes[p].name)).collect();
-        places.iter().all(|p| {
-            let fleet = self.fleet(*p);
-            fleet.digest() == first
-                && fleet.live() == places.len()
-                && names
-                    .iter()
-                    .all(|n| *n == name(self.processes[p].name) || fleet.state_of(n) == Some(State::Alive))
-        })
-    }
-
-    /// Lets time pass until these are settled: how long it took, or nothing if it took longer than `within`.
-    pub fn settles(&mut self, places: &[usize], within: Micros) -> Option<Micros> {
-        let from = self.now;
-        while self.now <= from + within {
-            if self.settled(places) {
-                return Some(self.now - from);
-            }
-            self.run(50 * MS);
-        }
-        None
-    }
-
-    /// Why these are not settled, for a failing test.
-    pub fn differences(&self, places: &[usize]) -> String {
-        let mut text = String::new();
-        for &p in places {
-            let view = self.fleet(p).view(self.now);
-            let others: Vec<String> = view
-                .members
-                .iter()
-                .filter(|m| m.state.live())
-                .map(|m| {
-                    let started = m.facts.as_ref().map(|f| f.started_ms);
-                    format!("{} {:?} at {} life {} started {started:?}", m.name, m.state, m.address, m.life)
-                })
-                .collect();
-            text += &format!(
-                "{}: {} live, {} health {} displaced {:?}; {}\n",
-                view.name,
-                self.fleet(p).live(),
-                view.digest,
-                view.health,
-                view.displaced_by,
-                others.join(", ")
-            );
-        }
-        text
-    }
-
     /// A datagram that nobody of this fleet made.
     pub fn garbage(&mut self, length: usize) -> Vec<u8> {
         let mut bytes: Vec<u8> = (0..length).map(|n| ((n as u64 * 2_654_435_761) >> 7) as u8).collect();
--- /dev/null
+++ b/crates/fleet-drill/src/schedule/steps.rs
@@ -0,0 +1,136 @@
+//! What a schedule does to the network and to placers, step by step.
+
+use maplethread_simnet::{Link, Network};
+use maplethread_standin::options::PlacerAct;
+
+use super::{Kind, Schedule};
+
+/// A step of the network's faults.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// The default link is this from now on.
+    SetDefaultLink(Link),
+    /// The link from one to the other is this from now on.
+    SetLink(usize, usize, Link),
+    /// Partitions, in place of earlier ones.
+    Partition(Vec<Vec<usize>>),
+    /// A one-way cut.
+    Cut(usize, usize),
+    /// The end of it.
+    Restore(usize, usize),
+}
+
+impl Step {
+    /// Takes the step.
+    pub fn apply(&self, network: &mut Network) {
+        match self {
+            Step::SetDefaultLink(link) => network.default_link = *link,
+            Step::SetLink(from, to, link) => network.set_link(*from, *to, *link),
+            Step::Partition(parts) => network.partition(parts),
+            Step::Cut(from, to) => network.cut(*from, *to),
+            Step::Restore(from, to) => network.restore(*from, *to),
+        }
+    }
+}
+
+fn us(s: f64) -> u64 {
+    (s * 1e6) as u64
+}
+
+impl Schedule {
+    /// What befalls the network, µs after the drill began, in order. At the end of the faults it is whole.
+    pub fn steps(&self) -> Vec<(u64, Step)> {
+        let mut steps = Vec::new();
+        for fault in &self.fault {
+            let (at, until) = (us(fault.at_s), us(fault.at_s + fault.for_s));
+            match &fault.kind {
+                Kind::Loss { share, max_latency_ms } => {
+                    let max_latency = us(max_latency_ms / 1000.0);
+                    let link = Link { loss: *share, duplicate: 0.05, max_latency, ..Link::default() };
+                    steps.push((at, Step::SetDefaultLink(link)));
+                    steps.push((until, Step::SetDefaultLink(Link::default())));
+                }
+                Kind::Late { share, by_s } => {
+                    let link = Link { late: *share, late_by: us(*by_s), ..Link::default() };
+                    steps.push((at, Step::SetDefaultLink(link)));
+                    steps.push((until, Step::SetDefaultLink(Link::default())));
+                }
+                Kind::Link { from, to, share, max_latency_ms } => {
+                    let max_latency = us(max_latency_ms / 1000.0);
+                    let link = Link { loss: *share, max_latency, ..Link::default() };
+                    steps.push((at, Step::SetLink(*from, *to, link)));
+                    steps.push((until, Step::SetLink(*from, *to, Link::default())));
+                }
+                Kind::Partition { parts } => {
+                    steps.push((at, Step::Partition(parts.clone())));
+                    steps.push((until, Step::Partition(Vec::new())));
+                }
+                Kind::OneWay { from, to } => {
+                    steps.push((at, Step::Cut(*from, *to)));
+                    steps.push((until, Step::Restore(*from, *to)));
+                }
+                Kind::Unheard { placers } => {
+                    for &from in placers {
+                        for to in (0..self.placers).filter(|&to| to != from) {
+                            steps.push((at, Step::Cut(from, to)));
+                            steps.push((until, Step::Restore(from, to)));
+                        }
+                    }
+                }
+                Kind::Flap { from, to } => {
+                    for second in 0..fault.for_s as u64 {
+                        let at = at + second * 1_000_000;
+                        let step: fn(usize, usize) -> Step =
+                            if second % 2 == 0 { Step::Cut } else { Step::Restore };
+                        steps.push((at, step(*from, *to)));
+                        steps.push((at, step(*to, *from)));
+                    }
+                    steps.push((until, Step::Restore(*from, *to)));
+                    steps.push((until, Step::Restore(*to, *from)));
+                }
+                Kind::Kill { .. } | Kind::Lose { .. } | Kind::Pause { .. } | Kind::RollingRestart => {}
+            }
+        }
+        steps.sort_by_key(|s| s.0);
+        steps
+    }
+
+    /// What befalls placers, µs after the drill began.
+    pub fn acts(&self) -> Vec<(u64, PlacerAct)> {
+        /// The front layer notices this long after.
+        const NOTICE: u64 = 500_000;
+        let mut acts = Vec::new();
+        for fault in &self.fault {
+            let (at, until) = (us(fault.at_s), us(fault.at_s + fault.for_s));
+            match &fault.kind {
+                Kind::Kill { placers } | Kind::Lose { placers } => {
+                    for &placer in placers {
+                        acts.push((at, PlacerAct::Kill(placer)));
+                        acts.push(((at + NOTICE).min(until), PlacerAct::Noticed(placer)));
+                        if matches!(fault.kind, Kind::Kill { .. }) {
+                            acts.push((until + 1, PlacerAct::Respawn(placer)));
+                        }
+                    }
+                }
+                Kind::Pause { placers } => {
+                    for &placer in placers {
+                        acts.push((at, PlacerAct::Pause(placer)));
+                        acts.push((until, PlacerAct::GoOn(placer)));
+                    }
+                }
+                Kind::RollingRestart => {
+                    let step = (until - at) / self.placers.max(1) as u64;
+                    for placer in 0..self.placers {
+                        let at = at + placer as u64 * step;
+                        acts.push((at, PlacerAct::End(placer)));
+                        acts.push((at + step / 2, PlacerAct::Reap(placer)));
+                        acts.push((at + step / 2 + 1, PlacerAct::Respawn(placer)));
+                    }
+                }
+                _ => {}
+            }
+        }
+        acts.sort_by_key(|a| a.0);
+        acts
+    }
+}
--- /dev/null
+++ b/crates/fleet-drill/tests/model/bounds.rs
@@ -0,0 +1,116 @@
+//! Keys, datagrams that are not sound, facts, and tables that do not grow.
+
+use maplethread_fleet_drill::model::{MS, Model, S};
+
+use crate::settled;
+
+#[test]
+fn keys_are_changed_under_way_and_strangers_change_nothing() {
+    let other = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
+    let both = |first: &str, second: &str| {
+        maplethread_fleet_drill::model::keys(&format!("{first}\n# the one before or after\n{second}\n"))
+    };
+    let old = maplethread_fleet_drill::model::KEY;
+    let mut model = Model::new(15);
+    model.record = true;
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    model.record = false;
+    let recorded = model.recorded.clone();
+    for step in [both(old, other), both(other, old), maplethread_fleet_drill::model::keys(other)] {
+        for place in model.places() {
+            model.rekey(place, step.clone());
+            model.run(2 * S);
+        }
+    }
+    assert_eq!(model.seen().false_alarms, 0);
+    settled(&mut model, S);
+    // What was sealed with the old key, garbage of all lengths, and a cut or longer datagram.
+    let version = model.fleet(0).view(0).version;
+    for (to, bytes) in recorded.iter().take(200) {
+        model.inject(*to, bytes.clone());
+    }
+    for length in [0, 1, 16, 17, 18, 40, 600, 1200, 1201, 9000] {
+        let bytes = model.garbage(length);
+        model.inject(0, bytes);
+    }
+    model.run(S);
+    let counters = model.fleet(0).view(0).counters;
+    assert!(counters.unauthenticated >= 5 && counters.foreign >= 3 && counters.oversize == 2, "{counters:?}");
+    assert_eq!(model.fleet(0).view(0).version, version);
+}
+
+#[test]
+fn a_datagram_that_is_changed_anywhere_or_cut_is_not_taken() {
+    let mut model = Model::new(20);
+    model.record = true;
+    model.start_all(4);
+    settled(&mut model, 10 * S);
+    model.run(5 * S);
+    model.record = false;
+    let last = model.recorded.iter().rev().find(|(to, bytes)| *to == 1 && bytes.len() > 60);
+    let sound = last.expect("something came").1.clone();
+    let taken = |model: &Model| model.fleet(1).view(0).counters.unauthenticated;
+    let before = taken(&model);
+    for at in 1..sound.len() {
+        let mut forged = sound.clone();
+        forged[at] ^= 1 << (at % 8);
+        model.inject(1, forged);
+        model.inject(1, sound[..at].to_vec());
+    }
+    model.run(MS);
+    let lengths = sound.len() as u64;
+    // Those cut to less than a tag are no datagrams at all.
+    assert!(taken(&model) - before >= 2 * (lengths - 1) - 17, "{} of {lengths}", taken(&model) - before);
+    assert!(model.settled(&model.places()), "{}", model.differences(&model.places()));
+}
+
+#[test]
+fn a_full_table_takes_in_no_more_and_says_so() {
+    let mut model = Model::new(17);
+    model.pace.most = 8;
+    model.start_all(14);
+    model.run(30 * S);
+    for place in model.places() {
+        let view = model.fleet(place).view(0);
+        assert!(view.members.len() <= 8, "{}", view.members.len());
+    }
+    assert!(model.fleet(0).view(0).counters.full > 0);
+}
+
+#[test]
+fn what_members_say_of_themselves_is_seen_by_all() {
+    let mut model = Model::new(18);
+    model.network.default_link.loss = 0.1;
+    model.start_all(10);
+    settled(&mut model, 20 * S);
+    let mut facts = maplethread_fleet_drill::model::facts(1);
+    facts.version = "v".repeat(32).try_into().expect("it fits");
+    facts.zone = "z".repeat(32).try_into().expect("it fits");
+    (facts.draining, facts.number, facts.load) = (true, Some(u32::MAX), 255);
+    model.tell(4, facts.clone());
+    settled(&mut model, 20 * S);
+    for place in model.places().into_iter().filter(|&p| p != 4) {
+        let view = model.fleet(place).view(0);
+        let seen = view.members.iter().find(|m| m.name == "p-4").and_then(|m| m.facts.clone());
+        assert_eq!(seen.as_ref(), Some(&facts));
+    }
+}
+
+#[test]
+fn nothing_grows_with_what_is_gone() {
+    let mut model = Model::new(19);
+    model.pace.forget_after = std::time::Duration::from_secs(10);
+    model.start_all(4);
+    settled(&mut model, 10 * S);
+    for n in 0..60 {
+        model.start(100 + n, 100 + n);
+        model.run(2 * S);
+        model.kill(100 + n);
+        model.run(2 * S);
+    }
+    model.run(60 * S);
+    let held = model.fleet(0).held();
+    assert!(held <= 4 * 4 + 64, "{held}");
+    settled(&mut model, S);
+}
--- /dev/null
+++ b/crates/fleet-drill/tests/model/lives.rs
@@ -0,0 +1,140 @@
+//! Lives of one name: restarts, clocks that are wrong, namesakes, departures and datagrams of lives that are over.
+
+use maplethread_fleet::{Notice, State};
+use maplethread_fleet_drill::model::{MS, Model, S};
+
+use crate::settled;
+
+#[test]
+fn a_restart_replaces_the_earlier_life_at_the_same_and_at_another_address() {
+    let mut model = Model::new(6);
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    model.kill(3);
+    model.run(500 * MS);
+    model.start(3, 3);
+    assert!(settled(&mut model, 10 * S) <= 5 * S);
+    model.kill(4);
+    model.start(4, 20);
+    assert!(settled(&mut model, 10 * S) <= 5 * S);
+    // Its old address is another member's now.
+    model.start(9, 4);
+    assert!(settled(&mut model, 10 * S) <= 5 * S);
+    assert_eq!(model.seen().false_alarms, 0);
+}
+
+#[test]
+fn a_wall_clock_an_hour_back_keeps_nobody_out() {
+    let mut model = Model::new(7);
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    model.kill(3);
+    model.start_with(3, 3, -3_600_000, 1.0);
+    settled(&mut model, 20 * S);
+    // At another address it can't know whether the later life still runs, and waits until that is shown.
+    model.kill(5);
+    model.start_with(5, 30, -3_600_000, 1.0);
+    settled(&mut model, 40 * S);
+    model.kill(6);
+    model.start_with(6, 6, 3_600_000, 1.0);
+    settled(&mut model, 20 * S);
+}
+
+#[test]
+fn two_live_processes_of_one_name_are_both_told_and_no_view_flaps() {
+    let mut model = Model::new(9);
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    // A second one of p-3, elsewhere.
+    model.start(3, 40);
+    model.run(10 * S);
+    let told = |model: &Model, what: fn(&Notice) -> bool| {
+        model.seen().notices.iter().filter(|(n, notice)| n == "p-3" && what(notice)).count()
+    };
+    assert_eq!(told(&model, |n| matches!(n, Notice::Displaced { .. })), 1, "{:?}", model.seen().notices);
+    assert_eq!(told(&model, |n| matches!(n, Notice::Claimed { .. })), 1, "{:?}", model.seen().notices);
+    let views = |model: &Model| -> Vec<u64> {
+        model.places().iter().filter(|&&p| p != 3).map(|&p| model.fleet(p).view(0).version).collect()
+    };
+    let before = views(&model);
+    model.run(60 * S);
+    assert_eq!(views(&model), before, "views go on changing");
+    let others: Vec<usize> = model.places().into_iter().filter(|&p| p != 3).collect();
+    assert!(model.settled(&others), "{}", model.differences(&model.places()));
+    assert!(model.view(40).claimed_by.is_some() && model.view(3).displaced_by.is_some());
+    model.kill(3);
+    model.run(15 * S);
+    assert_eq!(model.view(40).claimed_by, None, "the one that claimed it is gone");
+    model.start_with(3, 3, -600_000, 1.0);
+    model.run(5 * S);
+    assert!(model.view(40).claimed_by.is_some() && model.view(3).displaced_by.is_some());
+    // The later one ends: the earlier one has its name back.
+    model.watching = false;
+    model.kill(40);
+    settled(&mut model, 40 * S);
+    assert_eq!(told(&model, |n| matches!(n, Notice::Reinstated)), 1);
+}
+
+#[test]
+fn one_that_leaves_has_left_and_old_news_do_not_bring_it_back() {
+    let mut model = Model::new(10);
+    model.network.default_link.late = 0.05;
+    model.start_all(10);
+    settled(&mut model, 10 * S);
+    model.leave(4);
+    assert!(settled(&mut model, 10 * S) <= 5 * S);
+    assert!(model.places().iter().all(|&p| model.fleet(p).state_of("p-4") == Some(State::Left)));
+    for _ in 0..90 {
+        model.run(S);
+        let back = model.places().iter().any(|&p| model.fleet(p).state_of("p-4").is_some_and(State::live));
+        assert!(!back, "datagrams a minute late brought it back");
+    }
+}
+
+#[test]
+fn datagrams_of_lives_that_are_over_renew_nobody() {
+    let mut model = Model::new(21);
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    model.watching = false;
+    model.network.partition(&[(0..4).collect(), (4..8).collect()]);
+    model.run(20 * S);
+    // Both halves renew as they meet; a tenth of what they say then comes much later.
+    model.network.heal();
+    (model.network.default_link.late, model.network.default_link.late_by) = (0.1, 15 * S);
+    model.run(6 * S);
+    model.network.default_link.late = 0.0;
+    settled(&mut model, 10 * S);
+    let renewed = |model: &Model| {
+        model.seen().notices.iter().filter(|(_, n)| matches!(n, Notice::Renewed { .. })).count()
+    };
+    let before = renewed(&model);
+    assert!((4..=24).contains(&before), "{before}");
+    model.run(30 * S);
+    assert_eq!(renewed(&model), before, "late datagrams had members renewed");
+}
+
+#[test]
+fn recorded_datagrams_of_an_earlier_life_bring_nothing_back() {
+    let mut model = Model::new(16);
+    model.pace.forget_after = std::time::Duration::from_secs(20);
+    model.record = true;
+    model.start_all(8);
+    settled(&mut model, 10 * S);
+    model.run(5 * S);
+    let recorded = std::mem::take(&mut model.recorded);
+    model.record = false;
+    model.kill(5);
+    settled(&mut model, 30 * S);
+    model.run(30 * S);
+    assert!(model.places().iter().all(|&p| model.fleet(p).state_of("p-5").is_none()), "forgotten");
+    for (to, bytes) in recorded.iter().filter(|(to, _)| *to != 5) {
+        model.inject(*to, bytes.clone());
+    }
+    for _ in 0..20 {
+        model.run(500 * MS);
+        let back = model.places().iter().any(|&p| model.fleet(p).state_of("p-5").is_some());
+        assert!(!back, "a recorded datagram brought it back: {}", model.differences(&model.places()));
+    }
+    assert_eq!(model.seen().false_alarms, 0);
+}
