Offers of one ask are judged in the order in which they were sent

Which of two attempts has to be over is told by their numbers. Test: fails on the old text, and an attempt that is not called off still breaks the rule.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -16,6 +16,8 @@
 
 /// One attempt as the hosts saw it.
 pub(crate) struct Attempt {
+    /// Its place among those of its ask.
+    pub(crate) number: u32,
     pub(crate) host: Name,
     pub(crate) link: u64,
     pub(crate) sent: u64,
@@ -287,6 +289,7 @@
                 self.rule_3(&placer, host);
                 self.rule_4(&placer, host);
                 let attempt = Attempt {
+                    number: offer.number,
                     host: host.clone(),
                     link,
                     sent: at,
--- a/crates/judge/src/rule_2.rs
+++ b/crates/judge/src/rule_2.rs
@@ -49,9 +49,14 @@
         let mut first: Option<&Attempt> = None;
         for wire in &before {
             let Some(attempt) = self.attempts.get(wire) else { continue };
-            if attempt.over.is_none() {
+            // Offers to two hosts may be read in another order than they were sent: the first must be over.
+            let (earlier, over) = match attempt.number <= offer.number {
+                true => (*wire, attempt.over.is_some()),
+                false => (offer.attempt, false),
+            };
+            if !over {
                 let shown = asked.into_iter().chain([attempt.shown, number]).collect();
-                self.doubles.push_back((at + slack, *wire, request.clone(), shown));
+                self.doubles.push_back((at + slack, earlier, request.clone(), shown));
             }
             if !attempt.never_ran && first.is_none() {
                 first = Some(attempt);
--- a/crates/judge/tests/read_late.rs
+++ b/crates/judge/tests/read_late.rs
@@ -135,7 +135,7 @@
         };
         let mut second = offer(10 * S, 2);
         if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
-            (*link, offer.request) = (2, "1".to_owned());
+            (*link, offer.request, offer.number) = (2, "1".to_owned(), 1);
         }
         let cancel = Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) };
         let mut records = vec![link(1), link(2), offer(9 * S, 1), second];
@@ -153,3 +153,26 @@
     assert_eq!(doubled(400 * MS, late_since(10 * S + 100 * MS)), 0, "it may have been sent within the slack");
     assert_eq!(doubled(400 * MS, late_since(10 * S + 200 * MS)), 1, "there was nothing of it by then");
 }
+
+#[test]
+fn offers_of_one_ask_are_judged_in_the_order_in_which_they_were_sent() {
+    // The second attempt is read first; the first, with its call-off, only then.
+    let read_first = |cancelled: bool| {
+        let link = |link: u64| Record {
+            at: link,
+            seen: Seen::Link { host: name("h"), link, placer: name("p"), life: 1 },
+        };
+        let mut second = offer(10 * S, 2);
+        if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
+            (*link, offer.request, offer.number) = (2, "1".to_owned(), 1);
+        }
+        let mut records = vec![link(1), link(2), second, offer(10 * S + 2 * MS, 1), offer(20 * S, 3)];
+        if cancelled {
+            let cancel = Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) };
+            records.push(Record { at: 10 * S + 3 * MS, seen: cancel });
+        }
+        broken(2, records)
+    };
+    assert_eq!(read_first(true), 0, "the first was over when the second was sent");
+    assert_eq!(read_first(false), 1);
+}
