An offer to a cold host counts from when it left, not only from when it was decided on

The engine now holds an offer back while one that left late is within its window at the host, and the decider places the task elsewhere. The caller tells when all of a round was written. Test with a pause of a second.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -38,8 +38,11 @@
         let (key, request, class, span) =
             (ask.key.clone(), ask.request.clone(), ask.task.class, ask.span.clone());
         let name = self.hosts.get(&host).map(|h| h.name.clone()).unwrap_or_default();
-        let Some(frame_end) = self.send(host, &Frame::Offer(offer), true) else {
-            span.in_scope(|| tracing::debug!(host = %name, attempt = id.number, "no connection"));
+        let cold = self.is_cold(host);
+        let meets_late_one = cold && self.cold_offers.meets_late_one(host, self.now);
+        let sent = if meets_late_one { None } else { self.send(host, &Frame::Offer(offer), true) };
+        let Some(frame_end) = sent else {
+            span.in_scope(|| tracing::debug!(host = %name, attempt = id.number, meets_late_one, "not sent"));
             let end = End { ending: Ending::Unreachable, why: None, closed: false, load: None };
             self.events.push(Event::Ended(id, end));
             return;
@@ -48,6 +51,9 @@
             tracing::debug!(host = %name, attempt = id.number, wait_ms = wait / 1000, "offered");
         });
         self.counters.offers += 1;
+        if cold {
+            self.cold_offers.add(host, self.now);
+        }
         let (sent, until) = (self.now, self.now + wait);
         let (stage, runs, called_off, stop, unwanted) = (Stage::Out, false, false, None, false);
         let attempt = Attempt {
@@ -83,6 +89,12 @@
         self.timers.set(until, Due::Attempt(wire));
     }
 
+    /// Whether a host has come up so lately that the decider counts what it is sent.
+    fn is_cold(&self, host: HostId) -> bool {
+        let started = self.hosts.get(&host).and_then(|h| h.listing.started);
+        started.is_some_and(|started| started + self.settings.rules.cold_for > self.now)
+    }
+
     pub(crate) fn attempt_due(&mut self, wire: u64) {
         let Some(attempt) = self.attempts.get(&wire) else { return };
         if attempt.stage == Stage::Seated || attempt.until > self.now {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::Timers;
 use crate::answers::{Answer, Answers};
 use crate::clients::Client;
+use crate::cold::ColdOffers;
 use crate::hosts::{Host, Link};
 use crate::life::{LifeEvent, Ring};
 use crate::names::{Numbers, hash};
@@ -219,6 +220,7 @@
     /// Open asks in the order of their deadlines.
     pub(crate) deadlines: BTreeSet<(Micros, TaskId)>,
     pub(crate) pace: Pace,
+    pub(crate) cold_offers: ColdOffers,
     pub(crate) events: Vec<Event>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) timers: Timers<Due>,
@@ -280,6 +282,7 @@
             unread_since: None,
             deadlines: BTreeSet::new(),
             pace: Pace::default(),
+            cold_offers: ColdOffers::new(config.settings().rules.fall_window),
             events: Vec::new(),
             outputs: Vec::new(),
             timers: Timers::default(),
@@ -371,10 +374,11 @@
         self.unread_since = Some(at);
     }
 
-    /// The caller was busy for so long with the last turn, from reading for it until all was written. What comes
-    /// meanwhile waits as long, and so do deadlines that fall due.
-    pub fn round_took(&mut self, span: Micros) {
-        self.pace.round_took(span);
+    /// The caller was busy with the last turn from reading for it until all was written. What comes meanwhile waits as
+    /// long, and so do deadlines that fall due.
+    pub fn round_took(&mut self, from: Micros, written: Micros) {
+        self.pace.round_took(written.saturating_sub(from));
+        self.cold_offers.written(written);
     }
 
     /// Decides on all that was taken in, and carries the decisions out. `stalled` tells that the caller stood
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 mod asks;
 mod attempts;
 mod clients;
+mod cold;
 mod engine;
 mod followers;
 mod hosts;
--- /dev/null
+++ b/crates/engine/tests/cold_offers.rs
@@ -0,0 +1,91 @@
+//! Rule 4 where a caller pauses between a decision and its writing: what a cold host is sent counts from when it leaves.
+
+use maplethread::{Action, Event, MachineId, Micros};
+use maplethread_config::{Doc, Inventory, PlacerConfig};
+use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
+use maplethread_wire::frame::{self, Frame};
+
+const CONFIG: &str = include_str!("../../../config/placer.toml");
+const NOW: u64 = 1_700_000_000_000_000;
+const HOST: HostId = HostId(0);
+const S: u64 = 1_000_000;
+
+/// Offers each task to the one host as soon as it is asked for.
+struct Eager;
+
+impl Decide for Eager {
+    fn turn(&mut self, _: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        for event in events {
+            if let Event::Asked(task) = event {
+                actions.push(Action::Offer(task.id, MachineId(HOST.0), S));
+            }
+        }
+    }
+}
+
+/// An engine that is connected to one host, which has just come up.
+fn engine(config: &PlacerConfig) -> Engine<Eager> {
+    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
+    let mut engine = Engine::new(config.clone(), Eager, boot, NOW);
+    let kind = &config.kind[0].name;
+    let zone = &config.placer.zones[0];
+    let text = format!(
+        "[[host]]\nname = \"h\"\naddress = \"127.0.0.1:1\"\nzone = \"{zone}\"\ncell = \"c\"\nkind = \"{kind}\"\n"
+    );
+    let inventory = Inventory::parse(Doc { file: "hosts", text: &text }, config).expect("sound");
+    engine.inventory(NOW, &inventory);
+    engine.host_connected(NOW, HOST);
+    let hello = Frame::Hello {
+        major: frame::MAJOR,
+        minor: frame::MINOR,
+        name: "h".to_owned(),
+        started_ms: NOW / 1000,
+        most_offers: 0,
+    };
+    let mut bytes = Vec::new();
+    frame::encode(&hello, &mut bytes);
+    frame::encode(&Frame::HeldEnd, &mut bytes);
+    engine.host_bytes(NOW, HOST, &bytes);
+    engine.turn(NOW, false);
+    engine.outputs();
+    engine
+}
+
+/// Asks at `now`; whether that is offered to the host in this turn, whose writing ends at `written`.
+fn is_offered(engine: &mut Engine<Eager>, number: u64, now: u64, written: u64) -> bool {
+    let body = format!(
+        r#"{{"service":"s","actor":"{number}","class":"web-api","cores":1,"memory_gib":1,"budget_ms":9000}}"#
+    );
+    let head = format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n", body.len());
+    // The host is there all the time.
+    let mut pong = Vec::new();
+    frame::encode(&Frame::Pong(0), &mut pong);
+    engine.host_bytes(now, HOST, &pong);
+    engine.client_opened(now, ClientId(number));
+    engine.client_bytes(now, ClientId(number), (head + &body).as_bytes());
+    engine.turn(now, false);
+    engine.round_took(now, written);
+    let offer = |output: &Output| match output {
+        Output::ToHost(HOST, bytes) => matches!(frame::decode(bytes), Ok((Some(Frame::Offer(_)), _))),
+        _ => false,
+    };
+    engine.outputs().iter().any(offer)
+}
+
+#[test]
+fn an_offer_that_left_late_counts_in_its_window_from_then() {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let window = config.rules.fall_window_ms * 1000;
+    let mut engine = engine(&config);
+    // Decided now, and written after a pause of a second.
+    assert!(is_offered(&mut engine, 1, NOW, NOW + S));
+    // By the decider's count the window is over; by the host's it is not.
+    let after = NOW + window + 1;
+    assert!(!is_offered(&mut engine, 2, after, after));
+    assert!(!is_offered(&mut engine, 3, NOW + window + S, NOW + window + S));
+    let over = NOW + window + S + 1;
+    assert!(is_offered(&mut engine, 4, over, over));
+    // Where nothing left late, the decider's count stands.
+    assert!(is_offered(&mut engine, 5, over + 1, over + 1));
+    assert!(is_offered(&mut engine, 6, over + window + 2, over + window + 2));
+}
--- a/crates/engine/tests/overload.rs
+++ b/crates/engine/tests/overload.rs
@@ -63,7 +63,7 @@
             let takes = turn_takes(self.now);
             self.now += takes;
             self.write();
-            self.engine.round_took(takes);
+            self.engine.round_took(self.now - takes, self.now);
             if let Some(due) = self.engine.next_timeout() {
                 self.now = self.now.max(due.min(next_ask));
             }
