--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -34,6 +34,8 @@
 /// Rounds of reading before a decision; so much more after a time in which the process stood still.
 const ROUNDS: usize = 4;
 const ROUNDS_STALLED: usize = 256;
+/// Reading ends after this, so that deadlines are met also while much lies unread, µs.
+const READ_WITHIN: u64 = 100_000;
 /// A timer that falls due this late tells of a process that stood still, µs.
 const STALLED: u64 = 50_000;
 /// A connection that is closed gets this long to take what it was sent, µs.
@@ -203,8 +205,10 @@
                 tracing::warn!(ms = (woke - unread_since) / 1000, "stood still");
             }
             self.engine.unread_since(if stalled { unread_since } else { woke });
+            let mut all_read = false;
             for _ in 0..if stalled { ROUNDS_STALLED } else { ROUNDS } {
-                if ready.is_empty() {
+                all_read = ready.is_empty();
+                if all_read || self.clock.now() > woke + READ_WITHIN {
                     break;
                 }
                 self.take_in(&ready);
@@ -214,7 +218,8 @@
             self.feed_stuffed();
             self.look_up(stalled);
             let read = self.clock.now();
-            last_read = read;
+            // What is left after a pause may still lie there since then.
+            last_read = if stalled && !all_read { unread_since } else { read };
             self.keep_notes(read);
             self.engine.turn(read, stalled);
             self.keep_notes(read);
@@ -227,7 +232,7 @@
             self.spent.turn.add(decided - read);
             let written = self.clock.now();
             self.spent.write.add(written - decided);
-            self.engine.round_took(written - woke);
+            self.engine.round_took(woke, written);
             if !self.accepting && self.stop_by.is_none() && self.engine.ready() {
                 self.accept_from_now()?;
             }
