--- a/crates/judge/tests/excuses.rs
+++ b/crates/judge/tests/excuses.rs
@@ -1,29 +1,11 @@
 //! Rule 1 around absences: what could have been answered is owed, what could not is excused.
 
-use std::sync::Arc;
+mod support;
 
-use maplethread_judge::{Figures, Outcome, Record, Seen, judge};
+use maplethread_judge::{Figures, Outcome, Record, Seen, Where, judge};
+use maplethread_wire::frame::Frame;
 
-const S: u64 = 1_000_000;
-
-fn name(text: &str) -> Arc<str> {
-    text.into()
-}
-
-fn figures() -> Figures {
-    Figures {
-        classes: Vec::new(),
-        hosts: Vec::new(),
-        placers: 1,
-        drain_grace: 2 * S,
-        cold_for: 6 * S,
-        fall_window: 2 * S,
-        fresh_offers: 16.0,
-        lost_after: 5 * S,
-        reprieve: S / 2,
-        slack: 150_000,
-    }
-}
+use support::{S, figures, name, offer};
 
 /// An ask at 10 s with 3 s to answer, and what happened to its placer; unanswered and excused.
 fn verdict(happened: &[(u64, Seen)]) -> (u64, u64) {
@@ -93,26 +75,11 @@
 
 #[test]
 fn news_counts_from_when_it_could_be_read() {
-    use maplethread_judge::Where;
-    use maplethread_wire::frame::{Copies, Frame, Load, Offer};
     let (host, placer) = (name("h"), name("p"));
-    let offer = Offer {
-        attempt: 1,
-        number: 0,
-        service: "s".into(),
-        actor: "a".into(),
-        class: "c".into(),
-        request: "r".into(),
-        asks: Load { cores: 1.0, memory: 1.0 },
-        priority: 0,
-        copies: Copies::Safe,
-        life_ms: 0,
-        wait_ms: 100,
-    };
     // Removed at 10 s, offered to at 14 s, with a grace of 2 s.
     let broken = |happened: &[(u64, Seen)]| {
         let link = Seen::Link { host: host.clone(), link: 1, placer: placer.clone(), life: 1 };
-        let frame = Frame::Offer(offer.clone());
+        let frame = Frame::Offer(offer(1));
         let mut records = vec![
             Record { at: S, seen: link },
             Record { at: 2 * S, seen: Seen::Inventory { ready: vec![(host.clone(), None)], gone: vec![] } },
--- a/crates/judge/tests/numbers.rs
+++ b/crates/judge/tests/numbers.rs
@@ -1,15 +1,11 @@
 //! Leased numbers: only holders send to cold hosts, no two hold one, and how long free ones wait.
 
-use std::sync::Arc;
+mod support;
 
 use maplethread_judge::{Figures, Record, Seen, Verdict, Where, judge};
-use maplethread_wire::frame::{Copies, Frame, Load, Offer};
+use maplethread_wire::frame::Frame;
 
-const S: u64 = 1_000_000;
-
-fn name(text: &str) -> Arc<str> {
-    text.into()
-}
+use support::{S, figures, name, offer};
 
 fn locked(number: &str, placer: &str) -> Seen {
     Seen::NumberLocked { number: name(number), placer: name(placer) }
@@ -21,18 +17,8 @@
 
 /// Two placers and a host that is cold for all of the day.
 fn verdict(happened: Vec<(u64, Seen)>) -> Verdict {
-    let figures = Figures {
-        classes: Vec::new(),
-        hosts: vec![Where { host: name("h"), zone: name("z"), cell: name("c") }],
-        placers: 1,
-        drain_grace: 2 * S,
-        cold_for: 1000 * S,
-        fall_window: 2 * S,
-        fresh_offers: 16.0,
-        lost_after: 5 * S,
-        reprieve: S / 2,
-        slack: 150_000,
-    };
+    let hosts = vec![Where { host: name("h"), zone: name("z"), cell: name("c") }];
+    let figures = Figures { hosts, cold_for: 1000 * S, ..figures() };
     let mut records = vec![Record { at: 0, seen: Seen::HostUp { host: name("h"), started_ms: 0 } }];
     for (link, placer) in ["p", "q"].into_iter().enumerate() {
         let placer = name(placer);
@@ -46,21 +32,8 @@
 }
 
 /// An offer by the first or the second placer.
-fn offer(placer: u64, attempt: u64) -> Seen {
-    let offer = Offer {
-        attempt,
-        number: 0,
-        service: "s".into(),
-        actor: "a".into(),
-        class: "c".into(),
-        request: format!("r{attempt}"),
-        asks: Load { cores: 1.0, memory: 1.0 },
-        priority: 0,
-        copies: Copies::Safe,
-        life_ms: 0,
-        wait_ms: 100,
-    };
-    Seen::FromPlacer { host: name("h"), link: placer, frame: Frame::Offer(offer) }
+fn offered(placer: u64, attempt: u64) -> Seen {
+    Seen::FromPlacer { host: name("h"), link: placer, frame: Frame::Offer(offer(attempt)) }
 }
 
 fn broken(happened: Vec<(u64, Seen)>) -> Vec<String> {
@@ -69,11 +42,11 @@
 
 #[test]
 fn only_who_holds_a_number_sends_to_cold_hosts() {
-    assert!(broken(vec![(S, locked("0", "p")), (2 * S, offer(0, 1))]).is_empty());
-    let why = broken(vec![(S, locked("0", "p")), (2 * S, offer(1, 1))]);
+    assert!(broken(vec![(S, locked("0", "p")), (2 * S, offered(0, 1))]).is_empty());
+    let why = broken(vec![(S, locked("0", "p")), (2 * S, offered(1, 1))]);
     assert!(why[0].contains("holds no number"), "{why:?}");
     // Let go of: until somebody else could have it, what is still on its way does no harm.
-    let ended = |at| broken(vec![(S, locked("0", "p")), (5 * S, free("0")), (at, offer(0, 1))]);
+    let ended = |at| broken(vec![(S, locked("0", "p")), (5 * S, free("0")), (at, offered(0, 1))]);
     assert!(ended(5 * S + S / 2).is_empty());
     assert!(ended(7 * S)[0].contains("was let go of"));
     // A new life holds nothing that it did not lock itself.
@@ -87,8 +60,8 @@
         all.extend(more);
         broken(all)
     };
-    assert!(again(vec![(8 * S, offer(0, 1))])[0].contains("holds no number"));
-    assert!(again(vec![(8 * S, locked("1", "p")), (9 * S, offer(0, 1))]).is_empty());
+    assert!(again(vec![(8 * S, offered(0, 1))])[0].contains("holds no number"));
+    assert!(again(vec![(8 * S, locked("1", "p")), (9 * S, offered(0, 1))]).is_empty());
 }
 
 #[test]
--- a/crates/judge/tests/spreads.rs
+++ b/crates/judge/tests/spreads.rs
@@ -1,47 +1,22 @@
 //! Rule 5: attempts out and running tasks count, also those that a placer learned of from a host which named what it
 //! holds.
 
-use std::sync::Arc;
+mod support;
 
 use maplethread_judge::{ClassRule, Figures, Place, Record, Seen, Where, judge};
-use maplethread_wire::frame::{Copies, Frame, Load, Offer};
+use maplethread_wire::frame::{Frame, Reason};
+
+use support::{S, figures, name, offer};
 
-const S: u64 = 1_000_000;
 /// Two may be on one host.
 const MOST: u32 = 2;
 
-fn name(text: &str) -> Arc<str> {
-    text.into()
-}
-
-fn figures() -> Figures {
+/// One host, and a class whose services may have `MOST` tasks on it.
+fn spread() -> Figures {
     Figures {
         classes: vec![ClassRule { name: "c".into(), keyed: None, spread: Some((Place::Host, MOST)) }],
         hosts: vec![Where { host: name("h"), zone: name("z"), cell: name("k") }],
-        placers: 1,
-        drain_grace: 2 * S,
-        cold_for: 6 * S,
-        fall_window: 2 * S,
-        fresh_offers: 16.0,
-        lost_after: 5 * S,
-        reprieve: S / 2,
-        slack: 150_000,
-    }
-}
-
-fn offer(attempt: u64) -> Offer {
-    Offer {
-        attempt,
-        number: 0,
-        service: "s".into(),
-        actor: format!("a{attempt}"),
-        class: "c".into(),
-        request: format!("r{attempt}"),
-        asks: Load { cores: 1.0, memory: 1.0 },
-        priority: 0,
-        copies: Copies::Safe,
-        life_ms: 0,
-        wait_ms: 100,
+        ..figures()
     }
 }
 
@@ -60,7 +35,7 @@
 /// How often rule 5 was broken.
 fn broken(seen: &[(u64, Seen)]) -> u64 {
     let records: Vec<Record> = seen.iter().map(|(at, seen)| Record { at: *at, seen: seen.clone() }).collect();
-    judge(&records, &figures()).counts().get(&5).copied().unwrap_or(0)
+    judge(&records, &spread()).counts().get(&5).copied().unwrap_or(0)
 }
 
 /// A placer places two tasks on a host and is killed; its next life is told of both, and offers a third so long after.
@@ -92,9 +67,7 @@
 fn a_third_task_counts_while_two_run_and_not_once_one_has_ended() {
     let day = |ended: Option<u64>| {
         let mut seen = vec![(S, link(1, 1)), (S + 1, sends(1, 1)), (S + 2, sends(1, 2))];
-        seen.extend(ended.map(|at| {
-            (at, host_says(1, Frame::Ended(1, maplethread_wire::frame::Reason::Unknown, true, None)))
-        }));
+        seen.extend(ended.map(|at| (at, host_says(1, Frame::Ended(1, Reason::Unknown, true, None)))));
         seen.push((2 * S, sends(1, 3)));
         seen.push((9 * S, Seen::PlacerUp { placer: name("other") }));
         seen.sort_by_key(|(at, _)| *at);
