Scale: owners ask again for what a fault took, hosts measure out of step

Change: owners look twice a second and ask again within one; hosts draw their phase; clients name their requests.

--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -1,9 +1,13 @@
 //! Faults at size, each watched second by second from its beginning until the fleet has settled.
 //!
+//! Owners whose tasks were lost ask for them again at once, so that placing what was lost is part of the fault.
+//!
 //! The worst second of a fault is told for each quantity by itself: the processor time of each placer is that of its
 //! own busiest second, and the messages are those of the second with the most bytes on a wire. These seconds need not
 //! be the same one. Memory, descriptors and connections are those at the end of the fault's watch.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use maplethread_capacity::{Fault, MessageCount, Phase, PhaseSample, PointSettings};
@@ -33,22 +37,25 @@
     if !matches!(fault, Fault::ZoneReturns | Fault::RegionHeals) {
         make_whole(fleet, point, phases)?;
     }
-    let mut watch = Watch { sampler, moments: vec![sampler.moment(fleet)] };
-    match fault {
-        Fault::WorkerDies => fleet.kill_workers([0]),
-        Fault::RackDies => fleet.kill_workers(rack(fleet.size().workers)),
-        Fault::ZoneDies => fleet.kill_workers((0..fleet.size().workers).step_by(ZONES)),
-        Fault::ZoneReturns => fleet.start_dead_workers(),
-        Fault::RegionCut => fleet.cut_off((0..fleet.size().workers).step_by(2)),
-        Fault::RegionHeals => fleet.heal(),
-        Fault::WorkerRestarts => restart_workers(fleet, phases, &mut watch)?,
-        Fault::PlacerRestarts => restart_placers(fleet, phases, &mut watch)?,
-    }
-    match fault {
-        Fault::RegionCut => watch.go_on(fleet, phases.region_cut_s, |_, _| Ok(false))?,
-        _ => watch.until_settled(fleet, phases)?,
-    }
-    watch.worst_second(fleet, fault)
+    let (owners, stop) = (fleet.owners().clone(), AtomicBool::new(false));
+    let tasks = u64::from(point.tasks);
+    thread::scope(|scope| {
+        // Where placers are restarted, no task is lost, and clients would lose their connections.
+        let asks_again = fault != Fault::PlacerRestarts;
+        let (owners, stop) = (&owners, &stop);
+        let replacing = asks_again.then(|| scope.spawn(move || owners.replace_lost(tasks, stop)));
+        let mut watch = Watch { sampler, tasks, moments: vec![sampler.moment(fleet)] };
+        let watched = watch.through(fleet, fault, phases);
+        stop.store(true, Ordering::Relaxed);
+        let replaced = replacing.map(|thread| thread.join());
+        watched?;
+        match replaced {
+            Some(Err(_)) => return Err(ScaleError::NotSettled("the owners failed".to_owned())),
+            Some(Ok(result)) => result?,
+            None => {}
+        }
+        watch.worst_second(fleet, fault)
+    })
 }
 
 /// Brings back what earlier faults took away.
@@ -60,7 +67,7 @@
     fleet.start_dead_workers();
     fleet.heal();
     fleet.wait_connected()?;
-    fleet.run_tasks(u64::from(point.tasks))?;
+    fleet.owners().run_tasks(u64::from(point.tasks))?;
     settle(fleet, phases)
 }
 
@@ -97,10 +104,31 @@
 /// The moments of one fault, a second apart.
 struct Watch {
     sampler: Sampler,
+    /// Tasks that are to run once the fleet has settled.
+    tasks: u64,
     moments: Vec<Moment>,
 }
 
 impl Watch {
+    /// Strikes, and goes on until the fault is over.
+    fn through(&mut self, fleet: &mut Fleet, fault: Fault, phases: &Phases) -> Result<(), ScaleError> {
+        let workers = fleet.size().workers;
+        match fault {
+            Fault::WorkerDies => fleet.kill_workers([0]),
+            Fault::RackDies => fleet.kill_workers(rack(workers)),
+            Fault::ZoneDies => fleet.kill_workers((0..workers).step_by(ZONES)),
+            Fault::ZoneReturns => fleet.start_dead_workers(),
+            Fault::RegionCut => fleet.cut_off((0..workers).step_by(2)),
+            Fault::RegionHeals => fleet.heal(),
+            Fault::WorkerRestarts => restart_workers(fleet, phases, self)?,
+            Fault::PlacerRestarts => restart_placers(fleet, phases, self)?,
+        }
+        match fault {
+            Fault::RegionCut => self.go_on(fleet, phases.region_cut_s, |_, _| Ok(false)),
+            _ => self.until_settled(fleet, phases),
+        }
+    }
+
     /// Goes on until a time, with a moment each second.
     fn sample_until(&mut self, fleet: &Fleet, until: Instant) -> Result<(), ScaleError> {
         loop {
@@ -150,9 +178,11 @@
     }
 
     fn until_settled(&mut self, fleet: &Fleet, phases: &Phases) -> Result<(), ScaleError> {
-        let mut quiet = 0;
+        let (mut quiet, tasks) = (0, self.tasks);
         self.go_on(fleet, phases.fault_s, |fleet, seconds| {
-            quiet = if fleet.all_connected()? { quiet + 1 } else { 0 };
+            let statuses = fleet.statuses()?;
+            let settled = fleet.connected_by(&statuses) && statuses.actors >= tasks;
+            quiet = if settled { quiet + 1 } else { 0 };
             Ok(quiet >= QUIET_SECONDS && seconds >= phases.fault_at_least_s)
         })
     }
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use maplethread_config::{HostState, Inventory};
-use maplethread_standin::clients::{Clients, Load};
+use maplethread_standin::clients::Clients;
 use maplethread_standin::day::replace;
 use maplethread_standin::hollow_placers::HollowPlacers;
 use maplethread_standin::processes::Placers;
@@ -19,6 +19,7 @@
 use tempfile::TempDir;
 
 use crate::error::ScaleError;
+use crate::owners::{ClientPlan, Owners, Statuses};
 use crate::pause::Interrupted;
 use crate::scenario::scenario;
 use crate::view::{self, Datagrams};
@@ -29,12 +30,7 @@
 const LOOK_EVERY_S: f64 = 0.2;
 /// Hollow placers ping as placers do unless told otherwise, µs.
 const HOLLOW_PING_EVERY: u64 = 1_000_000;
-/// Tasks that are to run before the phases begin are asked for at this rate.
-const PRELOAD_RATE: f64 = 2_000.0;
-/// Rounds of asking for tasks that are missing.
-const PRELOAD_ROUNDS: usize = 4;
-/// Client connections to each placer.
-const CONNECTIONS_EACH: usize = 16;
+/// The host list's file.
 const INVENTORY: &str = "hosts.toml";
 
 /// How large a fleet is.
@@ -62,21 +58,10 @@
     rack: Rack,
     placers: Placers,
     hollow_placers: Option<HollowPlacers>,
-    /// Where each placer serves.
-    addresses: Vec<SocketAddr>,
+    owners: Owners,
     counter: TrafficCounter,
     dead: Vec<usize>,
     unreachable: Vec<usize>,
-    loads: u64,
-}
-
-/// What the placers tell of themselves.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Statuses {
-    /// Hosts that each is connected to.
-    pub(crate) connected: Vec<u32>,
-    /// Actors over all of them.
-    pub(crate) actors: u64,
 }
 
 impl Fleet {
@@ -97,11 +82,10 @@
             rack,
             placers: Placers::new(),
             hollow_placers: None,
-            addresses: vec![SocketAddr::from(([0, 0, 0, 0], 0)); size.placers],
+            owners: Owners::new(size.placers, interrupted),
             counter,
             dead: Vec::new(),
             unreachable: Vec::new(),
-            loads: 0,
         };
         fleet.write_inventory(&fleet.inventory())?;
         fleet.start_placers()?;
@@ -121,6 +105,16 @@
         self.size
     }
 
+    /// The owners of its tasks.
+    pub(crate) fn owners(&self) -> &Owners {
+        &self.owners
+    }
+
+    /// What the placers tell of themselves.
+    pub(crate) fn statuses(&self) -> Result<Statuses, ScaleError> {
+        self.owners.statuses()
+    }
+
     pub(crate) fn interrupted(&self) -> &Interrupted {
         &self.interrupted
     }
@@ -175,7 +169,7 @@
             self.interrupted.check()?;
             let serves = self.placers.serves(Duration::from_millis(100));
             if let Some((number, address)) = serves.map_err(ScaleError::io("a placer process"))? {
-                self.addresses[number] = address;
+                self.owners.placers[number] = address;
                 serving += 1;
             }
             if Instant::now() > until {
@@ -195,18 +189,6 @@
         Ok(())
     }
 
-    /// What the placers tell of themselves.
-    pub(crate) fn statuses(&self) -> Result<Statuses, ScaleError> {
-        let mut statuses = Statuses::default();
-        for &address in &self.addresses {
-            let (_, status) = maplethread_placer::get_json(address, "/v1/status")
-                .map_err(ScaleError::io(format!("status of the placer at {address}")))?;
-            statuses.connected.push(status["hosts_connected"].as_u64().unwrap_or(0) as u32);
-            statuses.actors += status["actors"].as_u64().unwrap_or(0);
-        }
-        Ok(statuses)
-    }
-
     /// Workers that placers can be connected to.
     pub(crate) fn workers_there(&self) -> usize {
         self.size.workers - self.dead.len() - self.unreachable.len()
@@ -214,10 +196,15 @@
 
     /// Whether each placer is connected to just the workers that are there.
     pub(crate) fn all_connected(&self) -> Result<bool, ScaleError> {
+        Ok(self.connected_by(&self.statuses()?))
+    }
+
+    /// The same, by what the placers told.
+    pub(crate) fn connected_by(&self, statuses: &Statuses) -> bool {
         let there = self.workers_there();
         let hollow = self.hollow_placers.as_ref().map_or(0, HollowPlacers::connected);
-        let real = self.statuses()?.connected.iter().all(|&n| n as usize == there);
-        Ok(real && hollow >= there * self.size.hollow_placers)
+        let real = statuses.connected.iter().all(|&n| n as usize == there);
+        real && hollow >= there * self.size.hollow_placers
     }
 
     /// Waits until each placer is connected to all workers that are there.
@@ -254,7 +241,7 @@
 
     /// Placers that keep a view of each other.
     fn viewers(&self) -> &[SocketAddr] {
-        if self.size.with_view { &self.addresses } else { &[] }
+        if self.size.with_view { &self.owners.placers } else { &[] }
     }
 
     /// Datagrams that each placer with a view has sent; none for one that is just being restarted.
@@ -281,34 +268,8 @@
     }
 
     /// Clients that will ask at this rate for so long, over all placers in turn.
-    pub fn clients(&mut self, plan: ClientPlan) -> Result<Clients, ScaleError> {
-        self.loads += 1;
-        let load = Load {
-            rate: plan.rate,
-            seconds: plan.seconds,
-            split_s: plan.split_s,
-            connections: CONNECTIONS_EACH * self.size.placers,
-            life_ms: plan.life_ms,
-            name: format!("actor-{}", self.loads),
-        };
-        Clients::connect(load, &self.addresses).map_err(ScaleError::io("clients"))
-    }
-
-    /// Asks for tasks that never end until so many run.
-    pub fn run_tasks(&mut self, tasks: u64) -> Result<(), ScaleError> {
-        for _ in 0..PRELOAD_ROUNDS {
-            let missing = tasks.saturating_sub(self.statuses()?.actors);
-            if missing == 0 {
-                return Ok(());
-            }
-            let seconds = missing as f64 / PRELOAD_RATE;
-            let plan = ClientPlan { rate: PRELOAD_RATE, seconds, split_s: 0.0, life_ms: None };
-            self.clients(plan)?.run().map_err(ScaleError::io("clients"))?;
-            self.interrupted.check()?;
-        }
-        let running = self.statuses()?.actors;
-        let why = format!("{running} tasks run, {tasks} were asked for again and again");
-        if running < tasks { Err(ScaleError::NotSettled(why)) } else { Ok(()) }
+    pub fn clients(&self, plan: ClientPlan) -> Result<Clients, ScaleError> {
+        self.owners.clients(plan)
     }
 
     /// Workers die: their connections are reset and their tasks are lost.
@@ -362,25 +323,12 @@
     pub(crate) fn placer_serves(&mut self) -> Result<bool, ScaleError> {
         let serves = self.placers.serves(Duration::ZERO).map_err(ScaleError::io("a placer process"))?;
         if let Some((number, address)) = serves {
-            self.addresses[number] = address;
+            self.owners.placers[number] = address;
         }
         Ok(serves.is_some())
     }
 }
 
-/// What clients ask for.
-#[derive(Clone, Copy, Debug)]
-pub struct ClientPlan {
-    /// Asks a second.
-    pub rate: f64,
-    /// For so long, s.
-    pub seconds: f64,
-    /// Times of asks due before this are kept apart, s.
-    pub split_s: f64,
-    /// The life of their tasks; without end where missing.
-    pub life_ms: Option<u64>,
-}
-
 /// Replaces a host list as a whole.
 pub(crate) fn write_inventory(path: &Path, inventory: &Inventory) -> Result<(), ScaleError> {
     let text = toml::to_string(inventory).map_err(std::io::Error::other);
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -8,6 +8,7 @@
 mod host_list;
 mod machine;
 mod needs;
+mod owners;
 mod pause;
 mod phases;
 mod sampler;
@@ -17,7 +18,8 @@
 mod view;
 
 pub use error::ScaleError;
-pub use fleet::{ClientPlan, Fleet, FleetSize};
+pub use fleet::{Fleet, FleetSize};
+pub use owners::ClientPlan;
 pub use pause::Interrupted;
 pub use sweep::{Options, run};
 pub use sweep_file::{Phases, SweepFile};
--- /dev/null
+++ b/crates/scale/src/owners.rs
@@ -0,0 +1,127 @@
+//! The owners of tasks: what they ask of the placers, and what the placers tell them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use maplethread_standin::clients::{Clients, Load};
+
+use crate::error::ScaleError;
+use crate::pause::Interrupted;
+
+/// Tasks that are to run before the phases begin are asked for at this rate.
+const PRELOAD_RATE: f64 = 2_000.0;
+/// Rounds of asking for tasks that are missing.
+const PRELOAD_ROUNDS: usize = 4;
+/// Owners of tasks that were lost together ask again within this time, s...
+const ASK_AGAIN_WITHIN: f64 = 1.0;
+/// ...and look this often whether theirs still run, s.
+const LOOK_EVERY: f64 = 0.5;
+/// Client connections to each placer.
+const CONNECTIONS_EACH: usize = 16;
+
+/// The owners of all tasks of a fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Owners {
+    /// Where each placer serves.
+    pub(crate) placers: Vec<SocketAddr>,
+    interrupted: Interrupted,
+    /// Loads so far, so that each asks for actors of its own.
+    loads: Arc<AtomicU64>,
+}
+
+/// What clients ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientPlan {
+    /// Asks a second.
+    pub rate: f64,
+    /// For so long, s.
+    pub seconds: f64,
+    /// Times of asks due before this are kept apart, s.
+    pub split_s: f64,
+    /// The life of their tasks; without end where missing.
+    pub life_ms: Option<u64>,
+}
+
+/// What the placers tell of themselves.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Statuses {
+    /// Hosts that each is connected to.
+    pub(crate) connected: Vec<u32>,
+    /// Actors over all of them.
+    pub(crate) actors: u64,
+}
+
+impl Owners {
+    /// Owners of a fleet of so many placers, none of which serves yet.
+    pub(crate) fn new(placers: usize, interrupted: &Interrupted) -> Owners {
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        Owners { placers: vec![nowhere; placers], interrupted: interrupted.clone(), loads: Arc::default() }
+    }
+
+    /// What the placers tell of themselves.
+    pub(crate) fn statuses(&self) -> Result<Statuses, ScaleError> {
+        let mut statuses = Statuses::default();
+        for &address in &self.placers {
+            let (_, status) = maplethread_placer::get_json(address, "/v1/status")
+                .map_err(ScaleError::io(format!("status of the placer at {address}")))?;
+            statuses.connected.push(status["hosts_connected"].as_u64().unwrap_or(0) as u32);
+            statuses.actors += status["actors"].as_u64().unwrap_or(0);
+        }
+        Ok(statuses)
+    }
+
+    /// Clients that will ask at this rate for so long, over all placers in turn.
+    pub(crate) fn clients(&self, plan: ClientPlan) -> Result<Clients, ScaleError> {
+        let load = Load {
+            rate: plan.rate,
+            seconds: plan.seconds,
+            split_s: plan.split_s,
+            connections: CONNECTIONS_EACH * self.placers.len(),
+            life_ms: plan.life_ms,
+            name: format!("actor-{}", self.loads.fetch_add(1, Ordering::Relaxed)),
+        };
+        Clients::connect(load, &self.placers).map_err(ScaleError::io("clients"))
+    }
+
+    /// Asks for tasks that never end until so many run.
+    pub(crate) fn run_tasks(&self, tasks: u64) -> Result<(), ScaleError> {
+        for _ in 0..PRELOAD_ROUNDS {
+            let missing = self.missing(tasks)?;
+            if missing == 0 {
+                return Ok(());
+            }
+            self.ask(missing, PRELOAD_RATE)?;
+        }
+        match self.missing(tasks)? {
+            0 => Ok(()),
+            missing => {
+                let why = format!("{missing} of {tasks} tasks do not run, though asked for again and again");
+                Err(ScaleError::NotSettled(why))
+            }
+        }
+    }
+
+    /// Asks again for tasks that were lost, whenever some were, until told to stop.
+    pub(crate) fn replace_lost(&self, tasks: u64, stop: &AtomicBool) -> Result<(), ScaleError> {
+        while !stop.load(Ordering::Relaxed) {
+            let missing = self.missing(tasks)?;
+            if missing > 0 {
+                self.ask(missing, missing as f64 / ASK_AGAIN_WITHIN)?;
+            } else {
+                self.interrupted.sleep(LOOK_EVERY)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn missing(&self, tasks: u64) -> Result<u64, ScaleError> {
+        Ok(tasks.saturating_sub(self.statuses()?.actors))
+    }
+
+    fn ask(&self, tasks: u64, rate: f64) -> Result<(), ScaleError> {
+        let plan = ClientPlan { rate, seconds: tasks as f64 / rate, split_s: 0.0, life_ms: None };
+        self.clients(plan)?.run().map_err(ScaleError::io("clients"))?;
+        self.interrupted.check()
+    }
+}
--- a/crates/scale/src/phases.rs
+++ b/crates/scale/src/phases.rs
@@ -7,8 +7,9 @@
 use maplethread_standin::clients::{Answers, Clients};
 
 use crate::error::ScaleError;
-use crate::fleet::{ClientPlan, Fleet};
+use crate::fleet::Fleet;
 use crate::host_list::ListChanges;
+use crate::owners::ClientPlan;
 use crate::sampler::Sampler;
 use crate::sweep_file::Phases;
 
@@ -34,7 +35,7 @@
 
 /// Measures the fleet at the peak; nothing where the peak is no different from rest.
 pub(crate) fn peak(
-    fleet: &mut Fleet,
+    fleet: &Fleet,
     point: &PointSettings,
     phases: &Phases,
     sampler: Sampler,
@@ -47,7 +48,6 @@
     let whole = warm_up + phases.peak_s + TAIL;
     let clients = clients(fleet, point, phases, whole)?;
     let changes = list_changes(fleet, point, whole);
-    let fleet = &*fleet;
     thread::scope(|scope| {
         let asking = clients.map(|clients| scope.spawn(move || clients.run()));
         let changing = changes.map(|changes| scope.spawn(move || changes.run()));
@@ -69,7 +69,7 @@
 }
 
 fn clients(
-    fleet: &mut Fleet,
+    fleet: &Fleet,
     point: &PointSettings,
     phases: &Phases,
     seconds: f64,
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -69,7 +69,7 @@
     let mut fleet = Fleet::start(size, &options.program, &options.interrupted)?;
     make_whole(&mut fleet, &settings, phases)?;
     let mut samples = vec![rest(&fleet, phases, sampler)?];
-    samples.extend(peak(&mut fleet, &settings, phases, sampler)?);
+    samples.extend(peak(&fleet, &settings, phases, sampler)?);
     for &fault in &options.sweep.faults {
         samples.push(strike(&mut fleet, fault, &settings, phases, sampler)?);
     }
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -116,7 +116,9 @@
             let body = self.body(n);
             let connection = &mut self.connections[at];
             let out = connection.conn.out();
-            http::write_request(out, "POST", "/v1/actors", &[("Host", "placer")], body.as_bytes());
+            let request = format!("{}-{n}", self.load.name);
+            let headers = [("Host", "placer"), ("X-Request-Id", request.as_str())];
+            http::write_request(out, "POST", "/v1/actors", &headers, body.as_bytes());
             connection.waiting.push_back(due);
             touched[at] = true;
             self.answers.asked += 1;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -109,7 +109,7 @@
 const TIGHT: f64 = 0.92;
 
 impl Host {
-    pub fn new(spec: Spec, scenario: Arc<Scenario>, world: World, dice: Dice, cold: bool) -> Host {
+    pub fn new(spec: Spec, scenario: Arc<Scenario>, world: World, mut dice: Dice, cold: bool) -> Host {
         let fleet = &scenario.fleet;
         let policy = Policy {
             cores: spec.cores,
@@ -124,6 +124,8 @@
         // A host that is up when the day begins started long ago.
         let now = world.clock.now();
         let started = if cold { now } else { now - 3_600_000_000 } / 1000 * 1000;
+        // Hosts don't measure in step with each other.
+        let ago = if fleet.measures_together { dice.between([0.0, MEASURE_EVERY as f64]) as u64 } else { 0 };
         Host {
             spec,
             started,
@@ -137,7 +139,7 @@
             dice,
             offers: Vec::new(),
             worst_told: BTreeMap::new(),
-            measured: now,
+            measured: now - ago,
         }
     }
 
@@ -471,8 +473,11 @@
             .collect();
         let starting: f64 = self.admission.taken().filter(|t| t.1 == Stage::Starting).map(|_| 0.5).sum();
         let together = self.scenario.fleet.measures_together;
-        let measures = together && self.measured + MEASURE_EVERY <= now;
-        let measured = if measures { std::mem::replace(&mut self.measured, now) } else { self.measured };
+        let periods = now.saturating_sub(self.measured) / MEASURE_EVERY;
+        let (measures, measured) = (together && periods > 0, self.measured);
+        if measures {
+            self.measured += periods * MEASURE_EVERY;
+        }
         let mut worst: BTreeMap<Arc<str>, (u64, f64)> = BTreeMap::new();
         let mut notes = Vec::new();
         for (&attempt, task) in &mut self.tasks {
