A placer reads until one look was complete, and writes in the order of its decisions

With news coming all the time no look after a pause was ever empty: a placer read on for 256 looks, and after the last change took what it read for unread ever since ("stood still" for 52, 123, 212 ... 472 ms in a row). A look that is not full has found all that came before it, so reading may end there, and budgets count from that look.

--- a/crates/judge/src/rule_2.rs
+++ b/crates/judge/src/rule_2.rs
@@ -14,8 +14,10 @@
             let rule = self.figures.classes.iter().find(|c| c.name == class);
             rule.is_some_and(|c| matches!(c.keyed, Some((Group::All, _))))
         };
-        for ((asked, ..), placing) in &self.placings {
-            if asked != request || placing.copies == Copies::Safe || wide(&placing.class) {
+        let first = (request.clone(), Name::from(""), 0);
+        let own = self.placings.range(first..).take_while(|((asked, ..), _)| asked == request);
+        for (_, placing) in own {
+            if placing.copies == Copies::Safe || wide(&placing.class) {
                 continue;
             }
             for attempt in placing.attempts.iter().filter_map(|w| self.attempts.get(w)) {
--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -11,10 +11,11 @@
 use maplethread_config::{Doc, Inventory, PlacerConfig};
 use maplethread_consul::Update;
 use maplethread_engine::{Boot, ClientId, Decide, Engine, HostId, Output};
-use maplethread_reactor::{Clock, Conn, FileWatch, Poller, ReadOutcome, Readiness, Signals};
+use maplethread_reactor::{Clock, Conn, FileWatch, MAX_READY, Poller, ReadOutcome, Readiness, Signals};
 
 use crate::catalogue::Catalogue;
 use crate::decide_time::{DecideTime, Span, Spent, Timed};
+use crate::dirty::Dirty;
 use crate::fleet::Member;
 use crate::recorder::Recorder;
 use crate::recording::{Item, Recorded};
@@ -110,7 +111,7 @@
     /// Some of those may get on.
     feed: bool,
     /// Connections with something new to write.
-    dirty: BTreeSet<u64>,
+    dirty: Dirty,
     decide_time: DecideTime,
     spent: Spent,
     /// What deciding took, and recording.
@@ -166,7 +167,7 @@
             lingering: HashMap::new(),
             stuffed: BTreeSet::new(),
             feed: false,
-            dirty: BTreeSet::new(),
+            dirty: Dirty::default(),
             decide_time: DecideTime::new(),
             spent: Spent::default(),
             deciding,
@@ -205,21 +206,10 @@
                 tracing::warn!(ms = (woke - unread_since) / 1000, "stood still");
             }
             self.engine.unread_since(if stalled { unread_since } else { woke });
-            let mut all_read = false;
-            for _ in 0..if stalled { ROUNDS_STALLED } else { ROUNDS } {
-                all_read = ready.is_empty();
-                if all_read || self.clock.now() > woke + READ_WITHIN {
-                    break;
-                }
-                self.take_in(&ready);
-                ready.clear();
-                self.poller.wait(Some(Duration::ZERO), &mut ready).map_err(io_error("epoll"))?;
-            }
+            last_read = self.read(&mut ready, woke, stalled)?.unwrap_or(last_read);
             self.feed_stuffed();
             self.look_up(stalled);
             let read = self.clock.now();
-            // What is left after a pause may still lie there since then.
-            last_read = if stalled && !all_read { unread_since } else { read };
             self.keep_notes(read);
             self.engine.turn(read, stalled);
             self.keep_notes(read);
@@ -242,6 +232,27 @@
         }
     }
 
+    /// Takes in what is ready, and what has come meanwhile; after a pause, all that came in it, so far as that is done soon.
+    /// Returns the last time at which nothing was left unread.
+    fn read(&mut self, ready: &mut Vec<Readiness>, woke: u64, stalled: bool) -> Result<Option<u64>, Error> {
+        let mut read_by = None;
+        self.take_in(ready);
+        for _ in 1..if stalled { ROUNDS_STALLED } else { ROUNDS } {
+            let looked_at = self.clock.now();
+            ready.clear();
+            self.poller.wait(Some(Duration::ZERO), ready).map_err(io_error("epoll"))?;
+            if ready.len() < MAX_READY {
+                read_by = Some(looked_at);
+            }
+            self.take_in(ready);
+            let enough = read_by.is_some() || looked_at > woke + READ_WITHIN;
+            if ready.is_empty() || (stalled && enough) {
+                break;
+            }
+        }
+        Ok(read_by)
+    }
+
     /// Gives the recorder what the engine has noted.
     fn keep_notes(&mut self, now: u64) {
         let Some(recorder) = &self.recorder else { return };
@@ -528,7 +539,7 @@
             }
             outputs.into_iter().for_each(|output| self.output(output));
         }
-        for token in std::mem::take(&mut self.dirty) {
+        for token in self.dirty.take() {
             self.flush(token);
         }
         let now = self.clock.now();
@@ -606,7 +617,7 @@
             }
             Output::CloseHost(id) => {
                 if let Some(token) = self.host_tokens.remove(&id) {
-                    self.dirty.remove(&token);
+                    self.dirty.remove(token);
                     self.hosts.remove(&token);
                 }
             }
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -5,6 +5,7 @@
 mod catalogue;
 mod daemon;
 mod decide_time;
+mod dirty;
 mod fleet;
 mod recorder;
 mod recording;
