--- a/crates/scale/src/owners.rs
+++ b/crates/scale/src/owners.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use maplethread_standin::clients::{Clients, Load};
 
@@ -11,8 +12,8 @@
 
 /// Tasks that are to run before the phases begin are asked for at this rate.
 const PRELOAD_RATE: f64 = 2_000.0;
-/// Rounds of asking for tasks that are missing.
-const PRELOAD_ROUNDS: usize = 4;
+/// Tasks that do not run after this are not there to be had.
+const PRELOAD_WITHIN: Duration = Duration::from_secs(60);
 /// Owners of tasks that were lost together ask again within this time, s...
 const ASK_AGAIN_WITHIN: f64 = 1.0;
 /// ...and look this often whether theirs still run, s.
@@ -86,19 +87,18 @@
 
     /// Asks for tasks that never end until so many run.
     pub(crate) fn run_tasks(&self, tasks: u64) -> Result<(), ScaleError> {
-        for _ in 0..PRELOAD_ROUNDS {
+        let until = Instant::now() + PRELOAD_WITHIN;
+        loop {
             let missing = self.missing(tasks)?;
             if missing == 0 {
                 return Ok(());
             }
-            self.ask(missing, PRELOAD_RATE)?;
-        }
-        match self.missing(tasks)? {
-            0 => Ok(()),
-            missing => {
+            if Instant::now() > until {
                 let why = format!("{missing} of {tasks} tasks do not run, though asked for again and again");
-                Err(ScaleError::NotSettled(why))
+                return Err(ScaleError::NotSettled(why));
             }
+            self.ask(missing, PRELOAD_RATE)?;
+            self.interrupted.sleep(LOOK_EVERY)?;
         }
     }
 
