Judge: a refusal that comes after an offer over a spread limit does not excuse it

The hold is for frames that are read in another order than they were sent; hosts record their words before they send them, so a refusal or end that follows an offer was not known when that was sent. Change: what only its host's word has ended since counts when a spread is settled; what the placer cancelled or stopped, and what was lost with its connection or host, is excused as before. The judge is stricter, nowhere easier.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -80,6 +80,8 @@
     /// When attempts stopped counting in spreads, and spreads over their limit that are looked at once what was
     /// sent before must have been read everywhere.
     pub(crate) released: BTreeMap<u64, u64>,
+    /// Those that stopped counting by their host's word alone.
+    pub(crate) told_over: BTreeSet<u64>,
     /// Attempts that a host named anew to their placer, from when the placer must have read that.
     pub(crate) taken_over: BTreeMap<u64, u64>,
     pub(crate) spreads: VecDeque<(u64, String, u32, Vec<u64>)>,
@@ -122,6 +124,7 @@
         told_start: BTreeMap::new(),
         cold_offers: BTreeMap::new(),
         released: BTreeMap::new(),
+        told_over: BTreeSet::new(),
         taken_over: BTreeMap::new(),
         spreads: VecDeque::new(),
         unnamed: BTreeMap::new(),
@@ -177,6 +180,7 @@
                 for (&wire, attempt) in &mut self.attempts {
                     if attempt.host == *host && attempt.link == *link {
                         attempt.over = attempt.over.or(Some(at));
+                        self.told_over.remove(&wire);
                         if !attempt.accepted {
                             unanswered.push(wire);
                         }
@@ -265,6 +269,7 @@
             if attempt.host == *host {
                 attempt.over = attempt.over.or(Some(at));
                 attempt.gone = true;
+                self.told_over.remove(&wire);
                 gone.push(wire);
             }
         }
@@ -296,6 +301,7 @@
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
             Frame::Cancel(wire) | Frame::Stop(wire) => {
+                self.told_over.remove(wire);
                 if let Some(attempt) = self.attempts.get_mut(wire) {
                     attempt.over = attempt.over.or(Some(at));
                     // The placer counts it no more.
@@ -316,7 +322,7 @@
                     attempt.over = attempt.over.or(Some(at));
                     (attempt.never_ran, attempt.gone) = (true, true);
                 }
-                self.release(*wire);
+                self.release_as_told(*wire);
             }
             Frame::Ended(wire, reason, ran, _) => {
                 if let Some(attempt) = self.attempts.get_mut(wire) {
@@ -324,7 +330,7 @@
                     attempt.gone = true;
                     attempt.never_ran |= !ran && *reason != Reason::Error && !attempt.accepted;
                 }
-                self.release(*wire);
+                self.release_as_told(*wire);
             }
             Frame::Accepted(wire, _) => {
                 if let Some(attempt) = self.attempts.get_mut(wire) {
--- a/crates/judge/src/rule_5.rs
+++ b/crates/judge/src/rule_5.rs
@@ -41,12 +41,22 @@
         }
     }
 
+    /// The host says that it is done with an attempt. This is recorded before the placer can read it, so what the placer
+    /// sent before cannot have been sent for that.
+    pub(crate) fn release_as_told(&mut self, wire: u64) {
+        if self.services.contains_key(&wire) {
+            self.told_over.insert(wire);
+        }
+        self.release(wire);
+    }
+
     pub(crate) fn hold(&mut self, wire: u64, placer: &Name, life: u64, service: &str) {
         let held = self.held.entry((placer.clone(), life)).or_default();
         held.by_service.entry(service.to_owned()).or_default().insert(wire);
         self.services.insert(wire, (placer.clone(), life, service.to_owned()));
         // Who is told of a task anew, by a host that names what it holds, holds it again.
         self.released.remove(&wire);
+        self.told_over.remove(&wire);
     }
 
     /// Tasks whose host was without a connection for long enough count as lost.
@@ -66,10 +76,13 @@
         }
     }
 
-    /// Spreads over their limit count only if they still are once what was sent before must have been read everywhere.
+    /// Spreads over their limit count only if they still are once what was sent before must have been read everywhere. What
+    /// its host's word alone has ended since counts.
     pub(crate) fn settle_spreads(&mut self, now: u64) {
         while let Some((by, what, most, wires)) = self.spreads.pop_front_if(|s| s.0 < now) {
-            let counts = |wire: &&u64| self.released.get(wire).is_none_or(|&at| at > by);
+            let counts = |wire: &&u64| {
+                self.told_over.contains(wire) || self.released.get(wire).is_none_or(|&at| at > by)
+            };
             if wires.iter().filter(counts).count() as u32 > most {
                 let shown = wires.iter().filter_map(|w| self.attempts.get(w)).map(|a| a.shown).collect();
                 self.broken(5, what, shown);
--- a/crates/judge/tests/spreads.rs
+++ b/crates/judge/tests/spreads.rs
@@ -63,19 +63,36 @@
     assert_eq!(third_after_a_restart(0), 0, "it may have been sent before that was read");
 }
 
+/// Two tasks are out on a host, a third is offered at 2 s, and this happens besides.
+fn third_beside(happened: &[(u64, Seen)]) -> u64 {
+    let mut seen = vec![(S, link(1, 1)), (S + 1, sends(1, 1)), (S + 2, sends(1, 2)), (2 * S, sends(1, 3))];
+    seen.extend(happened.iter().cloned());
+    seen.push((9 * S, Seen::PlacerUp { placer: name("other") }));
+    seen.sort_by_key(|(at, _)| *at);
+    broken(&seen)
+}
+
+#[test]
+fn a_third_task_counts_unless_one_of_the_others_was_over_before() {
+    let ended = |at| (at, host_says(1, Frame::Ended(1, Reason::Unknown, true, None)));
+    let refused = |at, wire| (at, host_says(1, Frame::Refused(wire, Reason::Cores, None)));
+    assert_eq!(third_beside(&[]), 1);
+    assert_eq!(third_beside(&[ended(S + 10)]), 0);
+    assert_eq!(third_beside(&[refused(S + 10, 1)]), 0);
+    // The host's word came after the offer, so the offer was not made for it.
+    assert_eq!(third_beside(&[ended(2 * S + 1000)]), 1);
+    assert_eq!(third_beside(&[refused(2 * S + 1000, 3)]), 1);
+}
+
 #[test]
-fn a_third_task_counts_while_two_run_and_not_once_one_has_ended() {
-    let day = |ended: Option<u64>| {
-        let mut seen = vec![(S, link(1, 1)), (S + 1, sends(1, 1)), (S + 2, sends(1, 2))];
-        seen.extend(ended.map(|at| (at, host_says(1, Frame::Ended(1, Reason::Unknown, true, None)))));
-        seen.push((2 * S, sends(1, 3)));
-        seen.push((9 * S, Seen::PlacerUp { placer: name("other") }));
-        seen.sort_by_key(|(at, _)| *at);
-        broken(&seen)
-    };
-    assert_eq!(day(None), 1);
-    assert_eq!(day(Some(S + 10)), 0);
-    // Word of the end may cross the offer.
-    assert_eq!(day(Some(2 * S + 100_000)), 0);
-    assert_eq!(day(Some(2 * S + 200_000)), 1);
+fn what_a_placer_gave_up_before_may_be_read_after_the_offer() {
+    let cancels = |at| (at, Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) });
+    let ended = |at| (at, host_says(1, Frame::Ended(1, Reason::Unknown, true, None)));
+    let lost = |at| (at, Seen::LinkLost { host: name("h"), link: 1 });
+    assert_eq!(third_beside(&[cancels(2 * S + 100_000)]), 0);
+    assert_eq!(third_beside(&[lost(2 * S + 100_000)]), 0);
+    assert_eq!(third_beside(&[cancels(2 * S + 200_000)]), 1, "it is read sooner than that");
+    // The attempt ends at its host while the word that gives it up is on its way.
+    assert_eq!(third_beside(&[ended(2 * S + 50_000), cancels(2 * S + 100_000)]), 0);
+    assert_eq!(third_beside(&[ended(2 * S + 50_000), lost(2 * S + 100_000)]), 0);
 }
