Judge: late readers and words of hosts that excuse no offer, put together

A lost connection and a call-off both set when the attempt was over by the reader's last look, and take back that its host's word alone ended it.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -188,12 +188,8 @@
                 let (mut unanswered, lost_at) = (Vec::new(), self.sent_to_host());
                 for (&wire, attempt) in &mut self.attempts {
                     if attempt.host == *host && attempt.link == *link {
-<<<<<<< HEAD
                         attempt.over = attempt.over.or(Some(lost_at));
-=======
-                        attempt.over = attempt.over.or(Some(at));
                         self.told_over.remove(&wire);
->>>>>>> h2/h2
                         if !attempt.accepted {
                             unanswered.push(wire);
                         }
@@ -316,11 +312,8 @@
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
             Frame::Cancel(wire) | Frame::Stop(wire) => {
-<<<<<<< HEAD
                 let sent = self.sent_to_host();
-=======
                 self.told_over.remove(wire);
->>>>>>> h2/h2
                 if let Some(attempt) = self.attempts.get_mut(wire) {
                     attempt.over = attempt.over.or(Some(sent));
                     // The placer counts it no more.
