--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -189,9 +189,11 @@
         if self.options.progress {
             eprintln!();
         }
-        let (service, lost, double_s) = {
+        let (service, lost, double_s, by_class) = {
             let ledger = self.world.ledger();
-            (ledger.service(end), ledger.lost(end), ledger.double_s)
+            let names = self.scenario.class.iter().map(|c| c.rules.name.clone());
+            let by_class = names.zip(ledger.by_class()).collect();
+            (ledger.service(end), ledger.lost(end), ledger.double_s, by_class)
         };
         let (decide_us, held) = statuses(&owners);
         let mut place_us = owners.end()?;
@@ -201,7 +203,19 @@
         let verdict = judge(&record, &settings::figures(&self.scenario));
         let returns = returns(&record, &self.returned);
         let first = FirstAsks::of(&record);
-        Ok(Report { verdict, first, service, lost, double_s, place_us, decide_us, held, returns, record })
+        Ok(Report {
+            verdict,
+            first,
+            service,
+            by_class,
+            lost,
+            double_s,
+            place_us,
+            decide_us,
+            held,
+            returns,
+            record,
+        })
     }
 
     /// An error once the day is interrupted; its processes end with it.
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -21,6 +21,8 @@
     pub first: FirstAsks,
     /// The worth served over the worth asked for.
     pub service: Service,
+    /// The same by class.
+    pub by_class: BTreeMap<String, f64>,
     /// What the rest was lost to.
     pub lost: Lost,
     /// Seconds that second copies ran.
@@ -75,6 +77,7 @@
             "service": self.service.whole,
             "service_worst_10_s": self.service.worst_10_s,
             "service_worst_class": self.service.worst_class,
+            "service_by_class": self.by_class,
             "service_lost": {
                 "late_start": self.lost.late_start, "not_running": self.lost.not_running,
                 "crowded": self.lost.crowded,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -202,6 +202,14 @@
         self.by_class[wanted.class].1 += wanted.rate * share * span;
     }
 
+    /// The share of the worth asked for that each class was served, in the order of the classes; 1 where none was asked.
+    pub fn by_class(&self) -> Vec<f64> {
+        self.by_class
+            .iter()
+            .map(|(wanted, served)| if *wanted > 0.0 { served / wanted } else { 1.0 })
+            .collect()
+    }
+
     /// Whether some copy runs.
     pub fn runs(&self, actor: &str) -> bool {
         self.wanted.get(actor).is_some_and(|(_, served)| served.running > 0)
