--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,12 +11,14 @@
 mod asks;
 mod attempts;
 mod clients;
+mod cold;
 mod engine;
 mod followers;
 mod hosts;
 mod life;
 mod names;
 mod notes;
+mod pace;
 mod serve;
 mod sessions;
 
--- a/crates/fleet-drill/src/model.rs
+++ b/crates/fleet-drill/src/model.rs
@@ -2,19 +2,24 @@
 //! are the unchanged core.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
-use maplethread_fleet::{Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State};
-use maplethread_simnet::Net;
+use maplethread_fleet::{
+    Change, Facts, Fleet, Keys, Micros, Name, Notice, OWN_TEST, Output, Pace, Settings, State,
+};
+use maplethread_simnet::Network;
 use maplethread_timers::Timers;
 
+mod fixtures;
+mod settling;
+
+use fixtures::place;
+pub use fixtures::{KEY, address, facts, keys, name};
+
 /// A millisecond.
 pub const MS: Micros = 1_000;
 /// A second.
 pub const S: Micros = 1_000_000;
 const START: Micros = 1_790_000_000 * S;
-/// The fleet's key.
-pub const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 enum Ev {
     Arrives(usize, Vec<u8>),
@@ -55,7 +60,7 @@
 pub struct Model {
     now: Micros,
     /// The network between places.
-    pub net: Net,
+    pub network: Network,
     /// The pace of members that start from now on.
     pub pace: Pace,
     /// Keys of members that start from now on.
@@ -75,43 +80,12 @@
     pub record: bool,
 }
 
-/// The address of a place.
-pub fn address(place: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (place >> 8) as u8, place as u8], 7946))
-}
-
-fn place(address: SocketAddr) -> Option<usize> {
-    match address {
-        SocketAddr::V4(v4) if v4.port() == 7946 && v4.ip().octets()[..2] == [10, 0] => {
-            let [_, _, high, low] = v4.ip().octets();
-            Some(usize::from(high) << 8 | usize::from(low))
-        }
-        _ => None,
-    }
-}
-
-/// A member's name.
-pub fn name(n: usize) -> String {
-    format!("p-{n}")
-}
-
-/// Keys from text that is known to be sound.
-pub fn keys(text: &str) -> Keys {
-    Keys::parse(text, "model").expect("sound keys")
-}
-
-/// Facts of a usual member.
-pub fn facts(started_ms: u64) -> Facts {
-    let text = |t: &str| t.to_owned().try_into().expect("sound");
-    Facts { version: text("0.2.0"), zone: text("a"), started_ms, draining: false, number: None, load: 0 }
-}
-
 impl Model {
     /// A network without members.
     pub fn new(seed: u64) -> Model {
         Model {
             now: START,
-            net: Net::new(seed),
+            network: Network::new(seed),
             pace: Pace::default(),
             keys: keys(KEY),
             seeds: vec![0],
@@ -310,16 +284,12 @@
                     self.seen.sent += 1;
                     self.seen.bytes += bytes.len() as u64;
                     let Some(to) = place(to) else { continue };
-                    for takes in self.net.send(at, to) {
+                    for takes in self.network.send(at, to) {
                         self.queue.set(self.now + takes, Ev::Arrives(to, bytes.clone()));
                     }
                 }
                 Output::Changed(change) => {
-                    let runs = self.processes.values().any(|p| name(p.name) == change.name && !p.paused);
-                    let down = change.to == Some(State::Down) && change.from.is_some_and(State::live);
-                    // Whose judgement it is counts, not who heard of it.
-                    let judged = change.by == OWN_TEST;
-                    self.seen.false_alarms += u64::from(self.watching && runs && down && judged);
+                    self.seen.false_alarms += u64::from(self.is_false_alarm(&change));
                     let text = format!("{by} {change:?} {}", self.now);
                     let step = text.bytes().fold(0_u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
                     self.seen.trace = self.seen.trace.rotate_left(5) ^ step;
@@ -340,57 +310,17 @@
         }
     }
 
-    /// Whether the members at these places see each other, all alike, and nobody else as live.
-    pub fn settled(&self, places: &[usize]) -> bool {
-        let first = self.fleet(places[0]).digest();
-        let names: Vec<String> = places.iter().map(|p| name(self.processes[p].name)).collect();
-        places.iter().all(|p| {
-            let fleet = self.fleet(*p);
-            fleet.digest() == first
-                && fleet.live() == places.len()
-                && names
-                    .iter()
-                    .all(|n| *n == name(self.processes[p].name) || fleet.state_of(n) == Some(State::Alive))
-        })
+    /// Whether a change calls a running member down by the judgement of the one that tells it, not by hearsay. Cheap tests
+    /// come first: with all members joining at once there are as many changes as pairs of members, and looking for each
+    /// one's process would take cubic time.
+    fn is_false_alarm(&self, change: &Change) -> bool {
+        let went_down = change.to == Some(State::Down) && change.from.is_some_and(State::live);
+        self.watching && went_down && change.by == OWN_TEST && self.runs(&change.name)
     }
 
-    /// Lets time pass until these are settled: how long it took, or nothing if it took longer than `most`.
-    pub fn settles(&mut self, places: &[usize], most: Micros) -> Option<Micros> {
-        let from = self.now;
-        while self.now <= from + most {
-            if self.settled(places) {
-                return Some(self.now - from);
-            }
-            self.run(50 * MS);
-        }
-        None
-    }
-
-    /// Why these are not settled, for a failing test.
-    pub fn differences(&self, places: &[usize]) -> String {
-        let mut text = String::new();
-        for &p in places {
-            let view = self.fleet(p).view(self.now);
-            let others: Vec<String> = view
-                .members
-                .iter()
-                .filter(|m| m.state.live())
-                .map(|m| {
-                    let started = m.facts.as_ref().map(|f| f.started_ms);
-                    format!("{} {:?} at {} life {} started {started:?}", m.name, m.state, m.address, m.life)
-                })
-                .collect();
-            text += &format!(
-                "{}: {} live, {} health {} displaced {:?}; {}\n",
-                view.name,
-                self.fleet(p).live(),
-                view.digest,
-                view.health,
-                view.displaced_by,
-                others.join(", ")
-            );
-        }
-        text
+    /// Whether some process of this name runs and is not paused.
+    fn runs(&self, member: &str) -> bool {
+        self.processes.values().any(|process| !process.paused && name(process.name) == member)
     }
 
     /// A datagram that nobody of this fleet made.
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -7,6 +7,7 @@
 
 use crate::figures::Figures;
 use crate::numbers::Numbers;
+use crate::read_late::ReadLate;
 use crate::record::{Outcome, Record, Seen, Where};
 use crate::rule_1::{Absences, absences, unreadable};
 use crate::verdict::{Broken, Verdict};
@@ -15,6 +16,8 @@
 
 /// One attempt as the hosts saw it.
 pub(crate) struct Attempt {
+    /// Its place among those of its ask.
+    pub(crate) number: u32,
     pub(crate) host: Name,
     pub(crate) link: u64,
     pub(crate) sent: u64,
@@ -76,10 +79,16 @@
     pub(crate) listed_start: BTreeMap<Name, u64>,
     /// Placers that have been told of a host's present start, since when.
     pub(crate) told_start: BTreeMap<(Name, Name), u64>,
+    /// Offers to cold hosts, in the order in which they were read: when they may have arrived at the earliest, from
+    /// whom, whether it knew, and the record.
     pub(crate) cold_offers: BTreeMap<Name, VecDeque<(u64, Name, bool, usize)>>,
     /// When attempts stopped counting in spreads, and spreads over their limit that are looked at once what was
     /// sent before must have been read everywhere.
     pub(crate) released: BTreeMap<u64, u64>,
+    /// Those that stopped counting by their host's word alone.
+    pub(crate) told_over: BTreeSet<u64>,
+    /// Attempts that a host named anew to their placer, from when the placer must have read that.
+    pub(crate) taken_over: BTreeMap<u64, u64>,
     pub(crate) spreads: VecDeque<(u64, String, u32, Vec<u64>)>,
     /// What a placer holds at a host, and the host has not named since it greeted, by host and connection.
     pub(crate) unnamed: BTreeMap<(Name, u64), BTreeSet<u64>>,
@@ -93,6 +102,8 @@
     pub(crate) absences: BTreeMap<Name, Absences>,
     /// Times in which the inventory could not be read.
     pub(crate) unreadable: Vec<(u64, u64)>,
+    /// How late the readers of the record were.
+    pub(crate) read_late: ReadLate,
     /// Numbers that are leased.
     pub(crate) numbers: Numbers,
 }
@@ -120,6 +131,8 @@
         told_start: BTreeMap::new(),
         cold_offers: BTreeMap::new(),
         released: BTreeMap::new(),
+        told_over: BTreeSet::new(),
+        taken_over: BTreeMap::new(),
         spreads: VecDeque::new(),
         unnamed: BTreeMap::new(),
         orphans: VecDeque::new(),
@@ -127,12 +140,14 @@
         doubles: VecDeque::new(),
         absences: absences(records),
         unreadable: unreadable(records),
+        read_late: ReadLate::default(),
         numbers: Numbers::default(),
     };
     for (number, record) in records.iter().enumerate() {
         (judge.at, judge.number) = (record.at, number);
-        judge.settle_spreads(record.at);
-        judge.settle_doubles(record.at);
+        let read_through = judge.hosts_read_through(&record.seen);
+        judge.settle_spreads(read_through);
+        judge.settle_doubles(read_through);
         judge.lose_orphans(record.at);
         judge.take(&record.seen);
     }
@@ -170,17 +185,18 @@
                 self.told_start.entry((placer.clone(), host.clone())).or_insert(at);
             }
             Seen::LinkLost { host, link } => {
-                let mut unanswered = Vec::new();
+                let (mut unanswered, lost_at) = (Vec::new(), self.sent_to_host());
                 for (&wire, attempt) in &mut self.attempts {
                     if attempt.host == *host && attempt.link == *link {
-                        attempt.over = attempt.over.or(Some(at));
+                        attempt.over = attempt.over.or(Some(lost_at));
+                        self.told_over.remove(&wire);
                         if !attempt.accepted {
                             unanswered.push(wire);
                         }
                     }
                 }
                 // The placer hears no more of what was not answered; of the rest once it is connected again.
-                unanswered.into_iter().for_each(|wire| self.release(wire));
+                unanswered.into_iter().for_each(|wire| self.release_at(wire, lost_at));
                 self.unnamed.remove(&(host.clone(), *link));
                 if let Some((placer, _)) = self.links.remove(&(host.clone(), *link)) {
                     let after = if self.gone.contains(host) { 0 } else { self.figures.lost_after };
@@ -251,6 +267,7 @@
             | Seen::PlacerDown { .. }
             | Seen::PlacerPaused { .. }
             | Seen::PlacerGoesOn { .. } => self.number_seen(seen),
+            Seen::ReadLate { reader, since } => self.read_late.note(*reader, *since),
             Seen::InventoryUnreadable => {}
         }
     }
@@ -262,6 +279,7 @@
             if attempt.host == *host {
                 attempt.over = attempt.over.or(Some(at));
                 attempt.gone = true;
+                self.told_over.remove(&wire);
                 gone.push(wire);
             }
         }
@@ -279,6 +297,7 @@
                 self.rule_3(&placer, host);
                 self.rule_4(&placer, host);
                 let attempt = Attempt {
+                    number: offer.number,
                     host: host.clone(),
                     link,
                     sent: at,
@@ -293,11 +312,13 @@
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
             Frame::Cancel(wire) | Frame::Stop(wire) => {
+                let sent = self.sent_to_host();
+                self.told_over.remove(wire);
                 if let Some(attempt) = self.attempts.get_mut(wire) {
-                    attempt.over = attempt.over.or(Some(at));
+                    attempt.over = attempt.over.or(Some(sent));
                     // The placer counts it no more.
                     if !attempt.accepted || matches!(frame, Frame::Cancel(_)) {
-                        self.release(*wire);
+                        self.release_at(*wire, sent);
                     }
                 }
             }
@@ -313,7 +334,7 @@
                     attempt.over = attempt.over.or(Some(at));
                     (attempt.never_ran, attempt.gone) = (true, true);
                 }
-                self.release(*wire);
+                self.release_as_told(*wire);
             }
             Frame::Ended(wire, reason, ran, _) => {
                 if let Some(attempt) = self.attempts.get_mut(wire) {
@@ -321,7 +342,7 @@
                     attempt.gone = true;
                     attempt.never_ran |= !ran && *reason != Reason::Error && !attempt.accepted;
                 }
-                self.release(*wire);
+                self.release_as_told(*wire);
             }
             Frame::Accepted(wire, _) => {
                 if let Some(attempt) = self.attempts.get_mut(wire) {
@@ -349,6 +370,8 @@
                     if !own && !ended && self.services.contains_key(&offer.attempt) {
                         self.release(offer.attempt);
                         self.hold(offer.attempt, &placer, life, &offer.service);
+                        let read = self.reached(&placer, at) + self.figures.slack;
+                        self.taken_over.insert(offer.attempt, read);
                     }
                 }
             }
--- a/crates/judge/src/rule_2.rs
+++ b/crates/judge/src/rule_2.rs
@@ -4,6 +4,7 @@
 
 use crate::figures::Group;
 use crate::judge::{Attempt, Judge, Name, Placing};
+use crate::record::Reader;
 
 impl Judge<'_> {
     /// Rule 2: a refusal says that nothing ran, unless a second copy does no harm.
@@ -13,8 +14,10 @@
             let rule = self.figures.classes.iter().find(|c| c.name == class);
             rule.is_some_and(|c| matches!(c.keyed, Some((Group::All, _))))
         };
-        for ((asked, ..), placing) in &self.placings {
-            if asked != request || placing.copies == Copies::Safe || wide(&placing.class) {
+        let first = (request.clone(), Name::from(""), 0);
+        let own = self.placings.range(first..).take_while(|((asked, ..), _)| asked == request);
+        for (_, placing) in own {
+            if placing.copies == Copies::Safe || wide(&placing.class) {
                 continue;
             }
             for attempt in placing.attempts.iter().filter_map(|w| self.attempts.get(w)) {
@@ -32,6 +35,7 @@
     /// One attempt out at a time; and what may have run is sent again only as its class allows.
     pub(crate) fn rule_2(&mut self, request: &Name, placer: &Name, life: u64, host: &Name, offer: &Offer) {
         let (at, slack, number) = (self.at, self.figures.slack, self.number);
+        let arrived = self.earliest_arrival(Reader::Hosts);
         let key = (request.clone(), placer.clone(), life);
         let ask = self.asks.get(request).map(|a| a.shown);
         let placing = self.placings.entry(key).or_insert_with(|| Placing {
@@ -47,9 +51,14 @@
         let mut first: Option<&Attempt> = None;
         for wire in &before {
             let Some(attempt) = self.attempts.get(wire) else { continue };
-            if attempt.over.is_none() {
+            // Offers to two hosts may be read in another order than they were sent: the first must be over.
+            let (earlier, over) = match attempt.number <= offer.number {
+                true => (*wire, attempt.over.is_some()),
+                false => (offer.attempt, false),
+            };
+            if !over {
                 let shown = asked.into_iter().chain([attempt.shown, number]).collect();
-                self.doubles.push_back((at + slack, *wire, request.clone(), shown));
+                self.doubles.push_back((at + slack, earlier, request.clone(), shown));
             }
             if !attempt.never_ran && first.is_none() {
                 first = Some(attempt);
@@ -72,7 +81,7 @@
                     if !same {
                         faults.push(("was sent out of its group though it may have run", first.shown));
                     }
-                    if at > first.sent + window + slack {
+                    if arrived > first.sent + window {
                         faults.push(("was sent after its window though it may have run", first.shown));
                     }
                 }
@@ -86,7 +95,7 @@
     }
 
     /// Frames to two hosts may be read in another order than they were sent, so whether an earlier attempt was over is
-    /// looked at a while later.
+    /// looked at a while later, once all that was sent by then has been read.
     pub(crate) fn settle_doubles(&mut self, now: u64) {
         while let Some((by, wire, request, shown)) = self.doubles.pop_front_if(|d| d.0 < now) {
             if self.attempts.get(&wire).is_some_and(|a| a.over.is_none_or(|over| over > by)) {
--- a/crates/judge/src/rule_5.rs
+++ b/crates/judge/src/rule_5.rs
@@ -19,7 +19,8 @@
         let held = self.held.get(&(placer.clone(), life));
         let all = held.and_then(|h| h.by_service.get(service));
         let there = |wire: &&u64| self.attempts.get(wire).is_some_and(|a| there(&a.host));
-        let wires: Vec<u64> = all.into_iter().flatten().filter(there).copied().collect();
+        let known = |wire: &&u64| self.taken_over.get(wire).is_none_or(|&read| read <= self.at);
+        let wires: Vec<u64> = all.into_iter().flatten().filter(there).filter(known).copied().collect();
         if wires.len() as u32 > most {
             let count = wires.len();
             let what = format!(
@@ -31,19 +32,36 @@
 
     /// The host is done with an attempt: it counts in no spread any more.
     pub(crate) fn release(&mut self, wire: u64) {
+        self.release_at(wire, self.at);
+    }
+
+    /// The same, since then.
+    pub(crate) fn release_at(&mut self, wire: u64, at: u64) {
         if let Some((placer, life, service)) = self.services.remove(&wire)
             && let Some(held) = self.held.get_mut(&(placer, life))
             && let Some(all) = held.by_service.get_mut(&service)
         {
             all.remove(&wire);
-            self.released.insert(wire, self.at);
+            self.released.insert(wire, at);
+        }
+    }
+
+    /// The host says that it is done with an attempt. This is recorded before the placer can read it, so what the placer
+    /// sent before cannot have been sent for that.
+    pub(crate) fn release_as_told(&mut self, wire: u64) {
+        if self.services.contains_key(&wire) {
+            self.told_over.insert(wire);
         }
+        self.release(wire);
     }
 
     pub(crate) fn hold(&mut self, wire: u64, placer: &Name, life: u64, service: &str) {
         let held = self.held.entry((placer.clone(), life)).or_default();
         held.by_service.entry(service.to_owned()).or_default().insert(wire);
         self.services.insert(wire, (placer.clone(), life, service.to_owned()));
+        // Who is told of a task anew, by a host that names what it holds, holds it again.
+        self.released.remove(&wire);
+        self.told_over.remove(&wire);
     }
 
     /// Tasks whose host was without a connection for long enough count as lost.
@@ -63,10 +81,13 @@
         }
     }
 
-    /// Spreads over their limit count only if they still are once what was sent before must have been read everywhere.
+    /// Spreads over their limit count only if they still are once what was sent before must have been read everywhere. What
+    /// its host's word alone has ended since counts.
     pub(crate) fn settle_spreads(&mut self, now: u64) {
         while let Some((by, what, most, wires)) = self.spreads.pop_front_if(|s| s.0 < now) {
-            let counts = |wire: &&u64| self.released.get(wire).is_none_or(|&at| at > by);
+            let counts = |wire: &&u64| {
+                self.told_over.contains(wire) || self.released.get(wire).is_none_or(|&at| at > by)
+            };
             if wires.iter().filter(counts).count() as u32 > most {
                 let shown = wires.iter().filter_map(|w| self.attempts.get(w)).map(|a| a.shown).collect();
                 self.broken(5, what, shown);
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -10,7 +10,7 @@
 
 use maplethread_config::{HostState, Inventory};
 use maplethread_consul_standin::{Faults as CatalogueFaults, LockNews, Servers, Settings as ServerSettings};
-use maplethread_judge::{Seen, judge};
+use maplethread_judge::{Seen, Verdict, judge};
 use rustix::process::Signal;
 
 use crate::calls::register;
@@ -23,6 +23,7 @@
 use crate::processes::Placers;
 use crate::rack::{Command, Rack};
 use crate::report::{FirstAsks, Report, returns};
+use crate::rogue::{Rogue, moves_told};
 use crate::scenario::Scenario;
 use crate::settings::{self, inventory};
 use crate::world::{Dice, World};
@@ -127,7 +128,7 @@
             let name = format!("placer-{number}");
             let log = self.folder.join(format!("{name}.log"));
             self.placers.add(config, log);
-            self.placers.spawn(number, self.options)?;
+            self.placers.spawn(number, &self.options.program, &self.options.placer_arguments())?;
             let zone = self.scenario.fleet.zones[number % self.scenario.fleet.zones.len()].clone();
             fronts.push(Front { name, zone, address: None, life: 1, down: false });
         }
@@ -189,9 +190,11 @@
         if self.options.progress {
             eprintln!();
         }
-        let (service, lost, double_s) = {
+        let (service, lost, double_s, by_class) = {
             let ledger = self.world.ledger();
-            (ledger.service(end), ledger.lost(end), ledger.double_s)
+            let names = self.scenario.class.iter().map(|c| c.rules.name.clone());
+            let by_class = names.zip(ledger.by_class()).collect();
+            (ledger.service(end), ledger.lost(end), ledger.double_s, by_class)
         };
         let (decide_us, held) = statuses(&owners);
         let mut place_us = owners.end()?;
@@ -201,7 +204,33 @@
         let verdict = judge(&record, &settings::figures(&self.scenario));
         let returns = returns(&record, &self.returned);
         let first = FirstAsks::of(&record);
-        Ok(Report { verdict, first, service, lost, double_s, place_us, decide_us, held, returns, record })
+        let rogue = self.rogue(&verdict)?;
+        Ok(Report {
+            verdict,
+            first,
+            service,
+            by_class,
+            lost,
+            double_s,
+            place_us,
+            decide_us,
+            held,
+            returns,
+            rogue,
+            record,
+        })
+    }
+
+    /// What became of placers that broke a rule on purpose, once they have ended.
+    fn rogue(&self, verdict: &Verdict) -> io::Result<Option<Rogue>> {
+        if self.options.rogue == 0 {
+            return Ok(None);
+        }
+        let mut moves = 0;
+        for (log, from) in self.placers.logs() {
+            moves += moves_told(log, from)?;
+        }
+        Ok(Some(Rogue::new(self.options.rogue, moves, verdict)))
     }
 
     /// An error once the day is interrupted; its processes end with it.
@@ -414,7 +443,7 @@
             }
             PlacerAct::Respawn(number) => {
                 if self.placers.all[number].child.is_none() {
-                    self.placers.spawn(number, self.options)?;
+                    self.placers.spawn(number, &self.options.program, &self.options.placer_arguments())?;
                 }
             }
             PlacerAct::Pause(number) => {
@@ -469,7 +498,7 @@
 }
 
 /// Replaces a file atomically, as operators are told to do with inventories.
-fn replace(path: &Path, text: &str) -> io::Result<()> {
+pub fn replace(path: &Path, text: &str) -> io::Result<()> {
     let mut new = path.as_os_str().to_owned();
     new.push(".new");
     std::fs::write(&new, text)?;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -99,13 +99,17 @@
     /// Offers while it is cold.
     offers: Vec<u64>,
     worst_told: BTreeMap<Arc<str>, u64>,
+    /// When it last measured all that runs, where it measures together.
+    measured: u64,
 }
 
+/// What runs is measured, and told to its placers, this often, µs.
+const MEASURE_EVERY: u64 = 2_000_000;
 /// Over this share of memory all tasks slow down, and placers are told.
 const TIGHT: f64 = 0.92;
 
 impl Host {
-    pub fn new(spec: Spec, scenario: Arc<Scenario>, world: World, dice: Dice, cold: bool) -> Host {
+    pub fn new(spec: Spec, scenario: Arc<Scenario>, world: World, mut dice: Dice, cold: bool) -> Host {
         let fleet = &scenario.fleet;
         let policy = Policy {
             cores: spec.cores,
@@ -120,6 +124,8 @@
         // A host that is up when the day begins started long ago.
         let now = world.clock.now();
         let started = if cold { now } else { now - 3_600_000_000 } / 1000 * 1000;
+        // Hosts don't measure in step with each other.
+        let ago = if fleet.measures_together { dice.between([0.0, MEASURE_EVERY as f64]) as u64 } else { 0 };
         Host {
             spec,
             started,
@@ -133,6 +139,7 @@
             dice,
             offers: Vec::new(),
             worst_told: BTreeMap::new(),
+            measured: now - ago,
         }
     }
 
@@ -436,6 +443,11 @@
         }
     }
 
+    /// Whether it holds tasks, so that a span of service matters.
+    pub fn busy(&self) -> bool {
+        !self.tasks.is_empty()
+    }
+
     /// Serves what runs for a span, tells placers how it fares, and evicts when memory runs out.
     pub fn serve(&mut self, from: u64, now: u64, keys: &mut KeyTable, out: &mut Vec<Do>) {
         let grows = 4_000_000.0;
@@ -460,6 +472,12 @@
             .map(|t| (t.offer.priority, cores_of(t, self.faults.hot)))
             .collect();
         let starting: f64 = self.admission.taken().filter(|t| t.1 == Stage::Starting).map(|_| 0.5).sum();
+        let together = self.scenario.fleet.measures_together;
+        let periods = now.saturating_sub(self.measured) / MEASURE_EVERY;
+        let (measures, measured) = (together && periods > 0, self.measured);
+        if measures {
+            self.measured += periods * MEASURE_EVERY;
+        }
         let mut worst: BTreeMap<Arc<str>, (u64, f64)> = BTreeMap::new();
         let mut notes = Vec::new();
         for (&attempt, task) in &mut self.tasks {
@@ -478,7 +496,9 @@
                     *entry = (attempt, served);
                 }
             }
-            if task.noted + 2_000_000 <= now {
+            let due =
+                if together { measures && since <= measured } else { task.noted + MEASURE_EVERY <= now };
+            if due {
                 task.noted = now;
                 notes.push((
                     task.placer.clone(),
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -8,8 +8,12 @@
 use maplethread_wire::frame::Frame;
 use serde_json::{Value, json};
 
+use crate::rogue::Rogue;
 use crate::world::{Lost, Service};
 
+/// So many cases of a broken rule are shown.
+const SHOWN_OF_A_RULE: usize = 8;
+
 /// What a day came to.
 pub struct Report {
     /// What the traffic shows.
@@ -18,6 +22,8 @@
     pub first: FirstAsks,
     /// The worth served over the worth asked for.
     pub service: Service,
+    /// The same by class.
+    pub by_class: BTreeMap<String, f64>,
     /// What the rest was lost to.
     pub lost: Lost,
     /// Seconds that second copies ran.
@@ -30,6 +36,8 @@
     pub held: BTreeMap<String, u64>,
     /// Offers to a host in the second after its health came back: how many returns, the mean and the most.
     pub returns: (usize, f64, usize),
+    /// What became of the placers that broke a rule on purpose, if they did.
+    pub rogue: Option<Rogue>,
     /// The record, for frames that show a broken rule.
     pub record: Vec<Record>,
 }
@@ -72,13 +80,15 @@
             "service": self.service.whole,
             "service_worst_10_s": self.service.worst_10_s,
             "service_worst_class": self.service.worst_class,
+            "service_by_class": self.by_class,
             "service_lost": {
                 "late_start": self.lost.late_start, "not_running": self.lost.not_running,
                 "crowded": self.lost.crowded,
             },
             "double_s": self.double_s,
+            "rogue": self.rogue.map(|r| json!({"number": r.number, "moves": r.moves, "caught": r.caught})),
             "broken": broken,
-            "broken_shown": v.broken.iter().take(20).map(|b| self.shown(b)).collect::<Vec<_>>(),
+            "broken_shown": self.first_broken().map(|b| self.shown(b)).collect::<Vec<_>>(),
             "numbers": {
                 "taken": v.number_waits.len(), "wait_ms": {
                     "p50": self.number_wait(0.5), "p99": self.number_wait(0.99), "max": self.number_wait(1.0),
@@ -92,6 +102,12 @@
         })
     }
 
+    /// The first few of each rule.
+    fn first_broken(&self) -> impl Iterator<Item = &Broken> {
+        let of = |rule: u8| self.verdict.broken.iter().filter(move |b| b.rule == rule).take(SHOWN_OF_A_RULE);
+        (1..=5).flat_map(of)
+    }
+
     fn shown(&self, broken: &Broken) -> Value {
         let first = self.record.first().map_or(0, |r| r.at);
         let frames: Vec<String> = broken
@@ -181,6 +197,9 @@
         } else {
             writeln!(out, "RULES BROKEN: {:?} (rule: times)", v.counts())
         };
+        if let Some(rogue) = &self.rogue {
+            let _ = writeln!(out, "{}", rogue.text());
+        }
         out
     }
 }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -18,7 +18,7 @@
 }
 
 /// Settings of the placer of this number on a day. `servers` are those of its catalogue, if it reads one.
-pub(crate) fn placer(
+pub fn placer(
     s: &Scenario,
     number: usize,
     seed: u64,
@@ -111,7 +111,7 @@
 }
 
 /// The inventory, of hosts at these addresses and as listed.
-pub(crate) fn inventory(
+pub fn inventory(
     scenario: &Scenario,
     addresses: &[SocketAddr],
     listed: &[(HostState, Option<u64>)],
@@ -134,6 +134,23 @@
     Inventory { host: (0..scenario.fleet.hosts).map(entry).collect() }
 }
 
+/// A class of tasks that may be started twice, is wanted alike everywhere and has no limits.
+pub fn plain_class() -> maplethread_config::Class {
+    maplethread_config::Class {
+        name: "web-api".to_owned(),
+        effect: maplethread_config::Effect::Safe,
+        group: None,
+        window_ms: None,
+        aim_ms: 600,
+        worth: 1.0,
+        start_bonus_s: 10.0,
+        priority: 0,
+        kind: None,
+        spread_over: None,
+        spread_most: None,
+    }
+}
+
 pub(crate) fn api() -> Api {
     Api {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -163,6 +180,8 @@
         reconnect_most_ms: 2000,
         ping_every_ms: 1000,
         silent_after_ms: 3000,
+        max_idle_pings_per_s: 40,
+        max_idle_ping_interval_ms: 90_000,
         lost_after_ms: 5000,
         max_unwritten_bytes: 256 << 10,
     }
