--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -192,7 +192,7 @@
         let (service, lost, double_s, by_class) = {
             let ledger = self.world.ledger();
             let names = self.scenario.class.iter().map(|c| c.rules.name.clone());
-            let by_class = names.zip(ledger.by_class()).collect();
+            let by_class = names.zip(ledger.by_class(end)).collect();
             (ledger.service(end), ledger.lost(end), ledger.double_s, by_class)
         };
         let (decide_us, held) = statuses(&owners);
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -8,6 +8,9 @@
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 
+#[cfg(test)]
+mod tests;
+
 /// Locks, whatever another thread's panic left behind: the record stays readable.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -89,7 +92,8 @@
     start: u64,
     wanted: HashMap<Arc<str>, (Wanted, Served)>,
     by_second: Vec<(f64, f64)>,
-    by_class: Vec<(f64, f64)>,
+    /// The same of each class.
+    by_class: Vec<Vec<(f64, f64)>>,
     /// Seconds that second copies ran, which earn nothing.
     pub double_s: f64,
     /// Worth of starts that came late or never, and of crowding while tasks ran.
@@ -121,7 +125,7 @@
 
 impl Ledger {
     fn new(start: u64, classes: usize) -> Ledger {
-        let by_class = vec![(0.0, 0.0); classes];
+        let by_class = vec![Vec::new(); classes];
         Ledger {
             start,
             wanted: HashMap::new(),
@@ -133,26 +137,28 @@
         }
     }
 
-    fn second(&mut self, at: u64) -> &mut (f64, f64) {
+    /// Adds worth of a class that was wanted and served at a time.
+    fn add(&mut self, class: usize, at: u64, wanted: f64, served: f64) {
         let second = (at.saturating_sub(self.start) / 1_000_000) as usize;
-        if self.by_second.len() <= second {
-            self.by_second.resize(second + 1, (0.0, 0.0));
+        for seconds in [&mut self.by_second, &mut self.by_class[class]] {
+            if seconds.len() <= second {
+                seconds.resize(second + 1, (0.0, 0.0));
+            }
+            seconds[second].0 += wanted;
+            seconds[second].1 += served;
         }
-        &mut self.by_second[second]
     }
 
     /// An owner wants a task.
     pub fn want(&mut self, actor: &Arc<str>, wanted: Wanted) {
         self.late += wanted.bonus;
-        self.second(wanted.from).0 += wanted.bonus;
+        self.add(wanted.class, wanted.from, wanted.bonus, 0.0);
         let mut at = wanted.from;
         while at < wanted.until {
             let next = (at + 1_000_000).min(wanted.until);
-            self.second(at).0 += wanted.rate * (next - at) as f64 / 1e6;
+            self.add(wanted.class, at, wanted.rate * (next - at) as f64 / 1e6, 0.0);
             at = next;
         }
-        let whole = wanted.rate * (wanted.until - wanted.from) as f64 / 1e6 + wanted.bonus;
-        self.by_class[wanted.class].0 += whole;
         self.wanted.insert(actor.clone(), (wanted, Served::default()));
     }
 
@@ -174,8 +180,7 @@
             },
         );
         self.late -= bonus;
-        self.second(wanted.from).1 += bonus;
-        self.by_class[wanted.class].1 += bonus;
+        self.add(wanted.class, wanted.from, 0.0, bonus);
     }
 
     /// A copy of a task does not run any more.
@@ -198,16 +203,19 @@
             self.double_s += whole as f64 / 1e6;
         }
         self.crowded += wanted.rate * (1.0 - share) * span;
-        self.second(to_wanted.max(wanted.from)).1 += wanted.rate * share * span;
-        self.by_class[wanted.class].1 += wanted.rate * share * span;
+        self.add(wanted.class, to_wanted.max(wanted.from), 0.0, wanted.rate * share * span);
     }
 
-    /// The share of the worth asked for that each class was served, in the order of the classes; 1 where none was asked.
-    pub fn by_class(&self) -> Vec<f64> {
-        self.by_class
-            .iter()
-            .map(|(wanted, served)| if *wanted > 0.0 { served / wanted } else { 1.0 })
-            .collect()
+    /// The share of the worth asked for up to a time that each class was served, in the order of the classes; 1 where none
+    /// was asked for.
+    pub fn by_class(&self, until: u64) -> Vec<f64> {
+        let seconds = (until.saturating_sub(self.start) / 1_000_000) as usize;
+        let share = |all: &Vec<(f64, f64)>| {
+            let (wanted, served) =
+                all.iter().take(seconds).fold((0.0, 0.0), |sum, second| (sum.0 + second.0, sum.1 + second.1));
+            if wanted > 0.0 { served / wanted } else { 1.0 }
+        };
+        self.by_class.iter().map(share).collect()
     }
 
     /// Whether some copy runs.
@@ -235,8 +243,8 @@
         };
         let last = seconds.saturating_sub(10);
         let worst_10_s = (0..=last).map(|from| part(from, from + 10)).fold(1.0, f64::min);
-        let classes = self.by_class.iter().filter(|c| c.0 > 0.0).map(|c| c.1 / c.0);
-        Service { whole: part(0, seconds), worst_10_s, worst_class: classes.fold(1.0, f64::min) }
+        let worst_class = self.by_class(until).into_iter().fold(1.0, f64::min);
+        Service { whole: part(0, seconds), worst_10_s, worst_class }
     }
 }
 
