Turns place 64 tasks and still hear all that has happened; asks with time are not turned away

An ask with 60 s was turned away as overloaded beside 500 slow clients, in whose debug turns of 100 ms it had time enough. A drain read after 100 asks in one wake-up was heard only in the next turn: of 200 asks, 104 went to the draining host in a test (next_events cut the list of events at the 65th placing, whatever came after it).

Now only what would place more, and what concerns the same tasks, waits for the next turn (batch.rs); under overload an ask is turned away whose answer must come an eighth of its budget early or more.

--- a/crates/engine/src/asks.rs
+++ b/crates/engine/src/asks.rs
@@ -139,11 +139,11 @@
                 "api.max_actors are held",
             ));
         }
-        if self.pace.is_overloaded(self.now) {
+        let budget = body.budget_ms.min(self.config.api.max_budget_ms) * 1000;
+        if self.pace.turns_away(self.now, budget) {
             let detail = "the placer's turns run late; other placers may have time";
             return Err(Problem::busy("overloaded", "This placer is overloaded", detail));
         }
-        let budget = body.budget_ms.min(self.config.api.max_budget_ms) * 1000;
         let deadline = self.unread_since.unwrap_or(self.now).min(self.now) + budget;
         let give_up_at = deadline - self.margin_within(budget);
         if give_up_at <= self.now {
--- /dev/null
+++ b/crates/engine/src/batch.rs
@@ -0,0 +1,52 @@
+//! How much of what has happened the decider is given in one turn.
+
+use std::collections::BTreeSet;
+
+use maplethread::{Event, TaskId};
+
+/// Takes the events of this turn from all that wait. Those that would have the decider place more tasks than are left
+/// for the turn wait for the next one, and so does what concerns the same tasks. All else is given at once, whatever
+/// waits before it: a host that drains must be known before the next task is placed.
+pub(crate) fn take(waiting: &mut Vec<Event>, placings_left: &mut usize) -> Vec<Event> {
+    let mut postponed: BTreeSet<TaskId> = BTreeSet::new();
+    let mut given = Vec::new();
+    let mut later = Vec::new();
+    for event in std::mem::take(waiting) {
+        let task = task_of(&event);
+        let has_room = !is_placing(&event) || *placings_left > 0;
+        if has_room && task.is_none_or(|task| !postponed.contains(&task)) {
+            *placings_left -= usize::from(is_placing(&event));
+            given.push(event);
+        } else {
+            postponed.extend(task);
+            later.push(event);
+        }
+    }
+    *waiting = later;
+    given
+}
+
+/// Whether the decider places a task because of an event.
+fn is_placing(event: &Event) -> bool {
+    match event {
+        Event::Asked(_) => true,
+        Event::Ended(_, end) => !end.closed,
+        _ => false,
+    }
+}
+
+/// The task that an event concerns.
+fn task_of(event: &Event) -> Option<TaskId> {
+    match event {
+        Event::Asked(task) | Event::Running(task, _) => Some(task.id),
+        Event::Seated(attempt, _) | Event::Noted(attempt, _) | Event::Ended(attempt, _) => Some(attempt.task),
+        Event::HungUp(task) => Some(*task),
+        Event::Listed { .. }
+        | Event::Numbered(_)
+        | Event::Linked(..)
+        | Event::ListUnavailable
+        | Event::Woken(_)
+        | Event::Probed { .. }
+        | Event::Told { .. } => None,
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,6 +14,7 @@
 
 use crate::Timers;
 use crate::answers::{Answer, Answers};
+use crate::batch;
 use crate::clients::Client;
 use crate::cold::ColdOffers;
 use crate::hosts::{Host, Link};
@@ -421,7 +422,7 @@
         let (mut given, mut actions) = (Vec::new(), Vec::new());
         let mut placings_left = MAX_PLACINGS;
         for _ in 0..ROUNDS {
-            let events = self.next_events(&mut placings_left);
+            let events = batch::take(&mut self.events, &mut placings_left);
             if events.is_empty() {
                 break;
             }
@@ -441,27 +442,6 @@
         }
     }
 
-    /// The events up to the one that would have the decider place more than is left for this turn.
-    fn next_events(&mut self, placings_left: &mut usize) -> Vec<Event> {
-        let places = |event: &Event| match event {
-            Event::Asked(_) => true,
-            Event::Ended(_, end) => !end.closed,
-            _ => false,
-        };
-        let mut count = 0;
-        for event in &self.events {
-            if places(event) {
-                if *placings_left == 0 {
-                    break;
-                }
-                *placings_left -= 1;
-            }
-            count += 1;
-        }
-        let later = self.events.split_off(count);
-        std::mem::replace(&mut self.events, later)
-    }
-
     /// Answers in the decider's stead the asks that it left open and that the next turn may be too late for.
     fn last_words(&mut self) {
         let margin = self.pace.answer_margin();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 mod api;
 mod asks;
 mod attempts;
+mod batch;
 mod clients;
 mod cold;
 mod engine;
--- a/crates/engine/src/pace.rs
+++ b/crates/engine/src/pace.rs
@@ -13,6 +13,10 @@
 /// How long a late turn is remembered: late turns further apart than this are no overload.
 const MEMORY: Micros = 500_000;
 
+/// Under overload an ask is turned away whose answer is due earlier than its deadline by more than this part of its
+/// budget. One that has more time waits for its turn.
+const MAX_MARGIN_PART: Micros = 8;
+
 /// The pace of the turns.
 #[derive(Debug, Default)]
 pub(crate) struct Pace {
@@ -50,8 +54,13 @@
         (3 * self.lateness).max(MIN_ANSWER_MARGIN)
     }
 
+    /// Whether an ask with this budget is to be turned away: turns run late, and it has no time for that.
+    pub fn turns_away(&self, now: Micros, budget: Micros) -> bool {
+        self.is_overloaded(now) && self.answer_margin() > budget / MAX_MARGIN_PART
+    }
+
     /// Whether more is taken in than the turns can bear.
-    pub fn is_overloaded(&self, now: Micros) -> bool {
+    fn is_overloaded(&self, now: Micros) -> bool {
         self.behind.is_some_and(|(first, last)| first + LASTING <= last && last + MEMORY > now)
     }
 }
--- /dev/null
+++ b/crates/engine/tests/crowded_turns.rs
@@ -0,0 +1,101 @@
+//! More asks in one turn than it places: what else has happened is known before any of them is placed.
+
+use maplethread::Placer;
+use maplethread_config::{Doc, Inventory, PlacerConfig};
+use maplethread_engine::{Boot, ClientId, Engine, HostId, Output};
+use maplethread_wire::frame::{self, Frame};
+
+const CONFIG: &str = include_str!("../../../config/placer.toml");
+const NOW: u64 = 1_700_000_000_000_000;
+const DRAINING: HostId = HostId(0);
+/// More than one turn places.
+const ASKS: u64 = 200;
+
+fn inventory(config: &PlacerConfig) -> Inventory {
+    let (kind, zone) = (&config.kind[0].name, &config.placer.zones[0]);
+    let host = |name: &str| {
+        format!(
+            "[[host]]\nname = \"{name}\"\naddress = \"127.0.0.1:1\"\nzone = \"{zone}\"\ncell = \"{name}\"\nkind = \"{kind}\"\n"
+        )
+    };
+    let text = host("draining") + &host("other");
+    Inventory::parse(Doc { file: "hosts", text: &text }, config).expect("sound")
+}
+
+/// An engine that is connected to two warm hosts.
+fn engine() -> Engine<Placer> {
+    let config = PlacerConfig::parse(Doc { file: "placer.toml", text: CONFIG }).expect("sound");
+    let placer = Placer::new(config.settings(), 1).expect("sound");
+    let boot = Boot { started_ms: NOW / 1000, seed: 1 };
+    let mut engine = Engine::new(config.clone(), placer, boot, NOW);
+    engine.inventory(NOW, &inventory(&config));
+    for (number, name) in ["draining", "other"].into_iter().enumerate() {
+        let host = HostId(number as u32);
+        engine.host_connected(NOW, host);
+        let (major, minor) = (frame::MAJOR, frame::MINOR);
+        let hello = Frame::Hello { major, minor, name: name.to_owned(), started_ms: 1, most_offers: 0 };
+        host_says(&mut engine, host, &[hello, Frame::HeldEnd]);
+    }
+    engine.turn(NOW, false);
+    engine.outputs();
+    engine
+}
+
+fn host_says(engine: &mut Engine<Placer>, host: HostId, frames: &[Frame]) {
+    let mut bytes = Vec::new();
+    frames.iter().for_each(|frame| frame::encode(frame, &mut bytes));
+    assert_eq!(engine.host_bytes(NOW, host, &bytes), bytes.len());
+}
+
+fn ask(engine: &mut Engine<Placer>, number: u64) {
+    let body = format!(
+        r#"{{"service":"s{number}","actor":"a","class":"web-api","cores":0.01,"memory_gib":0.01,"budget_ms":9000}}"#
+    );
+    let head = format!("POST /v1/actors HTTP/1.1\r\nHost: p\r\nContent-Length: {}\r\n\r\n", body.len());
+    engine.client_opened(NOW, ClientId(number));
+    engine.client_bytes(NOW, ClientId(number), (head + &body).as_bytes());
+}
+
+/// Offers to each of the two hosts, as told by the outputs of some turns.
+fn offers(engine: &mut Engine<Placer>) -> [usize; 2] {
+    let mut offers = [0; 2];
+    for turn in 1..=10 {
+        engine.turn(NOW + turn, false);
+        for output in engine.outputs() {
+            let Output::ToHost(HostId(host), bytes) = output else { continue };
+            if matches!(frame::decode(&bytes), Ok((Some(Frame::Offer(_)), _))) {
+                offers[host as usize] += 1;
+            }
+        }
+    }
+    offers
+}
+
+#[test]
+fn a_drain_that_is_read_after_many_asks_is_heeded_by_all_of_them() {
+    let mut engine = engine();
+    (1..=ASKS).for_each(|number| ask(&mut engine, number));
+    host_says(&mut engine, DRAINING, &[Frame::Drain]);
+    let [to_draining, to_other] = offers(&mut engine);
+    assert_eq!(to_draining, 0);
+    assert!(to_other > 0);
+}
+
+#[test]
+fn without_a_drain_both_hosts_are_offered_tasks() {
+    let mut engine = engine();
+    (1..=ASKS).for_each(|number| ask(&mut engine, number));
+    let [to_first, to_other] = offers(&mut engine);
+    assert!(to_first > 0 && to_other > 0, "{to_first} and {to_other}");
+}
+
+#[test]
+fn a_client_that_goes_before_its_ask_is_given_is_offered_nowhere() {
+    let mut engine = engine();
+    (1..=ASKS).for_each(|number| ask(&mut engine, number));
+    (1..=ASKS).for_each(|number| engine.client_closed(NOW, ClientId(number)));
+    let [to_first, to_other] = offers(&mut engine);
+    // What is given in the first turn is given together with its client's end.
+    assert_eq!(to_first + to_other, 0);
+    assert_eq!(engine.open_asks(), 0);
+}
