--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -64,6 +64,8 @@
     /// Placings by request and the placer's life.
     pub(crate) placings: BTreeMap<(Name, Name, u64), Placing>,
     pub(crate) attempts: BTreeMap<u64, Attempt>,
+    /// The attempts that were ever offered to each host.
+    pub(crate) attempts_at: BTreeMap<Name, BTreeSet<u64>>,
     pub(crate) links: BTreeMap<(Name, u64), (Name, u64)>,
     pub(crate) held: BTreeMap<(Name, u64), Held>,
     pub(crate) services: BTreeMap<u64, (Name, u64, String)>,
@@ -118,6 +120,7 @@
         asks: BTreeMap::new(),
         placings: BTreeMap::new(),
         attempts: BTreeMap::new(),
+        attempts_at: BTreeMap::new(),
         links: BTreeMap::new(),
         held: BTreeMap::new(),
         services: BTreeMap::new(),
@@ -178,16 +181,16 @@
             Seen::HostDown { host } => self.drop_host(host),
             Seen::Link { host, link, placer, life } => {
                 self.links.insert((host.clone(), *link), (placer.clone(), *life));
-                let there = |wire: &u64| self.attempts.get(wire).is_some_and(|a| a.host == *host);
-                let own = self.services.iter().filter(|(wire, (p, ..))| p == placer && there(wire));
-                let own = own.map(|(&wire, _)| wire).collect();
+                let own_of = |wire: &u64| self.services.get(wire).is_some_and(|(p, ..)| p == placer);
+                let own = self.attempts_at(host).into_iter().filter(own_of).collect();
                 self.unnamed.insert((host.clone(), *link), own);
                 self.told_start.entry((placer.clone(), host.clone())).or_insert(at);
             }
             Seen::LinkLost { host, link } => {
                 let (mut unanswered, lost_at) = (Vec::new(), self.sent_to_host());
-                for (&wire, attempt) in &mut self.attempts {
-                    if attempt.host == *host && attempt.link == *link {
+                for wire in self.attempts_at(host) {
+                    let Some(attempt) = self.attempts.get_mut(&wire) else { continue };
+                    if attempt.link == *link {
                         attempt.over = attempt.over.or(Some(lost_at));
                         self.told_over.remove(&wire);
                         if !attempt.accepted {
@@ -273,19 +276,22 @@
     }
 
     fn drop_host(&mut self, host: &Name) {
-        let at = self.at;
-        let mut gone = Vec::new();
-        for (&wire, attempt) in &mut self.attempts {
-            if attempt.host == *host {
-                attempt.over = attempt.over.or(Some(at));
-                attempt.gone = true;
-                self.told_over.remove(&wire);
-                gone.push(wire);
-            }
+        let gone = self.attempts_at(host);
+        for wire in &gone {
+            let Some(attempt) = self.attempts.get_mut(wire) else { continue };
+            attempt.over = attempt.over.or(Some(self.at));
+            attempt.gone = true;
+            self.told_over.remove(wire);
         }
         gone.into_iter().for_each(|wire| self.release(wire));
     }
 
+    /// The attempts whose last offer went to a host.
+    pub(crate) fn attempts_at(&self, host: &Name) -> Vec<u64> {
+        let is_there = |wire: &u64| self.attempts.get(wire).is_some_and(|a| a.host == *host);
+        self.attempts_at.get(host).into_iter().flatten().copied().filter(is_there).collect()
+    }
+
     fn placer_frame(&mut self, host: &Name, link: u64, frame: &Frame) {
         let at = self.at;
         match frame {
@@ -308,6 +314,7 @@
                     accepted: false,
                 };
                 self.attempts.insert(offer.attempt, attempt);
+                self.attempts_at.entry(host.clone()).or_default().insert(offer.attempt);
                 self.hold(offer.attempt, &placer, life, &offer.service);
                 self.rule_5(&placer, life, host, &offer.service, &offer.class);
             }
--- a/crates/judge/src/rule_5.rs
+++ b/crates/judge/src/rule_5.rs
@@ -2,7 +2,7 @@
 //! until its host is done with it, or the placer has lost it from sight.
 
 use crate::figures::Place;
-use crate::judge::{Attempt, Judge, Name};
+use crate::judge::{Judge, Name};
 
 impl Judge<'_> {
     pub(crate) fn rule_5(&mut self, placer: &Name, life: u64, host: &Name, service: &str, class: &str) {
@@ -69,11 +69,9 @@
         while let Some((_, host, link, placer)) = self.orphans.pop_front_if(|o| o.0 < now) {
             let back = self.links.iter().any(|((h, _), (p, _))| *h == host && *p == placer);
             if !back {
-                let there = |a: &Attempt| a.host == host && a.link <= link;
-                let lost: Vec<u64> =
-                    self.attempts.iter().filter(|(_, a)| there(a)).map(|(&w, _)| w).collect();
-                for wire in lost {
-                    if self.services.get(&wire).is_some_and(|(p, ..)| *p == placer) {
+                for wire in self.attempts_at(&host) {
+                    let is_lost = self.attempts.get(&wire).is_some_and(|a| a.link <= link);
+                    if is_lost && self.services.get(&wire).is_some_and(|(p, ..)| *p == placer) {
                         self.release(wire);
                     }
                 }
