Scale: measure the placers of another build under the same hollow workers

The first paired runs used each build's own hollow workers, which tell their notes at other times; so processor time and notes compared two tools.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -29,6 +29,10 @@
     /// Nothing else uses the loopback interface: count its packets too
     #[arg(long)]
     alone: bool,
+    /// Measure the placers of another build, to compare the two: a program that takes `placer --config FILE` as this one
+    /// does
+    #[arg(long, value_name = "PROGRAM")]
+    placer: Option<PathBuf>,
 }
 
 /// Runs a command on sweeps.
@@ -45,11 +49,16 @@
     let sweep = SweepFile::parse(Doc { file: &file, text: &text }).map_err(|e| e.to_string())?;
     let name = stem(&args.file)?;
     let alone = if args.alone { " --alone" } else { "" };
+    let own_program = || std::env::current_exe().map_err(|e| format!("own program: {e}"));
+    let (program, placer) = match &args.placer {
+        Some(placer) => (placer.clone(), format!(" --placer {}", stem(placer)?)),
+        None => (own_program()?, String::new()),
+    };
     let options = Options {
         sweep,
-        command: format!("maplethread scale run {file}{alone}"),
+        command: format!("maplethread scale run {file}{alone}{placer}"),
         name: name.clone(),
-        program: std::env::current_exe().map_err(|e| format!("own program: {e}"))?,
+        program,
         alone: args.alone,
         progress: true,
         interrupted: Interrupted(crate::interrupted()?),
@@ -66,5 +75,5 @@
 
 fn stem(file: &Path) -> Result<String, String> {
     let stem = file.file_stem().and_then(|stem| stem.to_str());
-    stem.map(str::to_owned).ok_or_else(|| format!("{}: not the name of a sweep", file.display()))
+    stem.map(str::to_owned).ok_or_else(|| format!("{}: not a file name", file.display()))
 }
