Tests of heartbeats: a paused placer, and a host that one placer alone does not reach

Two of the hard cases with real processes: a placer stopped twice for 4 s cuts off none of twelve hosts and keeps its task; of two placers, the one that hears nothing of a host cuts it off, and the other keeps it.

--- a/crates/cli/tests/heartbeats.rs
+++ b/crates/cli/tests/heartbeats.rs
@@ -3,13 +3,19 @@
 mod support;
 
 use std::thread::{JoinHandle, spawn};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use maplethread_wire::frame::{Frame, Offer};
+use rustix::process::Signal;
+use serde_json::Value;
 use support::*;
 
 const HOSTS: usize = 12;
 const MAX_IDLE_PINGS_PER_S: f64 = 5.0;
+/// Longer than a host may be silent by default.
+const PAUSE: Duration = Duration::from_secs(4);
+const ASK: &str =
+    r#"{"service":"s","actor":"a","class":"web-api","cores":1,"memory_gib":1,"budget_ms":9000}"#;
 
 /// Hosts that are there for one test.
 fn hosts() -> Vec<ScriptedHost> {
@@ -31,6 +37,22 @@
     spawn(move || while link.next_within(PATIENCE).is_some() {})
 }
 
+/// Answers pings and accepts offers until the connection ends.
+fn accepts_offers(mut link: Link) -> JoinHandle<()> {
+    spawn(move || {
+        while let Some(frame) = link.next_within(PATIENCE) {
+            if let Frame::Offer(offer) = frame {
+                link.send(&Frame::Accepted(offer.attempt, 1));
+            }
+        }
+    })
+}
+
+/// Heartbeats that a placer has sent.
+fn heartbeats(status: &Value) -> u64 {
+    status["counters"]["heartbeats"].as_u64().unwrap_or(0)
+}
+
 /// Answers pings up to an offer, and nothing from then on: the offer, and what came after it.
 fn dies_at_an_offer(mut link: Link) -> JoinHandle<(Offer, Vec<Frame>)> {
     spawn(move || {
@@ -85,3 +107,62 @@
     placer.kill();
     others.into_iter().for_each(|link| link.join().expect("its host"));
 }
+
+/// Pauses a placer for so long, which is longer than a host may be silent.
+fn pause(placer: &Placer, span: Duration) {
+    placer.signal(Signal::STOP);
+    std::thread::sleep(span);
+    placer.signal(Signal::CONT);
+}
+
+#[test]
+fn a_placer_that_stood_still_cuts_off_no_host_idle_or_in_use() {
+    let hosts = hosts();
+    let mut placer = placer(&hosts);
+    let serving = placer.start();
+    let links: Vec<_> = hosts.iter().map(|host| accepts_offers(host.greet(&[]))).collect();
+    serving(&mut placer);
+    // A task on one of them, so that it is in use; the others are idle.
+    let (status, answer) = placer.client().call("POST", "/v1/actors", ASK);
+    assert_eq!(status, 200, "{answer}");
+    for _ in 0..2 {
+        let sent = heartbeats(&placer.status());
+        pause(&placer, PAUSE);
+        placer.wait_for("a round of pings after the pause", |s| heartbeats(s) >= sent + 2 * HOSTS as u64);
+    }
+    let status = placer.status();
+    assert_eq!(
+        (status["hosts_connected"].as_u64(), status["actors"].as_u64()),
+        (Some(HOSTS as u64), Some(1))
+    );
+    let log = std::fs::read_to_string(placer.log()).expect("a log");
+    assert!(!log.contains("connection dropped"), "{log}");
+    placer.kill();
+    links.into_iter().for_each(|link| link.join().expect("its host"));
+}
+
+#[test]
+fn a_host_that_one_placer_does_not_reach_is_cut_off_by_that_one_alone() {
+    let host = ScriptedHost::new("h0", "a", "c");
+    let hosts = [host];
+    let (mut reached, mut cut_off) = (placer(&hosts), placer(&hosts));
+    // The connections come in the order in which the placers start.
+    let serving = reached.start();
+    let answering = answers_pings(hosts[0].greet(&[]));
+    serving(&mut reached);
+    let serving = cut_off.start();
+    let mut silent = hosts[0].greet(&[]);
+    serving(&mut cut_off);
+    // Nothing that one of them sends is answered, until it has given the host up.
+    while silent.next_silently().is_some() {}
+    let log = std::fs::read_to_string(cut_off.log()).expect("a log");
+    assert!(log.contains("silent; connection dropped"), "{log}");
+    assert_eq!(reached.status()["hosts_connected"], 1);
+    let sent = heartbeats(&reached.status());
+    reached.wait_for("pings to the host that is there", |s| heartbeats(s) > sent);
+    let log = std::fs::read_to_string(reached.log()).expect("a log");
+    assert!(!log.contains("connection dropped"), "{log}");
+    reached.kill();
+    cut_off.kill();
+    answering.join().expect("its host");
+}
