--- a/crates/placer/src/daemon.rs
+++ b/crates/placer/src/daemon.rs
@@ -208,8 +208,10 @@
             self.engine.unread_since(if stalled { unread_since } else { woke });
             last_read = self.read(&mut ready, woke, stalled)?.unwrap_or(last_read);
             self.feed_stuffed();
-            self.look_up(stalled);
             let read = self.clock.now();
+            // It may have stood still while it read, too: what has come since then is not heard yet.
+            let stalled = stalled || read > woke + READ_WITHIN + STALLED;
+            self.look_up(stalled);
             self.keep_notes(read);
             self.engine.turn(read, stalled);
             self.keep_notes(read);
