Judge's tests of late readers: the second attempt of an ask is made in one place

Two tests built the same connection and the same second attempt; the assertions are as they were. Clippy of the crate is clean, the file's five tests pass.

--- a/crates/judge/tests/read_late.rs
+++ b/crates/judge/tests/read_late.rs
@@ -125,18 +125,25 @@
     assert_eq!(offered(12_500 * MS, vec![hosts(12_001 * MS)]), 1);
 }
 
+/// A connection of the placer to the host.
+fn link(link: u64) -> Record {
+    Record { at: link, seen: Seen::Link { host: name("h"), link, placer: name("p"), life: 1 } }
+}
+
+/// The second attempt of the ask whose first is attempt 1, on a connection of its own.
+fn second_attempt() -> Record {
+    let mut second = offer(10 * S, 2);
+    if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
+        (*link, offer.request, offer.number) = (2, "1".to_owned(), 1);
+    }
+    second
+}
+
 #[test]
 fn an_earlier_attempt_was_over_if_that_was_sent_in_time_whenever_it_is_read() {
     // Two offers for one ask to two hosts, and the first called off: read after `gap`.
     let doubled = |gap: u64, notes: Vec<Record>| {
-        let link = |link: u64| Record {
-            at: link,
-            seen: Seen::Link { host: name("h"), link, placer: name("p"), life: 1 },
-        };
-        let mut second = offer(10 * S, 2);
-        if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
-            (*link, offer.request, offer.number) = (2, "1".to_owned(), 1);
-        }
+        let second = second_attempt();
         let cancel = Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) };
         let mut records = vec![link(1), link(2), offer(9 * S, 1), second];
         records.push(Record { at: 10 * S + gap, seen: cancel });
@@ -158,14 +165,7 @@
 fn offers_of_one_ask_are_judged_in_the_order_in_which_they_were_sent() {
     // The second attempt is read first; the first, with its call-off, only then.
     let read_first = |cancelled: bool| {
-        let link = |link: u64| Record {
-            at: link,
-            seen: Seen::Link { host: name("h"), link, placer: name("p"), life: 1 },
-        };
-        let mut second = offer(10 * S, 2);
-        if let Seen::FromPlacer { link, frame: Frame::Offer(offer), .. } = &mut second.seen {
-            (*link, offer.request, offer.number) = (2, "1".to_owned(), 1);
-        }
+        let second = second_attempt();
         let mut records = vec![link(1), link(2), second, offer(10 * S + 2 * MS, 1), offer(20 * S, 3)];
         if cancelled {
             let cancel = Seen::FromPlacer { host: name("h"), link: 1, frame: Frame::Cancel(1) };
