Platform: releases and moves reach owners that have connected anew

An owner's task runs, its idle connection ends, it opens another one, passes a test on it and has a request rejected, as the hosts are full. When the task ends, no release comes on either connection; the rule asks for it within 1 s.

Cause: a release goes to the connection of the set-up, else to the fallback owner, and that had to have a placed task, a condition that keeps releases from bad clients. A new connection of an owner whose hosts are full has none. The release was queued, sent at the next placement only, and dropped after 8 s without a line in the log.

Same cause on related paths, each shown by a test that failed on the code of before: a release that crosses the end of its connection was lost; a move counted as sent although its connection had ended with it. By reading: releases unwritten for a slow reader were lost when it was disconnected, and a hand-over of an unknown task on an unlisted host made a bad client the one that got releases of others.

Change: the engine records what a connection has shown of its owner (owner_evidence.rs). Verified is one of which a host accepted or confirmed a task, or that ended a running one. A release is pending until a verified owner gets it, it is acknowledged (closed), or its owner ends the task; until then it is also sent to the likely connections, the most likely first, eight at most. There is no expiry, the bound is 2,048, and dropping is logged. Releases sent less than 0.25 s before the end of their connection are sent again, and so are unacknowledged ones if bytes were unwritten or the owner acknowledges releases. A move goes to verified connections only and is sent again once its connection has ended.

--- a/crates/platform-wire/src/owner.rs
+++ b/crates/platform-wire/src/owner.rs
@@ -63,6 +63,11 @@
         /// The id of the health check.
         id: SetupId,
     },
+    /// Acknowledges the release of a task. Owners are not required to send it.
+    Closed {
+        /// The id of the set-up.
+        id: SetupId,
+    },
     /// A message that needs no action.
     Ignored,
 }
@@ -161,9 +166,8 @@
         Some("open") => decode_setup(id, &message).map(|setup| FromOwner::Setup(Box::new(setup))),
         Some("close") => decode_cause(id, &message).map(|cause| FromOwner::Close { id, cause }),
         Some("probe") => Ok(FromOwner::Probe { id }),
-        Some("trying" | "ready" | "closed" | "probed" | "event" | "relocate") => {
-            Ok(FromOwner::Ignored)
-        }
+        Some("closed") => Ok(FromOwner::Closed { id }),
+        Some("trying" | "ready" | "probed" | "event" | "relocate") => Ok(FromOwner::Ignored),
         _ => Err(DecodeError::InvalidField {
             id,
             field: "msg",
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -190,7 +190,7 @@
     }
 
     /// Sends the final answer to a request that was not placed.
-    pub(super) fn send_final_answer(&mut self, task: TaskId, cause: Cause) {
+    pub(super) fn send_final_answer(&mut self, now: Micros, task: TaskId, cause: Cause) {
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
@@ -203,5 +203,6 @@
         // The request has its answer, so an attempt that is still in flight is cancelled and reported as timed out.
         self.abandon_attempt(task, AttemptOutcome::TimedOut, true);
         self.tasks.remove_if_finished(task);
+        self.record_answered_owner(now, owner);
     }
 }
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -1,6 +1,6 @@
 //! Messages from hosts: answers to set-ups, and the results and reports of tasks.
 
-use maplethread::{AttemptOutcome, Event, FailureReason, MachineId, Micros, TaskReport};
+use maplethread::{AttemptOutcome, Event, FailureReason, MachineId, Micros, TaskId, TaskReport};
 use maplethread_engine::Decide;
 use maplethread_platform_wire::host::{FromHost, ReportCode};
 use maplethread_platform_wire::owner::ToOwner;
@@ -76,7 +76,7 @@
             owner,
             ToOwner::Ready { id, description },
         ));
-        self.record_owner_placement(owner);
+        self.record_verified_owner(now, owner);
         self.policy_events.push(Event::AttemptAccepted {
             attempt: attempt.id(task),
             elapsed: Some(now.saturating_sub(attempt.offered_at)),
@@ -118,10 +118,26 @@
             self.tasks.remove_if_finished(task);
         } else if let Some(placement) = entry.placement.filter(|p| p.machine == machine) {
             self.confirm_same_process(now, machine, placement.since);
+            self.confirm_running_task(now, task);
             self.finish_running_task(now, task, release_outcome(cause), reason, cause);
         }
     }
 
+    /// Records that a host knows a running task. For one that was handed over this is the first evidence of it.
+    fn confirm_running_task(&mut self, now: Micros, task: TaskId) {
+        let Some(entry) = self.tasks.get_mut(task) else {
+            return;
+        };
+        let owner = entry.owner;
+        let is_first = entry
+            .placement
+            .as_mut()
+            .is_some_and(|placement| !std::mem::replace(&mut placement.is_confirmed, true));
+        if is_first {
+            self.record_verified_owner(now, owner);
+        }
+    }
+
     /// Handles a host's report on a running task.
     fn handle_task_report(
         &mut self,
@@ -141,6 +157,7 @@
             return;
         }
         self.confirm_same_process(now, machine, placement.since);
+        self.confirm_running_task(now, task);
         let report = match code {
             ReportCode::Running => TaskReport::Started,
             ReportCode::CoresUsed => TaskReport::CoresUsed(value),
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -14,7 +14,9 @@
 mod host_messages;
 mod host_table;
 mod output;
+mod owner_evidence;
 mod owners;
+mod release_table;
 mod releases;
 mod requests;
 mod running_tasks;
@@ -35,9 +37,9 @@
 use connections::HostConnection;
 use early_results::EarlyResults;
 use host_table::HostTable;
-pub use output::{ConnectionId, DisconnectReason, Output, OwnerId};
+pub use output::{ConnectionId, DisconnectReason, Output, OwnerId, WriteProgress};
 use owners::Owner;
-use releases::PendingReleases;
+use release_table::{PendingRelease, ReleaseTable, SentRelease};
 use task_table::TaskTable;
 use timer::Timer;
 
@@ -57,8 +59,10 @@
     pub hosts: usize,
     /// Scheduled timers, including those that are obsolete.
     pub timers: usize,
-    /// Releases that are queued until there is an owner to which they can be sent.
+    /// Releases that no verified owner has got yet.
     pub pending_releases: usize,
+    /// Releases that were sent and not acknowledged.
+    pub sent_releases: usize,
     /// Results that arrived before their tasks were handed over to this placer.
     pub early_results: usize,
 }
@@ -73,16 +77,15 @@
     connections: HashMap<ConnectionId, HostConnection>,
     last_connection_id: u64,
     owners: HashMap<OwnerId, Owner>,
-    /// The most recently active owner that has placed a task. It gets the messages for owners that are not connected.
-    fallback_owner: Option<OwnerId>,
     tasks: TaskTable,
     max_description_bytes: usize,
     /// Requests that have not been passed to the policy yet.
     admission_queue: AdmissionQueue,
     /// Results that arrived before their tasks were handed over to this placer.
     early_results: EarlyResults,
-    /// Releases that are queued until there is an owner to which they can be sent.
-    pending_releases: PendingReleases,
+    pending_releases: ReleaseTable<PendingRelease>,
+    /// Releases that were sent and not acknowledged, as far as their connections are open.
+    sent_releases: ReleaseTable<SentRelease>,
     timers: Timers<Timer>,
     policy_events: Vec<Event>,
     policy_actions: Vec<Action>,
@@ -113,12 +116,12 @@
             connections: HashMap::new(),
             last_connection_id: 0,
             owners: HashMap::new(),
-            fallback_owner: None,
             tasks: TaskTable::default(),
             max_description_bytes: MAX_DESCRIPTION_BYTES,
             admission_queue: AdmissionQueue::default(),
             early_results: EarlyResults::default(),
-            pending_releases: PendingReleases::default(),
+            pending_releases: ReleaseTable::default(),
+            sent_releases: ReleaseTable::default(),
             timers: Timers::default(),
             policy_events: Vec::new(),
             policy_actions: Vec::new(),
@@ -163,7 +166,10 @@
 
     /// When the next turn is due if no input arrives before.
     pub fn next_timeout(&self) -> Option<Micros> {
-        if self.policy_events.is_empty() && self.admission_queue.is_empty() {
+        let is_idle = self.policy_events.is_empty()
+            && self.admission_queue.is_empty()
+            && self.outputs.is_empty();
+        if is_idle {
             self.timers.next_due_at()
         } else {
             Some(0)
@@ -183,6 +189,7 @@
             hosts: self.host_table.hosts.len(),
             timers: self.timers.len(),
             pending_releases: self.pending_releases.len(),
+            sent_releases: self.sent_releases.len(),
             early_results: self.early_results.len(),
         }
     }
@@ -223,7 +230,7 @@
             self.policy_actions = actions;
         }
         if self.draining_until.is_some_and(|deadline| deadline <= now) {
-            self.fail_pending_requests();
+            self.fail_pending_requests(now);
         }
     }
 
@@ -234,9 +241,8 @@
             Timer::ConnectionCheck(connection) => self.check_connection(now, connection),
             Timer::DelayedConnect(connection) => self.open_delayed_connection(now, connection),
             Timer::HostCheck(machine) => self.check_host(now, machine),
-            Timer::OwnerCheck(owner) => self.check_owner(owner),
-            Timer::ReleaseExpiry => self.pending_releases.remove_expired(now),
-            Timer::AdmissionDeadline(task) => self.reject_unadmitted_request(task),
+            Timer::OwnerCheck(owner) => self.check_owner(now, owner),
+            Timer::AdmissionDeadline(task) => self.reject_unadmitted_request(now, task),
         }
     }
 
@@ -252,8 +258,8 @@
                     self.abandon_attempt(attempt.task, AttemptOutcome::Cancelled, false);
                 }
             }
-            Action::Reject { task, .. } => self.send_final_answer(task, Cause::NO_CAPACITY),
-            Action::Fail(task) => self.send_final_answer(task, Cause::ERROR),
+            Action::Reject { task, .. } => self.send_final_answer(now, task, Cause::NO_CAPACITY),
+            Action::Fail(task) => self.send_final_answer(now, task, Cause::ERROR),
             Action::Migrate(task) => self.notify_relocation(task),
             Action::SetTimer { after, label } => {
                 self.timers.schedule(now + after, Timer::Policy(label))
@@ -272,9 +278,9 @@
     }
 
     /// Answers all pending requests with an error, which does not say whether the task has run. Used when draining ends.
-    fn fail_pending_requests(&mut self) {
+    fn fail_pending_requests(&mut self, now: Micros) {
         for task in self.tasks.pending_ids() {
-            self.send_final_answer(task, Cause::ERROR);
+            self.send_final_answer(now, task, Cause::ERROR);
             self.policy_events.push(Event::ClientDisconnected(task));
         }
     }
--- a/crates/platform/src/engine/output.rs
+++ b/crates/platform/src/engine/output.rs
@@ -30,6 +30,15 @@
     CloseConnection(ConnectionId),
 }
 
+/// Whether all bytes for an owner were written before its connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteProgress {
+    /// All were written to the socket. The owner may not have received the last of them.
+    Complete,
+    /// Some were not written.
+    Incomplete,
+}
+
 /// Why a connection to a host was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DisconnectReason {
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -1,14 +1,16 @@
 //! Owners' connections: the messages received on them, when they are closed, and which to close first.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 
-use maplethread::{Micros, TaskId};
+use maplethread::{MachineId, Micros, TaskId};
 use maplethread_engine::Decide;
 use maplethread_platform_wire::owner::{DecodeError, FromOwner, ToOwner};
 use maplethread_platform_wire::{Cause, SetupId};
 
 use super::Engine;
-use super::output::{Output, OwnerId};
+use super::output::{Output, OwnerId, WriteProgress};
+use super::owner_evidence::OwnerEvidence;
 use super::timer::Timer;
 
 /// An owner's connection is closed if its first valid message does not arrive within this time. The platform's acceptance
@@ -17,12 +19,13 @@
 
 /// An owner's connection. The engine identifies owners by their connections, so an owner with two connections counts as two
 /// owners.
-#[derive(Default)]
 pub(super) struct Owner {
     /// The owner has sent a request, a running task or a probe.
     pub(super) has_sent_valid_message: bool,
-    /// One of the owner's tasks was placed. Clients that send only requests that fail get no releases of other owners.
-    pub(super) has_placed_task: bool,
+    /// What shows whether the connection is one of an owner, and of which.
+    pub(super) evidence: OwnerEvidence,
+    /// The owner has acknowledged a release.
+    pub(super) acknowledges_releases: bool,
     /// Requests that have not been answered.
     pub(super) pending: BTreeSet<TaskId>,
     /// When the last message was received.
@@ -31,12 +34,23 @@
     pub(super) is_half_closed: bool,
 }
 
+impl Owner {
+    /// Whether messages on the connection can still be received.
+    pub(super) fn is_reachable(&self) -> bool {
+        !self.is_half_closed
+    }
+}
+
 impl<D: Decide> Engine<D> {
-    /// Handles a new connection of an owner.
-    pub fn owner_connected(&mut self, now: Micros, id: OwnerId) {
+    /// Handles a new connection of an owner from a remote address.
+    pub fn owner_connected(&mut self, now: Micros, id: OwnerId, address: IpAddr) {
         let owner = Owner {
+            has_sent_valid_message: false,
+            evidence: OwnerEvidence::new(address),
+            acknowledges_releases: false,
+            pending: BTreeSet::new(),
             last_received: now,
-            ..Owner::default()
+            is_half_closed: false,
         };
         self.owners.insert(id, owner);
         self.timers
@@ -44,56 +58,38 @@
     }
 
     /// The owner's connection to close first when descriptors run out: one that has sent no valid message, else one that has
-    /// placed no task, else any other. Of several such connections it is the one whose last message is the oldest.
+    /// neither placed nor handed over a task, else any other. Of several such connections it is the one whose last message is the oldest.
     /// Connections with a pending request are never closed.
     pub fn lowest_priority_owner(&self) -> Option<OwnerId> {
         self.owners
             .iter()
             .filter(|(_, owner)| owner.pending.is_empty())
             .min_by_key(|(id, owner)| {
-                let priority = (owner.has_sent_valid_message, owner.has_placed_task);
+                let priority = (owner.has_sent_valid_message, owner.evidence.is_in_use());
                 (priority, owner.last_received, **id)
             })
             .map(|(&id, _)| id)
     }
 
     /// Handles an owner that has closed its side: its pending requests are cancelled. Earlier input may still be unread.
-    pub fn owner_half_closed(&mut self, id: OwnerId) {
+    pub fn owner_half_closed(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
         let Some(owner) = self.owners.get_mut(&id) else {
             return;
         };
-        owner.is_half_closed = true;
+        if std::mem::replace(&mut owner.is_half_closed, true) {
+            return;
+        }
         let pending = std::mem::take(&mut owner.pending);
-        self.replace_fallback_owner(id);
+        self.resend_releases(now, id, written);
         for task in pending {
             self.cancel_request(task);
         }
     }
 
     /// Handles the loss of an owner's connection: its pending requests are cancelled, its running tasks continue.
-    pub fn owner_disconnected(&mut self, id: OwnerId) {
-        let Some(owner) = self.owners.remove(&id) else {
-            return;
-        };
-        self.replace_fallback_owner(id);
-        for task in owner.pending {
-            self.cancel_request(task);
-        }
-    }
-
-    /// Selects another fallback owner if `unusable` is the current one.
-    fn replace_fallback_owner(&mut self, unusable: OwnerId) {
-        if self.fallback_owner != Some(unusable) {
-            return;
-        }
-        self.fallback_owner = self
-            .owners
-            .iter()
-            .filter(|(id, owner)| {
-                **id != unusable && owner.has_placed_task && !owner.is_half_closed
-            })
-            .max_by_key(|(id, owner)| (owner.last_received, **id))
-            .map(|(&id, _)| id);
+    pub fn owner_disconnected(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
+        self.owner_half_closed(now, id, written);
+        self.owners.remove(&id);
     }
 
     /// Handles a message from an owner, or the error of decoding it.
@@ -112,24 +108,32 @@
                 self.adopt_running_task(now, id, setup)
             }
             Ok(FromOwner::Setup(setup)) => self.handle_request(now, id, setup),
-            Ok(FromOwner::Close { id: setup, cause }) => self.handle_owner_close(now, setup, cause),
+            Ok(FromOwner::Close { id: setup, cause }) => {
+                self.handle_owner_close(now, id, setup, cause)
+            }
+            Ok(FromOwner::Closed { id: setup }) => self.handle_release_acknowledged(id, setup),
             Ok(FromOwner::Probe { id: probe }) => {
                 owner.has_sent_valid_message = true;
                 let answer = ToOwner::Probed {
                     id: probe,
                     is_healthy: true,
                 };
+                let is_new_evidence = owner.evidence.record_probe();
                 self.outputs.push(Output::SendToOwner(id, answer));
+                if is_new_evidence {
+                    self.offer_pending_releases(now, id);
+                }
             }
             Ok(FromOwner::Ignored) => {}
             Err(error) => {
                 tracing::debug!(owner = id.0, %error, "invalid message from owner");
+                owner.evidence.record_invalid_message();
                 match error {
                     DecodeError::InvalidField { id: setup, .. } => {
-                        self.reject_setup(id, setup, Cause::ERROR)
+                        self.reject_setup(now, id, setup, Cause::ERROR)
                     }
                     DecodeError::LineTooLong | DecodeError::Malformed(_) => {
-                        self.disconnect_owner(id)
+                        self.disconnect_owner(now, id)
                     }
                 }
             }
@@ -137,21 +141,22 @@
     }
 
     /// Closes an owner's connection and cancels its pending requests.
-    fn disconnect_owner(&mut self, id: OwnerId) {
-        self.owner_disconnected(id);
+    fn disconnect_owner(&mut self, now: Micros, id: OwnerId) {
+        // The shell writes what is unwritten before it closes the connection.
+        self.owner_disconnected(now, id, WriteProgress::Complete);
         self.outputs.push(Output::CloseOwner(id));
     }
 
     /// Rejects a set-up that was not accepted as a request. If a request with the same id is pending on the same connection,
     /// the answers to both would have the same id, so the connection is closed instead.
-    pub(super) fn reject_setup(&mut self, owner: OwnerId, id: SetupId, cause: Cause) {
+    pub(super) fn reject_setup(&mut self, now: Micros, owner: OwnerId, id: SetupId, cause: Cause) {
         let is_pending_here = self
             .tasks
             .id_by_setup(id)
             .and_then(|task| self.tasks.get(task))
             .is_some_and(|entry| entry.is_pending && entry.owner == owner);
         if is_pending_here {
-            self.disconnect_owner(owner);
+            self.disconnect_owner(now, owner);
         } else {
             self.outputs
                 .push(Output::SendToOwner(owner, ToOwner::Close { id, cause }));
@@ -159,7 +164,7 @@
     }
 
     /// Disconnects an owner that has sent no valid message.
-    pub(super) fn check_owner(&mut self, id: OwnerId) {
+    pub(super) fn check_owner(&mut self, now: Micros, id: OwnerId) {
         if self
             .owners
             .get(&id)
@@ -169,7 +174,49 @@
                 owner = id.0,
                 "disconnecting owner: no valid message received in time"
             );
-            self.disconnect_owner(id);
+            self.disconnect_owner(now, id);
+        }
+    }
+
+    /// Records the final answer to a request that was not placed.
+    pub(super) fn record_answered_owner(&mut self, now: Micros, id: OwnerId) {
+        let is_new_evidence = self
+            .owners
+            .get_mut(&id)
+            .is_some_and(|owner| owner.evidence.record_answer());
+        if is_new_evidence {
+            self.offer_pending_releases(now, id);
+        }
+    }
+
+    /// Records the handover of a task that runs on `machine`.
+    pub(super) fn record_handover(&mut self, now: Micros, id: OwnerId, machine: MachineId) {
+        let is_host_listed = self
+            .host_table
+            .hosts
+            .get(&machine)
+            .is_some_and(|host| host.address.is_some());
+        let is_new_evidence = is_host_listed
+            && self
+                .owners
+                .get_mut(&id)
+                .is_some_and(|owner| owner.evidence.record_handover());
+        if is_new_evidence {
+            self.offer_pending_releases(now, id);
+        }
+    }
+
+    /// Records that an owner has cancelled a request.
+    pub(super) fn record_cancellation(&mut self, id: OwnerId) {
+        if let Some(owner) = self.owners.get_mut(&id) {
+            owner.evidence.record_cancellation();
+        }
+    }
+
+    /// Records an invalid message of an owner.
+    pub(super) fn record_invalid_message(&mut self, id: OwnerId) {
+        if let Some(owner) = self.owners.get_mut(&id) {
+            owner.evidence.record_invalid_message();
         }
     }
 }
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -9,6 +9,7 @@
 use super::Engine;
 use super::early_results::EarlyResult;
 use super::output::OwnerId;
+use super::release_table::Release;
 use super::task_table::TaskEntry;
 use super::timer::Timer;
 
@@ -38,28 +39,32 @@
         let id = setup.id;
         let Some(class) = self.class_index(&setup) else {
             tracing::debug!(%id, class = %setup.class, "request rejected: unknown class or missing idempotency key");
-            return self.reject_setup(owner, id, Cause::ERROR);
+            self.record_invalid_message(owner);
+            return self.reject_setup(now, owner, id, Cause::ERROR);
         };
         if self.tasks.id_by_setup(id).is_some() {
             tracing::debug!(%id, "request rejected: set-up id already in use");
-            return self.reject_setup(owner, id, Cause::NEVER_SENT);
+            return self.reject_setup(now, owner, id, Cause::NEVER_SENT);
         }
-        if self
+        let Some(owner_address) = self
             .owners
             .get(&owner)
-            .is_none_or(|owner| owner.is_half_closed)
-        {
+            .filter(|owner| owner.is_reachable())
+            .map(|owner| owner.evidence.address())
+        else {
             return;
-        }
+        };
         if self.is_rejecting_requests || !self.has_capacity(&setup) {
-            return self.reject_setup(owner, id, Cause::NO_CAPACITY);
+            return self.reject_setup(now, owner, id, Cause::NO_CAPACITY);
         }
         let deadline = now + micros_from_ms(setup.answer_timeout_ms.unwrap_or(0.0));
         // Not all owners mark the tasks that they resubmit, so a task name that was used recently identifies one too.
         let is_recent_name = self.tasks.record_name(now, &setup.task_name);
         let is_resubmission = is_recent_name || setup.is_resubmission;
         let task = build_task(class, &setup, deadline);
-        let id = self.tasks.insert(TaskEntry::pending(setup, owner));
+        let id = self
+            .tasks
+            .insert(TaskEntry::pending(setup, owner, owner_address));
         self.record_pending_request(owner, id);
         let task = Task {
             id,
@@ -84,9 +89,6 @@
         };
         owner.has_sent_valid_message = true;
         owner.pending.insert(task);
-        if owner.has_placed_task && !owner.is_half_closed {
-            self.fallback_owner = Some(id);
-        }
     }
 
     /// Admits queued requests to the policy, up to the limit for one turn.
@@ -104,10 +106,10 @@
     }
 
     /// Rejects a request that has not been admitted shortly before its deadline.
-    pub(super) fn reject_unadmitted_request(&mut self, task: TaskId) {
+    pub(super) fn reject_unadmitted_request(&mut self, now: Micros, task: TaskId) {
         let owner = self.tasks.get(task).map(|entry| entry.owner);
         if owner.is_some_and(|owner| self.admission_queue.contains(owner, task)) {
-            self.send_final_answer(task, Cause::NO_CAPACITY);
+            self.send_final_answer(now, task, Cause::NO_CAPACITY);
         }
     }
 
@@ -116,11 +118,13 @@
         let id = setup.id;
         let (Some(class), Some(host)) = (self.class_index(&setup), setup.running_on.clone()) else {
             tracing::debug!(%id, "running task ignored: unknown class or missing idempotency key");
+            return self.record_invalid_message(owner);
+        };
+        let Some(owner_entry) = self.owners.get_mut(&owner) else {
             return;
         };
-        if let Some(owner) = self.owners.get_mut(&owner) {
-            owner.has_sent_valid_message = true;
-        }
+        owner_entry.has_sent_valid_message = true;
+        let owner_address = owner_entry.evidence.address();
         if self.tasks.id_by_setup(id).is_some() || self.tasks.len() >= MAX_TASKS {
             return;
         }
@@ -131,13 +135,23 @@
         if let Some(EarlyResult::ReportedByHost(reporter, cause)) = early_result
             && reporter == machine
         {
-            return self.notify_release(now, owner, id, cause);
+            self.record_verified_owner(now, owner);
+            let release = Release {
+                id,
+                cause,
+                owner_address,
+            };
+            return self.notify_release(now, owner, release);
         }
         self.tasks.record_name(now, &setup.task_name);
         let task = build_task(class, &setup, now);
-        let task_id = self
-            .tasks
-            .insert(TaskEntry::running(setup, owner, machine, now));
+        let task_id = self.tasks.insert(TaskEntry::running(
+            setup,
+            owner,
+            owner_address,
+            machine,
+            now,
+        ));
         self.tasks.drop_description(task_id);
         let task = Task {
             id: task_id,
@@ -146,15 +160,22 @@
         self.policy_events
             .push(Event::TaskAdopted { task, machine });
         self.record_running_task(now, task_id, machine);
-        self.record_owner_placement(owner);
+        self.record_handover(now, owner, machine);
         if let Some(EarlyResult::ClosedByOwner(cause)) = early_result {
-            self.handle_owner_close(now, id, cause);
+            self.handle_owner_close(now, owner, id, cause);
         }
     }
 
     /// Handles an owner's close, which cancels a request or ends a running task.
-    pub(super) fn handle_owner_close(&mut self, now: Micros, id: SetupId, cause: Cause) {
+    pub(super) fn handle_owner_close(
+        &mut self,
+        now: Micros,
+        owner: OwnerId,
+        id: SetupId,
+        cause: Cause,
+    ) {
         let Some(task) = self.tasks.id_by_setup(id) else {
+            self.forget_release(id);
             let result = EarlyResult::ClosedByOwner(cause);
             return self.early_results.insert(now, id, result);
         };
@@ -163,10 +184,15 @@
         };
         if let Some(placement) = &mut entry.placement {
             placement.close_cause = Some(cause);
-            let machine = placement.machine;
+            let (machine, is_confirmed) = (placement.machine, placement.is_confirmed);
             self.close_at_host(now, machine, id, cause);
+            // Only owners know the ids of running tasks.
+            if is_confirmed {
+                self.record_verified_owner(now, owner);
+            }
         } else {
             self.cancel_request(task);
+            self.record_cancellation(owner);
         }
     }
 
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -7,6 +7,7 @@
 
 use super::Engine;
 use super::output::ConnectionId;
+use super::release_table::Release;
 
 impl<D: Decide> Engine<D> {
     /// Records a task that runs on a host, and opens a connection on which the host can release it if there is none.
@@ -40,13 +41,18 @@
         let Some(placement) = entry.placement.take() else {
             return;
         };
-        let (owner, id) = (entry.owner, entry.setup.id);
+        let owner = entry.owner;
+        let release = Release {
+            id: entry.setup.id,
+            cause,
+            owner_address: entry.owner_address,
+        };
         if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
             host.running.remove(&task);
         }
         self.push_attempt_finished(placement.attempt(task), outcome, reason, true);
         if placement.close_cause.is_none() && outcome != AttemptOutcome::Cancelled {
-            self.notify_release(now, owner, id, cause);
+            self.notify_release(now, owner, release);
         }
         self.tasks.remove_if_finished(task);
     }
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -1,6 +1,7 @@
 //! The table of tasks that are pending, in flight or running.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::IpAddr;
 
 use maplethread::{AttemptId, MachineId, Micros, TaskId};
 use maplethread_engine::stable_hash;
@@ -48,8 +49,10 @@
     /// The cause with which the owner closed the task. The close is repeated until the host confirms it, and the owner gets
     /// no release.
     pub(super) close_cause: Option<Cause>,
-    /// The owner was asked to request another placement.
-    pub(super) is_relocation_sent: bool,
+    /// A host has confirmed the task: it accepted it, or reported on it after its handover.
+    pub(super) is_confirmed: bool,
+    /// The connection on which the owner was asked last to request another placement.
+    pub(super) relocation_sent_on: Option<OwnerId>,
 }
 
 impl Placement {
@@ -60,7 +63,8 @@
             machine,
             since: now,
             close_cause: None,
-            is_relocation_sent: false,
+            is_confirmed: true,
+            relocation_sent_on: None,
         }
     }
 
@@ -78,6 +82,8 @@
 pub(super) struct TaskEntry {
     pub(super) setup: Box<Setup>,
     pub(super) owner: OwnerId,
+    /// The remote address of the owner's connection.
+    pub(super) owner_address: IpAddr,
     /// The request has not been answered.
     pub(super) is_pending: bool,
     pub(super) attempt_count: u32,
@@ -89,10 +95,11 @@
 
 impl TaskEntry {
     /// A task that was requested and is not placed yet.
-    pub(super) fn pending(setup: Box<Setup>, owner: OwnerId) -> TaskEntry {
+    pub(super) fn pending(setup: Box<Setup>, owner: OwnerId, owner_address: IpAddr) -> TaskEntry {
         TaskEntry {
             setup,
             owner,
+            owner_address,
             is_pending: true,
             attempt_count: 0,
             in_flight: None,
@@ -101,18 +108,22 @@
         }
     }
 
-    /// A task that already runs. It was placed by attempt 0.
+    /// A task that already runs, by the word of its owner. It was placed by attempt 0.
     pub(super) fn running(
         setup: Box<Setup>,
         owner: OwnerId,
+        owner_address: IpAddr,
         machine: MachineId,
         now: Micros,
     ) -> TaskEntry {
         TaskEntry {
             is_pending: false,
             attempt_count: 1,
-            placement: Some(Placement::new(machine, 0, now)),
-            ..TaskEntry::pending(setup, owner)
+            placement: Some(Placement {
+                is_confirmed: false,
+                ..Placement::new(machine, 0, now)
+            }),
+            ..TaskEntry::pending(setup, owner, owner_address)
         }
     }
 
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -4,5 +4,6 @@
 mod hosts;
 mod owners;
 mod race_conditions;
+mod release_delivery;
 mod requests;
 mod support;
--- a/crates/platform/src/engine/tests/owners.rs
+++ b/crates/platform/src/engine/tests/owners.rs
@@ -1,5 +1,7 @@
 //! Owners' connections and the messages received and sent on them.
 
+use std::net::IpAddr;
+
 use maplethread::{Action, AttemptOutcome, Event, MachineId, ServiceId, Task};
 use maplethread_platform_wire::owner::{DecodeError, Setup, ToOwner};
 use maplethread_platform_wire::{Cause, SetupId};
@@ -11,7 +13,7 @@
 fn queues_release_for_another_owner_when_its_own_is_disconnected() {
     let mut harness = Harness::new();
     let (_, connection) = harness.start_task(7);
-    harness.engine.owner_disconnected(OWNER_A);
+    harness.disconnect_owner(OWNER_A);
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(messages_to_owners(&outputs), []);
     // The release is queued until a task of another owner is placed. A client that has only sent requests does not get it.
@@ -31,18 +33,17 @@
     // Many clients send requests later and none is placed. The owner's connection still has a higher priority than theirs.
     for n in 0..50 {
         harness.now += MS;
-        harness
-            .engine
-            .owner_connected(harness.now, OwnerId(100 + n));
+        let address = IpAddr::from([10, 0, 1, n as u8]);
+        harness.connect_owner(OwnerId(100 + n), address);
         let task = harness.request(OwnerId(100 + n), 100 + n);
         harness.perform(Action::Reject {
             task,
             retry_after: None,
         });
     }
-    harness.engine.owner_disconnected(OWNER_B);
+    harness.disconnect_owner(OWNER_B);
     assert_eq!(harness.engine.lowest_priority_owner(), Some(OwnerId(100)));
-    harness.engine.owner_disconnected(OWNER_A);
+    harness.disconnect_owner(OWNER_A);
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(messages_to_owners(&outputs), []);
 }
@@ -145,7 +146,7 @@
     let mut harness = Harness::new();
     harness.request(OWNER_A, 7);
     assert_eq!(harness.engine.lowest_priority_owner(), Some(OWNER_B));
-    harness.engine.owner_disconnected(OWNER_B);
+    harness.disconnect_owner(OWNER_B);
     assert_eq!(harness.engine.lowest_priority_owner(), None);
 }
 
@@ -157,7 +158,7 @@
     harness.offer(second, 0);
     let outputs = harness.owner_sends(OWNER_A, owner_close(7, Cause::NORMAL));
     assert!(sends(&outputs, connection, kind::CLOSE) && messages_to_owners(&outputs).is_empty());
-    harness.engine.owner_disconnected(OWNER_B);
+    harness.disconnect_owner(OWNER_B);
     assert!(sends(&harness.turn(), connection, kind::CLOSE));
     let events = harness.take_events();
     let disconnected: Vec<&Event> = events
@@ -218,7 +219,7 @@
         [(OWNER_A, close(8, Cause::NORMAL))]
     );
     let (task, _) = harness.start_task(9);
-    harness.engine.owner_disconnected(OWNER_A);
+    harness.disconnect_owner(OWNER_A);
     assert_eq!(harness.perform(Action::Migrate(task)), []);
 }
 
--- a/crates/platform/src/engine/tests/race_conditions.rs
+++ b/crates/platform/src/engine/tests/race_conditions.rs
@@ -52,7 +52,7 @@
     harness.owner_sends(OWNER_A, owner_close(500, Cause::NORMAL));
     let second = take_requested_ids(&harness);
     assert_eq!(second.len(), MAX_ADMISSIONS_PER_TURN);
-    harness.engine.owner_half_closed(OWNER_A);
+    harness.half_close_owner(OWNER_A);
     harness.owner_sends(OWNER_A, request(setup(3000)));
     assert_eq!(
         (
@@ -203,9 +203,9 @@
         let connection = first_connect(&harness.offer(task, 0));
         // The end of the owner's connection and the establishment of the host's are handled in the same turn.
         if is_reset {
-            harness.engine.owner_disconnected(OWNER_A);
+            harness.disconnect_owner(OWNER_A);
         } else {
-            harness.engine.owner_half_closed(OWNER_A);
+            harness.half_close_owner(OWNER_A);
         }
         harness.establish(connection);
         let outputs = harness.turn();
@@ -259,7 +259,7 @@
     harness.offer_and_send(task, 0);
     harness.host_sends(connection, host_ready(9, "t"));
     // The half-close is reported before the last messages of the connection are read.
-    harness.engine.owner_half_closed(OWNER_A);
+    harness.half_close_owner(OWNER_A);
     let outputs = harness.owner_sends(OWNER_A, owner_close(7, Cause::NORMAL));
     assert!(sends(&outputs, connection, kind::CLOSE));
     // Releases are sent on another connection, even for tasks that are then handed over on the half-closed one.
--- /dev/null
+++ b/crates/platform/src/engine/tests/release_delivery.rs
@@ -0,0 +1,338 @@
+//! Which connections get the releases and relocations of tasks whose own connections have ended, and which do not.
+
+use std::net::IpAddr;
+
+use maplethread::{Action, Micros, TaskId};
+use maplethread_platform_wire::owner::{DecodeError, FromOwner};
+use maplethread_platform_wire::{Cause, SetupId};
+
+use super::support::*;
+use crate::engine::{Output, OwnerId, WriteProgress};
+
+const OWNER_A_AGAIN: OwnerId = OwnerId(3);
+const STRANGER: OwnerId = OwnerId(9);
+const RELEASE_7: (OwnerId, SetupId) = (OWNER_A_AGAIN, SetupId(7));
+
+/// The connections that get a release, with the ids of the tasks.
+fn releases(outputs: &[Output]) -> Vec<(OwnerId, SetupId)> {
+    use maplethread_platform_wire::owner::ToOwner;
+    messages_to_owners(outputs)
+        .into_iter()
+        .filter_map(|(owner, message)| match message {
+            ToOwner::Close { id, .. } => Some((owner, id)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn probe(harness: &mut Harness, owner: OwnerId) -> Vec<Output> {
+    harness.owner_sends(owner, FromOwner::Probe { id: SetupId(1) })
+}
+
+/// A request that the policy rejects. Returns the outputs.
+fn rejected_request(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
+    let task = harness.request(owner, id);
+    harness.perform(Action::Reject {
+        task,
+        retry_after: None,
+    })
+}
+
+/// Places a task of any owner on host `a`, to which there is a connection.
+fn place(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
+    let task = harness.request(owner, id);
+    let connection = harness.offer_and_send(task, 0);
+    harness.host_sends(connection, host_ready(id, "t"))
+}
+
+/// Owner `A` has a running task, 7, and its connection ends. Returns the connection to the host.
+fn start_task_and_disconnect_owner(harness: &mut Harness) -> (TaskId, crate::engine::ConnectionId) {
+    let (task, connection) = harness.start_task(7);
+    harness.advance(1_000 * MS);
+    harness.disconnect_owner(OWNER_A);
+    (task, connection)
+}
+
+/// Guards against a release that is dropped, because its owner's new connection has no placed task yet: the hosts are full.
+#[test]
+fn release_reaches_new_connection_of_owner_whose_requests_were_all_rejected() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    probe(&mut harness, OWNER_A_AGAIN);
+    rejected_request(&mut harness, OWNER_A_AGAIN, 8);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), [RELEASE_7]);
+}
+
+/// Guards against releases that wait for a placement although their owner has connected again.
+#[test]
+fn release_without_any_owner_is_sent_as_soon_as_a_likely_owner_connects() {
+    let connect_again: [fn(&mut Harness) -> Vec<Output>; 3] = [
+        |harness| probe(harness, OWNER_A_AGAIN),
+        |harness| rejected_request(harness, OWNER_A_AGAIN, 8),
+        |harness| harness.owner_sends(OWNER_A_AGAIN, request(running_setup(8, "a"))),
+    ];
+    for connect_again in connect_again {
+        let mut harness = Harness::new();
+        let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+        let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+        assert_eq!(releases(&outputs), []);
+        harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+        let outputs = connect_again(&mut harness);
+        assert!(releases(&outputs).contains(&RELEASE_7), "{outputs:?}");
+    }
+}
+
+/// Guards against a release that is dropped without a trace while no connection of an owner is open.
+#[test]
+fn release_stays_pending_until_an_owner_connects_however_late() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    harness.advance(60_000 * MS);
+    assert_eq!(harness.engine.table_sizes().pending_releases, 1);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    let outputs = place(&mut harness, OWNER_A_AGAIN, 8);
+    assert_eq!(releases(&outputs), [RELEASE_7]);
+    assert_eq!(harness.engine.table_sizes().pending_releases, 0);
+}
+
+/// Guards against releases that only a faulty client receives.
+#[test]
+fn faulty_clients_get_no_release_of_another_connection() {
+    let misbehave: [fn(&mut Harness); 6] = [
+        |_| {},
+        // It only repeats requests that fail.
+        |harness| {
+            for id in 100..110 {
+                rejected_request(harness, STRANGER, id);
+            }
+        },
+        // It only checks the placer's health.
+        |harness| drop(probe(harness, STRANGER)),
+        // It cancels its requests and passes a health check.
+        |harness| {
+            for id in 100..110 {
+                harness.request(STRANGER, id);
+                harness.owner_sends(STRANGER, owner_close(id, Cause::NORMAL));
+            }
+            probe(harness, STRANGER);
+        },
+        // It has sent an invalid field besides a health check and a valid request.
+        |harness| {
+            probe(harness, STRANGER);
+            rejected_request(harness, STRANGER, 100);
+            let error = DecodeError::InvalidField {
+                id: SetupId(9),
+                field: "left",
+                expected: "a time",
+            };
+            harness
+                .engine
+                .handle_owner_message(harness.now, STRANGER, Err(error));
+        },
+        // It hands over a task that no host knows, on a host that is not listed.
+        |harness| {
+            harness.owner_sends(STRANGER, request(running_setup(100, "unlisted")));
+        },
+    ];
+    for (index, misbehave) in misbehave.into_iter().enumerate() {
+        let mut harness = Harness::new();
+        harness.connect_owner(STRANGER, IpAddr::from([10, 0, 0, 9]));
+        misbehave(&mut harness);
+        harness.disconnect_owner(OWNER_B);
+        let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+        let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+        assert_eq!(releases(&outputs), [], "{index}");
+        // The owner gets it although the faulty client is connected.
+        harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+        let outputs = probe(&mut harness, OWNER_A_AGAIN);
+        assert_eq!(releases(&outputs), [RELEASE_7], "{index}");
+    }
+}
+
+#[test]
+fn invalid_messages_and_cancelled_requests_outweigh_the_address_of_the_owner() {
+    let mut harness = Harness::new();
+    harness.connect_owner(STRANGER, ADDRESS_A);
+    harness.request(STRANGER, 100);
+    harness.owner_sends(STRANGER, owner_close(100, Cause::NORMAL));
+    probe(&mut harness, STRANGER);
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), []);
+}
+
+#[test]
+fn release_prefers_the_most_likely_connection_and_is_sent_to_a_verified_one_too() {
+    let mut harness = Harness::new();
+    harness.connect_owner(STRANGER, ADDRESS_A);
+    probe(&mut harness, STRANGER);
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    probe(&mut harness, OWNER_A_AGAIN);
+    rejected_request(&mut harness, OWNER_A_AGAIN, 8);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), [RELEASE_7]);
+    // It has not acknowledged the release, so a verified owner gets it as well.
+    let outputs = place(&mut harness, OWNER_B, 9);
+    assert_eq!(releases(&outputs), [(OWNER_B, SetupId(7))]);
+}
+
+#[test]
+fn acknowledged_release_is_not_sent_again() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    probe(&mut harness, OWNER_A_AGAIN);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), [RELEASE_7]);
+    let closed = FromOwner::Closed { id: SetupId(7) };
+    harness.owner_sends(OWNER_B, closed.clone());
+    assert_eq!(harness.engine.table_sizes().pending_releases, 1);
+    harness.owner_sends(OWNER_A_AGAIN, closed);
+    assert_eq!(harness.engine.table_sizes().pending_releases, 0);
+    assert_eq!(releases(&place(&mut harness, OWNER_B, 9)), []);
+}
+
+#[test]
+fn owner_that_ends_its_task_gets_no_pending_release_of_it() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    harness.owner_sends(OWNER_A_AGAIN, owner_close(7, Cause::NORMAL));
+    assert_eq!(releases(&probe(&mut harness, OWNER_A_AGAIN)), []);
+}
+
+/// Guards against a release that is lost because it crosses the end of the connection on which it is sent.
+#[test]
+fn release_that_crosses_the_end_of_its_connection_is_sent_on_another() {
+    let ends: [(Micros, WriteProgress, bool); 4] = [
+        (0, WriteProgress::Complete, true),
+        (100 * MS, WriteProgress::Complete, true),
+        // The owner had time to receive it.
+        (3_000 * MS, WriteProgress::Complete, false),
+        // The owner does not read.
+        (3_000 * MS, WriteProgress::Incomplete, true),
+    ];
+    for (delay, written, is_resent) in ends {
+        for is_half_close in [false, true] {
+            let mut harness = Harness::new();
+            place(&mut harness, OWNER_B, 6);
+            let (_, connection) = harness.start_task(7);
+            let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+            assert_eq!(releases(&outputs), [(OWNER_A, SetupId(7))]);
+            harness.advance(delay);
+            if is_half_close {
+                harness
+                    .engine
+                    .owner_half_closed(harness.now, OWNER_A, written);
+            } else {
+                harness
+                    .engine
+                    .owner_disconnected(harness.now, OWNER_A, written);
+            }
+            assert_eq!(harness.engine.next_timeout() == Some(0), is_resent);
+            let expected: &[_] = if is_resent {
+                &[(OWNER_B, SetupId(7))]
+            } else {
+                &[]
+            };
+            assert_eq!(releases(&harness.turn()), expected, "{delay} {written:?}");
+        }
+    }
+}
+
+#[test]
+fn release_that_an_acknowledging_owner_has_not_acknowledged_is_sent_again_when_its_connection_ends()
+{
+    let mut harness = Harness::new();
+    place(&mut harness, OWNER_B, 5);
+    harness.start_task(6);
+    let (_, connection) = harness.start_task(7);
+    harness.host_sends(connection, host_close(6, Cause::NORMAL));
+    harness.owner_sends(OWNER_A, FromOwner::Closed { id: SetupId(6) });
+    harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    harness.advance(3_000 * MS);
+    harness.disconnect_owner(OWNER_A);
+    assert_eq!(releases(&harness.turn()), [(OWNER_B, SetupId(7))]);
+}
+
+#[test]
+fn pending_release_moves_on_when_its_unverified_recipient_disconnects() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    probe(&mut harness, OWNER_A_AGAIN);
+    rejected_request(&mut harness, OWNER_A_AGAIN, 8);
+    harness.connect_owner(STRANGER, ADDRESS_A);
+    probe(&mut harness, STRANGER);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), [RELEASE_7]);
+    harness.disconnect_owner(OWNER_A_AGAIN);
+    assert_eq!(releases(&harness.turn()), [(STRANGER, SetupId(7))]);
+}
+
+#[test]
+fn handover_verifies_its_connection_once_the_host_confirms_the_task() {
+    let mut harness = Harness::new();
+    let outputs = harness.owner_sends(OWNER_A, request(running_setup(7, "a")));
+    let connection = first_connect(&outputs);
+    harness.establish(connection);
+    harness.disconnect_owner(OWNER_A);
+    harness.owner_sends(OWNER_B, request(running_setup(8, "unlisted")));
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+    assert_eq!(releases(&outputs), []);
+    harness.owner_sends(OWNER_B, request(running_setup(9, "a")));
+    let report = host_report(9, maplethread_platform_wire::host::ReportCode::Running, 1.0);
+    let outputs = harness.host_sends(connection, report);
+    assert_eq!(
+        harness.engine.table_sizes().pending_releases,
+        0,
+        "{outputs:?}"
+    );
+}
+
+/// Guards against a move that is never requested again after the connection on which it was sent has ended.
+#[test]
+fn relocation_is_sent_again_once_its_connection_has_ended() {
+    let mut harness = Harness::new();
+    place(&mut harness, OWNER_B, 6);
+    let (task, _) = harness.start_task(7);
+    let outputs = harness.perform(Action::Migrate(task));
+    assert_eq!(messages_to_owners(&outputs), [(OWNER_A, relocate(7))]);
+    harness.disconnect_owner(OWNER_A);
+    let outputs = harness.perform(Action::Migrate(task));
+    assert_eq!(messages_to_owners(&outputs), [(OWNER_B, relocate(7))]);
+    assert_eq!(harness.perform(Action::Migrate(task)), []);
+}
+
+#[test]
+fn connection_that_is_not_verified_gets_no_relocation_of_another() {
+    let mut harness = Harness::new();
+    let (task, _) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    probe(&mut harness, OWNER_A_AGAIN);
+    assert_eq!(harness.perform(Action::Migrate(task)), []);
+}
+
+#[test]
+fn release_tables_are_bounded() {
+    let mut harness = Harness::new();
+    let (_, connection) = harness.start_task(1);
+    for id in 100..5_000 {
+        harness.owner_sends(OWNER_A, request(running_setup(id, "a")));
+    }
+    for id in 100..2_500 {
+        harness.host_sends(connection, host_close(id, Cause::NORMAL));
+    }
+    assert_eq!(harness.engine.table_sizes().sent_releases, 2_048);
+    harness.disconnect_owner(OWNER_A);
+    for id in 2_500..5_000 {
+        harness.host_sends(connection, host_close(id, Cause::NORMAL));
+    }
+    let sizes = harness.engine.table_sizes();
+    assert_eq!((sizes.pending_releases, sizes.sent_releases), (2_048, 0));
+}
--- a/crates/platform/src/engine/tests/support.rs
+++ b/crates/platform/src/engine/tests/support.rs
@@ -1,6 +1,7 @@
 //! A harness for an engine with a scripted policy, and constructors of messages.
 
 use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
 
 use maplethread::{Action, AttemptOutcome, Event, MachineId, Micros, TaskId};
@@ -12,11 +13,13 @@
 use maplethread_platform_wire::{Cause, SetupId};
 use serde_json::{Value, json};
 
-use crate::engine::{ConnectionId, DisconnectReason, Engine, Output, OwnerId};
+use crate::engine::{ConnectionId, DisconnectReason, Engine, Output, OwnerId, WriteProgress};
 
 pub(super) const MS: Micros = 1000;
 pub(super) const OWNER_A: OwnerId = OwnerId(1);
 pub(super) const OWNER_B: OwnerId = OwnerId(2);
+pub(super) const ADDRESS_A: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+pub(super) const ADDRESS_B: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2));
 const START: Micros = 1_700_000_000_000_000;
 
 /// Message types for hosts: the byte after the length field.
@@ -83,8 +86,8 @@
             cursor: 0,
         };
         harness.list_host("a", "127.0.0.1:1", "active", 0.0);
-        harness.engine.owner_connected(START, OWNER_A);
-        harness.engine.owner_connected(START, OWNER_B);
+        harness.connect_owner(OWNER_A, ADDRESS_A);
+        harness.connect_owner(OWNER_B, ADDRESS_B);
         harness.turn();
         harness.take_events();
         harness
@@ -154,6 +157,23 @@
         });
     }
 
+    /// Connects an owner from an address.
+    pub(super) fn connect_owner(&mut self, owner: OwnerId, address: IpAddr) {
+        self.engine.owner_connected(self.now, owner, address);
+    }
+
+    /// Ends an owner's connection, to which everything was written.
+    pub(super) fn disconnect_owner(&mut self, owner: OwnerId) {
+        self.engine
+            .owner_disconnected(self.now, owner, WriteProgress::Complete);
+    }
+
+    /// Ends the owner's side of a connection, to which everything was written.
+    pub(super) fn half_close_owner(&mut self, owner: OwnerId) {
+        self.engine
+            .owner_half_closed(self.now, owner, WriteProgress::Complete);
+    }
+
     /// Reports a connection to a host as established.
     pub(super) fn establish(&mut self, connection: ConnectionId) {
         self.engine.connection_established(self.now, connection);
--- a/crates/platform/src/engine/timer.rs
+++ b/crates/platform/src/engine/timer.rs
@@ -18,8 +18,6 @@
     HostCheck(MachineId),
     /// An owner that has sent no valid message is to be disconnected.
     OwnerCheck(OwnerId),
-    /// A pending release may have expired.
-    ReleaseExpiry,
     /// A request that has not been admitted has to be answered.
     AdmissionDeadline(TaskId),
 }
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -6,7 +6,7 @@
 use maplethread_reactor::{ReadOutcome, Readiness, TcpConnection, is_resource_exhausted};
 
 use super::{KIND_BITS, MAX_UNREAD_BYTES, OWNER_KIND, Shell, token};
-use crate::engine::OwnerId;
+use crate::engine::{OwnerId, WriteProgress};
 use crate::startup::StartError;
 
 /// The maximum number of bytes read from one owner in one turn of the event loop. It keeps turns short when many owners
@@ -77,6 +77,14 @@
     is_write_closed: bool,
 }
 
+fn write_progress(connection: &TcpConnection) -> WriteProgress {
+    if connection.unwritten_bytes() == 0 {
+        WriteProgress::Complete
+    } else {
+        WriteProgress::Incomplete
+    }
+}
+
 impl Shell {
     /// The number of connections of owners and hosts.
     pub(super) fn connection_count(&self) -> usize {
@@ -108,6 +116,10 @@
                     continue;
                 }
             };
+            // It fails if the connection has ended meanwhile.
+            let Ok(address) = stream.peer_addr() else {
+                continue;
+            };
             self.last_owner_id += 1;
             let id = OwnerId(self.last_owner_id);
             match TcpConnection::from_accepted(
@@ -124,7 +136,8 @@
                             last_read_turn: 0,
                         },
                     );
-                    self.engine.owner_connected(self.event_loop.now(), id);
+                    let now = self.event_loop.now();
+                    self.engine.owner_connected(now, id, address.ip());
                 }
                 Err(error) => tracing::warn!(%error, "cannot set up an accepted connection"),
             }
@@ -198,9 +211,13 @@
     }
 
     fn disconnect_owner(&mut self, id: OwnerId) {
-        self.owners.remove(&id);
+        let Some(owner) = self.owners.remove(&id) else {
+            return;
+        };
         self.throttled_owners.remove(&id);
-        self.engine.owner_disconnected(id);
+        let now = self.event_loop.now();
+        self.engine
+            .owner_disconnected(now, id, write_progress(&owner.conn));
         self.resume_accepting();
     }
 
@@ -219,7 +236,9 @@
         };
         if readiness.is_closed {
             // Input may be unread, such as closes of running tasks, but the owner does not read answers any more.
-            self.engine.owner_half_closed(id);
+            let now = self.event_loop.now();
+            self.engine
+                .owner_half_closed(now, id, write_progress(&owner.conn));
         }
         if std::mem::replace(&mut owner.last_read_turn, self.turn_number) != self.turn_number {
             self.read_owner(id, OWNER_READ_BYTES);
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::net::IpAddr;
 
 use maplethread::{Micros, Placer};
 use maplethread_platform::decode_settings;
--- a/crates/platform/tests/support/placers.rs
+++ b/crates/platform/tests/support/placers.rs
@@ -17,7 +17,7 @@
             self.now,
             &decode_batch(&list_update(self.cursor, true, &entries)),
         );
-        engine.owner_connected(self.now, OWNER);
+        engine.owner_connected(self.now, OWNER, IpAddr::from([127, 0, 0, 1]));
         engine.handle_owner_message(self.now, OWNER, Ok(FromOwner::Probe { id: SetupId(1) }));
         let process = &mut self.placers[placer];
         process.engine = Some(engine);
