Timers are cancelled with what they are for; requests taken back fill no memory

Cause: timers could not be cancelled and lay in the heap until due. Ending the request removed neither. The same held for the timeout of each attempt, the first-message check of each owner's connection, and each check of a host's connection that was replaced.

Evidence: engine/tests/resource_use.rs ends requests, attempts and connections in every way and compares the sizes of all tables.

Change: Timers hold their values in a map by due time and number, return ids and cancel by them. The id is kept with the request, attempt or connection and cancelled where that is removed. The label of a policy timer tells its task (TaskId::from_timer_label, the labels are as before), so the engine drops it with the request; the policy's actions are unchanged. Requests that were cancelled before admission leave the admission queue once they are the larger part, and with their connection.

--- a/crates/emulator/src/hollow_placers.rs
+++ b/crates/emulator/src/hollow_placers.rs
@@ -174,10 +174,10 @@
                     },
                 );
             }
-            Err(_) => self.timers.schedule(
-                self.clock.now() + RECONNECT_INTERVAL_US,
-                Timer::Connect(pair),
-            ),
+            Err(_) => {
+                let retry_at = self.clock.now() + RECONNECT_INTERVAL_US;
+                self.timers.schedule(retry_at, Timer::Connect(pair));
+            }
         }
     }
 
--- a/crates/emulator/src/random_choice.rs
+++ b/crates/emulator/src/random_choice.rs
@@ -7,8 +7,8 @@
 
 use maplethread::{
     Action, AttemptId, AttemptOutcome, DeduplicationScope, Event, MachineEntry, MachineId,
-    MachineState, Micros, RetrySafety, ServiceId, Settings, SpreadLimit, Task, TaskId,
-    TopologyLevel, UpdateScope,
+    MachineState, Micros, RetrySafety, ServiceId, Settings, SpreadLimit, TICK_TIMER_LABEL, Task,
+    TaskId, TopologyLevel, UpdateScope,
 };
 use maplethread_engine::Decide;
 
@@ -18,8 +18,6 @@
 const ANSWER_MARGIN_US: Micros = 15_000;
 /// Blocked tasks are retried this often, µs.
 const BLOCKED_RETRY_US: Micros = 100_000;
-/// The label of the timer for blocked tasks; deadline timers are labelled with the task's id plus 1.
-const TICK_LABEL: u64 = 0;
 /// Mutant 6 takes a longer time than this between two turns for a pause, µs.
 const PAUSE_THRESHOLD_US: Micros = 300_000;
 /// The number of the decider that violates no rule.
@@ -116,7 +114,7 @@
                 let answer_at = task.deadline.saturating_sub(ANSWER_MARGIN_US);
                 actions.push(Action::SetTimer {
                     after: answer_at.saturating_sub(self.now),
-                    label: task.id.0 + 1,
+                    label: task.id.timer_label(),
                 });
                 self.ready.push_back(task.id);
             }
@@ -165,9 +163,11 @@
                 }
             }
             Event::ClientDisconnected(task) => drop(self.pending.remove(task)),
-            Event::TimerFired { label: TICK_LABEL } => self.is_tick_set = false,
             Event::TimerFired { label } => {
-                let id = TaskId(label - 1);
+                let Some(id) = TaskId::from_timer_label(*label) else {
+                    self.is_tick_set = false;
+                    return;
+                };
                 if self
                     .pending
                     .get(&id)
@@ -438,7 +438,7 @@
             self.is_tick_set = true;
             actions.push(Action::SetTimer {
                 after: BLOCKED_RETRY_US,
-                label: TICK_LABEL,
+                label: TICK_TIMER_LABEL,
             });
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -39,5 +39,5 @@
 pub use decide::Decide;
 pub use engine::{Engine, StartInfo};
 pub use ids::{ActorKey, ClientId, HostId, RequestSlot, stable_hash};
-pub use maplethread_timers::Timers;
+pub use maplethread_timers::{TimerId, Timers};
 pub use output::Output;
--- a/crates/platform/src/engine/admission_queue.rs
+++ b/crates/platform/src/engine/admission_queue.rs
@@ -6,13 +6,20 @@
 use maplethread::{Task, TaskId};
 
 use super::output::OwnerId;
+use super::task_table::TaskTable;
 
-/// Requests that wait for admission. The limit on the number of tasks limits them too.
+/// Requests that are not pending any more are removed once there are this many more of them than pending ones. It keeps the
+/// cost of the removal in proportion to the number of requests.
+const MAX_OBSOLETE_EXCESS: usize = 64;
+
+/// Requests that wait for admission. The limit on the number of pending requests limits them too.
 #[derive(Default)]
 pub(super) struct AdmissionQueue {
     by_owner: HashMap<OwnerId, VecDeque<Task>>,
     /// Owners that have an entry in `by_owner`, each once.
     owner_order: VecDeque<OwnerId>,
+    /// The number of requests of all owners, including those that are not pending any more.
+    len: usize,
 }
 
 impl AdmissionQueue {
@@ -22,6 +29,7 @@
             self.owner_order.push_back(owner);
         }
         waiting.push_back(task);
+        self.len += 1;
     }
 
     /// Removes and returns the next request that is still pending; others are dropped.
@@ -30,7 +38,9 @@
             let Some(waiting) = self.by_owner.get_mut(&owner) else {
                 continue;
             };
+            let len_before = waiting.len();
             let task = std::iter::from_fn(|| waiting.pop_front()).find(|task| is_pending(task.id));
+            self.len -= len_before - waiting.len();
             if waiting.is_empty() {
                 self.by_owner.remove(&owner);
             } else {
@@ -50,6 +60,35 @@
             .is_some_and(|waiting| waiting.binary_search_by_key(&id, |task| task.id).is_ok())
     }
 
+    /// Removes the requests of an owner whose connection has ended.
+    pub(super) fn remove_owner(&mut self, owner: OwnerId) {
+        if let Some(waiting) = self.by_owner.remove(&owner) {
+            self.len -= waiting.len();
+            self.owner_order.retain(|&other| other != owner);
+        }
+    }
+
+    /// Removes requests that are not pending any more, once they are the larger part.
+    pub(super) fn remove_obsolete(&mut self, tasks: &TaskTable) {
+        if self.len <= 2 * tasks.pending_count() + MAX_OBSOLETE_EXCESS {
+            return;
+        }
+        let is_pending = |task: &Task| tasks.get(task.id).is_some_and(|entry| entry.is_pending);
+        for waiting in self.by_owner.values_mut() {
+            waiting.retain(is_pending);
+        }
+        self.by_owner.retain(|_, waiting| !waiting.is_empty());
+        let by_owner = &self.by_owner;
+        self.owner_order
+            .retain(|owner| by_owner.contains_key(owner));
+        self.len = by_owner.values().map(VecDeque::len).sum();
+    }
+
+    /// The number of requests, including those that are not pending any more.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.by_owner.is_empty()
     }
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -60,6 +60,7 @@
             None => false,
         };
         let deadline = now + timeout;
+        let timeout_timer = self.timers.schedule(deadline, Timer::AttemptTimeout(id));
         if let Some(entry) = self.tasks.get_mut(task) {
             entry.in_flight = Some(Attempt {
                 number: id.number,
@@ -67,11 +68,11 @@
                 connection,
                 offered_at: now,
                 deadline,
+                timeout_timer,
                 was_sent: is_established,
             });
             entry.used_connections.push(connection);
         }
-        self.timers.schedule(deadline, Timer::AttemptTimeout(id));
         if is_established {
             self.send_setup(now, task, connection);
         }
@@ -153,6 +154,7 @@
     /// Removes the task's attempt in flight from the task and from its connection.
     pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
         let attempt = self.tasks.get_mut(task)?.in_flight.take()?;
+        self.timers.cancel(attempt.timeout_timer);
         if let Some(connection) = self.connections.get_mut(&attempt.connection) {
             connection.attempts.remove(&task);
         }
@@ -186,7 +188,10 @@
         if let Some(owner) = owner {
             owner.pending.remove(&task);
         }
-        self.tasks.clear_pending(task)
+        self.cancel_deadline_timer(task);
+        let was_pending = self.tasks.clear_pending(task);
+        self.admission_queue.remove_obsolete(&self.tasks);
+        was_pending
     }
 
     /// Sends the final answer to a request that was not placed.
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use maplethread::{AttemptOutcome, MachineId, MachineState, Micros, TaskId};
-use maplethread_engine::Decide;
+use maplethread_engine::{Decide, TimerId};
 use maplethread_platform_wire::SetupId;
 use maplethread_platform_wire::host::{self, ToHost};
 
@@ -41,6 +41,9 @@
     pub(super) is_unresponsive: bool,
     /// When [`Engine::check_connection`] is due.
     pub(super) next_check: Micros,
+    check_timer: TimerId,
+    /// The timer of a delayed connect.
+    connect_timer: Option<TimerId>,
 }
 
 impl<D: Decide> Engine<D> {
@@ -89,6 +92,9 @@
             now.max(host.last_disconnected + RECONNECT_DELAY)
         };
         let next_check = opens_at + self.settings.connect_timeout;
+        let check_timer = self.timers.schedule(next_check, Timer::ConnectionCheck(id));
+        let connect_timer =
+            (opens_at > now).then(|| self.timers.schedule(opens_at, Timer::DelayedConnect(id)));
         let connection = HostConnection {
             machine,
             is_established: false,
@@ -97,12 +103,11 @@
             is_probe_pending: false,
             is_unresponsive: false,
             next_check,
+            check_timer,
+            connect_timer,
         };
         self.connections.insert(id, connection);
-        self.timers.schedule(next_check, Timer::ConnectionCheck(id));
-        if opens_at > now {
-            self.timers.schedule(opens_at, Timer::DelayedConnect(id));
-        } else {
+        if connect_timer.is_none() {
             self.outputs.push(Output::Connect(id, address));
         }
         Some(id)
@@ -155,6 +160,10 @@
             return;
         };
         let machine = connection.machine;
+        self.timers.cancel(connection.check_timer);
+        if let Some(timer) = connection.connect_timer {
+            self.timers.cancel(timer);
+        }
         tracing::debug!(
             host = self.host_table.name(machine),
             connection = id.0,
@@ -304,8 +313,9 @@
     /// Schedules the next check of a connection, replacing the one that was scheduled before.
     pub(super) fn schedule_connection_check(&mut self, id: ConnectionId, at: Micros) {
         if let Some(connection) = self.connections.get_mut(&id) {
+            self.timers.cancel(connection.check_timer);
             connection.next_check = at;
-            self.timers.schedule(at, Timer::ConnectionCheck(id));
+            connection.check_timer = self.timers.schedule(at, Timer::ConnectionCheck(id));
         }
     }
 
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -27,7 +27,7 @@
 
 use std::collections::HashMap;
 
-use maplethread::{Action, AttemptOutcome, Event, Micros, RetrySafety, Settings};
+use maplethread::{Action, AttemptOutcome, Event, Micros, RetrySafety, Settings, TaskId};
 use maplethread_engine::{Decide, Timers};
 use maplethread_platform_settings::PlatformSettings;
 use maplethread_platform_wire::Cause;
@@ -53,11 +53,13 @@
 pub struct TableSizes {
     /// Tasks that are pending, in flight or running.
     pub tasks: usize,
+    /// Requests that wait for admission, including some that are not pending any more.
+    pub queued_requests: usize,
     /// Connections to hosts.
     pub connections: usize,
     /// Hosts that are listed or run a task.
     pub hosts: usize,
-    /// Scheduled timers, including those that are obsolete.
+    /// Scheduled timers.
     pub timers: usize,
     /// Releases that no verified owner has got yet.
     pub pending_releases: usize,
@@ -185,6 +187,7 @@
     pub fn table_sizes(&self) -> TableSizes {
         TableSizes {
             tasks: self.tasks.len(),
+            queued_requests: self.admission_queue.len(),
             connections: self.connections.len(),
             hosts: self.host_table.hosts.len(),
             timers: self.timers.len(),
@@ -261,9 +264,7 @@
             Action::Reject { task, .. } => self.send_final_answer(now, task, Cause::NO_CAPACITY),
             Action::Fail(task) => self.send_final_answer(now, task, Cause::ERROR),
             Action::Migrate(task) => self.notify_relocation(task),
-            Action::SetTimer { after, label } => {
-                self.timers.schedule(now + after, Timer::Policy(label))
-            }
+            Action::SetTimer { after, label } => self.set_policy_timer(now + after, label),
             Action::Log(text) => tracing::info!("{text}"),
             Action::Blocked { task, reason } => {
                 tracing::debug!(task = task.0, ?reason, "task blocked")
@@ -277,6 +278,14 @@
         }
     }
 
+    /// Sets a timer of the policy. That of a task is dropped when the task needs no answer any more.
+    fn set_policy_timer(&mut self, at: Micros, label: u64) {
+        match TaskId::from_timer_label(label) {
+            Some(task) => self.set_deadline_timer(task, at, Timer::Policy(label)),
+            None => drop(self.timers.schedule(at, Timer::Policy(label))),
+        }
+    }
+
     /// Answers all pending requests with an error, which does not say whether the task has run. Used when draining ends.
     fn fail_pending_requests(&mut self, now: Micros) {
         for task in self.tasks.pending_ids() {
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 
 use maplethread::{MachineId, Micros, TaskId};
-use maplethread_engine::Decide;
+use maplethread_engine::{Decide, TimerId};
 use maplethread_platform_wire::owner::{DecodeError, FromOwner, ToOwner};
 use maplethread_platform_wire::{Cause, SetupId};
 
@@ -28,6 +28,8 @@
     pub(super) acknowledges_releases: bool,
     /// Requests that have not been answered.
     pub(super) pending: BTreeSet<TaskId>,
+    /// The timer of [`Engine::check_owner`].
+    check_timer: TimerId,
     /// When the last message was received.
     pub(super) last_received: Micros,
     /// The owner has closed its side of the connection: its requests get no answer.
@@ -44,17 +46,19 @@
 impl<D: Decide> Engine<D> {
     /// Handles a new connection of an owner from a remote address.
     pub fn owner_connected(&mut self, now: Micros, id: OwnerId, address: IpAddr) {
+        let check_timer = self
+            .timers
+            .schedule(now + FIRST_MESSAGE_TIMEOUT, Timer::OwnerCheck(id));
         let owner = Owner {
             has_sent_valid_message: false,
             evidence: OwnerEvidence::new(address),
             acknowledges_releases: false,
             pending: BTreeSet::new(),
+            check_timer,
             last_received: now,
             is_half_closed: false,
         };
         self.owners.insert(id, owner);
-        self.timers
-            .schedule(now + FIRST_MESSAGE_TIMEOUT, Timer::OwnerCheck(id));
     }
 
     /// The owner's connection to close first when descriptors run out: one that has sent no valid message, else one that has
@@ -89,7 +93,10 @@
     /// Handles the loss of an owner's connection: its pending requests are cancelled, its running tasks continue.
     pub fn owner_disconnected(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
         self.owner_half_closed(now, id, written);
-        self.owners.remove(&id);
+        if let Some(owner) = self.owners.remove(&id) {
+            self.timers.cancel(owner.check_timer);
+            self.admission_queue.remove_owner(id);
+        }
     }
 
     /// Handles a message from an owner, or the error of decoding it.
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -72,10 +72,26 @@
             ..task
         };
         self.admission_queue.push(owner, task);
-        self.timers.schedule(
-            deadline.saturating_sub(ANSWER_MARGIN),
-            Timer::AdmissionDeadline(id),
-        );
+        let answer_at = deadline.saturating_sub(ANSWER_MARGIN);
+        self.set_deadline_timer(id, answer_at, Timer::AdmissionDeadline(id));
+    }
+
+    /// Sets the timer by which a pending request is answered at the latest, in place of an earlier one.
+    pub(super) fn set_deadline_timer(&mut self, task: TaskId, at: Micros, timer: Timer) {
+        self.cancel_deadline_timer(task);
+        if let Some(entry) = self.tasks.get_mut(task).filter(|entry| entry.is_pending) {
+            entry.deadline_timer = Some(self.timers.schedule(at, timer));
+        }
+    }
+
+    pub(super) fn cancel_deadline_timer(&mut self, task: TaskId) {
+        let timer = self
+            .tasks
+            .get_mut(task)
+            .and_then(|entry| entry.deadline_timer.take());
+        if let Some(timer) = timer {
+            self.timers.cancel(timer);
+        }
     }
 
     fn has_capacity(&self, setup: &Setup) -> bool {
@@ -101,6 +117,7 @@
             else {
                 return;
             };
+            self.cancel_deadline_timer(task.id);
             self.policy_events.push(Event::PlacementRequested(task));
         }
     }
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 
 use maplethread::{AttemptId, MachineId, Micros, TaskId};
-use maplethread_engine::stable_hash;
+use maplethread_engine::{TimerId, stable_hash};
 use maplethread_platform_wire::owner::Setup;
 use maplethread_platform_wire::{Cause, SetupId};
 
@@ -25,6 +25,7 @@
     pub(super) offered_at: Micros,
     /// When the attempt times out.
     pub(super) deadline: Micros,
+    pub(super) timeout_timer: TimerId,
     /// The set-up was sent on an established connection, so the task may have run.
     pub(super) was_sent: bool,
 }
@@ -86,6 +87,8 @@
     pub(super) owner_address: IpAddr,
     /// The request has not been answered.
     pub(super) is_pending: bool,
+    /// While the task is pending: the timer by which it is answered at the latest.
+    pub(super) deadline_timer: Option<TimerId>,
     pub(super) attempt_count: u32,
     pub(super) in_flight: Option<Attempt>,
     pub(super) placement: Option<Placement>,
@@ -101,6 +104,7 @@
             owner,
             owner_address,
             is_pending: true,
+            deadline_timer: None,
             attempt_count: 0,
             in_flight: None,
             placement: None,
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -6,4 +6,5 @@
 mod race_conditions;
 mod release_delivery;
 mod requests;
+mod resource_use;
 mod support;
--- a/crates/timers/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -1,74 +1,66 @@
-//! Timers without a clock: a heap of due times. Timers cannot be cancelled; the caller ignores those that are obsolete.
+//! Timers without a clock: values ordered by due time. A timer takes memory until it is due or cancelled, so a caller whose
+//! timers may be due long after they are of use cancels them.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 
 /// Timers ordered by due time, and those with equal times in the order in which they were scheduled. The caller chooses the
 /// unit and the epoch of the times.
 pub struct Timers<T> {
-    heap: BinaryHeap<Reverse<(u64, u64, Unordered<T>)>>,
-    scheduled_count: u64,
+    scheduled: BTreeMap<TimerId, T>,
+    last_number: u64,
 }
 
-/// A value that is ignored in comparisons.
-struct Unordered<T>(T);
-
-impl<T> PartialEq for Unordered<T> {
-    fn eq(&self, _: &Self) -> bool {
-        true
-    }
-}
-impl<T> Eq for Unordered<T> {}
-impl<T> PartialOrd for Unordered<T> {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl<T> Ord for Unordered<T> {
-    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
-        std::cmp::Ordering::Equal
-    }
+/// Identifies a timer of one [`Timers`]. Ids are not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerId {
+    due_at: u64,
+    number: u64,
 }
 
 impl<T> Default for Timers<T> {
     fn default() -> Self {
         Timers {
-            heap: BinaryHeap::new(),
-            scheduled_count: 0,
+            scheduled: BTreeMap::new(),
+            last_number: 0,
         }
     }
 }
 
 impl<T> Timers<T> {
     /// Schedules a timer that is due at `at`.
-    pub fn schedule(&mut self, at: u64, value: T) {
-        self.scheduled_count += 1;
-        self.heap
-            .push(Reverse((at, self.scheduled_count, Unordered(value))));
+    pub fn schedule(&mut self, at: u64, value: T) -> TimerId {
+        self.last_number += 1;
+        let id = TimerId {
+            due_at: at,
+            number: self.last_number,
+        };
+        self.scheduled.insert(id, value);
+        id
+    }
+
+    /// Removes a timer and returns its value. Returns none if it was due or cancelled before.
+    pub fn cancel(&mut self, id: TimerId) -> Option<T> {
+        self.scheduled.remove(&id)
     }
 
     /// The due time of the next timer.
     pub fn next_due_at(&self) -> Option<u64> {
-        self.heap.peek().map(|Reverse((at, ..))| *at)
+        self.scheduled.first_key_value().map(|(id, _)| id.due_at)
     }
 
     /// Removes and returns the next timer that is due by `now`, if there is one.
     pub fn pop_due(&mut self, now: u64) -> Option<T> {
-        if self.next_due_at()? > now {
-            return None;
-        }
-        self.heap
-            .pop()
-            .map(|Reverse((_, _, Unordered(value)))| value)
+        let next = self.scheduled.first_entry()?;
+        (next.key().due_at <= now).then(|| next.remove())
     }
 
     /// The number of scheduled timers.
     pub fn len(&self) -> usize {
-        self.heap.len()
+        self.scheduled.len()
     }
 
     /// Whether no timer is scheduled.
     pub fn is_empty(&self) -> bool {
-        self.heap.is_empty()
+        self.scheduled.is_empty()
     }
 }
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -45,7 +45,8 @@
     /// Stop a placed task, so that its owner resubmits it.
     #[cfg_attr(feature = "serde", serde(rename = "Move"))]
     Migrate(TaskId),
-    /// Deliver [`Event::TimerFired`](super::Event::TimerFired) after a time.
+    /// Deliver [`Event::TimerFired`](super::Event::TimerFired) after a time. The label tells which timers are of a task;
+    /// see [`TaskId::from_timer_label`].
     #[cfg_attr(
         feature = "serde",
         serde(rename = "Wake", with = "super::tuple_variants::two")
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -22,7 +22,7 @@
     AcceptancePoint, CallerLimits, Class, Costs, DeduplicationScope, DiscoveryMode,
     LoadReportContent, RetrySafety, Rules, Settings, SettingsError, SpreadLimit, TopologyLevel,
 };
-pub use task::{ServiceId, Task, TaskId};
+pub use task::{ServiceId, TICK_TIMER_LABEL, Task, TaskId};
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
--- a/src/interface/task.rs
+++ b/src/interface/task.rs
@@ -12,6 +12,22 @@
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct TaskId(pub u64);
 
+/// The label of the timer at which blocked tasks, deferred tasks and failed discovery calls are tried again.
+pub const TICK_TIMER_LABEL: u64 = 0;
+
+impl TaskId {
+    /// The label of the task's own timer, at which the request gets its final answer.
+    pub fn timer_label(self) -> u64 {
+        self.0 + 1
+    }
+
+    /// The task whose own timer has this label; none for [`TICK_TIMER_LABEL`]. The timer has no effect once the task needs
+    /// no final answer, so the caller may drop it then.
+    pub fn from_timer_label(label: u64) -> Option<TaskId> {
+        label.checked_sub(1).map(TaskId)
+    }
+}
+
 /// A task and its requirements.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -46,8 +46,8 @@
 use self::service_rate::ServiceRates;
 use self::slow_start::SlowStart;
 use crate::interface::{
-    Action, AttemptId, DiscoveryMode, Event, MachineId, Micros, Settings, SettingsError, Task,
-    TaskId, TaskReport,
+    Action, AttemptId, DiscoveryMode, Event, MachineId, Micros, Settings, SettingsError,
+    TICK_TIMER_LABEL, Task, TaskId, TaskReport,
 };
 
 /// After this time a blocked task, for which no machine was feasible, is tried again.
@@ -55,9 +55,6 @@
 /// The maximum number of blocked tasks that are tried again in one turn. It keeps the CPU time of a turn within the
 /// placer's share of a core, however many tasks are blocked.
 const MAX_BLOCKED_PER_TURN: usize = 64;
-/// Label of the tick timer, at which blocked tasks, deferred tasks and failed discovery calls are tried again. The label
-/// of a task's own timer is its id plus one.
-const TICK_LABEL: u64 = 0;
 
 /// The placement policy of one placer, with its state. Placers share no state, even if they share the machines.
 pub struct Placer {
@@ -184,7 +181,7 @@
         let answer_at = task.deadline.saturating_sub(ANSWER_MARGIN);
         actions.push(Action::SetTimer {
             after: answer_at.saturating_sub(self.now),
-            label: task.id.0 + 1,
+            label: task.id.timer_label(),
         });
         self.offer_queue.push_back(task.id);
     }
@@ -201,11 +198,10 @@
     }
 
     fn handle_timer(&mut self, label: u64, actions: &mut Vec<Action>) {
-        if label == TICK_LABEL {
+        let Some(id) = TaskId::from_timer_label(label) else {
             self.tick_at = None;
             return;
-        }
-        let id = TaskId(label - 1);
+        };
         let pending = self.pending.get(&id);
         if pending.is_some_and(|pending| self.is_past_answer_deadline(&pending.task)) {
             self.send_final_answer(id, actions);
@@ -233,7 +229,7 @@
             self.tick_at = Some(next);
             actions.push(Action::SetTimer {
                 after: next.saturating_sub(self.now),
-                label: TICK_LABEL,
+                label: TICK_TIMER_LABEL,
             });
         }
     }
