Policy: cancelled tasks leave the queues, and unused services are bounded

Blocked tasks whose requests were cancelled stayed queued; each tick (0.2 s) tries 64 of them, so a client that cancels faster delays the tasks of others and adds 8 bytes a request. What the policy keeps of a service (placements) was removed only ten minutes later and only when the host list changed, and the client chooses the service of a request.

Evidence: cancelled_blocked_tasks_do_not_delay_others failed on the code of before: after 5,000 cancelled tasks a live one got no offer at the tick after a machine had appeared.

Change: once a turn, the queues of blocked and deferred tasks drop those without a pending request when these are the larger part. Above 4,096 services the less recently used half of those without attempts is removed, with their rates.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -115,6 +115,11 @@
             machine.add_own_allocation(task.requested, self.now);
         }
         self.placements.add(task.service, attempt.machine, self.now);
+        if self.placements.limit_services() {
+            let placements = &self.placements;
+            self.service_rates
+                .retain_services(|service| placements.contains(service));
+        }
     }
 
     /// Removes a finished attempt's request from the machine's allocation. The task was last known to be on the machine
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -130,9 +130,24 @@
             self.place(task, actions);
         }
         self.release_deferred(actions);
+        self.remove_obsolete();
         self.schedule_tick(actions);
     }
 
+    /// Removes queued tasks that need no answer any more, once they are the larger part. Clients can cancel requests much
+    /// faster than blocked tasks are tried again.
+    fn remove_obsolete(&mut self) {
+        let pending = &self.pending;
+        let max_queued = 2 * pending.len() + MAX_BLOCKED_PER_TURN;
+        if self.blocked.len() > max_queued {
+            self.blocked.retain(|task| pending.contains_key(task));
+        }
+        if self.restart_throttle.deferred_count() > max_queued {
+            self.restart_throttle
+                .retain(|task| pending.contains_key(&task));
+        }
+    }
+
     fn handle_event(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::EndpointsUpdated { scope, machines } => self.apply_endpoints(*scope, machines),
--- a/src/policy/placements.rs
+++ b/src/policy/placements.rs
@@ -7,6 +7,10 @@
 /// How long a machine is assumed to keep a program loaded after the last task of the service.
 const PROGRAM_RETENTION: Micros = 8_000_000;
 
+/// The number of services above which those without attempts are reduced, the least recently used first. Owners choose the
+/// services of their requests, and a request that is cancelled at once adds one too.
+const MAX_SERVICES: usize = 4096;
+
 /// The attempts of one service on one machine.
 #[derive(Clone, Copy, Default)]
 struct Placement {
@@ -15,9 +19,19 @@
 }
 
 /// The attempts of all services, including those that finished recently.
-#[derive(Default)]
 pub(super) struct Placements {
     by_service: BTreeMap<ServiceId, BTreeMap<MachineId, Placement>>,
+    /// The number of services above which services are removed next.
+    max_services: usize,
+}
+
+impl Default for Placements {
+    fn default() -> Self {
+        Placements {
+            by_service: BTreeMap::new(),
+            max_services: MAX_SERVICES,
+        }
+    }
 }
 
 impl Placements {
@@ -77,8 +91,37 @@
         });
     }
 
+    /// Removes the less recently used half of the services without attempts if there are too many services. Returns whether
+    /// any was removed.
+    pub(super) fn limit_services(&mut self) -> bool {
+        if self.by_service.len() <= self.max_services {
+            return false;
+        }
+        let mut unused: Vec<(Micros, ServiceId)> = self
+            .by_service
+            .iter()
+            .filter(|(_, machines)| machines.values().all(|placement| placement.attempts == 0))
+            .map(|(&service, machines)| {
+                let last_changed = machines.values().map(|placement| placement.last_changed);
+                (last_changed.max().unwrap_or(0), service)
+            })
+            .collect();
+        unused.sort_unstable();
+        unused.truncate(unused.len().div_ceil(2));
+        for (_, service) in &unused {
+            self.by_service.remove(service);
+        }
+        // With many services in use, the next removal waits until there are twice as many.
+        let used = self.by_service.len().saturating_sub(unused.len());
+        self.max_services = MAX_SERVICES.max(2 * used);
+        !unused.is_empty()
+    }
+
     /// Whether the service has an entry.
     pub(super) fn contains(&self, service: ServiceId) -> bool {
         self.by_service.contains_key(&service)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/policy/restart_throttle.rs
+++ b/src/policy/restart_throttle.rs
@@ -59,6 +59,15 @@
         !self.deferred.is_empty()
     }
 
+    pub(super) fn deferred_count(&self) -> usize {
+        self.deferred.len()
+    }
+
+    /// Removes the deferred tasks for which `keep` is false.
+    pub(super) fn retain(&mut self, keep: impl Fn(TaskId) -> bool) {
+        self.deferred.retain(|&(_, task)| keep(task));
+    }
+
     /// Removes and returns the next task to place: the first one, if its deferral has ended or starts in progress are
     /// below the limit.
     pub(super) fn take_released(&mut self, max_starts: u32, now: Micros) -> Option<TaskId> {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1095,3 +1095,21 @@
     let actions = harness.advance_until(110 * SECOND, &[0, next + 1]);
     assert!(!actions.iter().any(is_for_task), "{actions:?}");
 }
+
+/// Guards against blocked tasks that stay queued after their requests were cancelled: they took memory, and each tick tried
+/// a few of them in place of tasks that need an answer.
+#[test]
+fn cancelled_blocked_tasks_do_not_delay_others() {
+    let mut harness = Harness::new(settings(RetrySafety::Idempotent), 0);
+    for n in 1..=5_000 {
+        assert_eq!(harness.request(task(n, n, 900 * SECOND)), None);
+        harness.turn(&[Event::ClientDisconnected(TaskId(n))]);
+    }
+    assert_eq!(harness.request(task(9_999, 1, 900 * SECOND)), None);
+    harness.update_endpoints(UpdateScope::Delta, vec![machine(4)]);
+    harness.now += 400_000;
+    let actions = harness.turn(&[Event::TimerFired {
+        label: TICK_TIMER_LABEL,
+    }]);
+    assert_eq!(offered_machine(&actions), Some(4));
+}
