Placer: timers of ended requests, attempts and clients are cancelled

Those of ended requests, answered attempts and closed connections stayed until due: up to the budget of the request or the idle timeout of a client. Each unsettled attempt scheduled one timer more, and each of these scanned the whole table.

Change: ids of timers are kept with requests, attempts and clients and cancelled at their ends. The table of unsettled attempts has one timer, set again while entries remain.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use maplethread::{AttemptId, AttemptOutcome, Micros, TaskId};
+use maplethread_timers::TimerId;
 use maplethread_wire::frame::{Reason, ResourceAmounts};
 
 use crate::ids::{ActorKey, AttemptKey, HostId};
@@ -28,6 +29,8 @@
     pub class: usize,
     pub sent_at: Micros,
     pub expires_at: Micros,
+    /// The timer of `expires_at`, once the offer is sent.
+    pub timeout_timer: Option<TimerId>,
     /// Position in the byte stream of the host's connection at which the offer frame ends.
     pub frame_end: u64,
     pub stage: Stage,
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -55,6 +55,7 @@
             class: request.task.class,
             sent_at: self.now,
             expires_at: self.now + timeout,
+            timeout_timer: None,
             frame_end: 0,
             stage: Stage::Offered,
             is_running: false,
@@ -95,14 +96,14 @@
             self.warm_up_offers.record(host, self.now);
         }
         attempt.frame_end = frame_end;
-        let expires_at = attempt.expires_at;
+        let timer = Timer::AttemptTimeout(key);
+        attempt.timeout_timer = Some(self.timers.schedule(attempt.expires_at, timer));
         self.attempts.insert(key, attempt);
         self.record_offer(task, key, id.number == 0);
         if let Some(host) = self.hosts.get_mut(&host) {
             host.attempts.insert(key);
         }
         self.update_host_use(host);
-        self.timers.schedule(expires_at, Timer::AttemptTimeout(key));
     }
 
     /// Records that an attempt of a request is in flight.
@@ -159,10 +160,21 @@
     fn mark_unsettled(&mut self, class: usize, actor: ActorKey, attempt: AttemptKey) {
         if self.config.classes[class].retry_safety != RetrySafety::Idempotent {
             let until = self.now + self.config.api.resubmission_hold_ms * 1000;
-            self.timers.schedule(until, Timer::UnsettledExpiry);
             self.unsettled
                 .insert(actor.clone(), UnsettledAttempt { attempt, until });
             self.unsettled_attempts.insert(attempt, actor);
+            self.schedule_unsettled_expiry();
+        }
+    }
+
+    /// Schedules the next removal of unsettled attempts, unless one is scheduled.
+    fn schedule_unsettled_expiry(&mut self) {
+        if self.is_unsettled_expiry_scheduled {
+            return;
+        }
+        if let Some(next) = self.unsettled.values().map(|entry| entry.until).min() {
+            self.is_unsettled_expiry_scheduled = true;
+            self.timers.schedule(next, Timer::UnsettledExpiry);
         }
     }
 
@@ -185,6 +197,7 @@
     /// Removes unsettled attempts whose time is over.
     pub(crate) fn expire_unsettled(&mut self) {
         let now = self.now;
+        self.is_unsettled_expiry_scheduled = false;
         self.unsettled.retain(|_, unsettled| unsettled.until > now);
         let unsettled = &self.unsettled;
         self.unsettled_attempts.retain(|attempt, actor| {
@@ -192,6 +205,7 @@
                 .get(actor)
                 .is_some_and(|unsettled| unsettled.attempt == *attempt)
         });
+        self.schedule_unsettled_expiry();
     }
 
     /// Sends a host the request to stop a placed task. A host without a connection gets it after it has reconnected.
@@ -209,6 +223,9 @@
         let Some(attempt) = self.attempts.remove(&key) else {
             return;
         };
+        if let Some(timer) = attempt.timeout_timer {
+            self.timers.cancel(timer);
+        }
         let reason = end.reason.and_then(failure_reason);
         if let Some(host) = self.hosts.get_mut(&attempt.host) {
             host.attempts.remove(&key);
--- a/crates/engine/src/client_connection.rs
+++ b/crates/engine/src/client_connection.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use maplethread::{Micros, TaskId};
+use maplethread_timers::TimerId;
 use maplethread_wire::http::{HttpError, Limits, Message, MessageReader, ReadResult, Role};
 
 use crate::ids::RequestSlot;
@@ -34,6 +35,8 @@
     requests_in_turn: usize,
     /// The tasks whose answers the client waits for.
     pub awaited_tasks: BTreeSet<TaskId>,
+    /// The timer of the next check for time-outs.
+    pub timeout_timer: Option<TimerId>,
 }
 
 /// The result of reading from a connection.
@@ -73,6 +76,7 @@
             last_turn: 0,
             requests_in_turn: 0,
             awaited_tasks: BTreeSet::new(),
+            timeout_timer: None,
         }
     }
 
--- a/crates/engine/src/client_sessions.rs
+++ b/crates/engine/src/client_sessions.rs
@@ -34,10 +34,10 @@
             return;
         }
         let first_check = api.request_timeout_ms.min(api.idle_timeout_ms) * 1000;
-        self.clients
-            .insert(id, ClientConnection::new(self.now, api.max_body_bytes));
-        self.timers
-            .schedule(self.now + first_check, Timer::ClientTimeout(id));
+        let mut client = ClientConnection::new(self.now, api.max_body_bytes);
+        let timer = Timer::ClientTimeout(id);
+        client.timeout_timer = Some(self.timers.schedule(self.now + first_check, timer));
+        self.clients.insert(id, client);
     }
 
     /// Handles bytes received from a client; returns how many were used. The caller passes the rest again, with further
@@ -136,6 +136,9 @@
         let Some(client) = self.clients.remove(&id) else {
             return;
         };
+        if let Some(timer) = client.timeout_timer {
+            self.timers.cancel(timer);
+        }
         self.followers.remove(&id);
         for task in client.awaited_tasks {
             let Some(request) = self.requests.get_mut(&task) else {
@@ -177,7 +180,8 @@
         };
         if closes_at > self.now {
             let next_check = closes_at.min(self.now + request_timeout);
-            self.timers.schedule(next_check, Timer::ClientTimeout(id));
+            let timer = self.timers.schedule(next_check, Timer::ClientTimeout(id));
+            client.timeout_timer = Some(timer);
             return;
         }
         if client.request_began_at.is_some() {
--- a/crates/engine/src/decisions.rs
+++ b/crates/engine/src/decisions.rs
@@ -9,7 +9,6 @@
 use crate::event_batch;
 use crate::ids::HostId;
 use crate::placement_request::block_reason_name;
-use crate::timer::Timer;
 use crate::turn_latency::DEADLINE_ANSWER_MARGIN;
 
 /// Maximum number of rounds of decisions in one turn. An offer that can't be sent causes an event, which the next round
@@ -87,9 +86,7 @@
             Action::Fail(task) => self.fail(task),
             Action::Blocked { task, reason } => self.record_block_reason(task, reason),
             Action::Migrate(task) => self.stop_for_migration(task),
-            Action::SetTimer { after, label } => self
-                .timers
-                .schedule(self.now + after, Timer::Decider(label)),
+            Action::SetTimer { after, label } => self.set_decider_timer(self.now + after, label),
             Action::Probe(machine) => self.send_probe(HostId(machine.0)),
             Action::Log(line) => tracing::info!(target: "maplethread::decisions", "{line}"),
             // Not needed here: endpoints are pushed, each host has one connection that is kept open, and placers do not
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -77,6 +77,7 @@
     /// Actors that must not run twice and have an attempt that may still start.
     pub(crate) unsettled: BTreeMap<ActorKey, UnsettledAttempt>,
     pub(crate) unsettled_attempts: HashMap<AttemptKey, ActorKey>,
+    pub(crate) is_unsettled_expiry_scheduled: bool,
     /// Probes without an answer, by nonce.
     pub(crate) probes: BTreeMap<u32, HostId>,
     pub(crate) next_probe: u32,
@@ -130,6 +131,7 @@
             attempts: HashMap::new(),
             unsettled: BTreeMap::new(),
             unsettled_attempts: HashMap::new(),
+            is_unsettled_expiry_scheduled: false,
             probes: BTreeMap::new(),
             next_probe: 0,
             answer_cache: AnswerCache::new(api.max_kept_answers, api.answer_retention_ms * 1000),
@@ -182,6 +184,11 @@
             .min()
     }
 
+    /// The number of scheduled timers, to check that those of ended requests and connections do not remain.
+    pub fn timer_count(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Takes the outputs since the last call.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
--- a/crates/engine/src/placement_request.rs
+++ b/crates/engine/src/placement_request.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use maplethread::{BlockReason, Micros, Task};
+use maplethread_timers::TimerId;
 use maplethread_wire::frame::DuplicatePolicy;
 
 use crate::ids::{ActorKey, AttemptKey, ClientId, RequestSlot};
@@ -31,6 +32,8 @@
     pub duplicate_policy: DuplicatePolicy,
     /// The attempt that has no outcome yet.
     pub in_flight: Option<AttemptKey>,
+    /// The decider's timer for the request.
+    pub timer: Option<TimerId>,
     pub attempts: u32,
     /// Why its last attempt failed, by its name in the API.
     pub last_failure: Option<&'static str>,
--- a/crates/engine/src/sessions/adoption.rs
+++ b/crates/engine/src/sessions/adoption.rs
@@ -83,6 +83,7 @@
             class,
             sent_at: self.now,
             expires_at: self.now,
+            timeout_timer: None,
             frame_end: 0,
             stage: Stage::Placed,
             is_running,
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,6 +1,6 @@
 //! Handling of timers that fire.
 
-use maplethread::{Event, Micros};
+use maplethread::{Event, Micros, TaskId};
 use rand_pcg::rand_core::Rng;
 
 use crate::decide::Decide;
@@ -22,6 +22,19 @@
         }
     }
 
+    /// Sets a timer of the decider. That of a task is dropped when its request ends.
+    pub(crate) fn set_decider_timer(&mut self, at: Micros, label: u64) {
+        let timer = Timer::Decider(label);
+        let Some(task) = TaskId::from_timer_label(label) else {
+            self.timers.schedule(at, timer);
+            return;
+        };
+        if let Some(request) = self.requests.get_mut(&task) {
+            let earlier = request.timer.replace(self.timers.schedule(at, timer));
+            earlier.and_then(|id| self.timers.cancel(id));
+        }
+    }
+
     /// Returns a random duration between half of `max` and `max`.
     pub(crate) fn jitter(&mut self, max: Micros) -> Micros {
         let half = max / 2;
