Platform: what clients can fill has shares of the memory limit

Running tasks kept the names of their set-ups. Closes of unknown tasks, which any client can send, displaced the results of hosts that wait for a hand-over.

Change: memory_limits.rs divides the limit: a quarter for tasks (half of these unanswered, three quarters handed over and not confirmed by a host), an eighth for the texts of unanswered requests, an eighth for what owners' buffers hold; beyond it the connection that holds the most is closed. The set-up of a task is dropped once it runs. An empty buffer keeps 1 KiB.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -87,7 +87,9 @@
             return;
         };
         attempt.was_sent = true;
-        let setup = &entry.setup;
+        let Some(setup) = &entry.setup else {
+            return;
+        };
         let mut bytes = Vec::with_capacity(setup.description.len() + SETUP_HEAD_BYTES);
         let message = ToHost::Setup {
             id: setup.id,
@@ -131,7 +133,7 @@
         outcome: AttemptOutcome,
         closes_task: bool,
     ) {
-        let Some(setup_id) = self.tasks.get(task).map(|entry| entry.setup.id) else {
+        let Some(setup_id) = self.tasks.get(task).map(|entry| entry.setup_id) else {
             return;
         };
         let Some(attempt) = self.remove_attempt(task) else {
@@ -199,7 +201,7 @@
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let (owner, id) = (entry.owner, entry.setup.id);
+        let (owner, id) = (entry.owner, entry.setup_id);
         if !self.clear_pending(task) {
             return;
         }
--- a/crates/platform/src/engine/early_results.rs
+++ b/crates/platform/src/engine/early_results.rs
@@ -11,7 +11,7 @@
 /// has passed its first health check (platform protocol, 'Owners to placers'), and a host repeats a result only on its next
 /// connection.
 const RETENTION: Micros = 10_000_000;
-/// The maximum number of results kept; beyond it the oldest are dropped.
+/// The maximum number of results kept of each side; beyond it the oldest are dropped.
 const MAX_RETAINED: usize = 1 << 13;
 
 /// The result of a task that is not in the task table yet.
@@ -23,17 +23,50 @@
     ClosedByOwner(Cause),
 }
 
-/// Results of tasks that are not in the task table yet, by set-up id.
+/// Results of tasks that are not in the task table yet. Those of hosts and of owners are kept apart, so that a client that
+/// closes unknown tasks does not displace what hosts have reported.
 #[derive(Default)]
 pub(super) struct EarlyResults {
+    of_hosts: ResultTable,
+    of_owners: ResultTable,
+}
+
+impl EarlyResults {
+    /// Keeps a result, unless there is already one from the same side for the task.
+    pub(super) fn insert(&mut self, now: Micros, id: SetupId, result: EarlyResult) {
+        match result {
+            EarlyResult::ReportedByHost(..) => self.of_hosts.insert(now, id, result),
+            EarlyResult::ClosedByOwner(_) => self.of_owners.insert(now, id, result),
+        }
+    }
+
+    /// Removes the results of a task, and returns the earlier one.
+    pub(super) fn take(&mut self, now: Micros, id: SetupId) -> Option<EarlyResult> {
+        let of_host = self.of_hosts.take(now, id);
+        let of_owner = self.of_owners.take(now, id);
+        of_host
+            .into_iter()
+            .chain(of_owner)
+            .min_by_key(|&(received_at, _)| received_at)
+            .map(|(_, result)| result)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.of_hosts.order.len() + self.of_owners.order.len()
+    }
+}
+
+/// Results by set-up id.
+#[derive(Default)]
+struct ResultTable {
     by_setup_id: HashMap<SetupId, (Micros, EarlyResult)>,
     /// Arrival times, the oldest first. Includes results that have been taken since.
     order: VecDeque<(Micros, SetupId)>,
 }
 
-impl EarlyResults {
+impl ResultTable {
     /// Keeps a result, unless there is already one for the task.
-    pub(super) fn insert(&mut self, now: Micros, id: SetupId, result: EarlyResult) {
+    fn insert(&mut self, now: Micros, id: SetupId, result: EarlyResult) {
         self.remove_expired(now);
         if let Entry::Vacant(entry) = self.by_setup_id.entry(id) {
             entry.insert((now, result));
@@ -41,14 +74,10 @@
         }
     }
 
-    /// Removes and returns the result of a task.
-    pub(super) fn take(&mut self, now: Micros, id: SetupId) -> Option<EarlyResult> {
+    /// Removes and returns the result of a task, with the time at which it was received.
+    fn take(&mut self, now: Micros, id: SetupId) -> Option<(Micros, EarlyResult)> {
         self.remove_expired(now);
-        self.by_setup_id.remove(&id).map(|(_, result)| result)
-    }
-
-    pub(super) fn len(&self) -> usize {
-        self.order.len()
+        self.by_setup_id.remove(&id)
     }
 
     fn remove_expired(&mut self, now: Micros) {
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -71,7 +71,7 @@
         let owner = entry.owner;
         self.remove_attempt(task);
         self.clear_pending(task);
-        self.tasks.drop_description(task);
+        self.tasks.drop_setup(task);
         self.outputs.push(Output::SendToOwner(
             owner,
             ToOwner::Ready { id, description },
@@ -125,15 +125,10 @@
 
     /// Records that a host knows a running task. For one that was handed over this is the first evidence of it.
     fn confirm_running_task(&mut self, now: Micros, task: TaskId) {
-        let Some(entry) = self.tasks.get_mut(task) else {
+        if !self.tasks.confirm(task) {
             return;
-        };
-        let owner = entry.owner;
-        let is_first = entry
-            .placement
-            .as_mut()
-            .is_some_and(|placement| !std::mem::replace(&mut placement.is_confirmed, true));
-        if is_first {
+        }
+        if let Some(owner) = self.tasks.get(task).map(|entry| entry.owner) {
             self.record_verified_owner(now, owner);
         }
     }
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -45,8 +45,30 @@
 
 /// The maximum number of policy turns in one turn of the engine. Actions that fail at once cause further policy turns.
 const MAX_POLICY_TURNS: usize = 8;
-/// The default limit on the total bytes of the descriptions in the task table; beyond it set-ups are rejected.
-const MAX_DESCRIPTION_BYTES: usize = 8 << 20;
+
+/// The limits of the task table. Requests beyond them are rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableLimits {
+    /// The maximum number of tasks in any state.
+    pub max_tasks: usize,
+    /// The maximum number of requests that have not been answered.
+    pub max_pending_requests: usize,
+    /// The maximum number of tasks that were handed over and that no host has confirmed. Further ones are ignored.
+    pub max_unconfirmed_tasks: usize,
+    /// The maximum of the total bytes of the texts of unanswered requests.
+    pub max_setup_bytes: usize,
+}
+
+impl Default for TableLimits {
+    fn default() -> Self {
+        TableLimits {
+            max_tasks: 1 << 16,
+            max_pending_requests: 1 << 15,
+            max_unconfirmed_tasks: 1 << 15,
+            max_setup_bytes: 8 << 20,
+        }
+    }
+}
 
 /// The sizes of the engine's tables, to check that entries do not leak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,7 +102,7 @@
     last_connection_id: u64,
     owners: HashMap<OwnerId, Owner>,
     tasks: TaskTable,
-    max_description_bytes: usize,
+    limits: TableLimits,
     /// Requests that have not been passed to the policy yet.
     admission_queue: AdmissionQueue,
     /// Results that arrived before their tasks were handed over to this placer.
@@ -119,7 +141,7 @@
             last_connection_id: 0,
             owners: HashMap::new(),
             tasks: TaskTable::default(),
-            max_description_bytes: MAX_DESCRIPTION_BYTES,
+            limits: TableLimits::default(),
             admission_queue: AdmissionQueue::default(),
             early_results: EarlyResults::default(),
             pending_releases: ReleaseTable::default(),
@@ -134,9 +156,9 @@
         }
     }
 
-    /// Sets the limit on the total bytes of the descriptions in the task table.
-    pub fn set_max_description_bytes(&mut self, bytes: usize) {
-        self.max_description_bytes = bytes;
+    /// Sets the limits of the task table.
+    pub fn set_limits(&mut self, limits: TableLimits) {
+        self.limits = limits;
     }
 
     /// Applies those events of a batch from the command channel that were not applied before. Returns whether there were
--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -241,7 +241,7 @@
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let id = entry.setup.id;
+        let id = entry.setup_id;
         let Some(owner) = self.reachable_owner(entry.owner, entry.owner_address) else {
             return;
         };
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -10,11 +10,9 @@
 use super::early_results::EarlyResult;
 use super::output::OwnerId;
 use super::release_table::Release;
-use super::task_table::TaskEntry;
+use super::task_table::{TaskEntry, setup_bytes};
 use super::timer::Timer;
 
-/// The maximum number of tasks in any state; beyond it set-ups are rejected.
-const MAX_TASKS: usize = 1 << 16;
 /// The maximum number of requests admitted to the policy in one turn. It bounds the length of a turn under a burst, as
 /// cancellations that arrive meanwhile are read only after it. The policy takes about 0.1 ms for a request with 400 hosts
 /// (`--bench decide`).
@@ -95,8 +93,9 @@
     }
 
     fn has_capacity(&self, setup: &Setup) -> bool {
-        let description_bytes = self.tasks.description_bytes() + setup.description.len();
-        self.tasks.len() < MAX_TASKS && description_bytes <= self.max_description_bytes
+        self.tasks.len() < self.limits.max_tasks
+            && self.tasks.pending_count() < self.limits.max_pending_requests
+            && self.tasks.setup_bytes() + setup_bytes(setup) <= self.limits.max_setup_bytes
     }
 
     fn record_pending_request(&mut self, id: OwnerId, task: TaskId) {
@@ -142,7 +141,12 @@
         };
         owner_entry.has_sent_valid_message = true;
         let owner_address = owner_entry.evidence.address();
-        if self.tasks.id_by_setup(id).is_some() || self.tasks.len() >= MAX_TASKS {
+        let is_full = self.tasks.len() >= self.limits.max_tasks
+            || self.tasks.unconfirmed_count() >= self.limits.max_unconfirmed_tasks;
+        if is_full {
+            tracing::warn!(%id, "running task ignored: the task table is full");
+        }
+        if is_full || self.tasks.id_by_setup(id).is_some() {
             return;
         }
         // The task's result may have arrived before the handover: from its host, which sends it on the first connection to
@@ -162,14 +166,9 @@
         }
         self.tasks.record_name(now, &setup.task_name);
         let task = build_task(class, &setup, now);
-        let task_id = self.tasks.insert(TaskEntry::running(
-            setup,
-            owner,
-            owner_address,
-            machine,
-            now,
-        ));
-        self.tasks.drop_description(task_id);
+        let task_id = self
+            .tasks
+            .insert(TaskEntry::running(id, owner, owner_address, machine, now));
         let task = Task {
             id: task_id,
             ..task
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -35,15 +35,15 @@
         reason: Option<FailureReason>,
         cause: Cause,
     ) {
-        let Some(entry) = self.tasks.get_mut(task) else {
+        let Some(placement) = self.tasks.take_placement(task) else {
             return;
         };
-        let Some(placement) = entry.placement.take() else {
+        let Some(entry) = self.tasks.get(task) else {
             return;
         };
         let owner = entry.owner;
         let release = Release {
-            id: entry.setup.id,
+            id: entry.setup_id,
             cause,
             owner_address: entry.owner_address,
         };
@@ -127,7 +127,7 @@
             .filter_map(|&task| {
                 let entry = self.tasks.get(task)?;
                 Some(ToHost::Close {
-                    id: entry.setup.id,
+                    id: entry.setup_id,
                     cause: entry.placement?.close_cause?,
                 })
             })
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -81,7 +81,10 @@
 /// The state of a task.
 #[derive(Debug)]
 pub(super) struct TaskEntry {
-    pub(super) setup: Box<Setup>,
+    /// The id of the task's set-up.
+    pub(super) setup_id: SetupId,
+    /// The set-up, until the task runs.
+    pub(super) setup: Option<Box<Setup>>,
     pub(super) owner: OwnerId,
     /// The remote address of the owner's connection.
     pub(super) owner_address: IpAddr,
@@ -100,7 +103,8 @@
     /// A task that was requested and is not placed yet.
     pub(super) fn pending(setup: Box<Setup>, owner: OwnerId, owner_address: IpAddr) -> TaskEntry {
         TaskEntry {
-            setup,
+            setup_id: setup.id,
+            setup: Some(setup),
             owner,
             owner_address,
             is_pending: true,
@@ -114,28 +118,52 @@
 
     /// A task that already runs, by the word of its owner. It was placed by attempt 0.
     pub(super) fn running(
-        setup: Box<Setup>,
+        setup_id: SetupId,
         owner: OwnerId,
         owner_address: IpAddr,
         machine: MachineId,
         now: Micros,
     ) -> TaskEntry {
         TaskEntry {
+            setup_id,
+            setup: None,
+            owner,
+            owner_address,
             is_pending: false,
+            deadline_timer: None,
             attempt_count: 1,
+            in_flight: None,
             placement: Some(Placement {
                 is_confirmed: false,
                 ..Placement::new(machine, 0, now)
             }),
-            ..TaskEntry::pending(setup, owner, owner_address)
+            used_connections: Vec::new(),
         }
     }
 
+    /// The bytes of the texts of the set-up, which its owner chooses.
+    fn setup_bytes(&self) -> usize {
+        self.setup.as_deref().map_or(0, setup_bytes)
+    }
+
+    fn is_unconfirmed(&self) -> bool {
+        self.placement
+            .is_some_and(|placement| !placement.is_confirmed)
+    }
+
     fn is_finished(&self) -> bool {
         !self.is_pending && self.in_flight.is_none() && self.placement.is_none()
     }
 }
 
+/// The bytes of the texts of a set-up.
+pub(super) fn setup_bytes(setup: &Setup) -> usize {
+    setup.description.len()
+        + setup.class.len()
+        + setup.task_name.len()
+        + setup.idempotency_key.as_ref().map_or(0, String::len)
+}
+
 /// All tasks, by the policy's task id and by the id of the set-up.
 #[derive(Default)]
 pub(super) struct TaskTable {
@@ -143,7 +171,8 @@
     by_setup_id: HashMap<SetupId, TaskId>,
     last_id: u64,
     pending_count: usize,
-    description_bytes: usize,
+    unconfirmed_count: usize,
+    setup_bytes: usize,
     recent_names: RecentNames,
 }
 
@@ -151,9 +180,10 @@
     pub(super) fn insert(&mut self, entry: TaskEntry) -> TaskId {
         self.last_id += 1;
         let id = TaskId(self.last_id);
-        self.by_setup_id.insert(entry.setup.id, id);
+        self.by_setup_id.insert(entry.setup_id, id);
         self.pending_count += usize::from(entry.is_pending);
-        self.description_bytes += entry.setup.description.len();
+        self.unconfirmed_count += usize::from(entry.is_unconfirmed());
+        self.setup_bytes += entry.setup_bytes();
         self.entries.insert(id, entry);
         id
     }
@@ -185,26 +215,50 @@
         was_pending
     }
 
+    /// Records that a host has confirmed a running task. Returns whether it had not before.
+    pub(super) fn confirm(&mut self, id: TaskId) -> bool {
+        let is_first = self
+            .entries
+            .get_mut(&id)
+            .and_then(|entry| entry.placement.as_mut())
+            .is_some_and(|placement| !std::mem::replace(&mut placement.is_confirmed, true));
+        self.unconfirmed_count -= usize::from(is_first);
+        is_first
+    }
+
+    /// Removes and returns the placement of a task.
+    pub(super) fn take_placement(&mut self, id: TaskId) -> Option<Placement> {
+        let placement = self.entries.get_mut(&id)?.placement.take()?;
+        self.unconfirmed_count -= usize::from(!placement.is_confirmed);
+        Some(placement)
+    }
+
+    /// The number of running tasks that no host has confirmed.
+    pub(super) fn unconfirmed_count(&self) -> usize {
+        self.unconfirmed_count
+    }
+
     /// Removes a task that is neither pending nor in flight nor running.
     pub(super) fn remove_if_finished(&mut self, id: TaskId) {
         if self.entries.get(&id).is_some_and(TaskEntry::is_finished)
             && let Some(entry) = self.entries.remove(&id)
         {
-            self.by_setup_id.remove(&entry.setup.id);
-            self.description_bytes -= entry.setup.description.len();
+            self.by_setup_id.remove(&entry.setup_id);
+            self.setup_bytes -= entry.setup_bytes();
         }
     }
 
-    /// Drops the description of a task that will not be offered again.
-    pub(super) fn drop_description(&mut self, id: TaskId) {
+    /// Drops the set-up of a task that will not be offered again.
+    pub(super) fn drop_setup(&mut self, id: TaskId) {
         if let Some(entry) = self.entries.get_mut(&id) {
-            self.description_bytes -= std::mem::take(&mut entry.setup.description).len();
+            self.setup_bytes -= entry.setup_bytes();
+            entry.setup = None;
         }
     }
 
-    /// The total bytes of the descriptions in the table.
-    pub(super) fn description_bytes(&self) -> usize {
-        self.description_bytes
+    /// The total bytes of the texts of the set-ups in the table.
+    pub(super) fn setup_bytes(&self) -> usize {
+        self.setup_bytes
     }
 
     /// The number of pending tasks.
--- a/crates/platform/src/engine/tests/race_conditions.rs
+++ b/crates/platform/src/engine/tests/race_conditions.rs
@@ -8,7 +8,7 @@
 
 use super::support::*;
 use crate::engine::requests::MAX_ADMISSIONS_PER_TURN;
-use crate::engine::{ConnectionId, DisconnectReason};
+use crate::engine::{ConnectionId, DisconnectReason, TableLimits};
 
 /// Advances time until a connection is opened, for up to 1 s.
 fn next_connect(harness: &mut Harness) -> ConnectionId {
@@ -101,7 +101,10 @@
 #[test]
 fn rejects_requests_beyond_the_description_limit_until_a_task_is_placed() {
     let mut harness = Harness::new();
-    harness.engine.set_max_description_bytes(10_000);
+    harness.engine.set_limits(TableLimits {
+        max_setup_bytes: 10_000,
+        ..TableLimits::default()
+    });
     let long = |id| {
         request(Setup {
             description: "x".repeat(6_000),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod channel_poll;
 pub mod engine;
+mod memory_limits;
 mod shell;
 mod shutdown;
 mod startup;
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::channel_poll::ChannelPoll;
 use crate::engine::{ConnectionId, Engine, OwnerId};
+use crate::memory_limits::MemoryLimits;
 use crate::shutdown::ShutdownSchedule;
 use crate::startup::{ConfigError, StartError, decode_settings, load_config};
 use owners::{LingeringConnection, OwnerConnection};
@@ -40,8 +41,6 @@
 const MAX_RELOAD_RETRIES: u32 = 10;
 /// Descriptors reserved for standard streams, listener, epoll, signals, command channel and files.
 const RESERVED_DESCRIPTORS: usize = 16;
-/// Descriptions may use one in this many bytes of the memory limit, and so may unwritten bytes for throttled owners.
-const MEMORY_DIVISOR: usize = 8;
 
 /// Runs a placer with the configuration file `config_path` until it is stopped by a signal.
 ///
@@ -57,7 +56,8 @@
     let shutdown = ShutdownSchedule::new(platform_settings.max_deadline);
     let mut engine = Engine::new(platform_settings, &policy_settings, placer);
     let memory_bytes = (config.limits.memory_mb.clamp(8.0, 65_536.0) as usize) << 20;
-    engine.set_max_description_bytes(memory_bytes / MEMORY_DIVISOR);
+    let limits = MemoryLimits::new(memory_bytes);
+    engine.set_limits(limits.tables);
     // Signal handlers are installed before the listener accepts connections.
     let event_loop = EventLoop::new(&[SIGTERM, SIGINT, SIGHUP], SIGNALS_TOKEN)?;
     let mut listener = event_loop.listen(listen, Backlog::Standard)?;
@@ -86,11 +86,11 @@
         turn_number: 0,
         owners: HashMap::new(),
         lingering: BTreeMap::new(),
-        throttled_owners: BTreeSet::new(),
+        buffered_owners: BTreeSet::new(),
         host_connections: HashMap::new(),
         last_owner_id: 0,
         max_connections: connection_limit,
-        max_throttled_owners: (memory_bytes / owners::MAX_UNWRITTEN_BYTES / MEMORY_DIVISOR).max(4),
+        max_buffer_bytes: limits.max_buffer_bytes,
         pending_writes: BTreeSet::new(),
         shutdown,
         stop_requested_at: None,
@@ -129,9 +129,10 @@
     owners: HashMap<OwnerId, OwnerConnection>,
     /// Owners' connections that are being closed.
     lingering: BTreeMap<OwnerId, LingeringConnection>,
-    /// Owners whose connections are not read because they have too many unwritten bytes.
-    throttled_owners: BTreeSet<OwnerId>,
-    max_throttled_owners: usize,
+    /// Owners whose connections have bytes that are not decoded or not written.
+    buffered_owners: BTreeSet<OwnerId>,
+    /// The maximum number of bytes in the buffers of all owners' connections, including those that are being closed.
+    max_buffer_bytes: usize,
     host_connections: HashMap<ConnectionId, TcpConnection>,
     last_owner_id: u64,
     /// The maximum number of connections of owners and hosts together.
@@ -173,6 +174,7 @@
                 self.accept_owners();
             }
             self.expire_owner_timers(now);
+            self.limit_owner_buffers();
             if self.is_finished(now) {
                 return self.shut_down();
             }
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -13,7 +13,7 @@
 /// send at once, so that cancellations are read soon, in the next turn.
 const OWNER_READ_BYTES: usize = 4 << 10;
 /// The maximum number of unwritten bytes for an owner. One that reads too slowly is disconnected.
-pub(super) const MAX_UNWRITTEN_BYTES: usize = 256 << 10;
+const MAX_UNWRITTEN_BYTES: usize = 256 << 10;
 /// An owner with more unwritten bytes than this is throttled: its connection is not read.
 const THROTTLE_ABOVE_BYTES: usize = 32 << 10;
 /// A throttled owner's connection is read again once it has no more unwritten bytes than this.
@@ -77,6 +77,11 @@
     is_write_closed: bool,
 }
 
+/// The number of bytes that were read and not decoded, or not written.
+fn buffered_bytes(connection: &TcpConnection) -> usize {
+    connection.unread().len() + connection.unwritten_bytes()
+}
+
 fn write_progress(connection: &TcpConnection) -> WriteProgress {
     if connection.unwritten_bytes() == 0 {
         WriteProgress::Complete
@@ -214,7 +219,7 @@
         let Some(owner) = self.owners.remove(&id) else {
             return;
         };
-        self.throttled_owners.remove(&id);
+        self.buffered_owners.remove(&id);
         let now = self.event_loop.now();
         self.engine
             .owner_disconnected(now, id, write_progress(&owner.conn));
@@ -265,6 +270,7 @@
         if matches!(outcome, ReadOutcome::Closed | ReadOutcome::Failed) {
             self.disconnect_owner(id);
         }
+        self.track_owner_buffers(id);
         has_received
     }
 
@@ -310,23 +316,52 @@
         {
             return self.disconnect_owner(id);
         }
-        if !is_throttled {
-            self.throttled_owners.remove(&id);
-        } else if self.throttled_owners.insert(id)
-            && self.throttled_owners.len() > self.max_throttled_owners
-        {
-            let unwritten_of = |id: &OwnerId| {
-                self.owners
-                    .get(id)
-                    .map_or(0, |owner| owner.conn.unwritten_bytes())
-            };
-            if let Some(slowest) = self
-                .throttled_owners
+        self.track_owner_buffers(id);
+    }
+
+    /// Records whether an owner's connection has buffered bytes.
+    fn track_owner_buffers(&mut self, id: OwnerId) {
+        let has_buffered_bytes = self
+            .owners
+            .get(&id)
+            .is_some_and(|owner| buffered_bytes(&owner.conn) > 0);
+        if has_buffered_bytes {
+            self.buffered_owners.insert(id);
+        } else {
+            self.buffered_owners.remove(&id);
+        }
+    }
+
+    /// Closes the connections with the most buffered bytes while all together have too many.
+    pub(super) fn limit_owner_buffers(&mut self) {
+        loop {
+            let open = self
+                .buffered_owners
                 .iter()
-                .copied()
-                .max_by_key(unwritten_of)
-            {
-                self.disconnect_owner(slowest);
+                .filter_map(|id| self.owners.get(id).map(|owner| (*id, &owner.conn)));
+            let lingering = self
+                .lingering
+                .iter()
+                .map(|(id, connection)| (*id, &connection.conn));
+            let held: Vec<(usize, OwnerId)> = open
+                .chain(lingering)
+                .map(|(id, connection)| (buffered_bytes(connection), id))
+                .collect();
+            let total: usize = held.iter().map(|(bytes, _)| bytes).sum();
+            if total <= self.max_buffer_bytes {
+                return;
+            }
+            let Some(&(bytes, id)) = held.iter().max() else {
+                return;
+            };
+            tracing::debug!(
+                owner = id.0,
+                bytes,
+                total,
+                "disconnecting owner: the buffers of all owners are full"
+            );
+            if self.lingering.remove(&id).is_none() {
+                self.disconnect_owner(id);
             }
         }
     }
@@ -337,7 +372,7 @@
         let Some(OwnerConnection { conn, .. }) = self.owners.remove(&id) else {
             return;
         };
-        self.throttled_owners.remove(&id);
+        self.buffered_owners.remove(&id);
         self.resume_accepting();
         if conn.written_bytes() == 0 && conn.unwritten_bytes() == 0 {
             return;
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -12,10 +12,8 @@
 
 /// The maximum number of bytes read in one system call.
 const MAX_READ_BYTES_PER_CALL: usize = 16 << 10;
-/// An empty buffer with a larger capacity than this is shrunk.
-const MAX_IDLE_CAPACITY_BYTES: usize = 64 << 10;
-/// The capacity to which an empty buffer is shrunk.
-const IDLE_CAPACITY_BYTES: usize = 4 << 10;
+/// The capacity that an empty buffer keeps. A process may have a thousand connections and little memory.
+const IDLE_CAPACITY_BYTES: usize = 1 << 10;
 /// Written bytes are removed from the front of the buffer once there are more than this.
 const MAX_WRITTEN_PREFIX_BYTES: usize = 64 << 10;
 
@@ -257,10 +255,8 @@
     }
 }
 
-/// Empties a buffer and releases the memory that it has allocated for a burst.
+/// Empties a buffer and releases most of its memory.
 fn clear_and_shrink(buffer: &mut Vec<u8>) {
     buffer.clear();
-    if buffer.capacity() > MAX_IDLE_CAPACITY_BYTES {
-        buffer.shrink_to(IDLE_CAPACITY_BYTES);
-    }
+    buffer.shrink_to(IDLE_CAPACITY_BYTES);
 }
