Platform: what a host sends with an invalid message is not thrown away

Cause: on the first message that cannot be decoded the connection was closed at once, with all that lay unread or was still written on it. A host that has written a release regards it as sent and does not repeat it on a connection that is opened afterwards.

Change: an answer with an invalid description under an id that the placer does not know is skipped. On any other invalid message the attempts on the connection end as before, each with a close, this side is closed, and the rest is read for a second (256 KiB, 16 connections at most), where only releases of running tasks count (engine/draining.rs, shell/draining.rs).

--- a/crates/cli/tests/platform_releases.rs
+++ b/crates/cli/tests/platform_releases.rs
@@ -2,6 +2,7 @@
 
 mod platform_support;
 
+use std::io::Write;
 use std::net::Shutdown;
 
 use platform_support::{OwnerClient, SinglePlacer, parameter, probe, send_from_host, setup};
@@ -74,3 +75,46 @@
         "no release before it"
     );
 }
+
+/// Guards against releases that a host writes in the moment in which the placer closes their connection, because of an
+/// invalid answer on it.
+#[test]
+fn release_behind_an_invalid_message_or_the_end_of_its_connection_reaches_the_owner() {
+    for writes_after_end in [false, true] {
+        let mut single = SinglePlacer::start();
+        single.owner.send(&setup("0000000000000007", 6_000));
+        let (mut host, task) = single.host.next(OPEN);
+        send_from_host(&mut host, READY, &task, DESCRIPTION, b"text");
+        assert_eq!(single.owner.receive()["msg"], "ready");
+        // The answer to an unknown set-up, with parameters that exceed the message.
+        host.write_all(&[0, 12, READY, 1, 1, 1, 1, 1, 1, 1, 1, DESCRIPTION, 0, 200])
+            .expect("data can be sent");
+        if writes_after_end {
+            // The thread that reads this connection sees its end; the host has not closed its side.
+            single.host.wait_for_end();
+        }
+        send_from_host(&mut host, CLOSE, &task, CAUSE, &[NORMAL]);
+        let release = single.owner.receive();
+        assert_eq!(
+            (&release["msg"], &release["sid"], &release["code"]),
+            (&json!("close"), &json!("0000000000000007"), &json!(NORMAL))
+        );
+    }
+}
+
+/// Guards against a good answer that is thrown away with an invalid one under an unknown id ahead of it.
+#[test]
+fn answer_behind_an_invalid_answer_for_an_unknown_task_is_passed_on() {
+    let mut single = SinglePlacer::start();
+    single.owner.send(&setup("0000000000000007", 6_000));
+    let (mut host, task) = single.host.next(OPEN);
+    let mut unknown = task.clone();
+    unknown[1..9].copy_from_slice(&[0xee; 8]);
+    send_from_host(&mut host, READY, &unknown, DESCRIPTION, &[0xff, 0xfe]);
+    send_from_host(&mut host, READY, &task, DESCRIPTION, b"text");
+    let answer = single.owner.receive();
+    assert_eq!(
+        (&answer["msg"], &answer["text"]),
+        (&json!("ready"), &json!("text"))
+    );
+}
--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -76,6 +76,7 @@
 pub struct EmulatedHost {
     pub address: SocketAddr,
     pub messages: Receiver<(TcpStream, Vec<u8>)>,
+    ends: Receiver<()>,
 }
 
 impl EmulatedHost {
@@ -83,13 +84,29 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
         let address = listener.local_addr().expect("local address");
         let (sender, messages) = channel();
+        let (end_sender, ends) = channel();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let (stream, sender) = (stream.expect("connection is accepted"), sender.clone());
-                std::thread::spawn(move || read_messages(stream, &sender));
+                let end_sender = end_sender.clone();
+                std::thread::spawn(move || {
+                    read_messages(stream, &sender);
+                    let _ = end_sender.send(());
+                });
             }
         });
-        EmulatedHost { address, messages }
+        EmulatedHost {
+            address,
+            messages,
+            ends,
+        }
+    }
+
+    /// Waits until the placer has closed its side of a connection.
+    pub fn wait_for_end(&self) {
+        self.ends
+            .recv_timeout(TEST_TIMEOUT)
+            .expect("a connection ends");
     }
 
     /// Receives the next message of this type: its connection, and its bytes after the length.
--- a/crates/platform-wire/src/host.rs
+++ b/crates/platform-wire/src/host.rs
@@ -156,8 +156,8 @@
     Ignored,
 }
 
-/// Why bytes from a host cannot be decoded. The stream cannot be decoded further, as the start of the next message is not
-/// known.
+/// Why bytes from a host cannot be decoded. Except after [`DecodeError::InvalidParameter`], the start of the next message is not
+/// reliably known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum DecodeError {
     /// The length is out of range.
@@ -176,6 +176,38 @@
     InvalidParameter(u8),
 }
 
+/// The id and the length of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MessageHeader {
+    /// The id of the set-up.
+    pub id: SetupId,
+    /// The length in bytes, with the length field.
+    pub length: usize,
+}
+
+/// Decodes the header of the first message in `unread`. Returns none if the message is incomplete or its length is out of
+/// range.
+pub fn decode_header(unread: &[u8]) -> Option<MessageHeader> {
+    let &[high, low, ref rest @ ..] = unread else {
+        return None;
+    };
+    let length = usize::from(u16::from_be_bytes([high, low]));
+    if !is_valid_length(length) {
+        return None;
+    }
+    let message = rest.get(..length)?;
+    let id = message[1..HEADER_BYTES].try_into().ok()?;
+    Some(MessageHeader {
+        id: SetupId(u64::from_be_bytes(id)),
+        length: LENGTH_BYTES + length,
+    })
+}
+
+/// Whether a length field, which does not count itself, is in range.
+fn is_valid_length(length: usize) -> bool {
+    (HEADER_BYTES..=MAX_MESSAGE_BYTES - LENGTH_BYTES).contains(&length)
+}
+
 /// Decodes the first message in `unread`. Returns it with its length in bytes, or none if it is incomplete.
 ///
 /// # Errors
@@ -186,7 +218,7 @@
         return Ok(None);
     };
     let length = usize::from(u16::from_be_bytes([high, low]));
-    if !(HEADER_BYTES..=MAX_MESSAGE_BYTES - LENGTH_BYTES).contains(&length) {
+    if !is_valid_length(length) {
         return Err(DecodeError::InvalidLength(length));
     }
     // An unknown type is reported without waiting for the rest of the message, which may never arrive.
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -19,6 +19,9 @@
         connection: ConnectionId,
         message: FromHost,
     ) {
+        if let Some(&machine) = self.draining_connections.get(&connection) {
+            return self.handle_message_while_draining(now, machine, &message);
+        }
         let Some(received_on) = self.connections.get_mut(&connection) else {
             return;
         };
@@ -97,12 +100,7 @@
             return;
         };
         let Some(task) = self.tasks.id_by_setup(id) else {
-            // With other causes the message is the answer to a set-up, not the result of a running task.
-            if matches!(cause, Cause::NORMAL | Cause::RESET | Cause::CANCELLED) {
-                self.early_results
-                    .insert(now, id, EarlyResult::ReportedByHost(machine, cause));
-            }
-            return;
+            return self.keep_early_result(now, machine, id, cause);
         };
         let Some(entry) = self.tasks.get(task) else {
             return;
@@ -123,6 +121,21 @@
         }
     }
 
+    /// Keeps the result of a task that is not in the task table, in case it is handed over.
+    pub(super) fn keep_early_result(
+        &mut self,
+        now: Micros,
+        machine: MachineId,
+        id: SetupId,
+        cause: Cause,
+    ) {
+        // With other causes the message is the answer to a set-up, not the result of a running task.
+        if matches!(cause, Cause::NORMAL | Cause::RESET | Cause::CANCELLED) {
+            self.early_results
+                .insert(now, id, EarlyResult::ReportedByHost(machine, cause));
+        }
+    }
+
     /// Records that a host knows a running task. For one that was handed over this is the first evidence of it.
     fn confirm_running_task(&mut self, now: Micros, task: TaskId) {
         if !self.tasks.confirm(task) {
@@ -185,7 +198,7 @@
 }
 
 /// The outcome of a task that its host released.
-fn release_outcome(cause: Cause) -> AttemptOutcome {
+pub(super) fn release_outcome(cause: Cause) -> AttemptOutcome {
     match cause {
         Cause::NORMAL => AttemptOutcome::Completed,
         Cause::CANCELLED => AttemptOutcome::Cancelled,
@@ -194,7 +207,7 @@
 }
 
 /// The reason that a host reports for a rejection or a release.
-fn failure_reason(code: ReportCode) -> Option<FailureReason> {
+pub(super) fn failure_reason(code: ReportCode) -> Option<FailureReason> {
     match code {
         ReportCode::InsufficientCores => Some(FailureReason::InsufficientCores),
         ReportCode::InsufficientMemory => Some(FailureReason::InsufficientMemory),
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod admission_queue;
 mod attempts;
 mod connections;
+mod draining;
 mod early_results;
 mod failure_detection;
 mod host_messages;
@@ -27,7 +28,9 @@
 
 use std::collections::HashMap;
 
-use maplethread::{Action, AttemptOutcome, Event, Micros, RetrySafety, Settings, TaskId};
+use maplethread::{
+    Action, AttemptOutcome, Event, MachineId, Micros, RetrySafety, Settings, TaskId,
+};
 use maplethread_engine::{Decide, Timers};
 use maplethread_platform_settings::PlatformSettings;
 use maplethread_platform_wire::Cause;
@@ -35,6 +38,7 @@
 
 use admission_queue::AdmissionQueue;
 use connections::HostConnection;
+pub use draining::InvalidMessage;
 use early_results::EarlyResults;
 use host_table::HostTable;
 pub use output::{ConnectionId, DisconnectReason, Output, OwnerId, WriteProgress};
@@ -79,6 +83,8 @@
     pub queued_requests: usize,
     /// Connections to hosts.
     pub connections: usize,
+    /// Connections to hosts that are being drained.
+    pub draining_connections: usize,
     /// Hosts that are listed or run a task.
     pub hosts: usize,
     /// Scheduled timers.
@@ -99,6 +105,8 @@
     requires_idempotency_key: Vec<bool>,
     host_table: HostTable,
     connections: HashMap<ConnectionId, HostConnection>,
+    /// The machines of connections that are being drained.
+    draining_connections: HashMap<ConnectionId, MachineId>,
     last_connection_id: u64,
     owners: HashMap<OwnerId, Owner>,
     tasks: TaskTable,
@@ -138,6 +146,7 @@
                 .collect(),
             settings,
             connections: HashMap::new(),
+            draining_connections: HashMap::new(),
             last_connection_id: 0,
             owners: HashMap::new(),
             tasks: TaskTable::default(),
@@ -211,6 +220,7 @@
             tasks: self.tasks.len(),
             queued_requests: self.admission_queue.len(),
             connections: self.connections.len(),
+            draining_connections: self.draining_connections.len(),
             hosts: self.host_table.hosts.len(),
             timers: self.timers.len(),
             pending_releases: self.pending_releases.len(),
--- a/crates/platform/src/engine/output.rs
+++ b/crates/platform/src/engine/output.rs
@@ -28,6 +28,9 @@
     SendToHostImmediately(ConnectionId, Vec<u8>),
     /// Close a connection to a host.
     CloseConnection(ConnectionId),
+    /// Close this side of a connection to a host, and pass further messages from it to the engine until the host has closed
+    /// its side or for a short time. Then call [`Engine::connection_drained`](super::Engine::connection_drained).
+    DrainConnection(ConnectionId),
 }
 
 /// Whether all bytes for an owner were written before its connection ended.
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the engine with a policy whose actions are scripted by each test.
 
+mod draining;
 mod host_lists;
 mod hosts;
 mod owners;
--- a/crates/platform/src/shell/hosts.rs
+++ b/crates/platform/src/shell/hosts.rs
@@ -9,7 +9,7 @@
 
 use super::owners::MAX_PEER_SHARE;
 use super::{HOST_KIND, MAX_UNREAD_BYTES, Shell, token};
-use crate::engine::{ConnectionId, DisconnectReason};
+use crate::engine::{ConnectionId, DisconnectReason, InvalidMessage};
 
 /// The maximum number of bytes read from one host in one round, so that a busy host does not delay the others.
 const HOST_READ_BYTES: usize = 16 << 10;
@@ -50,6 +50,9 @@
 
     pub(super) fn handle_host_ready(&mut self, id: ConnectionId, readiness: &Readiness) {
         let now = self.event_loop.now();
+        if self.draining_hosts.contains_key(&id) {
+            return self.read_draining_host(now, id);
+        }
         let Some(connection) = self.host_connections.get_mut(&id) else {
             return;
         };
@@ -85,9 +88,16 @@
                 }
                 Ok(None) => break,
                 Err(error) => {
-                    tracing::debug!(connection = id.0, %error, "invalid message from host");
-                    self.drop_host_connection(now, id, DisconnectReason::Broken);
-                    return;
+                    let header = host::decode_header(connection.unread());
+                    let action = self.engine.handle_invalid_message(now, id, error, header);
+                    tracing::debug!(connection = id.0, %error, ?action, "invalid message from host");
+                    match (action, header) {
+                        (InvalidMessage::Skipped, Some(header)) => {
+                            connection.consume(header.length)
+                        }
+                        // The engine's output starts to drain the connection.
+                        _ => return,
+                    }
                 }
             }
         }
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -2,6 +2,7 @@
 //! performs their outputs.
 
 mod channel;
+mod draining;
 mod hosts;
 mod outputs;
 mod owners;
@@ -19,6 +20,7 @@
 use crate::memory_limits::MemoryLimits;
 use crate::shutdown::ShutdownSchedule;
 use crate::startup::{ConfigError, StartError, decode_settings, load_config};
+use draining::DrainingConnection;
 use owners::{LingeringConnection, OwnerConnection};
 
 const LISTENER_TOKEN: u64 = 0;
@@ -88,6 +90,7 @@
         lingering: BTreeMap::new(),
         buffered_owners: BTreeSet::new(),
         host_connections: HashMap::new(),
+        draining_hosts: BTreeMap::new(),
         last_owner_id: 0,
         max_connections: connection_limit,
         max_buffer_bytes: limits.max_buffer_bytes,
@@ -134,6 +137,8 @@
     /// The maximum number of bytes in the buffers of all owners' connections, including those that are being closed.
     max_buffer_bytes: usize,
     host_connections: HashMap<ConnectionId, TcpConnection>,
+    /// Connections to hosts that are being drained.
+    draining_hosts: BTreeMap<ConnectionId, DrainingConnection>,
     last_owner_id: u64,
     /// The maximum number of connections of owners and hosts together.
     max_connections: usize,
@@ -174,6 +179,7 @@
                 self.accept_owners();
             }
             self.expire_owner_timers(now);
+            self.expire_draining_hosts(now);
             self.limit_owner_buffers();
             if self.is_finished(now) {
                 return self.shut_down();
@@ -192,11 +198,18 @@
             .map(|connection| connection.until)
             .min()
             .unwrap_or(Micros::MAX);
+        let draining = self
+            .draining_hosts
+            .values()
+            .map(|connection| connection.until)
+            .min()
+            .unwrap_or(Micros::MAX);
         let accept_retry = self.accept_paused_until.unwrap_or(Micros::MAX);
         let reload = self.reload.map_or(Micros::MAX, |reload| reload.due_at);
         let due = engine
             .min(self.channel.next_timeout())
             .min(lingering)
+            .min(draining)
             .min(accept_retry)
             .min(reload);
         // After the earliest exit, whether the shutdown is finished is checked every 10 ms.
--- a/crates/platform/src/shell/outputs.rs
+++ b/crates/platform/src/shell/outputs.rs
@@ -39,6 +39,7 @@
                 self.host_connections.remove(&id);
                 self.resume_accepting();
             }
+            Output::DrainConnection(id) => self.start_draining(now, id),
         }
     }
 
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -93,7 +93,10 @@
 impl Shell {
     /// The number of connections of owners and hosts.
     pub(super) fn connection_count(&self) -> usize {
-        self.owners.len() + self.lingering.len() + self.host_connections.len()
+        self.owners.len()
+            + self.lingering.len()
+            + self.host_connections.len()
+            + self.draining_hosts.len()
     }
 
     pub(super) fn accept_owners(&mut self) {
@@ -438,6 +441,7 @@
         self.perform_outputs(now);
         self.flush_pending_writes(now);
         self.host_connections.clear();
+        self.draining_hosts.clear();
         self.channel_connection = None;
         for (id, owner) in std::mem::take(&mut self.owners) {
             self.keep_lingering(id, owner.conn, now + SHUTDOWN_LINGER_TIMEOUT);
--- a/crates/platform/tests/support/placers.rs
+++ b/crates/platform/tests/support/placers.rs
@@ -153,6 +153,7 @@
                     }
                 }
                 Output::CloseConnection(id) => self.close_connection((placer, incarnation, id)),
+                Output::DrainConnection(_) => panic!("all messages of hosts are valid"),
             }
         }
         // Connections are flushed in random order. Messages that have to be written immediately were written above.
