Policy, platform: services and hosts that clients name are bounded by pairs

A hand-over names its host freely. A host that was never listed stayed in the host table for good, with its name, and the policy kept a placement of the service on it as long as any other of the service was in use.

A host that was never listed goes with its last task.

--- a/crates/platform/src/engine/host_table.rs
+++ b/crates/platform/src/engine/host_table.rs
@@ -219,6 +219,18 @@
         })
     }
 
+    /// Removes a host that has never been listed and is not in use any more. Owners choose the hosts of the tasks that they
+    /// hand over.
+    pub(super) fn remove_unlisted_host(&mut self, id: MachineId) {
+        let is_unused = self.hosts.get(&id).is_some_and(|host| {
+            host.address.is_none() && host.running.is_empty() && host.connections.is_empty()
+        });
+        if is_unused {
+            self.hosts.remove(&id);
+            self.names.remove(id);
+        }
+    }
+
     /// Removes hosts that are gone and have neither connections nor tasks, and their names after `NAME_RETENTION`.
     fn remove_expired(&mut self, now: Micros) {
         self.hosts.retain(|_, host| {
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -50,6 +50,7 @@
         if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
             host.running.remove(&task);
         }
+        self.host_table.remove_unlisted_host(placement.machine);
         self.push_attempt_finished(placement.attempt(task), outcome, reason, true);
         if placement.close_cause.is_none() && outcome != AttemptOutcome::Cancelled {
             self.notify_release(now, owner, release);
--- a/crates/platform/src/engine/tests/resource_use.rs
+++ b/crates/platform/src/engine/tests/resource_use.rs
@@ -171,3 +171,21 @@
     assert_eq!(sizes.connections, before.connections);
     assert!(sizes.timers <= before.timers + 1, "{sizes:?}");
 }
+
+#[test]
+fn handovers_on_hosts_that_are_never_listed_leave_nothing_in_the_tables() {
+    let (mut harness, _, before) = harness_with_connection();
+    for id in 100..400 {
+        let handover = running_setup(id, &format!("unlisted-{id}"));
+        harness.owner_sends(OWNER_B, request(handover));
+    }
+    assert_eq!(harness.engine.table_sizes().hosts, before.hosts + 300);
+    // Their tasks fail, and the owner acknowledges the releases.
+    harness.advance(8_000 * MS);
+    for id in 100..400 {
+        let id = maplethread_platform_wire::SetupId(id);
+        harness.owner_sends(OWNER_B, FromOwner::Closed { id });
+    }
+    let after = harness.engine.table_sizes();
+    assert_eq!((after.hosts, after.tasks), (before.hosts, 0));
+}
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -115,7 +115,7 @@
             machine.add_own_allocation(task.requested, self.now);
         }
         self.placements.add(task.service, attempt.machine, self.now);
-        if self.placements.limit_services() {
+        if self.placements.limit() {
             let placements = &self.placements;
             self.service_rates
                 .retain_services(|service| placements.contains(service));
