--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -2,9 +2,9 @@
 //! policy's actions into messages, connections and timers.
 //!
 //! The methods of `Engine` are split by subject: `requests` and `attempts` handle a task from its request to its answer,
-//! `running_tasks` and `releases` from its placement to its end; `owners` and `connections` manage the connections of both
-//! sides, `host_messages` handles messages from hosts, and `failure_detection` determines when an unreachable host has
-//! failed.
+//! `running_tasks` and `releases` from its placement to its end, and `handover` a task that already runs; `owners` and
+//! `connections` manage the connections of both sides, `host_messages` handles messages from hosts, `draining` connections
+//! with invalid messages, and `failure_detection` determines when an unreachable host has failed.
 
 mod admission_queue;
 mod attempts;
@@ -12,6 +12,7 @@
 mod draining;
 mod early_results;
 mod failure_detection;
+mod handover;
 mod host_messages;
 mod host_table;
 mod output;
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -1,4 +1,4 @@
-//! Requests from owners: how they are accepted, admitted to the policy and cancelled; and the handover of running tasks.
+//! Requests from owners: how they are accepted, admitted to the policy and cancelled.
 
 use maplethread::{AttemptOutcome, Event, Micros, Resources, ServiceId, Task, TaskId};
 use maplethread_engine::Decide;
@@ -9,7 +9,6 @@
 use super::Engine;
 use super::early_results::EarlyResult;
 use super::output::OwnerId;
-use super::release_table::Release;
 use super::task_table::{TaskEntry, setup_bytes};
 use super::timer::Timer;
 
@@ -22,7 +21,7 @@
 
 impl<D: Decide> Engine<D> {
     /// The index of the set-up's class, or none if the class is unknown or its required idempotency key is missing.
-    fn class_index(&self, setup: &Setup) -> Option<usize> {
+    pub(super) fn class_index(&self, setup: &Setup) -> Option<usize> {
         let class = self
             .settings
             .class_names
@@ -129,59 +128,6 @@
         }
     }
 
-    /// Takes over a task that already runs on a host.
-    pub(super) fn adopt_running_task(&mut self, now: Micros, owner: OwnerId, setup: Box<Setup>) {
-        let id = setup.id;
-        let (Some(class), Some(host)) = (self.class_index(&setup), setup.running_on.clone()) else {
-            tracing::debug!(%id, "running task ignored: unknown class or missing idempotency key");
-            return self.record_invalid_message(owner);
-        };
-        let Some(owner_entry) = self.owners.get_mut(&owner) else {
-            return;
-        };
-        owner_entry.has_sent_valid_message = true;
-        let owner_address = owner_entry.evidence.address();
-        let is_full = self.tasks.len() >= self.limits.max_tasks
-            || self.tasks.unconfirmed_count() >= self.limits.max_unconfirmed_tasks;
-        if is_full {
-            tracing::warn!(%id, "running task ignored: the task table is full");
-        }
-        if is_full || self.tasks.id_by_setup(id).is_some() {
-            return;
-        }
-        // The task's result may have arrived before the handover: from its host, which sends it on the first connection to
-        // this process, or from its owner, on any connection.
-        let early_result = self.early_results.take(now, id);
-        let machine = self.host_table.id_or_insert(&host, now);
-        if let Some(EarlyResult::ReportedByHost(reporter, cause)) = early_result
-            && reporter == machine
-        {
-            self.record_verified_owner(now, owner);
-            let release = Release {
-                id,
-                cause,
-                owner_address,
-            };
-            return self.notify_release(now, owner, release);
-        }
-        self.tasks.record_name(now, &setup.task_name);
-        let task = build_task(class, &setup, now);
-        let task_id = self
-            .tasks
-            .insert(TaskEntry::running(id, owner, owner_address, machine, now));
-        let task = Task {
-            id: task_id,
-            ..task
-        };
-        self.policy_events
-            .push(Event::TaskAdopted { task, machine });
-        self.record_running_task(now, task_id, machine);
-        self.record_handover(now, owner, machine);
-        if let Some(EarlyResult::ClosedByOwner(cause)) = early_result {
-            self.handle_owner_close(now, owner, id, cause);
-        }
-    }
-
     /// Handles an owner's close, which cancels a request or ends a running task.
     pub(super) fn handle_owner_close(
         &mut self,
@@ -223,7 +169,7 @@
 }
 
 /// Builds the policy's task from a set-up. The caller assigns its id.
-fn build_task(class: usize, setup: &Setup, deadline: Micros) -> Task {
+pub(super) fn build_task(class: usize, setup: &Setup, deadline: Micros) -> Task {
     Task {
         id: TaskId(0),
         service: ServiceId(setup.service),
