Platform: only a probable owner's acknowledgement ends a pending release

A release that was sent to a connection which then is verified counts as sent on it, so it is sent again if that connection ends at once. An acknowledgement by a connection that is only possibly the owner's no longer keeps the release from a verified one.

--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -56,13 +56,17 @@
     }
 
     fn send_release(&mut self, now: Micros, owner: OwnerId, release: Release) {
+        self.record_sent_release(now, owner, release);
+        self.push_release(owner, release);
+    }
+
+    fn record_sent_release(&mut self, now: Micros, owner: OwnerId, release: Release) {
         let sent = SentRelease {
             release,
             owner,
             sent_at: now,
         };
         self.sent_releases.insert(release.id, sent);
-        self.push_release(owner, release);
     }
 
     fn push_release(&mut self, owner: OwnerId, release: Release) {
@@ -132,8 +136,9 @@
         let was_sent = pending.recipients.contains(&id);
         if likelihood == OwnerLikelihood::Verified {
             self.pending_releases.remove(release_id);
+            self.record_sent_release(now, id, release);
             if !was_sent {
-                self.send_release(now, id, release);
+                self.push_release(id, release);
             }
             return;
         }
@@ -186,13 +191,17 @@
         self.offer_pending_releases(now, id);
     }
 
-    /// Handles an owner's acknowledgement of a release. Owners are not required to send any.
+    /// Handles an owner's acknowledgement of a release. Owners are not required to send any. A pending release stays pending
+    /// if the connection is only possibly its owner's.
     pub(super) fn handle_release_acknowledged(&mut self, owner: OwnerId, id: SetupId) {
-        let is_recipient = self
-            .pending_releases
-            .get(id)
-            .is_some_and(|pending| pending.recipients.contains(&owner));
-        if is_recipient {
+        let is_received = self.pending_releases.get(id).is_some_and(|pending| {
+            pending.recipients.contains(&owner)
+                && self.owners.get(&owner).is_some_and(|owner| {
+                    let owner_address = pending.release.owner_address;
+                    owner.evidence.likelihood(owner_address) >= OwnerLikelihood::Probable
+                })
+        });
+        if is_received {
             self.pending_releases.remove(id);
         }
         if self
--- a/crates/platform/src/engine/tests/release_delivery.rs
+++ b/crates/platform/src/engine/tests/release_delivery.rs
@@ -189,8 +189,11 @@
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(releases(&outputs), [RELEASE_7]);
     let closed = FromOwner::Closed { id: SetupId(7) };
+    // Neither the acknowledgement of another client counts, nor that of one that is only possibly the owner.
     harness.owner_sends(OWNER_B, closed.clone());
+    harness.owner_sends(OWNER_A_AGAIN, closed.clone());
     assert_eq!(harness.engine.table_sizes().pending_releases, 1);
+    rejected_request(&mut harness, OWNER_A_AGAIN, 8);
     harness.owner_sends(OWNER_A_AGAIN, closed);
     assert_eq!(harness.engine.table_sizes().pending_releases, 0);
     assert_eq!(releases(&place(&mut harness, OWNER_B, 9)), []);
