--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -12,6 +12,25 @@
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 
+/// The types of messages to hosts and from them.
+pub mod kind {
+    pub const OPEN: u8 = 1;
+    pub const READY: u8 = 9;
+    pub const CLOSE: u8 = 12;
+}
+
+/// The codes of parameters in messages to hosts and from them.
+pub mod code {
+    pub const CAUSE: u8 = 61;
+    pub const DESCRIPTION: u8 = 63;
+}
+
+/// The causes of rejections and releases.
+pub mod cause {
+    pub const NORMAL: u8 = 16;
+    pub const NO_CAPACITY: u8 = 34;
+}
+
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_maplethread");
 /// The limit for one wait of a test, long enough for slow machines; a passing test does not reach it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -289,6 +308,25 @@
     path
 }
 
+/// What a placer that is reconfigured needs: a folder for its configuration, a host, and two command channels.
+pub struct ReloadSetup {
+    pub folder: tempfile::TempDir,
+    pub host: EmulatedHost,
+    pub first: EmulatedCommandChannel,
+    pub second: EmulatedCommandChannel,
+}
+
+impl ReloadSetup {
+    pub fn start() -> ReloadSetup {
+        ReloadSetup {
+            folder: tempfile::tempdir().expect("temporary folder"),
+            host: EmulatedHost::start(),
+            first: EmulatedCommandChannel::start(),
+            second: EmulatedCommandChannel::start(),
+        }
+    }
+}
+
 /// A placer with one host, and an owner that is connected to it.
 pub struct SinglePlacer {
     pub _folder: tempfile::TempDir,
