Platform: releases of ended connections reach their owner beside other owners

With a verified connection of another owner open, the release of a task whose own connection had ended went only there, although the task's owner had connected anew; a move was asked for once, on one connection. A new connection whose first request had no answer yet got nothing.

Change: such a release goes to all verified connections (16 at most) and to those that are probably the owner's (8), or possibly if there are no better ones, and for 8 s also to connections that become likely. A valid request counts from its arrival; connections that have only cancelled theirs still get nothing. A move goes to one more verified connection each time that the policy asks for it again.

Evidence: release_reaches_its_owner_beside_another_owner_whose_task_runs (real sockets, platform_releases) and five tests of engine/tests/release_delivery.rs.

--- a/crates/cli/tests/platform_releases.rs
+++ b/crates/cli/tests/platform_releases.rs
@@ -110,3 +110,35 @@
         (&json!("ready"), &json!("text"))
     );
 }
+
+/// Guards against the release of a task that only another owner receives, while the task's owner has connected anew.
+#[test]
+fn release_reaches_its_owner_beside_another_owner_whose_task_runs() {
+    let mut single = SinglePlacer::start();
+    let mut other = OwnerClient::connect(&single.placer);
+    let mut tasks = Vec::new();
+    for (owner, sid) in [
+        (&mut other, "0000000000000006"),
+        (&mut single.owner, "0000000000000007"),
+    ] {
+        owner.send(&setup(sid, 6_000));
+        let (mut host, task) = single.host.next(OPEN);
+        send_from_host(&mut host, READY, &task, DESCRIPTION, b"text");
+        assert_eq!(owner.receive()["msg"], "ready");
+        tasks.push((host, task));
+    }
+    drop(std::mem::replace(&mut single.owner, other));
+    let mut owner = OwnerClient::connect(&single.placer);
+    owner.send(&probe(1));
+    assert_eq!(owner.receive()["msg"], "probed");
+    // Its request is not answered yet.
+    owner.send(&setup("0000000000000008", 20_000));
+    single.host.next(OPEN);
+    let (mut host, task) = tasks.pop().expect("the task of the first connection");
+    send_from_host(&mut host, CLOSE, &task, CAUSE, &[NORMAL]);
+    let release = owner.receive();
+    assert_eq!(
+        (&release["msg"], &release["sid"], &release["code"]),
+        (&json!("close"), &json!("0000000000000007"), &json!(NORMAL))
+    );
+}
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -44,7 +44,7 @@
 use host_table::HostTable;
 pub use output::{ConnectionId, DisconnectReason, Output, OwnerId, WriteProgress};
 use owners::Owner;
-use release_table::{PendingRelease, ReleaseTable, SentRelease};
+use release_table::{OrphanedRelease, ReleaseTable, SentRelease};
 use task_table::TaskTable;
 use timer::Timer;
 
@@ -90,9 +90,9 @@
     pub hosts: usize,
     /// Scheduled timers.
     pub timers: usize,
-    /// Releases that no verified owner has got yet.
-    pub pending_releases: usize,
-    /// Releases that were sent and not acknowledged.
+    /// Releases of tasks whose own connections have ended.
+    pub orphaned_releases: usize,
+    /// Releases that were sent on the connections of their tasks and not acknowledged.
     pub sent_releases: usize,
     /// Results that arrived before their tasks were handed over to this placer.
     pub early_results: usize,
@@ -116,8 +116,8 @@
     admission_queue: AdmissionQueue,
     /// Results that arrived before their tasks were handed over to this placer.
     early_results: EarlyResults,
-    pending_releases: ReleaseTable<PendingRelease>,
-    /// Releases that were sent and not acknowledged, as far as their connections are open.
+    orphaned_releases: ReleaseTable<OrphanedRelease>,
+    /// Releases that were sent on the connections of their tasks and not acknowledged.
     sent_releases: ReleaseTable<SentRelease>,
     timers: Timers<Timer>,
     policy_events: Vec<Event>,
@@ -154,7 +154,7 @@
             limits: TableLimits::default(),
             admission_queue: AdmissionQueue::default(),
             early_results: EarlyResults::default(),
-            pending_releases: ReleaseTable::default(),
+            orphaned_releases: ReleaseTable::default(),
             sent_releases: ReleaseTable::default(),
             timers: Timers::default(),
             policy_events: Vec::new(),
@@ -224,7 +224,7 @@
             draining_connections: self.draining_connections.len(),
             hosts: self.host_table.hosts.len(),
             timers: self.timers.len(),
-            pending_releases: self.pending_releases.len(),
+            orphaned_releases: self.orphaned_releases.len(),
             sent_releases: self.sent_releases.len(),
             early_results: self.early_results.len(),
         }
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -128,7 +128,7 @@
                 let is_new_evidence = owner.evidence.record_probe();
                 self.outputs.push(Output::SendToOwner(id, answer));
                 if is_new_evidence {
-                    self.offer_pending_releases(now, id);
+                    self.offer_orphaned_releases(now, id);
                 }
             }
             Ok(FromOwner::Ignored) => {}
@@ -192,7 +192,7 @@
             .get_mut(&id)
             .is_some_and(|owner| owner.evidence.record_answer());
         if is_new_evidence {
-            self.offer_pending_releases(now, id);
+            self.offer_orphaned_releases(now, id);
         }
     }
 
@@ -209,7 +209,7 @@
                 .get_mut(&id)
                 .is_some_and(|owner| owner.evidence.record_handover());
         if is_new_evidence {
-            self.offer_pending_releases(now, id);
+            self.offer_orphaned_releases(now, id);
         }
     }
 
--- a/crates/platform/src/engine/release_table.rs
+++ b/crates/platform/src/engine/release_table.rs
@@ -12,6 +12,10 @@
 /// all of them at once.
 const MAX_RELEASES: usize = 2048;
 
+/// How long a release is sent to further connections after a verified one has got it. The platform protocol allows this time
+/// from the end of a task to its release.
+const ORPHAN_LIFETIME: Micros = 8_000_000;
+
 /// The release of a task that was running.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Release {
@@ -23,15 +27,39 @@
     pub(super) owner_address: IpAddr,
 }
 
-/// A release that no verified owner has got yet.
+/// A release of a task whose own connection has ended.
 #[derive(Debug)]
-pub(super) struct PendingRelease {
+pub(super) struct OrphanedRelease {
     pub(super) release: Release,
-    /// Connections to which it was sent although they are not verified, including those that have ended since.
+    /// Connections to which it was sent, including those that have ended since.
     pub(super) recipients: Vec<OwnerId>,
+    /// When it was sent to a verified connection.
+    pub(super) verified_at: Option<Micros>,
+}
+
+impl OrphanedRelease {
+    /// A release that was not sent yet.
+    pub(super) fn new(release: Release) -> OrphanedRelease {
+        OrphanedRelease {
+            release,
+            recipients: Vec::new(),
+            verified_at: None,
+        }
+    }
+
+    /// Whether a verified connection has got it.
+    pub(super) fn is_verified(&self) -> bool {
+        self.verified_at.is_some()
+    }
+
+    /// Whether it is not sent to further connections.
+    pub(super) fn is_expired(&self, now: Micros) -> bool {
+        self.verified_at
+            .is_some_and(|at| at + ORPHAN_LIFETIME <= now)
+    }
 }
 
-/// A release that was sent on a connection of its owner, or of a verified one.
+/// A release that was sent on the connection on which its task was requested.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SentRelease {
     pub(super) release: Release,
--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -1,9 +1,10 @@
 //! Releases and relocations of running tasks, and the selection of the connections to send them on.
 //!
-//! A message about a task goes to the connection on which the task was requested. Once that has ended it goes to another
-//! connection of an owner, as the platform protocol allows. A release is kept until it was sent to a connection that is
-//! verified to be an owner's; meanwhile it is also sent to those that are likely to be ([`OwnerLikelihood`]). A connection
-//! that ends may have ended before it received what was sent last, so that is sent again.
+//! A message about a task goes to the connection on which the task was requested. Once that has ended, the platform protocol
+//! allows any connection of an owner, but does not identify owners. So the release of such a task is sent to all connections
+//! that are verified to be owners', and to those that are probably the task's owner's ([`OwnerLikelihood`]); if there are none,
+//! to those that are possibly. Until a verified one has got it, and for some time after that, it is also sent to connections
+//! that become likely. A connection that ends may have ended before it received what was sent last, so that is sent again.
 
 use std::cmp::Reverse;
 use std::net::IpAddr;
@@ -17,56 +18,32 @@
 use super::output::{Output, OwnerId, WriteProgress};
 use super::owner_evidence::OwnerLikelihood;
 use super::owners::Owner;
-use super::release_table::{PendingRelease, Release, SentRelease};
+use super::release_table::{OrphanedRelease, Release, SentRelease};
 
-/// The maximum number of connections that are not verified to which one release is sent.
-const MAX_UNVERIFIED_RECIPIENTS: usize = 8;
+/// The maximum number of connections to which the release of one task is sent while they are not verified, and the maximum
+/// number to which its relocation is sent. Verified connections get a release while it was sent to fewer than twice as many.
+const MAX_RECIPIENTS: usize = 8;
 /// A release that was sent less than this before its connection ended may have crossed the end. The platform protocol
 /// allows 50 ms for a set-up to cross it.
 const CROSSING_INTERVAL: Micros = 250_000;
 
 impl<D: Decide> Engine<D> {
-    /// The connection for messages about a task: the one on which it was requested, else the verified one that was active
-    /// last, preferably with the address of the task's owner.
-    fn reachable_owner(&self, requested_on: OwnerId, owner_address: IpAddr) -> Option<OwnerId> {
-        if self
-            .owners
-            .get(&requested_on)
-            .is_some_and(Owner::is_reachable)
-        {
-            return Some(requested_on);
-        }
-        self.owners
-            .iter()
-            .filter(|(_, owner)| owner.is_reachable() && owner.evidence.is_verified())
-            .max_by_key(|(id, owner)| {
-                let has_owner_address = owner.evidence.address() == owner_address;
-                (has_owner_address, owner.last_received, **id)
-            })
-            .map(|(&id, _)| id)
+    fn is_reachable(&self, id: OwnerId) -> bool {
+        self.owners.get(&id).is_some_and(Owner::is_reachable)
     }
 
-    /// Sends the release of a task that was requested on the connection `requested_on`. Until there is a connection that can
-    /// be relied on to be an owner's, the release is pending.
+    /// Sends the release of a task to the connection on which the task was requested, or to others if that has ended.
     pub(super) fn notify_release(&mut self, now: Micros, requested_on: OwnerId, release: Release) {
-        match self.reachable_owner(requested_on, release.owner_address) {
-            Some(owner) => self.send_release(now, owner, release),
-            None => self.add_pending_release(release),
+        if !self.is_reachable(requested_on) {
+            return self.add_orphaned_release(now, release);
         }
-    }
-
-    fn send_release(&mut self, now: Micros, owner: OwnerId, release: Release) {
-        self.record_sent_release(now, owner, release);
-        self.push_release(owner, release);
-    }
-
-    fn record_sent_release(&mut self, now: Micros, owner: OwnerId, release: Release) {
         let sent = SentRelease {
             release,
-            owner,
+            owner: requested_on,
             sent_at: now,
         };
         self.sent_releases.insert(release.id, sent);
+        self.push_release(requested_on, release);
     }
 
     fn push_release(&mut self, owner: OwnerId, release: Release) {
@@ -75,110 +52,119 @@
             .push(Output::SendToOwner(owner, ToOwner::Close { id, cause }));
     }
 
-    /// Adds a pending release and sends it to the connections that are most likely its owner's.
-    fn add_pending_release(&mut self, release: Release) {
-        let recipients = self.most_likely_owners(release.owner_address);
-        tracing::debug!(id = %release.id, recipients = recipients.len(), "release pending: no verified owner");
-        for &owner in &recipients {
-            self.push_release(owner, release);
+    /// Adds the release of a task whose connection has ended, and sends it to the connections that are likely its owner's.
+    fn add_orphaned_release(&mut self, now: Micros, release: Release) {
+        let expired = self.orphaned_releases.ids(|orphan| orphan.is_expired(now));
+        for id in expired {
+            self.orphaned_releases.remove(id);
         }
-        let pending = PendingRelease {
-            release,
-            recipients,
-        };
-        if let Some(dropped) = self.pending_releases.insert(release.id, pending) {
-            tracing::warn!(id = %dropped.release.id, "release dropped: too many are pending");
+        let dropped = self
+            .orphaned_releases
+            .insert(release.id, OrphanedRelease::new(release));
+        if let Some(dropped) = dropped.filter(|orphan| !orphan.is_verified()) {
+            tracing::warn!(id = %dropped.release.id, "release dropped: too many have no verified owner");
         }
+        self.offer_to_likely_owners(now, release);
     }
 
-    /// The connections that are most likely of the owner with this address, those that were active last.
-    fn most_likely_owners(&self, owner_address: IpAddr) -> Vec<OwnerId> {
-        let likelihood_of = |owner: &Owner| owner.evidence.likelihood(owner_address);
-        let reachable = || self.owners.iter().filter(|(_, owner)| owner.is_reachable());
-        let best = reachable()
-            .map(|(_, owner)| likelihood_of(owner))
-            .max()
-            .unwrap_or(OwnerLikelihood::Unlikely);
-        if best == OwnerLikelihood::Unlikely {
-            return Vec::new();
+    fn offer_to_likely_owners(&mut self, now: Micros, release: Release) {
+        for owner in self.likely_owners(release.owner_address) {
+            self.offer_orphaned_release(now, owner, release.id);
         }
-        let mut candidates: Vec<(&OwnerId, &Owner)> = reachable()
-            .filter(|(_, owner)| likelihood_of(owner) == best)
+    }
+
+    /// The connections that are likely of the owner with this address, the most likely first, and of those that are equally
+    /// likely the ones from its address and the ones that were active last.
+    fn likely_owners(&self, owner_address: IpAddr) -> Vec<OwnerId> {
+        let mut likely: Vec<_> = self
+            .owners
+            .iter()
+            .filter(|(_, owner)| owner.is_reachable())
+            .map(|(&id, owner)| {
+                let likelihood = owner.evidence.likelihood(owner_address);
+                let has_owner_address = owner.evidence.address() == owner_address;
+                (likelihood, has_owner_address, owner.last_received, id)
+            })
+            .filter(|&(likelihood, ..)| likelihood > OwnerLikelihood::Unlikely)
             .collect();
-        candidates.sort_by_key(|(id, owner)| Reverse((owner.last_received, **id)));
-        candidates
-            .into_iter()
-            .take(MAX_UNVERIFIED_RECIPIENTS)
-            .map(|(&id, _)| id)
-            .collect()
+        likely.sort_unstable_by_key(|&rank| Reverse(rank));
+        likely.into_iter().map(|(.., id)| id).collect()
     }
 
-    /// Sends pending releases to a connection with new evidence of whose it is, unless others are more likely their owners'.
-    pub(super) fn offer_pending_releases(&mut self, now: Micros, id: OwnerId) {
-        if self.pending_releases.is_empty() {
+    /// Sends the orphaned releases to a connection with new evidence of whose it is.
+    pub(super) fn offer_orphaned_releases(&mut self, now: Micros, id: OwnerId) {
+        if self.orphaned_releases.is_empty() {
             return;
         }
-        for release_id in self.pending_releases.ids(|_| true) {
-            self.offer_pending_release(now, id, release_id);
+        for release_id in self.orphaned_releases.ids(|_| true) {
+            self.offer_orphaned_release(now, id, release_id);
         }
     }
 
-    fn offer_pending_release(&mut self, now: Micros, id: OwnerId, release_id: SetupId) {
+    /// Sends an orphaned release to a connection, unless that is unlikely its owner's or others are more likely.
+    fn offer_orphaned_release(&mut self, now: Micros, id: OwnerId, release_id: SetupId) {
         let Some(owner) = self.owners.get(&id).filter(|owner| owner.is_reachable()) else {
             return;
         };
-        let Some(pending) = self.pending_releases.get_mut(release_id) else {
+        let Some(orphan) = self.orphaned_releases.get_mut(release_id) else {
             return;
         };
-        let release = pending.release;
+        let release = orphan.release;
         let likelihood_of = |owner: &Owner| owner.evidence.likelihood(release.owner_address);
         let likelihood = likelihood_of(owner);
-        let was_sent = pending.recipients.contains(&id);
-        if likelihood == OwnerLikelihood::Verified {
-            self.pending_releases.remove(release_id);
-            self.record_sent_release(now, id, release);
-            if !was_sent {
-                self.push_release(id, release);
-            }
+        let is_verified = likelihood == OwnerLikelihood::Verified;
+        let max_recipients = MAX_RECIPIENTS * if is_verified { 2 } else { 1 };
+        let was_sent = orphan.recipients.contains(&id);
+        if orphan.is_expired(now) || !was_sent && orphan.recipients.len() >= max_recipients {
             return;
         }
-        let best_so_far = pending
-            .recipients
-            .iter()
-            .filter_map(|recipient| self.owners.get(recipient))
-            .filter(|recipient| recipient.is_reachable())
-            .map(likelihood_of)
-            .max()
-            .unwrap_or(OwnerLikelihood::Possible);
-        if likelihood >= best_so_far
-            && !was_sent
-            && pending.recipients.len() < MAX_UNVERIFIED_RECIPIENTS
-        {
-            pending.recipients.push(id);
+        let has_better_recipient = || {
+            let recipients = orphan.recipients.iter();
+            let open = recipients.filter_map(|recipient| self.owners.get(recipient));
+            open.filter(|recipient| recipient.is_reachable())
+                .any(|recipient| likelihood_of(recipient) > likelihood)
+        };
+        let is_selected = match likelihood {
+            OwnerLikelihood::Unlikely => false,
+            OwnerLikelihood::Possible => !has_better_recipient(),
+            OwnerLikelihood::Probable | OwnerLikelihood::Verified => true,
+        };
+        if !is_selected {
+            return;
+        }
+        if is_verified {
+            orphan.verified_at.get_or_insert(now);
+        }
+        if !was_sent {
+            orphan.recipients.push(id);
             self.push_release(id, release);
         }
     }
 
-    /// Sends those pending releases to other connections that were sent to this one, which has ended, and to none that is
-    /// still open.
-    fn replace_unverified_recipient(&mut self, now: Micros, ended: OwnerId) {
-        let owners = &self.owners;
-        let is_open = |id: &OwnerId| owners.get(id).is_some_and(Owner::is_reachable);
-        let abandoned = self.pending_releases.ids(|pending| {
-            pending.recipients.contains(&ended) && !pending.recipients.iter().any(is_open)
+    /// Sends the orphaned releases to other connections that one which has ended may not have received, and that no open one
+    /// has got.
+    fn replace_recipient(&mut self, now: Micros, ended: OwnerId, is_any_unreceived: bool) {
+        let is_open = |id: &OwnerId| self.is_reachable(*id);
+        let unreceived = self.orphaned_releases.ids(|orphan| {
+            let was_received = orphan
+                .verified_at
+                .is_some_and(|at| at + CROSSING_INTERVAL <= now)
+                && !is_any_unreceived;
+            orphan.recipients.contains(&ended)
+                && !orphan.recipients.iter().any(is_open)
+                && !was_received
         });
-        for release_id in abandoned {
-            let Some(pending) = self.pending_releases.get(release_id) else {
-                continue;
-            };
-            for id in self.most_likely_owners(pending.release.owner_address) {
-                self.offer_pending_release(now, id, release_id);
+        for release_id in unreceived {
+            if let Some(orphan) = self.orphaned_releases.get_mut(release_id) {
+                orphan.verified_at = None;
+                let release = orphan.release;
+                self.offer_to_likely_owners(now, release);
             }
         }
     }
 
     /// Records that a host runs a task of this connection. From now on it gets releases of tasks whose own connections have
-    /// ended, and those that are pending are sent to it.
+    /// ended, and those that are kept.
     pub(super) fn record_verified_owner(&mut self, now: Micros, id: OwnerId) {
         let Some(owner) = self
             .owners
@@ -188,27 +174,24 @@
             return;
         };
         owner.evidence.record_running_task();
-        self.offer_pending_releases(now, id);
+        self.offer_orphaned_releases(now, id);
     }
 
-    /// Handles an owner's acknowledgement of a release. Owners are not required to send any. A pending release stays pending
-    /// if the connection is only possibly its owner's.
+    /// Handles an owner's acknowledgement of a release. Owners are not required to send any. An orphaned release is kept if
+    /// the connection is only possibly its owner's.
     pub(super) fn handle_release_acknowledged(&mut self, owner: OwnerId, id: SetupId) {
-        let is_received = self.pending_releases.get(id).is_some_and(|pending| {
-            pending.recipients.contains(&owner)
+        let is_received = self.orphaned_releases.get(id).is_some_and(|orphan| {
+            orphan.recipients.contains(&owner)
                 && self.owners.get(&owner).is_some_and(|owner| {
-                    let owner_address = pending.release.owner_address;
+                    let owner_address = orphan.release.owner_address;
                     owner.evidence.likelihood(owner_address) >= OwnerLikelihood::Probable
                 })
         });
         if is_received {
-            self.pending_releases.remove(id);
+            self.orphaned_releases.remove(id);
         }
-        if self
-            .sent_releases
-            .get(id)
-            .is_some_and(|sent| sent.owner == owner)
-        {
+        let sent = self.sent_releases.get(id);
+        if sent.is_some_and(|sent| sent.owner == owner) {
             self.sent_releases.remove(id);
             if let Some(owner) = self.owners.get_mut(&owner) {
                 owner.acknowledges_releases = true;
@@ -218,19 +201,19 @@
 
     /// Forgets the release of a task that its owner has ended too.
     pub(super) fn forget_release(&mut self, id: SetupId) {
-        self.pending_releases.remove(id);
+        self.orphaned_releases.remove(id);
         self.sent_releases.remove(id);
     }
 
     /// Sends the releases again that a connection may not have received before it ended: those that were sent shortly
     /// before; and all that it has not acknowledged if it acknowledges releases or not all bytes were written to it.
     pub(super) fn resend_releases(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
-        self.replace_unverified_recipient(now, id);
         let is_any_unreceived = written == WriteProgress::Incomplete
             || self
                 .owners
                 .get(&id)
                 .is_some_and(|owner| owner.acknowledges_releases);
+        self.replace_recipient(now, id, is_any_unreceived);
         for release_id in self.sent_releases.ids(|sent| sent.owner == id) {
             let Some(sent) = self.sent_releases.remove(release_id) else {
                 continue;
@@ -242,31 +225,36 @@
         }
     }
 
-    /// Asks the owner of a running task to request another placement, at most once on connections that are open. The
-    /// platform then ends the task at its host, which reports the end. A close from the placer would kill the task, and for
-    /// a killed task the owner would have to receive a release. Without a verified owner nothing is sent; the policy asks
-    /// again.
+    /// Asks the owner of a running task to request another placement. The platform then ends the task at its host, which
+    /// reports the end. A close from the placer would kill the task, and for a killed task the owner would have to receive a
+    /// release. If the task's connection has ended, each call sends the message to one more verified connection: as the task
+    /// still runs, those before were not its owner's. Without one nothing is sent; the policy asks again.
     pub(super) fn notify_relocation(&mut self, task: TaskId) {
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let id = entry.setup_id;
-        let Some(owner) = self.reachable_owner(entry.owner, entry.owner_address) else {
-            return;
-        };
-        let owners = &self.owners;
-        let is_open = |id: &OwnerId| owners.get(id).is_some_and(Owner::is_reachable);
-        let Some(placement) = self
-            .tasks
-            .get_mut(task)
-            .and_then(|entry| entry.placement.as_mut())
-            .filter(|placement| placement.close_cause.is_none())
-            .filter(|placement| !placement.relocation_sent_on.as_ref().is_some_and(is_open))
-        else {
+        let is_closed = entry
+            .placement
+            .is_none_or(|placement| placement.close_cause.is_some());
+        if is_closed || entry.relocation_recipients.len() >= MAX_RECIPIENTS {
             return;
+        }
+        let owner = if self.is_reachable(entry.owner) {
+            Some(entry.owner)
+        } else {
+            self.likely_owners(entry.owner_address)
+                .into_iter()
+                .filter(|id| self.owners[id].evidence.is_verified())
+                .find(|id| !entry.relocation_recipients.contains(id))
         };
-        placement.relocation_sent_on = Some(owner);
-        self.outputs
-            .push(Output::SendToOwner(owner, ToOwner::Relocate { id }));
+        let id = entry.setup_id;
+        if let Some(owner) = owner
+            && let Some(entry) = self.tasks.get_mut(task)
+            && !entry.relocation_recipients.contains(&owner)
+        {
+            entry.relocation_recipients.push(owner);
+            self.outputs
+                .push(Output::SendToOwner(owner, ToOwner::Relocate { id }));
+        }
     }
 }
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -52,8 +52,6 @@
     pub(super) close_cause: Option<Cause>,
     /// A host has confirmed the task: it accepted it, or reported on it after its handover.
     pub(super) is_confirmed: bool,
-    /// The connection on which the owner was asked last to request another placement.
-    pub(super) relocation_sent_on: Option<OwnerId>,
 }
 
 impl Placement {
@@ -65,7 +63,6 @@
             since: now,
             close_cause: None,
             is_confirmed: true,
-            relocation_sent_on: None,
         }
     }
 
@@ -95,6 +92,8 @@
     pub(super) attempt_count: u32,
     pub(super) in_flight: Option<Attempt>,
     pub(super) placement: Option<Placement>,
+    /// The connections on which the owner was asked to request another placement.
+    pub(super) relocation_recipients: Vec<OwnerId>,
     /// While the task is pending: the connections of all its attempts so far, which further attempts must not use.
     pub(super) used_connections: Vec<ConnectionId>,
 }
@@ -112,6 +111,7 @@
             attempt_count: 0,
             in_flight: None,
             placement: None,
+            relocation_recipients: Vec::new(),
             used_connections: Vec::new(),
         }
     }
@@ -137,6 +137,7 @@
                 is_confirmed: false,
                 ..Placement::new(machine, 0, now)
             }),
+            relocation_recipients: Vec::new(),
             used_connections: Vec::new(),
         }
     }
--- a/crates/platform/src/engine/tests/release_delivery.rs
+++ b/crates/platform/src/engine/tests/release_delivery.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use maplethread::{Action, Micros, TaskId};
+use maplethread::{Action, Event, Micros, TaskId};
 use maplethread_platform_wire::owner::{DecodeError, FromOwner};
 use maplethread_platform_wire::{Cause, SetupId};
 
@@ -29,20 +29,35 @@
     harness.owner_sends(owner, FromOwner::Probe { id: SetupId(1) })
 }
 
+/// A request, which is admitted. Returns the id of its task and the outputs.
+fn send_request(harness: &mut Harness, owner: OwnerId, id: u64) -> (TaskId, Vec<Output>) {
+    let outputs = harness.owner_sends(owner, request(setup(id)));
+    let task = harness
+        .take_events()
+        .into_iter()
+        .find_map(|event| match event {
+            Event::PlacementRequested(task) => Some(task.id),
+            _ => None,
+        });
+    (task.expect("an admitted request"), outputs)
+}
+
 /// A request that the policy rejects. Returns the outputs.
 fn rejected_request(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
-    let task = harness.request(owner, id);
-    harness.perform(Action::Reject {
+    let (task, mut outputs) = send_request(harness, owner, id);
+    outputs.extend(harness.perform(Action::Reject {
         task,
         retry_after: None,
-    })
+    }));
+    outputs
 }
 
-/// Places a task of any owner on host `a`, to which there is a connection.
+/// Places a task of any owner on host `a`, to which there is a connection. Returns the outputs.
 fn place(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
-    let task = harness.request(owner, id);
+    let (task, mut outputs) = send_request(harness, owner, id);
     let connection = harness.offer_and_send(task, 0);
-    harness.host_sends(connection, host_ready(id, "t"))
+    outputs.extend(harness.host_sends(connection, host_ready(id, "t")));
+    outputs
 }
 
 /// Owner `A` has a running task, 7, and its connection ends. Returns the connection to the host.
@@ -86,16 +101,66 @@
 
 /// Guards against a release that is dropped without a trace while no connection of an owner is open.
 #[test]
-fn release_stays_pending_until_an_owner_connects_however_late() {
+fn release_is_kept_until_an_owner_connects_however_late() {
     let mut harness = Harness::new();
     let (_, connection) = start_task_and_disconnect_owner(&mut harness);
     harness.host_sends(connection, host_close(7, Cause::NORMAL));
     harness.advance(60_000 * MS);
-    assert_eq!(harness.engine.table_sizes().pending_releases, 1);
+    assert_eq!(harness.engine.table_sizes().orphaned_releases, 1);
     harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
     let outputs = place(&mut harness, OWNER_A_AGAIN, 8);
+    assert!(releases(&outputs).contains(&RELEASE_7));
+    // Another owner gets it too, but not when the time of the platform protocol is over.
+    let other = OwnerId(4);
+    harness.connect_owner(other, ADDRESS_B);
+    let outputs = place(&mut harness, other, 9);
+    assert!(releases(&outputs).contains(&(other, SetupId(7))));
+    harness.advance(8_000 * MS);
+    harness.connect_owner(STRANGER, ADDRESS_A);
+    assert!(!releases(&probe(&mut harness, STRANGER)).contains(&(STRANGER, SetupId(7))));
+}
+
+/// Guards against a release that only another owner receives, whose connection is verified, while the task's owner has
+/// connected anew.
+#[test]
+fn release_reaches_the_new_connection_of_its_owner_beside_a_verified_connection_of_another() {
+    let connect_again: [fn(&mut Harness); 2] = [
+        // It is connected before the task ends, or after that.
+        |harness| {
+            harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+            probe(harness, OWNER_A_AGAIN);
+            send_request(harness, OWNER_A_AGAIN, 8);
+        },
+        |_| {},
+    ];
+    for connect_again in connect_again {
+        let mut harness = Harness::new();
+        place(&mut harness, OWNER_B, 6);
+        harness.connect_owner(STRANGER, ADDRESS_A);
+        probe(&mut harness, STRANGER);
+        let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+        connect_again(&mut harness);
+        let mut outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
+        harness.connect_owner(OwnerId(4), ADDRESS_A);
+        outputs.extend(probe(&mut harness, OwnerId(4)));
+        outputs.extend(send_request(&mut harness, OwnerId(4), 9).1);
+        let recipients: Vec<OwnerId> = releases(&outputs).iter().map(|&(owner, _)| owner).collect();
+        assert!(recipients.contains(&OWNER_B) && recipients.contains(&OwnerId(4)));
+        let is_again_connected = harness.engine.owners.contains_key(&OWNER_A_AGAIN);
+        assert_eq!(recipients.contains(&OWNER_A_AGAIN), is_again_connected);
+        // A client that has only checked the placer's health gets none beside better ones.
+        assert!(!recipients.contains(&STRANGER));
+    }
+}
+
+#[test]
+fn release_reaches_a_new_connection_whose_request_is_not_answered_yet() {
+    let mut harness = Harness::new();
+    let (_, connection) = start_task_and_disconnect_owner(&mut harness);
+    harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
+    send_request(&mut harness, OWNER_A_AGAIN, 8);
+    let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(releases(&outputs), [RELEASE_7]);
-    assert_eq!(harness.engine.table_sizes().pending_releases, 0);
 }
 
 /// Guards against releases that only a faulty client receives.
@@ -192,15 +257,15 @@
     // Neither the acknowledgement of another client counts, nor that of one that is only possibly the owner.
     harness.owner_sends(OWNER_B, closed.clone());
     harness.owner_sends(OWNER_A_AGAIN, closed.clone());
-    assert_eq!(harness.engine.table_sizes().pending_releases, 1);
+    assert_eq!(harness.engine.table_sizes().orphaned_releases, 1);
     rejected_request(&mut harness, OWNER_A_AGAIN, 8);
     harness.owner_sends(OWNER_A_AGAIN, closed);
-    assert_eq!(harness.engine.table_sizes().pending_releases, 0);
+    assert_eq!(harness.engine.table_sizes().orphaned_releases, 0);
     assert_eq!(releases(&place(&mut harness, OWNER_B, 9)), []);
 }
 
 #[test]
-fn owner_that_ends_its_task_gets_no_pending_release_of_it() {
+fn owner_that_ends_its_task_gets_no_kept_release_of_it() {
     let mut harness = Harness::new();
     let (_, connection) = start_task_and_disconnect_owner(&mut harness);
     harness.host_sends(connection, host_close(7, Cause::NORMAL));
@@ -264,7 +329,7 @@
 }
 
 #[test]
-fn pending_release_moves_on_when_its_unverified_recipient_disconnects() {
+fn release_moves_on_when_its_unverified_recipient_disconnects() {
     let mut harness = Harness::new();
     let (_, connection) = start_task_and_disconnect_owner(&mut harness);
     harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
@@ -290,26 +355,36 @@
     assert_eq!(releases(&outputs), []);
     harness.owner_sends(OWNER_B, request(running_setup(9, "a")));
     let report = host_report(9, maplethread_platform_wire::host::ReportCode::Running, 1.0);
-    let outputs = harness.host_sends(connection, report);
-    assert_eq!(
-        harness.engine.table_sizes().pending_releases,
-        0,
-        "{outputs:?}"
-    );
+    assert!(!harness.engine.owners[&OWNER_B].evidence.is_verified());
+    harness.host_sends(connection, report);
+    assert!(harness.engine.owners[&OWNER_B].evidence.is_verified());
 }
 
-/// Guards against a move that is never requested again after the connection on which it was sent has ended.
+/// Guards against a move that is never requested again after the connection on which it was sent has ended, or that only
+/// another owner receives.
 #[test]
-fn relocation_is_sent_again_once_its_connection_has_ended() {
+fn relocation_is_sent_on_further_connections_once_its_own_has_ended() {
     let mut harness = Harness::new();
-    place(&mut harness, OWNER_B, 6);
+    let other = OwnerId(4);
+    harness.connect_owner(other, ADDRESS_B);
+    place(&mut harness, OWNER_B, 5);
+    place(&mut harness, other, 6);
     let (task, _) = harness.start_task(7);
     let outputs = harness.perform(Action::Migrate(task));
     assert_eq!(messages_to_owners(&outputs), [(OWNER_A, relocate(7))]);
-    harness.disconnect_owner(OWNER_A);
-    let outputs = harness.perform(Action::Migrate(task));
-    assert_eq!(messages_to_owners(&outputs), [(OWNER_B, relocate(7))]);
     assert_eq!(harness.perform(Action::Migrate(task)), []);
+    harness.disconnect_owner(OWNER_A);
+    let mut recipients = Vec::new();
+    for _ in 0..3 {
+        let outputs = harness.perform(Action::Migrate(task));
+        recipients.extend(
+            messages_to_owners(&outputs)
+                .into_iter()
+                .map(|(owner, _)| owner),
+        );
+    }
+    recipients.sort();
+    assert_eq!(recipients, [OWNER_B, other]);
 }
 
 #[test]
@@ -337,5 +412,5 @@
         harness.host_sends(connection, host_close(id, Cause::NORMAL));
     }
     let sizes = harness.engine.table_sizes();
-    assert_eq!((sizes.pending_releases, sizes.sent_releases), (2_048, 0));
+    assert_eq!((sizes.orphaned_releases, sizes.sent_releases), (2_048, 0));
 }
--- a/crates/platform/tests/many_placers.rs
+++ b/crates/platform/tests/many_placers.rs
@@ -202,7 +202,7 @@
             "{early:?} {late:?}"
         );
         assert!(
-            late.timers <= early.timers * 2 + 100 && late.pending_releases == 0,
+            late.timers <= early.timers * 2 + 100 && late.orphaned_releases == 0,
             "{early:?} {late:?}"
         );
     }
