--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -21,7 +21,7 @@
 /// The memory that the pages of the program file may take. Those of the test profile are larger than those of the deployed
 /// program, so the test counts the other pages and reserves this for them.
 const PROGRAM_MB: usize = 8;
-/// How long the faulty clients send.
+/// How long the faulty clients send, unless the environment variable `MEMORY_TEST_SECONDS` gives another time.
 const DURATION: Duration = Duration::from_secs(12);
 const ONE_DAY_MS: u64 = 86_400_000;
 
@@ -203,9 +203,13 @@
     let mut owner = OwnerClient::connect(&placer);
     let is_over = Arc::new(AtomicBool::new(false));
     let threads = start_faulty_clients(placer.address, &is_over);
+    let duration = std::env::var("MEMORY_TEST_SECONDS")
+        .ok()
+        .and_then(|seconds| seconds.parse().ok())
+        .map_or(DURATION, Duration::from_secs);
     let begin = Instant::now();
     let (mut answers, mut peak_kib) = (0, 0);
-    while begin.elapsed() < DURATION {
+    while begin.elapsed() < duration {
         answers += 1;
         owner.send(&setup(&format!("{answers:016x}"), 2_000));
         // The releases of tasks that faulty clients handed over, whose connections have ended, go to this owner too.
