Platform: a release that its owner has read is not sent again

Its owner reads a release, closes its connection at once and opens another, which got the release again.

Cause: every release sent less than 0.25 s before the end of its connection was sent again, and since a new connection counts as possibly its owner's with its first request, it got it.

Change: how the connection ended tells what was received. A socket closed with unread bytes is reset, so an orderly end counts as read; what was sent shortly before a broken connection, or lay unwritten, is sent again. This is decided when the connection has been read to its end, after acknowledgements that lay unread.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -42,7 +42,7 @@
 pub use draining::InvalidMessage;
 use early_results::EarlyResults;
 use host_table::HostTable;
-pub use output::{ConnectionId, DisconnectReason, Output, OwnerId, WriteProgress};
+pub use output::{ConnectionId, DisconnectReason, Output, OwnerConnectionEnd, OwnerId};
 use owners::Owner;
 use release_table::{OrphanedRelease, ReleaseTable, SentRelease};
 use task_table::TaskTable;
--- a/crates/platform/src/engine/output.rs
+++ b/crates/platform/src/engine/output.rs
@@ -33,13 +33,16 @@
     DrainConnection(ConnectionId),
 }
 
-/// Whether all bytes for an owner were written before its connection ended.
+/// How an owner's connection ended, which shows what the owner has received on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WriteProgress {
-    /// All were written to the socket. The owner may not have received the last of them.
-    Complete,
-    /// Some were not written.
-    Incomplete,
+pub enum OwnerConnectionEnd {
+    /// The owner has closed it and everything was written. A socket that is closed with unread bytes is reset, so the owner
+    /// has read them.
+    Orderly,
+    /// It broke or was closed by this process. The owner may not have received what was written last.
+    Broken,
+    /// Some bytes were not written.
+    Unwritten,
 }
 
 /// Why a connection to a host was lost.
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -9,7 +9,7 @@
 use maplethread_platform_wire::{Cause, SetupId};
 
 use super::Engine;
-use super::output::{Output, OwnerId, WriteProgress};
+use super::output::{Output, OwnerConnectionEnd, OwnerId};
 use super::owner_evidence::OwnerEvidence;
 use super::timer::Timer;
 
@@ -76,7 +76,7 @@
     }
 
     /// Handles an owner that has closed its side: its pending requests are cancelled. Earlier input may still be unread.
-    pub fn owner_half_closed(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
+    pub fn owner_half_closed(&mut self, id: OwnerId) {
         let Some(owner) = self.owners.get_mut(&id) else {
             return;
         };
@@ -84,15 +84,15 @@
             return;
         }
         let pending = std::mem::take(&mut owner.pending);
-        self.resend_releases(now, id, written);
         for task in pending {
             self.cancel_request(task);
         }
     }
 
     /// Handles the loss of an owner's connection: its pending requests are cancelled, its running tasks continue.
-    pub fn owner_disconnected(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
-        self.owner_half_closed(now, id, written);
+    pub fn owner_disconnected(&mut self, now: Micros, id: OwnerId, end: OwnerConnectionEnd) {
+        self.owner_half_closed(id);
+        self.resend_releases(now, id, end);
         if let Some(owner) = self.owners.remove(&id) {
             self.timers.cancel(owner.check_timer);
             self.admission_queue.remove_owner(id);
@@ -150,7 +150,7 @@
     /// Closes an owner's connection and cancels its pending requests.
     fn disconnect_owner(&mut self, now: Micros, id: OwnerId) {
         // The shell writes what is unwritten before it closes the connection.
-        self.owner_disconnected(now, id, WriteProgress::Complete);
+        self.owner_disconnected(now, id, OwnerConnectionEnd::Orderly);
         self.outputs.push(Output::CloseOwner(id));
     }
 
--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -15,7 +15,7 @@
 use maplethread_platform_wire::owner::ToOwner;
 
 use super::Engine;
-use super::output::{Output, OwnerId, WriteProgress};
+use super::output::{Output, OwnerConnectionEnd, OwnerId};
 use super::owner_evidence::OwnerLikelihood;
 use super::owners::Owner;
 use super::release_table::{OrphanedRelease, Release, SentRelease};
@@ -143,16 +143,17 @@
 
     /// Sends the orphaned releases to other connections that one which has ended may not have received, and that no open one
     /// has got.
-    fn replace_recipient(&mut self, now: Micros, ended: OwnerId, is_any_unreceived: bool) {
+    fn replace_recipient(
+        &mut self,
+        now: Micros,
+        ended: OwnerId,
+        is_unreceived: impl Fn(Micros) -> bool,
+    ) {
         let is_open = |id: &OwnerId| self.is_reachable(*id);
         let unreceived = self.orphaned_releases.ids(|orphan| {
-            let was_received = orphan
-                .verified_at
-                .is_some_and(|at| at + CROSSING_INTERVAL <= now)
-                && !is_any_unreceived;
             orphan.recipients.contains(&ended)
                 && !orphan.recipients.iter().any(is_open)
-                && !was_received
+                && orphan.verified_at.is_none_or(&is_unreceived)
         });
         for release_id in unreceived {
             if let Some(orphan) = self.orphaned_releases.get_mut(release_id) {
@@ -205,21 +206,25 @@
         self.sent_releases.remove(id);
     }
 
-    /// Sends the releases again that a connection may not have received before it ended: those that were sent shortly
-    /// before; and all that it has not acknowledged if it acknowledges releases or not all bytes were written to it.
-    pub(super) fn resend_releases(&mut self, now: Micros, id: OwnerId, written: WriteProgress) {
-        let is_any_unreceived = written == WriteProgress::Incomplete
-            || self
-                .owners
-                .get(&id)
-                .is_some_and(|owner| owner.acknowledges_releases);
-        self.replace_recipient(now, id, is_any_unreceived);
+    /// Sends the releases again that a connection may not have received before it ended: if it broke, those that were sent
+    /// shortly before; if bytes were not written or the owner acknowledges releases, all that it has not acknowledged.
+    pub(super) fn resend_releases(&mut self, now: Micros, id: OwnerId, end: OwnerConnectionEnd) {
+        let acknowledges = self
+            .owners
+            .get(&id)
+            .is_some_and(|owner| owner.acknowledges_releases);
+        let is_unreceived = |sent_at: Micros| {
+            acknowledges
+                || match end {
+                    OwnerConnectionEnd::Orderly => false,
+                    OwnerConnectionEnd::Broken => sent_at + CROSSING_INTERVAL > now,
+                    OwnerConnectionEnd::Unwritten => true,
+                }
+        };
+        self.replace_recipient(now, id, is_unreceived);
         for release_id in self.sent_releases.ids(|sent| sent.owner == id) {
-            let Some(sent) = self.sent_releases.remove(release_id) else {
-                continue;
-            };
-            let has_crossed = sent.sent_at + CROSSING_INTERVAL > now;
-            if has_crossed || is_any_unreceived {
+            let sent = self.sent_releases.remove(release_id);
+            if let Some(sent) = sent.filter(|sent| is_unreceived(sent.sent_at)) {
                 self.notify_release(now, id, sent.release);
             }
         }
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -6,7 +6,7 @@
 use maplethread_reactor::{ReadOutcome, Readiness, TcpConnection, is_resource_exhausted};
 
 use super::{KIND_BITS, MAX_UNREAD_BYTES, OWNER_KIND, Shell, token};
-use crate::engine::{OwnerId, WriteProgress};
+use crate::engine::{OwnerConnectionEnd, OwnerId};
 use crate::startup::StartError;
 
 /// The maximum number of bytes read from one owner in one turn of the event loop. It keeps turns short when many owners
@@ -82,14 +82,6 @@
     connection.unread().len() + connection.unwritten_bytes()
 }
 
-fn write_progress(connection: &TcpConnection) -> WriteProgress {
-    if connection.unwritten_bytes() == 0 {
-        WriteProgress::Complete
-    } else {
-        WriteProgress::Incomplete
-    }
-}
-
 impl Shell {
     /// The number of connections of owners and hosts.
     pub(super) fn connection_count(&self) -> usize {
@@ -211,21 +203,25 @@
                     .get(&id)
                     .is_some_and(|owner| owner.conn.unwritten_bytes() == 0)
             {
-                self.disconnect_owner(id);
+                self.disconnect_owner(id, OwnerConnectionEnd::Broken);
                 return true;
             }
         }
         false
     }
 
-    fn disconnect_owner(&mut self, id: OwnerId) {
+    fn disconnect_owner(&mut self, id: OwnerId, end: OwnerConnectionEnd) {
         let Some(owner) = self.owners.remove(&id) else {
             return;
         };
         self.buffered_owners.remove(&id);
+        let end = if owner.conn.unwritten_bytes() > 0 {
+            OwnerConnectionEnd::Unwritten
+        } else {
+            end
+        };
         let now = self.event_loop.now();
-        self.engine
-            .owner_disconnected(now, id, write_progress(&owner.conn));
+        self.engine.owner_disconnected(now, id, end);
         self.resume_accepting();
     }
 
@@ -244,9 +240,7 @@
         };
         if readiness.is_closed {
             // Input may be unread, such as closes of running tasks, but the owner does not read answers any more.
-            let now = self.event_loop.now();
-            self.engine
-                .owner_half_closed(now, id, write_progress(&owner.conn));
+            self.engine.owner_half_closed(id);
         }
         if std::mem::replace(&mut owner.last_read_turn, self.turn_number) != self.turn_number {
             self.read_owner(id, OWNER_READ_BYTES);
@@ -270,8 +264,10 @@
             self.engine.handle_owner_message(now, id, message);
             has_received = true;
         }
-        if matches!(outcome, ReadOutcome::Closed | ReadOutcome::Failed) {
-            self.disconnect_owner(id);
+        match outcome {
+            ReadOutcome::Closed => self.disconnect_owner(id, OwnerConnectionEnd::Orderly),
+            ReadOutcome::Failed => self.disconnect_owner(id, OwnerConnectionEnd::Broken),
+            ReadOutcome::AllRead | ReadOutcome::LimitReached => {}
         }
         self.track_owner_buffers(id);
         has_received
@@ -302,7 +298,7 @@
         let has_failed = owner.conn.flush(self.event_loop.poller()).is_err();
         let unwritten_bytes = owner.conn.unwritten_bytes();
         if has_failed || unwritten_bytes > MAX_UNWRITTEN_BYTES {
-            return self.disconnect_owner(id);
+            return self.disconnect_owner(id, OwnerConnectionEnd::Broken);
         }
         // While an owner does not read its answers, no further requests are read from it, so that its unwritten bytes do
         // not grow. The end of its connection is still reported.
@@ -317,7 +313,7 @@
             .set_reading(!is_throttled, self.event_loop.poller())
             .is_err()
         {
-            return self.disconnect_owner(id);
+            return self.disconnect_owner(id, OwnerConnectionEnd::Broken);
         }
         self.track_owner_buffers(id);
     }
@@ -364,7 +360,7 @@
                 "disconnecting owner: the buffers of all owners are full"
             );
             if self.lingering.remove(&id).is_none() {
-                self.disconnect_owner(id);
+                self.disconnect_owner(id, OwnerConnectionEnd::Broken);
             }
         }
     }
