--- a/crates/platform/src/engine/owner_evidence.rs
+++ b/crates/platform/src/engine/owner_evidence.rs
@@ -28,8 +28,6 @@
     has_handed_over_task: bool,
     /// It has passed a health check.
     has_probed: bool,
-    /// It has sent a valid request.
-    has_requested: bool,
     /// It has waited for the answer to a request.
     has_awaited_answer: bool,
     /// It has cancelled a request.
@@ -46,7 +44,6 @@
             has_running_task: false,
             has_handed_over_task: false,
             has_probed: false,
-            has_requested: false,
             has_awaited_answer: false,
             has_cancelled_request: false,
             has_sent_invalid_message: false,
@@ -73,11 +70,6 @@
         !std::mem::replace(&mut self.has_probed, true)
     }
 
-    /// Records a valid request. Returns whether that is new evidence.
-    pub(super) fn record_request(&mut self) -> bool {
-        !std::mem::replace(&mut self.has_requested, true)
-    }
-
     /// Records the final answer to a request that was not cancelled. Returns whether that is new evidence.
     pub(super) fn record_answer(&mut self) -> bool {
         !std::mem::replace(&mut self.has_awaited_answer, true)
@@ -113,7 +105,7 @@
             return OwnerLikelihood::Unlikely;
         }
         let indications = usize::from(self.has_probed)
-            + usize::from(self.has_requested)
+            + usize::from(self.has_awaited_answer)
             + usize::from(self.address == owner_address)
             + 2 * usize::from(self.has_handed_over_task);
         match indications {
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -62,7 +62,7 @@
         let id = self
             .tasks
             .insert(TaskEntry::pending(setup, owner, owner_address));
-        self.record_pending_request(now, owner, id);
+        self.record_pending_request(owner, id);
         let task = Task {
             id,
             is_resubmission,
@@ -97,15 +97,12 @@
             && self.tasks.setup_bytes() + setup_bytes(setup) <= self.limits.max_setup_bytes
     }
 
-    fn record_pending_request(&mut self, now: Micros, id: OwnerId, task: TaskId) {
+    fn record_pending_request(&mut self, id: OwnerId, task: TaskId) {
         let Some(owner) = self.owners.get_mut(&id) else {
             return;
         };
         owner.has_sent_valid_message = true;
         owner.pending.insert(task);
-        if owner.evidence.record_request() {
-            self.offer_orphaned_releases(now, id);
-        }
     }
 
     /// Admits queued requests to the policy, up to the limit for one turn.
