Platform: no owner is disconnected for room that nobody waits for

Cause: accept_owners made room below half of the descriptors before it knew whether another connection waited. With 32 requests open, the 33rd client was accepted and in the next round of the loop was the only one without a request.

Change: room is made when another connection has been accepted, and before accepting only at the hard limits.

--- a/crates/cli/tests/platform_guarantees.rs
+++ b/crates/cli/tests/platform_guarantees.rs
@@ -65,6 +65,36 @@
     drop(idle);
 }
 
+/// Guards against a client that is disconnected between its connect and its first request although no other one waits to be
+/// accepted: it was the only one without a request above half of the descriptors.
+#[test]
+fn latest_client_above_the_soft_limit_has_time_to_send_its_request() {
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let (host, commands) = (EmulatedHost::start(), EmulatedCommandChannel::start());
+    let initial_list = host_update(1, "s-1", host.address, "leaving");
+    let file = write_config_with(folder.path(), commands.address, &initial_list, |c| {
+        c["limits"]["sockets"] = json!(80)
+    });
+    let placer = PlacerProcess::start(&file);
+    // Half of the 64 descriptors for connections are for clients that wait for an answer.
+    let _waiting: Vec<OwnerClient> = (1..=32)
+        .map(|n| {
+            let mut owner = OwnerClient::connect(&placer);
+            owner.send(&probe(n));
+            owner.send(&setup(&format!("{n:016x}"), 600_000));
+            assert_eq!(owner.receive()["msg"].as_str(), Some("probed"));
+            owner
+        })
+        .collect();
+    let descriptors = descriptor_count(&placer);
+    let mut latest = OwnerClient::connect(&placer);
+    wait_until("the latest client is accepted", || {
+        descriptor_count(&placer) > descriptors
+    });
+    latest.send(&probe(0xa1));
+    assert_eq!(latest.receive()["msg"].as_str(), Some("probed"));
+}
+
 #[test]
 fn waiting_clients_leave_descriptors_for_hosts_and_use_no_processor_time() {
     let folder = tempfile::tempdir().expect("temporary folder");
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -93,14 +93,11 @@
 
     pub(super) fn accept_owners(&mut self) {
         for _ in 0..MAX_ACCEPTS_PER_TURN {
-            let soft_owner_limit = SOFT_OWNER_SHARE.of(self.max_connections);
-            while self.owners.len() + self.lingering.len() >= soft_owner_limit
-                && self.close_lowest_priority_owner()
-            {}
-            if self.owners.len() >= MAX_PEER_SHARE.of(self.max_connections)
-                || self.connection_count() >= self.max_connections
-            {
-                return self.pause_accepting();
+            if self.is_at_owner_limit() {
+                self.close_owners_above_soft_limit();
+                if self.is_at_owner_limit() {
+                    return self.pause_accepting();
+                }
             }
             let Some(listener) = &self.listener else {
                 return;
@@ -116,6 +113,9 @@
                     continue;
                 }
             };
+            // Owners are disconnected only now that another one has connected. Otherwise the latest one could be, before it
+            // has sent its first request.
+            self.close_owners_above_soft_limit();
             // It fails if the connection has ended meanwhile.
             let Ok(address) = stream.peer_addr() else {
                 continue;
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Whether no further owner can be accepted.
+    fn is_at_owner_limit(&self) -> bool {
+        self.owners.len() >= MAX_PEER_SHARE.of(self.max_connections)
+            || self.connection_count() >= self.max_connections
+    }
+
+    /// Disconnects owners without pending requests until there is room for one more below the soft limit.
+    fn close_owners_above_soft_limit(&mut self) {
+        let soft_owner_limit = SOFT_OWNER_SHARE.of(self.max_connections);
+        while self.owners.len() + self.lingering.len() >= soft_owner_limit
+            && self.close_lowest_priority_owner()
+        {}
+    }
+
     /// Pauses accepting. Otherwise the poller would report the waiting connections in each turn, although none can be
     /// accepted.
     fn pause_accepting(&mut self) {
