--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -223,9 +223,7 @@
         let Some(attempt) = self.attempts.remove(&key) else {
             return;
         };
-        if let Some(timer) = attempt.timeout_timer {
-            self.timers.cancel(timer);
-        }
+        self.timers.cancel(attempt.timeout_timer);
         let reason = end.reason.and_then(failure_reason);
         if let Some(host) = self.hosts.get_mut(&attempt.host) {
             host.attempts.remove(&key);
--- a/crates/engine/src/client_sessions.rs
+++ b/crates/engine/src/client_sessions.rs
@@ -136,9 +136,7 @@
         let Some(client) = self.clients.remove(&id) else {
             return;
         };
-        if let Some(timer) = client.timeout_timer {
-            self.timers.cancel(timer);
-        }
+        self.timers.cancel(client.timeout_timer);
         self.followers.remove(&id);
         for task in client.awaited_tasks {
             let Some(request) = self.requests.get_mut(&task) else {
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -332,9 +332,7 @@
     fn remove_request(&mut self, task: TaskId) -> Option<PlacementRequest> {
         let request = self.requests.remove(&task)?;
         self.deadlines.remove(&(request.deadline, task));
-        if let Some(timer) = request.timer {
-            self.timers.cancel(timer);
-        }
+        self.timers.cancel(request.timer);
         let waiters = request.waiters.iter().map(|waiter| &waiter.request_id);
         for id in waiters.chain([&request.request_id]) {
             if self.tasks_by_request_id.get(id) == Some(&task) {
--- a/crates/engine/src/sessions/starts.rs
+++ b/crates/engine/src/sessions/starts.rs
@@ -70,9 +70,7 @@
             return;
         }
         attempt.stage = Stage::Placed;
-        if let Some(timer) = attempt.timeout_timer.take() {
-            self.timers.cancel(timer);
-        }
+        self.timers.cancel(attempt.timeout_timer.take());
         let (id, host, sent_at) = (attempt.id, attempt.host, attempt.sent_at);
         // After a stall it is not known when the answer arrived, so the host's measurement is used if it is shorter.
         let elapsed = self
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -31,7 +31,7 @@
         };
         if let Some(request) = self.requests.get_mut(&task) {
             let earlier = request.timer.replace(self.timers.schedule(at, timer));
-            earlier.and_then(|id| self.timers.cancel(id));
+            self.timers.cancel(earlier);
         }
     }
 
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -11,6 +11,7 @@
 
 use super::Engine;
 use super::output::{ConnectionId, Output};
+use super::owner_evidence::OwnerEvidence;
 use super::task_table::Attempt;
 use super::timer::Timer;
 
@@ -210,6 +211,6 @@
         // The request has its answer, so an attempt that is still in flight is cancelled and reported as timed out.
         self.abandon_attempt(task, AttemptOutcome::TimedOut, true);
         self.tasks.remove_if_finished(task);
-        self.record_answered_owner(now, owner);
+        self.record_evidence(now, owner, OwnerEvidence::record_answer);
     }
 }
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -161,9 +161,7 @@
         };
         let machine = connection.machine;
         self.timers.cancel(connection.check_timer);
-        if let Some(timer) = connection.connect_timer {
-            self.timers.cancel(timer);
-        }
+        self.timers.cancel(connection.connect_timer);
         tracing::debug!(
             host = self.host_table.name(machine),
             connection = id.0,
--- a/crates/platform/src/engine/draining.rs
+++ b/crates/platform/src/engine/draining.rs
@@ -2,13 +2,11 @@
 //! A host that has written the release of a task on such a connection considers it sent, so releases are still read until
 //! the host has seen the end of the connection.
 
-use maplethread::{MachineId, Micros};
+use maplethread::{AttemptOutcome, Micros, TaskId};
 use maplethread_engine::Decide;
-use maplethread_platform_wire::host::{DecodeError, FromHost, MessageHeader, ToHost};
-use maplethread_platform_wire::{Cause, SetupId};
+use maplethread_platform_wire::host::{DecodeError, MessageHeader};
 
 use super::Engine;
-use super::host_messages::{failure_reason, release_outcome};
 use super::output::{ConnectionId, DisconnectReason, Output};
 
 /// What the shell does with bytes of a host that cannot be decoded.
@@ -48,19 +46,9 @@
         };
         self.draining_connections.insert(id, connection.machine);
         // This side of the connection is closed, but not the whole connection, so its attempts are ended one by one.
-        let ended: Vec<SetupId> = connection
-            .attempts
-            .iter()
-            .filter_map(|&task| self.tasks.get(task))
-            .filter(|entry| entry.in_flight.is_some_and(|attempt| attempt.was_sent))
-            .map(|entry| entry.setup_id)
-            .collect();
-        for setup in ended {
-            let close = ToHost::Close {
-                id: setup,
-                cause: Cause::NORMAL,
-            };
-            self.send_to_host(id, &close);
+        let attempts: Vec<TaskId> = connection.attempts.iter().copied().collect();
+        for task in attempts {
+            self.abandon_attempt(task, AttemptOutcome::Disconnected, false);
         }
         self.outputs.push(Output::DrainConnection(id));
         self.connection_lost(now, id, DisconnectReason::Broken);
@@ -70,28 +58,4 @@
     pub fn connection_drained(&mut self, id: ConnectionId) {
         self.draining_connections.remove(&id);
     }
-
-    /// Handles a message on a connection that is being drained. Only the releases of running tasks count.
-    pub(super) fn handle_message_while_draining(
-        &mut self,
-        now: Micros,
-        machine: MachineId,
-        message: &FromHost,
-    ) {
-        let FromHost::Close { id, cause, code } = *message else {
-            return;
-        };
-        let Some(task) = self.tasks.id_by_setup(id) else {
-            return self.keep_early_result(now, machine, id, cause);
-        };
-        let is_running_there = self
-            .tasks
-            .get(task)
-            .and_then(|entry| entry.placement)
-            .is_some_and(|placement| placement.machine == machine);
-        if is_running_there {
-            let reason = code.and_then(failure_reason);
-            self.finish_running_task(now, task, release_outcome(cause), reason, cause);
-        }
-    }
 }
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -20,7 +20,12 @@
         message: FromHost,
     ) {
         if let Some(&machine) = self.draining_connections.get(&connection) {
-            return self.handle_message_while_draining(now, machine, &message);
+            // Only releases count: the attempts on the connection have ended.
+            if let FromHost::Close { id, cause, code } = message {
+                let reason = code.and_then(failure_reason);
+                self.handle_host_close(now, connection, machine, id, cause, reason);
+            }
+            return;
         }
         let Some(received_on) = self.connections.get_mut(&connection) else {
             return;
@@ -41,7 +46,7 @@
             }
             FromHost::Close { id, cause, code } => {
                 let reason = code.and_then(failure_reason);
-                self.handle_host_close(now, connection, id, cause, reason)
+                self.handle_host_close(now, connection, machine, id, cause, reason)
             }
             FromHost::Report { id, code, value } => {
                 self.handle_task_report(now, machine, id, code, value)
@@ -92,15 +97,18 @@
         &mut self,
         now: Micros,
         connection: ConnectionId,
+        machine: MachineId,
         id: SetupId,
         cause: Cause,
         reason: Option<FailureReason>,
     ) {
-        let Some(machine) = self.connections.get(&connection).map(|c| c.machine) else {
-            return;
-        };
         let Some(task) = self.tasks.id_by_setup(id) else {
-            return self.keep_early_result(now, machine, id, cause);
+            // With other causes the message is the answer to a set-up, not the result of a running task.
+            if matches!(cause, Cause::NORMAL | Cause::RESET | Cause::CANCELLED) {
+                self.early_results
+                    .insert(now, id, EarlyResult::ReportedByHost(machine, cause));
+            }
+            return;
         };
         let Some(entry) = self.tasks.get(task) else {
             return;
@@ -121,21 +129,6 @@
         }
     }
 
-    /// Keeps the result of a task that is not in the task table, in case it is handed over.
-    pub(super) fn keep_early_result(
-        &mut self,
-        now: Micros,
-        machine: MachineId,
-        id: SetupId,
-        cause: Cause,
-    ) {
-        // With other causes the message is the answer to a set-up, not the result of a running task.
-        if matches!(cause, Cause::NORMAL | Cause::RESET | Cause::CANCELLED) {
-            self.early_results
-                .insert(now, id, EarlyResult::ReportedByHost(machine, cause));
-        }
-    }
-
     /// Records that a host knows a running task. For one that was handed over this is the first evidence of it.
     fn confirm_running_task(&mut self, now: Micros, task: TaskId) {
         if !self.tasks.confirm(task) {
@@ -198,7 +191,7 @@
 }
 
 /// The outcome of a task that its host released.
-pub(super) fn release_outcome(cause: Cause) -> AttemptOutcome {
+fn release_outcome(cause: Cause) -> AttemptOutcome {
     match cause {
         Cause::NORMAL => AttemptOutcome::Completed,
         Cause::CANCELLED => AttemptOutcome::Cancelled,
@@ -207,7 +200,7 @@
 }
 
 /// The reason that a host reports for a rejection or a release.
-pub(super) fn failure_reason(code: ReportCode) -> Option<FailureReason> {
+fn failure_reason(code: ReportCode) -> Option<FailureReason> {
     match code {
         ReportCode::InsufficientCores => Some(FailureReason::InsufficientCores),
         ReportCode::InsufficientMemory => Some(FailureReason::InsufficientMemory),
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -125,11 +125,8 @@
                     id: probe,
                     is_healthy: true,
                 };
-                let is_new_evidence = owner.evidence.record_probe();
                 self.outputs.push(Output::SendToOwner(id, answer));
-                if is_new_evidence {
-                    self.offer_orphaned_releases(now, id);
-                }
+                self.record_evidence(now, id, OwnerEvidence::record_probe);
             }
             Ok(FromOwner::Ignored) => {}
             Err(error) => {
@@ -185,13 +182,18 @@
         }
     }
 
-    /// Records the final answer to a request that was not placed.
-    pub(super) fn record_answered_owner(&mut self, now: Micros, id: OwnerId) {
-        let is_new_evidence = self
+    /// Records what shows whose connection this is. If `record` returns that it is new, the connection may get releases.
+    pub(super) fn record_evidence(
+        &mut self,
+        now: Micros,
+        id: OwnerId,
+        record: fn(&mut OwnerEvidence) -> bool,
+    ) {
+        let is_new = self
             .owners
             .get_mut(&id)
-            .is_some_and(|owner| owner.evidence.record_answer());
-        if is_new_evidence {
+            .is_some_and(|owner| record(&mut owner.evidence));
+        if is_new {
             self.offer_orphaned_releases(now, id);
         }
     }
@@ -203,13 +205,8 @@
             .hosts
             .get(&machine)
             .is_some_and(|host| host.address.is_some());
-        let is_new_evidence = is_host_listed
-            && self
-                .owners
-                .get_mut(&id)
-                .is_some_and(|owner| owner.evidence.record_handover());
-        if is_new_evidence {
-            self.offer_orphaned_releases(now, id);
+        if is_host_listed {
+            self.record_evidence(now, id, OwnerEvidence::record_handover);
         }
     }
 
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -82,12 +82,8 @@
     }
 
     pub(super) fn cancel_deadline_timer(&mut self, task: TaskId) {
-        let timer = self
-            .tasks
-            .get_mut(task)
-            .and_then(|entry| entry.deadline_timer.take());
-        if let Some(timer) = timer {
-            self.timers.cancel(timer);
+        if let Some(entry) = self.tasks.get_mut(task) {
+            self.timers.cancel(entry.deadline_timer.take());
         }
     }
 
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -102,17 +102,8 @@
     /// A task that was requested and is not placed yet.
     pub(super) fn pending(setup: Box<Setup>, owner: OwnerId, owner_address: IpAddr) -> TaskEntry {
         TaskEntry {
-            setup_id: setup.id,
-            setup: Some(setup),
-            owner,
-            owner_address,
             is_pending: true,
-            deadline_timer: None,
-            attempt_count: 0,
-            in_flight: None,
-            placement: None,
-            relocation_recipients: Vec::new(),
-            used_connections: Vec::new(),
+            ..TaskEntry::new(setup.id, Some(setup), owner, owner_address)
         }
     }
 
@@ -123,20 +114,33 @@
         owner_address: IpAddr,
         machine: MachineId,
         now: Micros,
+    ) -> TaskEntry {
+        TaskEntry {
+            attempt_count: 1,
+            placement: Some(Placement {
+                is_confirmed: false,
+                ..Placement::new(machine, 0, now)
+            }),
+            ..TaskEntry::new(setup_id, None, owner, owner_address)
+        }
+    }
+
+    fn new(
+        setup_id: SetupId,
+        setup: Option<Box<Setup>>,
+        owner: OwnerId,
+        owner_address: IpAddr,
     ) -> TaskEntry {
         TaskEntry {
             setup_id,
-            setup: None,
+            setup,
             owner,
             owner_address,
             is_pending: false,
             deadline_timer: None,
-            attempt_count: 1,
+            attempt_count: 0,
             in_flight: None,
-            placement: Some(Placement {
-                is_confirmed: false,
-                ..Placement::new(machine, 0, now)
-            }),
+            placement: None,
             relocation_recipients: Vec::new(),
             used_connections: Vec::new(),
         }
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -192,24 +192,17 @@
         let earliest_exit = self
             .stop_requested_at
             .map_or(Micros::MAX, ShutdownSchedule::earliest_exit);
-        let lingering = self
-            .lingering
-            .values()
-            .map(|connection| connection.until)
-            .min()
-            .unwrap_or(Micros::MAX);
-        let draining = self
-            .draining_hosts
-            .values()
-            .map(|connection| connection.until)
+        let lingering = self.lingering.values().map(|connection| connection.until);
+        let draining = self.draining_hosts.values();
+        let closing = lingering
+            .chain(draining.map(|connection| connection.until))
             .min()
             .unwrap_or(Micros::MAX);
         let accept_retry = self.accept_paused_until.unwrap_or(Micros::MAX);
         let reload = self.reload.map_or(Micros::MAX, |reload| reload.due_at);
         let due = engine
             .min(self.channel.next_timeout())
-            .min(lingering)
-            .min(draining)
+            .min(closing)
             .min(accept_retry)
             .min(reload);
         // After the earliest exit, whether the shutdown is finished is checked every 10 ms.
--- a/crates/timers/src/lib.rs
+++ b/crates/timers/src/lib.rs
@@ -38,9 +38,9 @@
         id
     }
 
-    /// Removes a timer and returns its value. Returns none if it was due or cancelled before.
-    pub fn cancel(&mut self, id: TimerId) -> Option<T> {
-        self.scheduled.remove(&id)
+    /// Removes a timer and returns its value. Returns none if there is no id, or the timer was due or cancelled before.
+    pub fn cancel(&mut self, id: impl Into<Option<TimerId>>) -> Option<T> {
+        self.scheduled.remove(&id.into()?)
     }
 
     /// The due time of the next timer.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -116,9 +116,7 @@
         }
         self.placements.add(task.service, attempt.machine, self.now);
         if self.placements.limit() {
-            let placements = &self.placements;
-            self.service_rates
-                .retain_services(|service| placements.contains(service));
+            self.remove_unused_rates();
         }
     }
 
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -92,6 +92,11 @@
             machine.entry.state != MachineState::Gone || machine.last_changed + RETENTION > now
         });
         self.placements.remove_unused(now, RETENTION);
+        self.remove_unused_rates();
+    }
+
+    /// Removes the rates of services without placements.
+    pub(super) fn remove_unused_rates(&mut self) {
         let placements = &self.placements;
         self.service_rates
             .retain_services(|service| placements.contains(service));
