--- a/crates/placer/src/daemon/clients.rs
+++ b/crates/placer/src/daemon/clients.rs
@@ -49,7 +49,7 @@
                 return;
             };
             let stream = match listener.accept() {
-                Ok(Some(stream)) => stream,
+                Ok(Some((stream, _))) => stream,
                 Ok(None) => return,
                 Err(error) => {
                     // Most likely too many open files; waiting connections stay in the kernel's accept queue.
--- a/crates/platform/src/engine/tests/draining.rs
+++ b/crates/platform/src/engine/tests/draining.rs
@@ -24,6 +24,12 @@
         .handle_invalid_message(harness.now, connection, error, Some(header))
 }
 
+/// A malformed message about task 7.
+fn receive_malformed(harness: &mut Harness, connection: ConnectionId) {
+    let action = receive_invalid(harness, connection, DecodeError::MalformedParameters, 7);
+    assert_eq!(action, InvalidMessage::ConnectionDrained);
+}
+
 /// Guards against a good answer that is thrown away with an invalid one under an unknown id ahead of it.
 #[test]
 fn invalid_answer_for_an_unknown_task_is_skipped() {
@@ -70,12 +76,7 @@
 fn release_on_a_connection_that_is_drained_reaches_the_owner() {
     let mut harness = Harness::new();
     let (_, connection) = harness.start_task(7);
-    receive_invalid(
-        &mut harness,
-        connection,
-        DecodeError::MalformedParameters,
-        7,
-    );
+    receive_malformed(&mut harness, connection);
     harness.turn();
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(
@@ -95,12 +96,7 @@
 fn early_result_on_a_connection_that_is_drained_is_kept() {
     let mut harness = Harness::new();
     let (_, connection) = harness.start_task(7);
-    receive_invalid(
-        &mut harness,
-        connection,
-        DecodeError::MalformedParameters,
-        7,
-    );
+    receive_malformed(&mut harness, connection);
     harness.host_sends(connection, host_close(8, Cause::RESET));
     let outputs = harness.owner_sends(OWNER_A, request(running_setup(8, "a")));
     assert_eq!(
--- a/crates/platform/src/engine/tests/release_delivery.rs
+++ b/crates/platform/src/engine/tests/release_delivery.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use maplethread::{Action, Event, Micros, TaskId};
+use maplethread::{Action, Micros, TaskId};
 use maplethread_platform_wire::owner::{DecodeError, FromOwner};
 use maplethread_platform_wire::{Cause, SetupId};
 
@@ -29,22 +29,9 @@
     harness.owner_sends(owner, FromOwner::Probe { id: SetupId(1) })
 }
 
-/// A request, which is admitted. Returns the id of its task and the outputs.
-fn send_request(harness: &mut Harness, owner: OwnerId, id: u64) -> (TaskId, Vec<Output>) {
-    let outputs = harness.owner_sends(owner, request(setup(id)));
-    let task = harness
-        .take_events()
-        .into_iter()
-        .find_map(|event| match event {
-            Event::PlacementRequested(task) => Some(task.id),
-            _ => None,
-        });
-    (task.expect("an admitted request"), outputs)
-}
-
 /// A request that the policy rejects. Returns the outputs.
 fn rejected_request(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
-    let (task, mut outputs) = send_request(harness, owner, id);
+    let (task, mut outputs) = harness.request_with_outputs(owner, setup(id));
     outputs.extend(harness.perform(Action::Reject {
         task,
         retry_after: None,
@@ -54,7 +41,7 @@
 
 /// Places a task of any owner on host `a`, to which there is a connection. Returns the outputs.
 fn place(harness: &mut Harness, owner: OwnerId, id: u64) -> Vec<Output> {
-    let (task, mut outputs) = send_request(harness, owner, id);
+    let (task, mut outputs) = harness.request_with_outputs(owner, setup(id));
     let connection = harness.offer_and_send(task, 0);
     outputs.extend(harness.host_sends(connection, host_ready(id, "t")));
     outputs
@@ -159,7 +146,7 @@
     let mut harness = Harness::new();
     let (_, connection) = start_task_and_disconnect_owner(&mut harness);
     harness.connect_owner(OWNER_A_AGAIN, ADDRESS_A);
-    let (task, _) = send_request(&mut harness, OWNER_A_AGAIN, 8);
+    let task = harness.request(OWNER_A_AGAIN, 8);
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(releases(&outputs), []);
     // It gets it with its answer.
--- a/crates/platform/src/engine/tests/resource_use.rs
+++ b/crates/platform/src/engine/tests/resource_use.rs
@@ -20,17 +20,7 @@
 
 /// A request that is admitted and for which the policy has set the timer of its deadline.
 fn admitted_request(harness: &mut Harness, owner: OwnerId, id: u64) -> TaskId {
-    harness.owner_sends(owner, request(patient_setup(id)));
-    let task = TaskId(
-        harness
-            .take_events()
-            .into_iter()
-            .find_map(|event| match event {
-                maplethread::Event::PlacementRequested(task) => Some(task.id.0),
-                _ => None,
-            })
-            .expect("an admitted request"),
-    );
+    let (task, _) = harness.request_with_outputs(owner, patient_setup(id));
     harness.perform(Action::SetTimer {
         after: DAY,
         label: task.timer_label(),
@@ -38,6 +28,13 @@
     task
 }
 
+/// Offers a task to host `a` and waits for a day for the answer.
+fn offer_for_a_day(harness: &mut Harness, task: TaskId) {
+    harness.schedule_offer(task, 0, DAY);
+    harness.wake_policy();
+    harness.turn();
+}
+
 /// A harness with a connection to host `a`, and the sizes of its tables.
 fn harness_with_connection() -> (Harness, ConnectionId, TableSizes) {
     let mut harness = Harness::new();
@@ -63,23 +60,17 @@
         },
         // Cancelled during an attempt.
         |harness, task, id| {
-            harness.schedule_offer(task, 0, DAY);
-            harness.wake_policy();
-            harness.turn();
+            offer_for_a_day(harness, task);
             harness.owner_sends(OWNER_A, owner_close(id, Cause::NORMAL));
         },
         // Failed by the policy during an attempt.
         |harness, task, _| {
-            harness.schedule_offer(task, 0, DAY);
-            harness.wake_policy();
-            harness.turn();
+            offer_for_a_day(harness, task);
             harness.perform(Action::Fail(task));
         },
         // Rejected by the host, then by the policy.
         |harness, task, id| {
-            harness.schedule_offer(task, 0, DAY);
-            harness.wake_policy();
-            harness.turn();
+            offer_for_a_day(harness, task);
             harness.host_sends(ConnectionId(1), host_close(id, Cause::NO_CAPACITY));
             harness.perform(Action::Reject {
                 task,
@@ -88,9 +79,7 @@
         },
         // Placed, and completed.
         |harness, task, id| {
-            harness.schedule_offer(task, 0, DAY);
-            harness.wake_policy();
-            harness.turn();
+            offer_for_a_day(harness, task);
             harness.host_sends(ConnectionId(1), host_ready(id, "t"));
             harness.host_sends(ConnectionId(1), host_close(id, Cause::NORMAL));
             let id = maplethread_platform_wire::SetupId(id);
--- a/crates/platform/src/engine/tests/support.rs
+++ b/crates/platform/src/engine/tests/support.rs
@@ -210,7 +210,16 @@
 
     /// Handles an owner's request of class `web` and returns the id of the task that is passed to the policy.
     pub(super) fn request(&mut self, owner: OwnerId, id: u64) -> TaskId {
-        self.owner_sends(owner, request(setup(id)));
+        self.request_with_outputs(owner, setup(id)).0
+    }
+
+    /// Handles an owner's request and returns the id of the task that is passed to the policy, and the outputs.
+    pub(super) fn request_with_outputs(
+        &mut self,
+        owner: OwnerId,
+        setup: Setup,
+    ) -> (TaskId, Vec<Output>) {
+        let outputs = self.owner_sends(owner, request(setup));
         let requested = self
             .take_events()
             .into_iter()
@@ -218,7 +227,7 @@
                 Event::PlacementRequested(task) => Some(task.id),
                 _ => None,
             });
-        requested.expect("an admitted request")
+        (requested.expect("an admitted request"), outputs)
     }
 
     /// Offers a task to a machine and returns the outputs.
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -102,8 +102,8 @@
             let Some(listener) = &self.listener else {
                 return;
             };
-            let stream = match listener.accept() {
-                Ok(Some(stream)) => stream,
+            let (stream, address) = match listener.accept() {
+                Ok(Some(accepted)) => accepted,
                 Ok(None) => return,
                 Err(error) => {
                     tracing::warn!(%error, "accepting a connection failed");
@@ -116,10 +116,6 @@
             // Owners are disconnected only now that another one has connected. Otherwise the latest one could be, before it
             // has sent its first request.
             self.close_owners_above_soft_limit();
-            // It fails if the connection has ended meanwhile.
-            let Ok(address) = stream.peer_addr() else {
-                continue;
-            };
             self.last_owner_id += 1;
             let id = OwnerId(self.last_owner_id);
             match TcpConnection::from_accepted(
--- a/crates/reactor/src/listener.rs
+++ b/crates/reactor/src/listener.rs
@@ -74,13 +74,13 @@
         }
     }
 
-    /// Accepts the next connection of the backlog. Returns none if the backlog is empty.
+    /// Accepts the next connection of the backlog, and returns it with its remote address. Returns none if the backlog is empty.
     ///
     /// # Errors
     /// When accepting failed; see [`is_resource_exhausted`].
-    pub fn accept(&self) -> io::Result<Option<TcpStream>> {
+    pub fn accept(&self) -> io::Result<Option<(TcpStream, SocketAddr)>> {
         match self.socket.accept() {
-            Ok((stream, _)) => Ok(Some(stream)),
+            Ok(accepted) => Ok(Some(accepted)),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
             Err(error) => Err(error),
         }
--- a/crates/reactor/tests/listener.rs
+++ b/crates/reactor/tests/listener.rs
@@ -53,7 +53,7 @@
     assert!(ready.is_empty(), "{ready:?}");
     listener.set_accepting(true, &poller).expect("turned on");
     wait_for(&poller, TOKEN, |r| r.is_readable);
-    let accepted = listener.accept().expect("no error").expect("a connection");
+    let (accepted, _) = listener.accept().expect("no error").expect("a connection");
     assert_eq!(
         accepted.peer_addr().expect("connected"),
         client.local_addr().expect("connected")
