--- /dev/null
+++ b/review/standins-2/src/placer.rs
@@ -0,0 +1,194 @@
+//! Starts the placer with the `run` command of the deploy file, as the platform does.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::record::{could_not_run, Record};
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
+}
+
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
+
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started and not waited for.
+pub fn kill_all() {
+    if let Ok(mut started) = STARTED.lock() {
+        for pid in started.drain(..) {
+            // SAFETY: the process was started here and has not been waited for, so the id is its own.
+            unsafe { kill(pid as i32, SIGKILL) };
+        }
+    }
+}
+
+/// Ends the run if it takes too long.
+pub fn start_watchdog(record: &Record, seconds: u64) {
+    let record = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_secs(seconds));
+        record.line("the run took too long");
+        could_not_run("the run took too long")
+    });
+}
+
+/// The root of the repository.
+pub fn root() -> PathBuf {
+    PathBuf::from(std::env::var("ROOT").unwrap_or_else(|_| could_not_run("ROOT is not set")))
+}
+
+/// The value of a key of the deploy file, which is a string on one line.
+fn deploy_value(key: &str) -> String {
+    let text = fs::read_to_string(root().join("deploy/balancer.toml"))
+        .unwrap_or_else(|error| could_not_run(&format!("deploy file: {error}")));
+    text.lines()
+        .filter_map(|line| line.split_once('='))
+        .find(|(name, _)| name.trim() == key)
+        .and_then(|(_, value)| {
+            value
+                .trim()
+                .strip_prefix('"')?
+                .split('"')
+                .next()
+                .map(str::to_owned)
+        })
+        .unwrap_or_else(|| could_not_run("deploy file: no such key"))
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener =
+        TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| could_not_run("no free port"));
+    listener
+        .local_addr()
+        .unwrap_or_else(|_| could_not_run("no address"))
+}
+
+/// A folder of its own for each run.
+pub fn temporary_folder() -> PathBuf {
+    let folder = PathBuf::from(
+        std::env::var("RUN_DIR").unwrap_or_else(|_| could_not_run("RUN_DIR is not set")),
+    );
+    if !folder.is_dir() {
+        could_not_run("RUN_DIR is not a folder");
+    }
+    folder
+}
+
+pub struct Placer {
+    child: Child,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub config: PathBuf,
+    record: Record,
+}
+
+impl Placer {
+    /// Writes the configuration and starts the placer; returns once it accepts connections.
+    pub fn start(record: &Record, name: &str, listen: SocketAddr, config_text: &str) -> Placer {
+        let config = temporary_folder().join(format!("{name}.json"));
+        fs::write(&config, config_text)
+            .unwrap_or_else(|error| could_not_run(&format!("config: {error}")));
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(temporary_folder().join(format!("{name}.log")))
+            .unwrap_or_else(|error| could_not_run(&format!("log: {error}")));
+        let run = deploy_value("run");
+        let mut command = Command::new("/bin/sh");
+        command
+            .arg("-c")
+            .arg(&run)
+            .current_dir(root())
+            .env("RELAY_NAME", name)
+            .env("RELAY_LISTEN", listen.to_string())
+            .env("RELAY_CONFIG", &config)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap_or_else(|_| could_not_run("log")))
+            .stderr(log);
+        use std::os::unix::process::CommandExt;
+        // SAFETY: `prctl` is safe to call between fork and exec. 1 is PR_SET_PDEATHSIG: the placer ends with this process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64, 0u64, 0u64, 0u64);
+                Ok(())
+            });
+        }
+        let child = command
+            .spawn()
+            .unwrap_or_else(|error| could_not_run(&format!("placer: {error}")));
+        if let Ok(mut started) = STARTED.lock() {
+            started.push(child.id());
+        }
+        record.line(format!("placer {name} started: {run}"));
+        let mut placer = Placer {
+            child,
+            name: name.to_owned(),
+            listen,
+            config,
+            record: record.clone(),
+        };
+        let is_up = crate::wait_for(Duration::from_secs(20), || {
+            if placer.has_ended() {
+                could_not_run("the placer ended at its start");
+            }
+            TcpStream::connect(listen).is_ok()
+        });
+        if !is_up {
+            could_not_run("the placer does not accept connections");
+        }
+        record.line(format!("placer {name} accepts connections"));
+        placer
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn signal(&self, signal: i32) {
+        self.record
+            .line(format!("placer {} gets signal {signal}", self.name));
+        // SAFETY: the process was started here and is not waited for before it is dropped.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
+    /// Kills the placer outright and waits for its end.
+    pub fn kill(mut self) {
+        self.signal(SIGKILL);
+        self.wait();
+    }
+
+    pub fn wait(&mut self) {
+        let _ = self.child.wait();
+        if let Ok(mut started) = STARTED.lock() {
+            started.retain(|&pid| pid != self.child.id());
+        }
+        self.record.line(format!("placer {} has ended", self.name));
+    }
+
+    /// The resident memory in KiB, and its peak.
+    pub fn memory_kib(&self) -> (u64, u64) {
+        let text =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let field = |name: &str| {
+            text.lines()
+                .find(|line| line.starts_with(name))
+                .and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+                .unwrap_or(0)
+        };
+        (field("VmRSS:"), field("VmHWM:"))
+    }
+}
