--- a/review/standins-2/src/bin/taken_address.rs
+++ b/review/standins-2/src/bin/taken_address.rs
@@ -78,34 +78,29 @@
         could_not_run("the tasks were not placed");
     }
 
-    // Two hosts that hold tasks go, one after the other, and each is replaced at its address: the first one's process dies
-    // and the new process serves the address from then on; the second one's machine vanishes and the new one is up 0.5 s later.
+    // The machines of two hosts vanish, one after the other, each soon after the host has told of a task. Another machine
+    // takes the address 1.5 s later, and the list tells it 1 s after that.
     sleep_ms(1500);
     let mut ended: BTreeMap<String, f64> = BTreeMap::new();
     if has_trouble() {
         let mut by_tasks: Vec<usize> = (0..HOSTS).collect();
         by_tasks.sort_by_key(|&i| std::cmp::Reverse(hosts[i].tasks().len()));
-        for (n, &i) in by_tasks.iter().take(2).enumerate() {
+        for &i in by_tasks.iter().take(2) {
             let (old, new) = (format!("s-{i:08x}"), format!("t-{i:08x}"));
+            if let Some(sid) = hosts[i].tasks().first() {
+                hosts[i].note_use(sid);
+            }
+            sleep_ms(50);
             let at = record.now();
-            let cut = if n == 0 {
-                hosts[i].replace(&new)
-            } else {
-                for sid in hosts[i].tasks().iter().take(1) {
-                    hosts[i].note_use(sid);
-                }
-                sleep_ms(50);
-                let cut = hosts[i].vanish();
-                sleep_ms(500);
-                hosts[i].come_back(&new);
-                cut
-            };
-            let since = unix_ms();
+            let cut = hosts[i].vanish();
             if cut.is_empty() {
                 could_not_run("a host holds no task");
             }
             ended.extend(cut.into_iter().map(|sid| (sid, at)));
-            sleep_ms(2000);
+            sleep_ms(1500);
+            let since = unix_ms();
+            hosts[i].come_back(&new);
+            sleep_ms(1000);
             channel.push(&[
                 list_entry(i, &old, "left", 0),
                 list_entry(i, &new, "active", since),
--- a/review/standins-2/src/host.rs
+++ b/review/standins-2/src/host.rs
@@ -1,6 +1,6 @@
 //! Hosts: they accept the tasks that they are offered, hold them and release them, by the protocol page.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -12,14 +12,15 @@
 extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
     fn listen(fd: i32, backlog: i32) -> i32;
+    fn shutdown(fd: i32, how: i32) -> i32;
 }
 
-const OPEN: u8 = 1;
-const READY: u8 = 9;
-const CLOSE: u8 = 12;
-const EVENT: u8 = 44;
-const PROBE: u8 = 52;
-const PROBED: u8 = 53;
+pub const OPEN: u8 = 1;
+pub const READY: u8 = 9;
+pub const CLOSE: u8 = 12;
+pub const EVENT: u8 = 44;
+pub const PROBE: u8 = 52;
+pub const PROBED: u8 = 53;
 
 /// Resets a connection: it is closed with unsent data thrown away and a reset.
 pub fn reset(stream: &TcpStream) {
@@ -44,8 +45,8 @@
     host: String,
     /// Counts processes. Connections of earlier ones are not served any more.
     process: u64,
-    /// The machine has vanished: no new connection comes up, and nothing comes on open ones.
-    is_silent: bool,
+    /// The machine has vanished, or its process is dead: no new connection is served, and nothing comes on open ones.
+    is_down: bool,
     /// Offers are answered with a release of this cause.
     refuse: Option<u8>,
     /// Offers get no answer, though their tasks run.
@@ -62,6 +63,8 @@
     started: Vec<(f64, String, String)>,
     /// What fills the queue of connections while the machine is silent.
     fill: Vec<TcpStream>,
+    /// Set-ups that were given up, with their connection.
+    given_up: BTreeSet<(u64, String)>,
 }
 
 #[derive(Clone)]
@@ -72,7 +75,7 @@
     record: Record,
 }
 
-fn message(kind: u8, sid: &str, parameters: &[(u8, &[u8])]) -> Vec<u8> {
+pub fn message(kind: u8, sid: &str, parameters: &[(u8, &[u8])]) -> Vec<u8> {
     let mut body = vec![kind];
     body.extend_from_slice(&u64::from_str_radix(sid, 16).unwrap_or(0).to_be_bytes());
     for (code, value) in parameters {
@@ -85,7 +88,7 @@
     bytes
 }
 
-fn parameter(body: &[u8], wanted: u8) -> Option<&[u8]> {
+pub fn parameter(body: &[u8], wanted: u8) -> Option<&[u8]> {
     let mut rest = body.get(9..)?;
     while let [code, high, low, more @ ..] = rest {
         let length = usize::from(u16::from_be_bytes([*high, *low]));
@@ -100,7 +103,12 @@
 
 impl Host {
     pub fn start(record: &Record, name: &str) -> Host {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| could_not_run("host"));
+        // A port of its own: one that the system has chosen is lost when the process dies.
+        let listener = loop {
+            if let Ok(listener) = TcpListener::bind(crate::placer::free_address()) {
+                break listener;
+            }
+        };
         let host = Host {
             address: listener
                 .local_addr()
@@ -115,7 +123,7 @@
         let _ = host.listener.set_nonblocking(true);
         let accepting = host.clone();
         std::thread::spawn(move || loop {
-            if !accepting.lock().is_silent {
+            if !accepting.lock().is_down {
                 while let Ok((stream, _)) = accepting.listener.accept() {
                     let _ = stream.set_nonblocking(false);
                     accepting.accepted(stream);
@@ -167,7 +175,7 @@
             let is_current = self.lock().process == process;
             if !is_current {
                 // The process is gone. Once another one answers at the address, nobody knows this connection there.
-                while self.lock().is_silent {
+                while self.lock().is_down {
                     std::thread::sleep(Duration::from_millis(1));
                 }
                 self.record.line(format!(
@@ -215,6 +223,7 @@
                 let name = state.host.clone();
                 self.record
                     .line(format!("host {name}: close of {sid}, cause {cause}"));
+                state.given_up.insert((number, sid.clone()));
                 if state.tasks.remove(&sid).is_some() {
                     self.record
                         .line(format!("host {name}: task {sid} is ended by the placer"));
@@ -239,7 +248,7 @@
 
     fn answer(&self, number: u64, process: u64, sid: &str) {
         let mut state = self.lock();
-        if state.process != process || state.is_silent {
+        if state.process != process || state.is_down {
             return;
         }
         let name = state.host.clone();
@@ -251,6 +260,12 @@
             }
             return;
         }
+        let is_open = state.connections.contains_key(&number);
+        if !is_open || state.given_up.contains(&(number, sid.to_owned())) {
+            self.record
+                .line(format!("host {name}: {sid} was given up before it ran"));
+            return;
+        }
         state.tasks.insert(sid.to_owned(), number);
         state
             .started
@@ -359,20 +374,22 @@
         self.lock().swallow_answers = is_on;
     }
 
-    /// The host's process dies: its connections are reset and its tasks are cut. The process of the host `successor` serves
-    /// the address from then on. Returns the tasks that were cut.
-    pub fn replace(&self, successor: &str) -> Vec<String> {
+    /// The host's process dies: its connections are reset, its tasks are cut, and connections are refused until
+    /// `come_back`. Returns the tasks that were cut.
+    pub fn die(&self) -> Vec<String> {
         let mut state = self.lock();
-        let name = std::mem::replace(&mut state.host, successor.to_owned());
+        state.is_down = true;
         state.process += 1;
+        // SAFETY: the descriptor is a listening socket. 0 is SHUT_RD, which ends listening until `listen` is called.
+        unsafe { shutdown(self.listener.as_raw_fd(), 0) };
         let cut: Vec<String> = std::mem::take(&mut state.tasks).into_keys().collect();
         state.releases.clear();
-        let connections = std::mem::take(&mut state.connections);
         self.record.line(format!(
-            "host {name} has gone, its connections are reset, its tasks are cut: {}; host {successor} is at its address",
+            "host {} dies, its tasks are cut: {}",
+            state.host,
             cut.join(" ")
         ));
-        for stream in connections.values() {
+        for stream in std::mem::take(&mut state.connections).values() {
             reset(stream);
         }
         cut
@@ -382,7 +399,7 @@
     /// are cut.
     pub fn vanish(&self) -> Vec<String> {
         let mut state = self.lock();
-        state.is_silent = true;
+        state.is_down = true;
         state.process += 1;
         let cut: Vec<String> = std::mem::take(&mut state.tasks).into_keys().collect();
         state.releases.clear();
@@ -411,7 +428,7 @@
         could_not_run("new connections to a silent host come up");
     }
 
-    /// A machine that has vanished comes back, or another one takes its address, with the process of the host `name`, which
+    /// A machine that has vanished or whose process has died comes back, or another one takes its address, with the process of the host `name`, which
     /// holds no task. It knows nothing of the old connections and resets them when something comes on them.
     pub fn come_back(&self, name: &str) {
         let mut state = self.lock();
@@ -419,7 +436,7 @@
         state.host = name.to_owned();
         // SAFETY: as in `stop_accepting`.
         unsafe { listen(self.listener.as_raw_fd(), 128) };
-        state.is_silent = false;
+        state.is_down = false;
         self.record.line(format!(
             "host {name} answers at {}, with no task",
             self.address
--- a/review/standins-2/src/placer.rs
+++ b/review/standins-2/src/placer.rs
@@ -192,3 +192,94 @@
         (field("VmRSS:"), field("VmHWM:"))
     }
 }
+
+/// A stand-in that runs as a process of its own.
+pub struct HostProcess {
+    child: Child,
+    pub name: String,
+    pub address: SocketAddr,
+    /// When tasks were started and when they ended: Unix milliseconds, whether it is an end, and the task.
+    tasks: std::sync::Arc<Mutex<Vec<(u64, bool, String)>>>,
+    record: Record,
+}
+
+impl HostProcess {
+    pub fn start(record: &Record, name: &str, life_ms: (u64, u64)) -> HostProcess {
+        use std::io::{BufRead, BufReader};
+        use std::os::unix::process::CommandExt;
+        let program = std::env::current_exe()
+            .ok()
+            .and_then(|path| Some(path.parent()?.join("host_process")))
+            .unwrap_or_else(|| could_not_run("no path of the host"));
+        let mut command = Command::new(program);
+        command
+            .args([name, &life_ms.0.to_string(), &life_ms.1.to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped());
+        // SAFETY: as in `Placer::start`.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64, 0u64, 0u64, 0u64);
+                Ok(())
+            });
+        }
+        let mut child = command
+            .spawn()
+            .unwrap_or_else(|error| could_not_run(&format!("host: {error}")));
+        if let Ok(mut started) = STARTED.lock() {
+            started.push(child.id());
+        }
+        let output = child
+            .stdout
+            .take()
+            .unwrap_or_else(|| could_not_run("host: no output"));
+        let mut lines = BufReader::new(output).lines().map_while(Result::ok);
+        let address = lines
+            .next()
+            .and_then(|line| line.parse().ok())
+            .unwrap_or_else(|| could_not_run("host: no address"));
+        let tasks: std::sync::Arc<Mutex<Vec<(u64, bool, String)>>> = Default::default();
+        let (own_tasks, own_record, own_name) = (tasks.clone(), record.clone(), name.to_owned());
+        std::thread::spawn(move || {
+            for line in lines {
+                let mut words = line.split(' ');
+                let at = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+                let (what, sid) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+                if matches!(what, "started" | "ended") {
+                    if let Ok(mut tasks) = own_tasks.lock() {
+                        tasks.push((at, what == "ended", sid.to_owned()));
+                    }
+                }
+                own_record.line(format!("host {own_name}: {line}"));
+            }
+        });
+        HostProcess {
+            child,
+            name: name.to_owned(),
+            address,
+            tasks,
+            record: record.clone(),
+        }
+    }
+
+    pub fn signal(&self, signal: i32) {
+        self.record
+            .line(format!("host {} gets signal {signal}", self.name));
+        // SAFETY: the process was started here and is not waited for.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
+    /// The tasks that have started, or that have ended, with the Unix time.
+    pub fn tasks(&self, has_ended: bool) -> Vec<(u64, String)> {
+        let tasks = self
+            .tasks
+            .lock()
+            .map(|tasks| tasks.clone())
+            .unwrap_or_default();
+        tasks
+            .into_iter()
+            .filter(|(_, is_end, _)| *is_end == has_ended)
+            .map(|(at, _, sid)| (at, sid))
+            .collect()
+    }
+}
