Review: the placer's address in a case is a loopback address of that run alone

Cause: with many runs at once a port that was found free could be taken before the placer listened on it.

Change: the stand-ins derive the loopback address from their process id.

--- a/review/standins-2/src/placer.rs
+++ b/review/standins-2/src/placer.rs
@@ -65,9 +65,11 @@
         .unwrap_or_else(|| could_not_run("deploy file: no such key"))
 }
 
+/// A free loopback address. It is this process's own, so no other run takes its port before the placer listens there.
 pub fn free_address() -> SocketAddr {
-    let listener =
-        TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| could_not_run("no free port"));
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    let ip = std::net::Ipv4Addr::new(127, 1 + (a & 0x3f), b, c);
+    let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|_| could_not_run("no free port"));
     listener
         .local_addr()
         .unwrap_or_else(|_| could_not_run("no address"))
