Review: the stand-ins wait for the processes that they have killed

Cause: processes that a case had started were killed at its end but not waited for, and the id of a placer that had ended by itself stayed in the list of those to kill.

Change: they are waited for, and an id that has been waited for is forgotten.

--- a/review/standins-2/src/placer.rs
+++ b/review/standins-2/src/placer.rs
@@ -12,6 +12,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, ...) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -22,13 +23,24 @@
 
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Kills all processes that were started and not waited for.
+/// Kills all processes that were started and not waited for, and waits for their ends.
 pub fn kill_all() {
     if let Ok(mut started) = STARTED.lock() {
-        for pid in started.drain(..) {
+        for &pid in started.iter() {
             // SAFETY: the process was started here and has not been waited for, so the id is its own.
             unsafe { kill(pid as i32, SIGKILL) };
         }
+        for pid in started.drain(..) {
+            // SAFETY: as above; no status is asked for.
+            unsafe { waitpid(pid as i32, std::ptr::null_mut(), 0) };
+        }
+    }
+}
+
+/// Forgets a process that has been waited for: its id may become that of another one.
+fn forget(pid: u32) {
+    if let Ok(mut started) = STARTED.lock() {
+        started.retain(|&other| other != pid);
     }
 }
 
@@ -157,7 +169,11 @@
     }
 
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            forget(self.child.id());
+        }
+        has_ended
     }
 
     pub fn signal(&self, signal: i32) {
@@ -175,9 +191,7 @@
 
     pub fn wait(&mut self) {
         let _ = self.child.wait();
-        if let Ok(mut started) = STARTED.lock() {
-            started.retain(|&pid| pid != self.child.id());
-        }
+        forget(self.child.id());
         self.record.line(format!("placer {} has ended", self.name));
     }
 
