Platform: a new process at a host's address is not taken for the old one

With the list's events in the other order, offers for the old host went to the new one.

Cause: an established connection counted as the process of before unless a connect had failed meanwhile (`record_host_connected`). The new process then answered the tests of the removed host's connections, so its tasks were kept. For the same reason the connection of a paused host was closed when the kernel accepted another one, with what the host wrote on it later.

Evidence: in the engine alone, a break, a connect, an answered test and the list's events in either order released nothing; a refused connect in between released all, so releases and list were not at fault.

Change: connections and hosts record the interval in which one process is known to have run; a message extends that of a host's tasks only if both overlap or if it mentions such a task. A removal, or another host listed at the address in a later event, releases what is from before the processes on responsive connections. What the new process accepted under the old name moves to the new host. Unsent offers are cancelled when the process is new. A silent connection is kept until it resumes, breaks, or misses two tests while the host answers elsewhere.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -41,7 +41,8 @@
             .host_table
             .hosts
             .get(&machine)
-            .is_some_and(|host| host.state == MachineState::Ready);
+            .is_some_and(|host| host.state == MachineState::Ready)
+            && self.host_table.successor(machine).is_none();
         // Answers contain the id of the task but not of the attempt, and a copy of the answer to an earlier attempt may
         // arrive late. Each attempt uses another connection, so that such a copy is not taken for the answer to this one.
         let connection = if is_ready && is_pending {
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -9,6 +9,7 @@
 
 use super::Engine;
 use super::output::{ConnectionId, DisconnectReason, Output};
+use super::process_interval::ProcessInterval;
 use super::timer::Timer;
 
 /// A connection to a host with running tasks is probed when nothing was received on it for this time. Hosts answer probes
@@ -34,11 +35,17 @@
     pub(super) attempts: BTreeSet<TaskId>,
     /// When data was last received. Before the first data: when the connection was established, or else opened.
     pub(super) last_received: Micros,
+    /// Whether anything was received.
+    pub(super) has_received: bool,
+    /// When the process on the other side is known to have run.
+    pub(super) process: ProcessInterval,
     /// A probe was sent and not answered yet.
     pub(super) is_probe_pending: bool,
     /// A probe failed. The connection is kept open because whether it resumes or breaks shows whether the host's process is
-    /// still the same.
+    /// still the same, and a paused process that resumes sends the releases of its tasks on it.
     pub(super) is_unresponsive: bool,
+    /// How often a probe on the unresponsive connection was not answered although the host has answered on another one.
+    pub(super) missed_probes: u32,
     /// When [`Engine::check_connection`] is due.
     pub(super) next_check: Micros,
     check_timer: TimerId,
@@ -46,6 +53,13 @@
     connect_timer: Option<TimerId>,
 }
 
+impl HostConnection {
+    /// Whether the connection is established and no probe on it has failed.
+    pub(super) fn is_responsive(&self) -> bool {
+        self.is_established && !self.is_unresponsive
+    }
+}
+
 impl<D: Decide> Engine<D> {
     /// Selects a connection to a host that is not in `excluded`: one that is established and not being probed, else one
     /// that is being opened, else a new one.
@@ -78,7 +92,7 @@
         now: Micros,
         machine: MachineId,
     ) -> Option<ConnectionId> {
-        if self.host_table.is_address_reused(machine) {
+        if self.host_table.successor(machine).is_some() {
             return None;
         }
         let host = self.host_table.hosts.get_mut(&machine)?;
@@ -100,8 +114,11 @@
             is_established: false,
             attempts: BTreeSet::new(),
             last_received: now,
+            has_received: false,
+            process: ProcessInterval::at(now),
             is_probe_pending: false,
             is_unresponsive: false,
+            missed_probes: 0,
             next_check,
             check_timer,
             connect_timer,
@@ -123,7 +140,7 @@
             .hosts
             .get(&machine)
             .and_then(|host| host.address);
-        match address.filter(|_| !self.host_table.is_address_reused(machine)) {
+        match address.filter(|_| self.host_table.successor(machine).is_none()) {
             Some(address) => self.outputs.push(Output::Connect(id, address)),
             None => self.connection_lost(now, id, DisconnectReason::Broken),
         }
@@ -136,6 +153,7 @@
         };
         connection.is_established = true;
         connection.last_received = now;
+        connection.process = ProcessInterval::at(now);
         let waiting: Vec<TaskId> = connection.attempts.iter().copied().collect();
         let machine = connection.machine;
         self.schedule_connection_check(id, now + self.probe_interval());
@@ -221,13 +239,19 @@
         if is_refused && host.state == MachineState::Draining {
             host.record_alive(now);
         }
-        if (is_refused && host.was_connected) || host.state == MachineState::Gone {
-            self.fail_running_tasks(now, machine, |_| true);
-            return;
+        if is_refused && host.was_connected {
+            return self.fail_running_tasks(now, machine, |_| true);
+        }
+        if self.is_removed_or_replaced(machine) {
+            return self.fail_tasks_of_earlier_process(now, machine);
         }
         // The connection may have broken without a failure of the host, so its tasks are kept until the host is detected as
         // failed. A new connection is opened even if others are open, because the host repeats unreceived messages on it.
-        let has_no_connection = host.connections.is_empty();
+        let has_no_connection = self
+            .host_table
+            .hosts
+            .get(&machine)
+            .is_some_and(|host| host.connections.is_empty());
         if connection.is_established {
             self.open_connection(now, machine);
         }
--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -7,7 +7,8 @@
 use maplethread_engine::Decide;
 
 use super::Engine;
-use super::connections::IDLE_PROBE_INTERVAL;
+use super::connections::{HostConnection, IDLE_PROBE_INTERVAL};
+use super::host_table::Host;
 use super::output::ConnectionId;
 use super::timer::Timer;
 
@@ -27,6 +28,8 @@
 /// of failed tasks are notified within 8 s. A partition affects all placers at once: with a short timeout they would start
 /// all of these tasks again on the remaining hosts.
 const PARTITION_TIMEOUT: Micros = 7_000_000;
+/// An unresponsive connection is closed after this many unanswered probes while the host answered on another connection.
+const MAX_MISSED_PROBES: u32 = 2;
 
 impl<D: Decide> Engine<D> {
     /// Schedules a probe of a connection on which an answer is expected, in case nothing arrives on it within the connect
@@ -58,7 +61,12 @@
         host.failed_connects += u32::from(!connection.is_established);
         // Hosts that were removed from the list are not expected to return.
         let is_gone = host.state == MachineState::Gone;
-        let is_kept = connection.is_established && !is_gone && !host.running.is_empty();
+        // A connection on which nothing was received shows nothing about the process that runs the tasks.
+        let is_kept = connection.is_established
+            && connection.has_received
+            && !is_gone
+            && !host.running.is_empty()
+            && connection.missed_probes < MAX_MISSED_PROBES;
         if is_kept {
             connection.is_unresponsive = true;
             let attempts: Vec<TaskId> = connection.attempts.iter().copied().collect();
@@ -67,6 +75,7 @@
                 self.abandon_attempt(task, AttemptOutcome::Disconnected, false);
             }
             if was_unresponsive {
+                self.count_missed_probe(now, id, machine);
                 // The first probe may have been lost when the host's process terminated. If a new process runs there now,
                 // the connection breaks when this probe arrives.
                 self.send_probe(id);
@@ -83,7 +92,24 @@
         self.schedule_host_check(now, machine);
     }
 
-    fn mark_unreachable(&mut self, machine: MachineId) {
+    /// Counts an unanswered probe on an unresponsive connection if the host has answered on another one meanwhile.
+    fn count_missed_probe(&mut self, now: Micros, id: ConnectionId, machine: MachineId) {
+        let Some(host) = self.host_table.hosts.get(&machine) else {
+            return;
+        };
+        let answers_elsewhere = host.connections.iter().any(|other| {
+            self.connections.get(other).is_some_and(|connection| {
+                connection.is_responsive()
+                    && connection.has_received
+                    && connection.last_received + IDLE_PROBE_INTERVAL > now
+            })
+        });
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.missed_probes += u32::from(answers_elsewhere);
+        }
+    }
+
+    pub(super) fn mark_unreachable(&mut self, machine: MachineId) {
         if let Some(host) = self.host_table.hosts.get_mut(&machine)
             && !std::mem::replace(&mut host.is_unreachable, true)
         {
@@ -115,11 +141,13 @@
             // The host was unreachable, so its process may have been replaced.
             host.is_identity_unverified = true;
         } else if !host.is_identity_unverified {
-            // No connect to the host has failed, so at most the old connection broke. The new connection replaces it.
+            // No connect to the host has failed, so the machine is not down. Whether its process is still the same is not
+            // known yet.
             host.record_alive(now);
-            self.close_unresponsive_connections(now, machine);
         }
-        self.mark_reachable(machine);
+        if self.host_table.successor(machine).is_none() {
+            self.mark_reachable(machine);
+        }
     }
 
     /// Updates a host that sent a message on a connection.
@@ -134,6 +162,7 @@
         };
         // A connection that resumes shows that the host's process is still the same.
         let has_resumed = std::mem::take(&mut connection.is_unresponsive);
+        connection.missed_probes = 0;
         if has_resumed {
             self.schedule_connection_check(id, now + IDLE_PROBE_INTERVAL);
         }
@@ -151,9 +180,11 @@
                 connection = id.0,
                 "connection resumed"
             );
-            self.close_unresponsive_connections(now, machine);
         }
-        self.mark_reachable(machine);
+        self.record_process_alive(now, id, machine);
+        if self.host_table.successor(machine).is_none() {
+            self.mark_reachable(machine);
+        }
     }
 
     /// Handles a report on a task that has been running since `since`. If the task started before the host became
@@ -168,7 +199,6 @@
             return;
         };
         host.record_alive(now);
-        self.close_unresponsive_connections(now, machine);
     }
 
     /// Closes the unresponsive connections of a host. They were kept open to find out whether its process is still the same,
@@ -247,7 +277,7 @@
         let has_working_connection = host.connections.iter().any(|id| {
             self.connections
                 .get(id)
-                .is_some_and(|connection| connection.is_established && !connection.is_unresponsive)
+                .is_some_and(HostConnection::is_responsive)
         });
         let has_running_tasks = !host.running.is_empty();
         let is_connected_and_verified =
@@ -275,17 +305,24 @@
         }
     }
 
+    /// How long a host may be inactive before its tasks count as failed.
+    fn failure_timeout(&self, host: &Host) -> Micros {
+        if host.is_identity_unverified || self.is_partitioned() {
+            PARTITION_TIMEOUT
+        } else {
+            UNREACHABLE_TIMEOUT
+        }
+    }
+
     /// Whether the tasks of an inactive host count as failed: the timeout that applies to the host is over, or too many
     /// connects to it have failed.
     fn has_failed(&self, now: Micros, machine: MachineId) -> bool {
         let Some(host) = self.host_table.hosts.get(&machine) else {
             return false;
         };
-        let inactive_us = now.saturating_sub(host.last_alive);
-        if host.is_identity_unverified || self.is_partitioned() {
-            inactive_us >= PARTITION_TIMEOUT
-        } else {
-            inactive_us >= UNREACHABLE_TIMEOUT || host.failed_connects >= MAX_FAILED_CONNECTS
-        }
+        let timeout = self.failure_timeout(host);
+        let is_timed_out = now.saturating_sub(host.last_alive) >= timeout;
+        let is_down = timeout == UNREACHABLE_TIMEOUT && host.failed_connects >= MAX_FAILED_CONNECTS;
+        is_timed_out || is_down
     }
 }
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -33,7 +33,15 @@
         let machine = received_on.machine;
         received_on.last_received = now;
         received_on.is_probe_pending = false;
+        received_on.has_received = true;
         self.record_host_message(now, connection, machine);
+        let machine = match self.host_table.successor(machine) {
+            Some(successor) => {
+                self.move_to_successor(connection, successor);
+                successor
+            }
+            None => machine,
+        };
         tracing::trace!(
             host = self.host_table.name(machine),
             connection = connection.0,
@@ -49,7 +57,7 @@
                 self.handle_host_close(now, connection, machine, id, cause, reason)
             }
             FromHost::Report { id, code, value } => {
-                self.handle_task_report(now, machine, id, code, value)
+                self.handle_task_report(now, connection, machine, id, code, value)
             }
             FromHost::Probed { .. } | FromHost::Ignored => {}
         }
@@ -123,6 +131,7 @@
             self.push_attempt_finished(attempt.id(task), outcome, reason, closes_task);
             self.tasks.remove_if_finished(task);
         } else if let Some(placement) = entry.placement.filter(|p| p.machine == machine) {
+            self.record_task_known(now, connection, machine, placement.since);
             self.confirm_same_process(now, machine, placement.since);
             self.confirm_running_task(now, task);
             self.finish_running_task(now, task, release_outcome(cause), reason, cause);
@@ -143,6 +152,7 @@
     fn handle_task_report(
         &mut self,
         now: Micros,
+        connection: ConnectionId,
         machine: MachineId,
         id: SetupId,
         code: ReportCode,
@@ -157,6 +167,7 @@
         if placement.machine != machine || !value.is_finite() {
             return;
         }
+        self.record_task_known(now, connection, machine, placement.since);
         self.confirm_same_process(now, machine, placement.since);
         self.confirm_running_task(now, task);
         let report = match code {
--- a/crates/platform/src/engine/host_table.rs
+++ b/crates/platform/src/engine/host_table.rs
@@ -1,6 +1,6 @@
 //! The hosts listed by the command channel: ids, addresses and states, with their connections and running tasks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use maplethread::{Event, MachineEntry, MachineId, MachineState, Micros, TaskId, UpdateScope};
@@ -9,6 +9,7 @@
 use maplethread_platform_wire::command_channel::{HostEntry, HostListUpdate, HostStatus};
 
 use super::output::ConnectionId;
+use super::process_interval::ProcessInterval;
 
 /// How long the name of a removed host is kept. The policy may refer to the host's id for that time.
 const NAME_RETENTION: Micros = 700_000_000;
@@ -17,14 +18,18 @@
 pub(super) struct Host {
     /// None until the host is listed.
     pub(super) address: Option<SocketAddr>,
+    /// The number of the list event that reported the latest process of the host at the address.
+    claimed_address_in: u64,
     pub(super) state: MachineState,
     pub(super) started_at: Option<Micros>,
     /// Connections to the host, including those that are being opened.
     pub(super) connections: BTreeSet<ConnectionId>,
     /// Tasks that run on the host.
     pub(super) running: BTreeSet<TaskId>,
-    /// When the process that runs the tasks was last known to be alive, or when the first of its tasks started.
+    /// When the host last was reachable, or when the first of its tasks started.
     pub(super) last_alive: Micros,
+    /// When the process that runs the earliest of the tasks is known to have run.
+    pub(super) process: ProcessInterval,
     /// The number of consecutive failed connects since `last_alive`.
     pub(super) failed_connects: u32,
     /// A check of the host is scheduled.
@@ -44,11 +49,13 @@
     fn unlisted(now: Micros) -> Host {
         Host {
             address: None,
+            claimed_address_in: 0,
             state: MachineState::Gone,
             started_at: None,
             connections: BTreeSet::new(),
             running: BTreeSet::new(),
             last_alive: now,
+            process: ProcessInterval::at(now),
             failed_connects: 0,
             is_check_scheduled: false,
             was_connected: false,
@@ -77,11 +84,21 @@
     kind: usize,
 }
 
+/// The effects of an update of the host list.
+pub(super) struct AppliedUpdate {
+    /// The event for the policy.
+    pub(super) event: Event,
+    /// The hosts that have a new process, no longer accept tasks or were replaced by another host at their address.
+    pub(super) changed: Vec<MachineId>,
+}
+
 /// All hosts that are listed, or that run a task.
 #[derive(Default)]
 pub(super) struct HostTable {
     names: HostNames,
     pub(super) hosts: BTreeMap<MachineId, Host>,
+    /// The host that was last reported to have started at an address.
+    by_address: HashMap<SocketAddr, MachineId>,
     zone_names: Vec<String>,
     machine_kind_names: Vec<String>,
     /// Removed hosts whose names are kept, with their removal times.
@@ -109,17 +126,17 @@
         self.names.name(id).unwrap_or("?")
     }
 
-    /// Applies an update of the host list. Returns the event for the policy, and the hosts that have a new process or no
-    /// longer accept tasks.
+    /// Applies an update of the host list, the event with this number.
     pub(super) fn apply_update(
         &mut self,
         update: &HostListUpdate,
         now: Micros,
-    ) -> (Event, Vec<MachineId>) {
+        number: u64,
+    ) -> AppliedUpdate {
         let mut changed = Vec::new();
         let mut machines = Vec::new();
         for entry in &update.entries {
-            machines.extend(self.apply_entry(entry, now, &mut changed));
+            machines.extend(self.apply_entry(entry, now, number, &mut changed));
         }
         if update.is_full {
             let listed: BTreeSet<MachineId> = machines.iter().map(|entry| entry.machine).collect();
@@ -135,7 +152,10 @@
         } else {
             UpdateScope::Delta
         };
-        (Event::EndpointsUpdated { scope, machines }, changed)
+        AppliedUpdate {
+            event: Event::EndpointsUpdated { scope, machines },
+            changed,
+        }
     }
 
     /// Marks hosts as gone that are absent from a full list.
@@ -153,6 +173,7 @@
         &mut self,
         entry: &HostEntry,
         now: Micros,
+        number: u64,
         changed: &mut Vec<MachineId>,
     ) -> Option<MachineEntry> {
         let resolved = self.resolve(entry)?;
@@ -169,10 +190,17 @@
         if stops_accepting_tasks || has_new_process {
             changed.push(machine);
         }
+        let claims_address = state != MachineState::Gone
+            && (has_new_process || host.is_gone() || host.address != Some(resolved.address));
         host.was_connected &= !has_new_process;
         host.address = Some(resolved.address);
         host.state = state;
         host.started_at = started_at;
+        if claims_address {
+            host.claimed_address_in = number;
+            let holder = self.by_address.insert(resolved.address, machine);
+            changed.extend(holder.filter(|&holder| holder != machine));
+        }
         Some(MachineEntry {
             machine,
             stable_hash: stable_hash(&entry.name),
@@ -209,14 +237,14 @@
         })
     }
 
-    /// Whether the host is gone and another host now uses its address.
-    pub(super) fn is_address_reused(&self, id: MachineId) -> bool {
-        let Some(host) = self.hosts.get(&id).filter(|host| host.is_gone()) else {
-            return false;
-        };
-        self.hosts.iter().any(|(&other_id, other)| {
-            other_id != id && other.address == host.address && !other.is_gone()
-        })
+    /// The host that has taken over the address of this one. The list may report that before it reports that this host is
+    /// gone. Hosts that one event reports at the same address share it.
+    pub(super) fn successor(&self, id: MachineId) -> Option<MachineId> {
+        let host = self.hosts.get(&id)?;
+        let successor = *self.by_address.get(&host.address?)?;
+        let other = self.hosts.get(&successor)?;
+        let is_replaced = host.is_gone() || host.claimed_address_in < other.claimed_address_in;
+        (successor != id && !other.is_gone() && is_replaced).then_some(successor)
     }
 
     /// Removes a host that has never been listed and is not in use any more. Owners choose the hosts of the tasks that they
@@ -236,6 +264,12 @@
         self.hosts.retain(|_, host| {
             !host.is_gone() || !host.connections.is_empty() || !host.running.is_empty()
         });
+        let hosts = &self.hosts;
+        self.by_address.retain(|address, id| {
+            hosts
+                .get(id)
+                .is_some_and(|host| host.address == Some(*address))
+        });
         let (names, hosts) = (&mut self.names, &self.hosts);
         self.removed.retain(|&(removed_at, id)| {
             let is_kept = removed_at + NAME_RETENTION > now;
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -18,6 +18,8 @@
 mod output;
 mod owner_evidence;
 mod owners;
+mod process_identity;
+mod process_interval;
 mod release_table;
 mod releases;
 mod requests;
@@ -183,9 +185,9 @@
             let Some(hosts) = &command.hosts else {
                 continue;
             };
-            let (event, changed) = self.host_table.apply_update(hosts, now);
-            self.policy_events.push(event);
-            for machine in changed {
+            let update = self.host_table.apply_update(hosts, now, command.cursor);
+            self.policy_events.push(update.event);
+            for machine in update.changed {
                 self.apply_host_change(now, machine);
             }
         }
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -7,6 +7,7 @@
 
 use super::Engine;
 use super::output::ConnectionId;
+use super::process_interval::ProcessInterval;
 use super::release_table::Release;
 
 impl<D: Decide> Engine<D> {
@@ -17,6 +18,7 @@
         };
         if host.running.is_empty() {
             host.record_alive(now);
+            host.process = ProcessInterval::at(now);
         }
         host.running.insert(task);
         if host.connections.is_empty() {
@@ -65,19 +67,10 @@
         machine: MachineId,
         is_lost: impl Fn(Micros) -> bool,
     ) {
-        let Some(host) = self.host_table.hosts.get(&machine) else {
-            return;
-        };
-        let lost: Vec<TaskId> = host
-            .running
-            .iter()
-            .copied()
-            .filter(|&task| {
-                self.tasks
-                    .get(task)
-                    .and_then(|entry| entry.placement)
-                    .is_some_and(|placement| is_lost(placement.since))
-            })
+        let lost: Vec<TaskId> = self
+            .running_tasks_of(machine)
+            .filter(|&(_, since)| is_lost(since))
+            .map(|(task, _)| task)
             .collect();
         if !lost.is_empty() {
             tracing::debug!(
@@ -138,26 +131,28 @@
         }
     }
 
-    /// Applies a change of a host's list entry: unsent attempts are cancelled if it accepts no new tasks, and the tasks of an
-    /// earlier process are failed.
+    /// Applies a change of a host's list entry: attempts that were to be sent to an earlier process are cancelled, and the
+    /// tasks of an earlier process are failed.
     pub(super) fn apply_host_change(&mut self, now: Micros, machine: MachineId) {
         let Some(host) = self.host_table.hosts.get(&machine) else {
             return;
         };
         let (state, started_at) = (host.state, host.started_at);
         let connections: Vec<ConnectionId> = host.connections.iter().copied().collect();
-        if state != MachineState::Ready {
-            self.cancel_unsent_attempts(&connections);
-        }
+        self.cancel_unsent_attempts(&connections);
         if let Some(started_at) = started_at {
             self.fail_running_tasks(now, machine, |since| since < started_at);
         }
         if state == MachineState::Gone {
             self.mark_reachable(machine);
-            if connections.is_empty() {
-                self.fail_running_tasks(now, machine, |_| true);
-            }
-            // A removed machine may have stopped without closing its connections, so they are probed at once.
+        } else if self.host_table.successor(machine).is_some() {
+            self.mark_unreachable(machine);
+        }
+        if self.is_removed_or_replaced(machine) {
+            self.fail_tasks_of_earlier_process(now, machine);
+        }
+        if state != MachineState::Draining {
+            // The machine of the earlier process may have stopped without closing its connections.
             for connection in connections {
                 self.probe_connection(now, connection);
             }
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -4,6 +4,7 @@
 mod host_lists;
 mod hosts;
 mod owners;
+mod process_identity;
 mod race_conditions;
 mod release_delivery;
 mod requests;
