Platform: tasks handed over after their host's last word are released too

Those on a host that is not listed stayed for good, but for the first hand-over.

Cause: `check_host` failed only tasks from before the host was last known to be alive, which a later hand-over never is.

Evidence: twenty hand-overs, 0.3 s apart, on an unlisted host: one release of twenty before, twenty after. The check ran each time.

Change: a task survives if a responsive connection shows a process that has run since the task; else it fails with its host, or after the same timeout from its hand-over.

--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -286,9 +286,8 @@
         if is_connected_and_verified || needs_no_check {
             return;
         }
-        let last_alive = host.last_alive;
         if has_running_tasks && self.has_failed(now, machine) {
-            self.fail_running_tasks(now, machine, |since| since <= last_alive);
+            self.fail_unreachable_tasks(now, machine);
             if let Some(host) = self.host_table.hosts.get_mut(&machine) {
                 host.is_identity_unverified = false;
             }
@@ -305,6 +304,20 @@
         }
     }
 
+    /// Fails the tasks of an unreachable host, except those on a process that is still connected and those that were handed
+    /// over only recently.
+    fn fail_unreachable_tasks(&mut self, now: Micros, machine: MachineId) {
+        let Some(host) = self.host_table.hosts.get(&machine) else {
+            return;
+        };
+        let last_alive = host.last_alive;
+        let timeout = self.failure_timeout(host);
+        let process_start = self.earliest_process_start(machine).unwrap_or(Micros::MAX);
+        self.fail_running_tasks(now, machine, |since| {
+            since < process_start && (since <= last_alive || since + timeout <= now)
+        });
+    }
+
     /// How long a host may be inactive before its tasks count as failed.
     fn failure_timeout(&self, host: &Host) -> Micros {
         if host.is_identity_unverified || self.is_partitioned() {
--- a/crates/platform/src/engine/tests/process_identity.rs
+++ b/crates/platform/src/engine/tests/process_identity.rs
@@ -166,6 +166,21 @@
     assert_eq!(harness.engine.table_sizes().tasks, 1);
 }
 
+/// Guards against tasks that stay for good because they were handed over after their host was last heard of.
+#[test]
+fn releases_tasks_that_are_handed_over_one_after_another_on_an_unlisted_host() {
+    let mut harness = Harness::new();
+    let mut released = 0;
+    for id in 1..=20 {
+        let outputs = harness.owner_sends(OWNER_A, request(running_setup(id, "unlisted")));
+        released += messages_to_owners(&outputs).len();
+        released += messages_to_owners(&harness.advance(300 * MS)).len();
+    }
+    released += messages_to_owners(&harness.advance(7_000 * MS)).len();
+    assert_eq!(released, 20);
+    assert_eq!(harness.engine.table_sizes().tasks, 0);
+}
+
 /// Guards against a policy that is told of a connection to a host whose address another one has taken over.
 #[test]
 fn reports_a_replaced_host_as_disconnected() {
