Platform: a task that is handed over again is released on that connection

Cause: `has_room_for_handover` dropped a hand-over under an id in the table, so the task stayed with the connection that had ended, and the new one was only possibly its owner's. A hand-over after the end of the task was taken up as a running task for good.

Evidence: all orders of reset, test, hand-over and end in the engine, old connection open or ended; each release was sent, to others.

Change: the last hand-over names the connection for the release; the one before gets it too while open. Releases are remembered for a minute and repeated to a later hand-over; only one that a host had confirmed verifies its connection. The first connection that passes a test within 8 s of the end of an owner's from the same address gets that address's releases beside better ones.

--- a/crates/platform/src/engine/host_table.rs
+++ b/crates/platform/src/engine/host_table.rs
@@ -121,6 +121,11 @@
         id
     }
 
+    /// The id of the host with this name, if it is listed or runs a task.
+    pub(super) fn id(&self, name: &str) -> Option<MachineId> {
+        self.names.id_of(name)
+    }
+
     /// The host's name, for log lines.
     pub(super) fn name(&self, id: MachineId) -> &str {
         self.names.name(id).unwrap_or("?")
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod draining;
 mod early_results;
+mod ended_owners;
 mod failure_detection;
 mod handover;
 mod host_messages;
@@ -20,6 +21,7 @@
 mod owners;
 mod process_identity;
 mod process_interval;
+mod recent_table;
 mod release_table;
 mod releases;
 mod requests;
@@ -43,10 +45,12 @@
 use connections::HostConnection;
 pub use draining::InvalidMessage;
 use early_results::EarlyResults;
+use ended_owners::EndedOwners;
 use host_table::HostTable;
 pub use output::{ConnectionId, DisconnectReason, Output, OwnerConnectionEnd, OwnerId};
 use owners::Owner;
-use release_table::{OrphanedRelease, ReleaseTable, SentRelease};
+use recent_table::RecentTable;
+use release_table::{OrphanedRelease, ReleaseTable, ReleasedTask, SentRelease};
 use task_table::TaskTable;
 use timer::Timer;
 
@@ -98,6 +102,8 @@
     pub sent_releases: usize,
     /// Results that arrived before their tasks were handed over to this placer.
     pub early_results: usize,
+    /// Tasks that were released recently.
+    pub released_tasks: usize,
 }
 
 /// The engine, with the policy `D`.
@@ -112,6 +118,7 @@
     draining_connections: HashMap<ConnectionId, MachineId>,
     last_connection_id: u64,
     owners: HashMap<OwnerId, Owner>,
+    ended_owners: EndedOwners,
     tasks: TaskTable,
     limits: TableLimits,
     /// Requests that have not been passed to the policy yet.
@@ -121,6 +128,8 @@
     orphaned_releases: ReleaseTable<OrphanedRelease>,
     /// Releases that were sent on the connections of their tasks and not acknowledged.
     sent_releases: ReleaseTable<SentRelease>,
+    /// Tasks that were released recently, for owners that hand them over afterwards.
+    released_tasks: RecentTable<ReleasedTask>,
     timers: Timers<Timer>,
     policy_events: Vec<Event>,
     policy_actions: Vec<Action>,
@@ -152,12 +161,14 @@
             draining_connections: HashMap::new(),
             last_connection_id: 0,
             owners: HashMap::new(),
+            ended_owners: EndedOwners::default(),
             tasks: TaskTable::default(),
             limits: TableLimits::default(),
             admission_queue: AdmissionQueue::default(),
             early_results: EarlyResults::default(),
             orphaned_releases: ReleaseTable::default(),
             sent_releases: ReleaseTable::default(),
+            released_tasks: RecentTable::new(releases::RELEASE_RETENTION),
             timers: Timers::default(),
             policy_events: Vec::new(),
             policy_actions: Vec::new(),
@@ -229,6 +240,7 @@
             orphaned_releases: self.orphaned_releases.len(),
             sent_releases: self.sent_releases.len(),
             early_results: self.early_results.len(),
+            released_tasks: self.released_tasks.len(),
         }
     }
 
--- a/crates/platform/src/engine/owner_evidence.rs
+++ b/crates/platform/src/engine/owner_evidence.rs
@@ -22,6 +22,8 @@
 pub(super) struct OwnerEvidence {
     /// The remote address of the connection.
     address: IpAddr,
+    /// It has passed its first health check shortly after the end of an owner's connection from the same address.
+    replaces_owner: bool,
     /// A host accepted a task that was requested on this connection, or confirmed one that was handed over on it.
     has_running_task: bool,
     /// It has handed over a task on a host that is listed. The names of hosts are not known to all clients.
@@ -41,6 +43,7 @@
     pub(super) fn new(address: IpAddr) -> OwnerEvidence {
         OwnerEvidence {
             address,
+            replaces_owner: false,
             has_running_task: false,
             has_handed_over_task: false,
             has_probed: false,
@@ -70,6 +73,21 @@
         !std::mem::replace(&mut self.has_probed, true)
     }
 
+    /// Whether it has passed a health check.
+    pub(super) fn has_probed(&self) -> bool {
+        self.has_probed
+    }
+
+    /// Records that the connection takes the place of an owner's from the same address that has ended.
+    pub(super) fn record_replacement(&mut self) {
+        self.replaces_owner = true;
+    }
+
+    /// Whether the connection takes the place of one of an owner with this address.
+    pub(super) fn replaces_owner_at(&self, address: IpAddr) -> bool {
+        self.replaces_owner && self.address == address
+    }
+
     /// Records the final answer to a request that was not cancelled. Returns whether that is new evidence.
     pub(super) fn record_answer(&mut self) -> bool {
         !std::mem::replace(&mut self.has_awaited_answer, true)
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -94,6 +94,9 @@
         self.owner_half_closed(id);
         self.resend_releases(now, id, end);
         if let Some(owner) = self.owners.remove(&id) {
+            if owner.evidence.is_in_use() {
+                self.ended_owners.record(now, owner.evidence.address());
+            }
             self.timers.cancel(owner.check_timer);
             self.admission_queue.remove_owner(id);
         }
@@ -125,6 +128,11 @@
                     id: probe,
                     is_healthy: true,
                 };
+                let is_in_place_of_ended = !owner.evidence.has_probed()
+                    && self.ended_owners.take(now, owner.evidence.address());
+                if is_in_place_of_ended {
+                    owner.evidence.record_replacement();
+                }
                 self.outputs.push(Output::SendToOwner(id, answer));
                 self.record_evidence(now, id, OwnerEvidence::record_probe);
             }
--- a/crates/platform/src/engine/release_table.rs
+++ b/crates/platform/src/engine/release_table.rs
@@ -27,6 +27,15 @@
     pub(super) owner_address: IpAddr,
 }
 
+/// A task that was running and was released.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReleasedTask {
+    /// Why the task has ended.
+    pub(super) cause: Cause,
+    /// A host had confirmed the task.
+    pub(super) was_confirmed: bool,
+}
+
 /// A release of a task whose own connection has ended.
 #[derive(Debug)]
 pub(super) struct OrphanedRelease {
--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -23,6 +23,8 @@
 /// The maximum number of connections to which the release of one task is sent while they are not verified, and the maximum
 /// number to which its relocation is sent. Verified connections get a release while it was sent to fewer than twice as many.
 const MAX_RECIPIENTS: usize = 8;
+/// How long the release of a task is kept for an owner that hands the task over on another connection.
+pub(super) const RELEASE_RETENTION: Micros = 60_000_000;
 /// A release that was sent less than this before its connection ended may have crossed the end. The platform protocol
 /// allows 50 ms for a set-up to cross it.
 const CROSSING_INTERVAL: Micros = 250_000;
@@ -46,6 +48,37 @@
         self.push_release(requested_on, release);
     }
 
+    /// Sends a release to a connection that is open.
+    pub(super) fn send_release(&mut self, owner: OwnerId, release: Release) {
+        if self.is_reachable(owner) {
+            self.push_release(owner, release);
+        }
+    }
+
+    /// Sends the release of a task that was handed over after its end to the connection of the handover, unless it has got
+    /// it already. Returns false if the task was not released recently.
+    pub(super) fn repeat_release(&mut self, now: Micros, owner: OwnerId, id: SetupId) -> bool {
+        let Some(released) = self.released_tasks.get(now, id) else {
+            return false;
+        };
+        if released.was_confirmed {
+            self.record_verified_owner(now, owner);
+        }
+        let has_got = self
+            .orphaned_releases
+            .get(id)
+            .is_some_and(|orphan| orphan.recipients.contains(&owner));
+        if !has_got && let Some(entry) = self.owners.get(&owner) {
+            let release = Release {
+                id,
+                cause: released.cause,
+                owner_address: entry.evidence.address(),
+            };
+            self.notify_release(now, owner, release);
+        }
+        true
+    }
+
     fn push_release(&mut self, owner: OwnerId, release: Release) {
         let Release { id, cause, .. } = release;
         self.outputs
@@ -114,8 +147,10 @@
         let likelihood = likelihood_of(owner);
         let is_verified = likelihood == OwnerLikelihood::Verified;
         let max_recipients = MAX_RECIPIENTS * if is_verified { 2 } else { 1 };
+        let replaces_own_connection = owner.evidence.replaces_owner_at(release.owner_address);
         let was_sent = orphan.recipients.contains(&id);
-        if orphan.is_expired(now) || !was_sent && orphan.recipients.len() >= max_recipients {
+        let is_at_limit = !replaces_own_connection && orphan.recipients.len() >= max_recipients;
+        if orphan.is_expired(now) || !was_sent && is_at_limit {
             return;
         }
         let has_better_recipient = || {
@@ -126,7 +161,7 @@
         };
         let is_selected = match likelihood {
             OwnerLikelihood::Unlikely => false,
-            OwnerLikelihood::Possible => !has_better_recipient(),
+            OwnerLikelihood::Possible => replaces_own_connection || !has_better_recipient(),
             OwnerLikelihood::Probable | OwnerLikelihood::Verified => true,
         };
         if !is_selected {
@@ -190,10 +225,12 @@
         });
         if is_received {
             self.orphaned_releases.remove(id);
+            self.released_tasks.remove(id);
         }
         let sent = self.sent_releases.get(id);
         if sent.is_some_and(|sent| sent.owner == owner) {
             self.sent_releases.remove(id);
+            self.released_tasks.remove(id);
             if let Some(owner) = self.owners.get_mut(&owner) {
                 owner.acknowledges_releases = true;
             }
@@ -204,6 +241,7 @@
     pub(super) fn forget_release(&mut self, id: SetupId) {
         self.orphaned_releases.remove(id);
         self.sent_releases.remove(id);
+        self.released_tasks.remove(id);
     }
 
     /// Sends the releases again that a connection may not have received before it ended: if it broke, those that were sent
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -8,7 +8,7 @@
 use super::Engine;
 use super::output::ConnectionId;
 use super::process_interval::ProcessInterval;
-use super::release_table::Release;
+use super::release_table::{Release, ReleasedTask};
 
 impl<D: Decide> Engine<D> {
     /// Records a task that runs on a host, and opens a connection on which the host can release it if there is none.
@@ -43,7 +43,7 @@
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let owner = entry.owner;
+        let (owner, earlier_owner) = (entry.owner, entry.earlier_owner);
         let release = Release {
             id: entry.setup_id,
             cause,
@@ -55,7 +55,15 @@
         self.host_table.remove_unlisted_host(placement.machine);
         self.push_attempt_finished(placement.attempt(task), outcome, reason, true);
         if placement.close_cause.is_none() && outcome != AttemptOutcome::Cancelled {
+            let released = ReleasedTask {
+                cause,
+                was_confirmed: placement.is_confirmed,
+            };
+            self.released_tasks.insert(now, release.id, released);
             self.notify_release(now, owner, release);
+            if let Some(earlier_owner) = earlier_owner {
+                self.send_release(earlier_owner, release);
+            }
         }
         self.tasks.remove_if_finished(task);
     }
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -82,7 +82,10 @@
     pub(super) setup_id: SetupId,
     /// The set-up, until the task runs.
     pub(super) setup: Option<Box<Setup>>,
+    /// The connection on which the task was requested, or last handed over.
     pub(super) owner: OwnerId,
+    /// Another connection, on which the task was requested or handed over before. It may still be its owner's.
+    pub(super) earlier_owner: Option<OwnerId>,
     /// The remote address of the owner's connection.
     pub(super) owner_address: IpAddr,
     /// The request has not been answered.
@@ -135,6 +138,7 @@
             setup_id,
             setup,
             owner,
+            earlier_owner: None,
             owner_address,
             is_pending: false,
             deadline_timer: None,
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -7,6 +7,7 @@
 mod process_identity;
 mod race_conditions;
 mod release_delivery;
+mod repeated_handovers;
 mod requests;
 mod resource_use;
 mod support;
