Policy: more adopted tasks than a machine can hold do not shut out requests

Callers saw: after faulty clients had handed over 300 made-up tasks a host, new requests waited until their time was over.

Cause: `has_capacity` and the workload term count every adopted task; any client can hand over tasks that do not exist.

Change: adopted tasks that the machine has not reported on are left out while these alone are more than it can hold. A restart's genuine tasks fit their machines, so nothing changes there; they count at the latest with their first report.

Measured: the new test fails on the code of before; all tests of the policy pass.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -23,6 +23,8 @@
     pub(super) is_started: bool,
     /// It was accepted, its task has not started yet, and it counts as a start in progress.
     pub(super) is_starting: bool,
+    /// Its task was adopted, and its machine has not reported on it.
+    pub(super) is_unreported: bool,
     /// Since when its service share has been below the limit for migration.
     pub(super) underserved_since: Option<Micros>,
 }
@@ -38,6 +40,7 @@
             is_accepted: false,
             is_started: false,
             is_starting: false,
+            is_unreported: false,
             underserved_since: None,
         }
     }
@@ -47,6 +50,7 @@
         Attempt {
             is_accepted: true,
             is_started: true,
+            is_unreported: true,
             ..Attempt::offered(task, machine, Locality::Local, now)
         }
     }
@@ -113,6 +117,9 @@
         let task = &attempt.task;
         if let Some(machine) = self.machines.get_mut(&attempt.machine) {
             machine.add_own_allocation(task.requested, self.now);
+            if attempt.is_unreported {
+                machine.change_unreported_allocation(task.requested, 1.0);
+            }
         }
         self.placements.add(task.service, attempt.machine, self.now);
         if self.placements.limit() {
@@ -126,11 +133,24 @@
         let task = &attempt.task;
         if let Some(machine) = self.machines.get_mut(&attempt.machine) {
             machine.remove_own_allocation(task.requested, self.now);
+            if attempt.is_unreported {
+                machine.change_unreported_allocation(task.requested, -1.0);
+            }
         }
         self.placements
             .remove(task.service, attempt.machine, last_seen);
     }
 
+    /// Handles the first report on an adopted task: it exists.
+    pub(super) fn confirm_adopted(&mut self, id: &AttemptId) {
+        if let Some(attempt) = self.attempts.get_mut(id)
+            && std::mem::take(&mut attempt.is_unreported)
+            && let Some(machine) = self.machines.get_mut(&attempt.machine)
+        {
+            machine.change_unreported_allocation(attempt.task.requested, -1.0);
+        }
+    }
+
     /// Stops counting an attempt as a start in progress, since the task runs or the attempt has finished.
     pub(super) fn finish_start(&mut self, id: &AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(id)
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -68,11 +68,10 @@
             return false;
         };
         let is_new = !self.machines.contains_key(&entry.machine);
-        let class_count = self.settings.classes.len();
         let machine = self
             .machines
             .entry(entry.machine)
-            .or_insert_with(|| Machine::new(*entry, size, class_count, self.now));
+            .or_insert_with(|| Machine::new(*entry, size, &self.settings, self.now));
         if machine.entry.started_at != entry.started_at {
             machine.health.reset_for_new_process();
         }
@@ -109,6 +108,9 @@
         for attempt in self.attempts.values() {
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                 machine.restore_own_allocation(attempt.task.requested);
+                if attempt.is_unreported {
+                    machine.change_unreported_allocation(attempt.task.requested, 1.0);
+                }
             }
         }
     }
--- a/src/policy/machine.rs
+++ b/src/policy/machine.rs
@@ -4,7 +4,7 @@
 
 use super::outlier::MachineHealth;
 use super::slow_start::RecentOffers;
-use crate::interface::{MachineEntry, MachineState, Micros, Resources};
+use crate::interface::{MachineEntry, MachineState, Micros, Resources, Settings};
 
 /// Assumed age of the capacity in an endpoint list when the list arrives. Changes of this placer's own allocation within
 /// that time are added to it.
@@ -31,6 +31,8 @@
 pub(super) struct Machine {
     pub(super) entry: MachineEntry,
     pub(super) size: Resources,
+    /// The share of its size that tasks may request in total.
+    max_utilization: Resources,
     /// Whether the caller has a connection to it. Without one an offer would fail at once and use up an attempt.
     pub(super) is_connected: bool,
     pub(super) health: MachineHealth,
@@ -42,6 +44,8 @@
     /// The resources that this placer's attempts and running tasks request there. The latest changes are in
     /// `recent_changes`.
     own_allocation: Resources,
+    /// The part of `own_allocation` that belongs to adopted tasks which the machine has not reported on.
+    unreported_allocation: Resources,
     recent_changes: VecDeque<AllocationChange>,
 }
 
@@ -49,19 +53,21 @@
     pub(super) fn new(
         entry: MachineEntry,
         size: Resources,
-        class_count: usize,
+        settings: &Settings,
         now: Micros,
     ) -> Machine {
         Machine {
             entry,
             size,
+            max_utilization: Resources::new(settings.cpu_overcommit, settings.memory_overcommit),
             is_connected: true,
-            health: MachineHealth::new(class_count),
+            health: MachineHealth::new(settings.classes.len()),
             recent_offers: RecentOffers::default(),
             contended_until: 0,
             last_changed: now,
             reported: None,
             own_allocation: Resources::default(),
+            unreported_allocation: Resources::default(),
             recent_changes: VecDeque::new(),
         }
     }
@@ -92,8 +98,15 @@
         });
     }
 
+    /// Records the adoption of a task that the machine has not reported on (`factor` 1), or its first report or its end
+    /// (`factor` -1).
+    pub(super) fn change_unreported_allocation(&mut self, requested: Resources, factor: f64) {
+        self.unreported_allocation = self.unreported_allocation.add_scaled(requested, factor);
+    }
+
     pub(super) fn reset_own_allocation(&mut self) {
         self.own_allocation = Resources::default();
+        self.unreported_allocation = Resources::default();
     }
 
     /// Adds the allocation of an own attempt that started before the machine was listed.
@@ -125,12 +138,23 @@
         }))
     }
 
+    /// What this placer's attempts and running tasks request. Any client can hand over tasks that do not exist, so adopted
+    /// tasks that the machine has not reported on count only while it could hold them all.
     pub(super) fn own_allocation(&self) -> Resources {
-        self.own_allocation
+        let unreported = self.unreported_allocation.as_share_of(self.size);
+        let is_credible = unreported.cores <= self.max_utilization.cores
+            && unreported.memory <= self.max_utilization.memory;
+        if is_credible {
+            self.own_allocation
+        } else {
+            self.own_allocation
+                .add_scaled(self.unreported_allocation, -1.0)
+        }
     }
 
     /// The reported allocation plus own changes since; without a report, the allocation of this placer's attempts alone.
     pub(super) fn known_allocation(&self) -> Resources {
-        self.reported_allocation().unwrap_or(self.own_allocation)
+        self.reported_allocation()
+            .unwrap_or_else(|| self.own_allocation())
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -167,10 +167,13 @@
             Event::PlacementRequested(task) => self.handle_request(*task, actions),
             Event::TaskAdopted { task, machine } => self.adopt(*task, *machine),
             Event::AttemptAccepted { attempt, elapsed } => self.handle_accepted(attempt, *elapsed),
-            Event::TaskReported { attempt, report } => match report {
-                TaskReport::Started => self.handle_started(attempt),
-                report => self.handle_task_report(attempt, *report, actions),
-            },
+            Event::TaskReported { attempt, report } => {
+                self.confirm_adopted(attempt);
+                match report {
+                    TaskReport::Started => self.handle_started(attempt),
+                    report => self.handle_task_report(attempt, *report, actions),
+                }
+            }
             Event::AttemptFinished { attempt, result } => {
                 self.handle_finished(*attempt, *result, actions);
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1113,3 +1113,40 @@
     }]);
     assert_eq!(offered_machine(&actions), Some(4));
 }
+
+/// Guards against clients that hand over tasks which no machine runs and so leave no room for requests.
+#[test]
+fn more_adopted_tasks_than_a_machine_can_hold_do_not_shut_out_requests() {
+    let mut harness = Harness::new(settings(RetrySafety::Idempotent), 2);
+    let adopted = |i: u64| Event::TaskAdopted {
+        task: task(i, 1000 + i, 0),
+        machine: MachineId((i % 2) as u32),
+    };
+    // Each machine has 32 cores and accepts 1.5 times that; a task requests one core.
+    let genuine: Vec<Event> = (0..96).map(adopted).collect();
+    harness.turn(&genuine);
+    let request = |harness: &mut Harness, n: u64| {
+        let deadline = harness.now + SECOND;
+        let machine = harness.request(task(n, n, deadline));
+        harness.turn(&[Event::ClientDisconnected(TaskId(n))]);
+        machine
+    };
+    assert_eq!(request(&mut harness, 5000), None, "both machines are full");
+    let made_up: Vec<Event> = (96..700).map(adopted).collect();
+    harness.turn(&made_up);
+    assert!(request(&mut harness, 5001).is_some());
+    // The machines report on the tasks that exist, and these count.
+    let reports: Vec<Event> = (0..96)
+        .map(|i| Event::TaskReported {
+            attempt: attempt_id(i, 0),
+            report: TaskReport::CoresUsed(0.5),
+        })
+        .collect();
+    harness.turn(&reports);
+    assert_eq!(request(&mut harness, 5002), None, "both machines are full");
+    let ends: Vec<Event> = (0..700)
+        .map(|i| finished(i, 0, AttemptOutcome::Completed, None))
+        .collect();
+    harness.turn(&ends);
+    assert!(request(&mut harness, 5003).is_some());
+}
