Platform: full tables take back from the clients that fill them

One client with thousands of unanswered requests, or long ones, had those of all others refused.

Cause: a full table kept what came first. Nothing takes a made-up task out before its host goes.

Change: unconfirmed tasks are displaced from the least credible connection, of equal ones from the one with the most; they are closed at their host and released. A hand-over of that connection itself is released at once, which also answers the faulty client. Of unanswered requests the latest of the connection with the most, that was never offered, is refused. Releases and connections of unconfirmed tasks are the first to be dropped and closed.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -185,12 +185,11 @@
 
     /// Marks a request as no longer pending, because it was answered or cancelled. Returns whether it was pending.
     pub(super) fn clear_pending(&mut self, task: TaskId) -> bool {
-        let owner = self
-            .tasks
-            .get(task)
-            .and_then(|entry| self.owners.get_mut(&entry.owner));
-        if let Some(owner) = owner {
-            owner.pending.remove(&task);
+        if let Some(entry) = self.tasks.get(task)
+            && let Some(owner) = self.owners.get_mut(&entry.owner)
+            && owner.pending.remove(&task)
+        {
+            owner.pending_bytes -= entry.setup_bytes();
         }
         self.cancel_deadline_timer(task);
         let was_pending = self.tasks.clear_pending(task);
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -2,13 +2,13 @@
 
 use maplethread::{Event, MachineId, Micros, Task, TaskId};
 use maplethread_engine::Decide;
-use maplethread_platform_wire::SetupId;
-use maplethread_platform_wire::owner::Setup;
+use maplethread_platform_wire::Cause;
+use maplethread_platform_wire::owner::{Setup, ToOwner};
 
 use super::Engine;
 use super::early_results::EarlyResult;
-use super::output::OwnerId;
-use super::release_table::{Release, ReleasedTask};
+use super::output::{Output, OwnerId};
+use super::release_table::Release;
 use super::requests::build_task;
 use super::task_table::TaskEntry;
 
@@ -28,9 +28,16 @@
         if let Some(task) = self.tasks.id_by_setup(id) {
             return self.repeat_handover(now, owner, task, host);
         }
-        if self.repeat_release(now, owner, id) || !self.has_room_for_handover(id) {
+        if self.repeat_release(now, owner, id) {
             return;
         }
+        if !self.make_room_for_handover(owner) {
+            tracing::debug!(%id, "running task released: the task table is full");
+            let cause = Cause::RESET;
+            return self
+                .outputs
+                .push(Output::SendToOwner(owner, ToOwner::Close { id, cause }));
+        }
         // The task's result may have arrived before the handover: from its host, which sends it on the first connection to
         // this process, or from its owner, on any connection.
         let early_result = self.early_results.take(now, id);
@@ -39,15 +46,12 @@
             && reporter == machine
         {
             self.record_verified_owner(now, owner);
-            let released = ReleasedTask {
-                cause,
-                was_confirmed: true,
-            };
-            self.released_tasks.insert(now, id, released);
+            self.released_tasks.insert(now, id, cause);
             let release = Release {
                 id,
                 cause,
                 owner_address,
+                was_confirmed: true,
             };
             return self.notify_release(now, owner, release);
         }
@@ -71,16 +75,10 @@
         else {
             return;
         };
-        let Some(entry) = self.tasks.get_mut(task) else {
+        let Some(placement) = self.tasks.get(task).and_then(|entry| entry.placement) else {
             return;
         };
-        let Some(placement) = entry.placement else {
-            return;
-        };
-        if entry.owner != owner {
-            entry.earlier_owner = Some(std::mem::replace(&mut entry.owner, owner));
-            entry.owner_address = address;
-        }
+        self.tasks.change_owner(task, owner, address);
         let named = machine.map(|machine| self.host_table.successor(machine).unwrap_or(machine));
         let is_right_host = named == Some(placement.machine);
         if is_right_host && placement.is_confirmed {
@@ -91,16 +89,6 @@
         }
     }
 
-    /// Whether the table has room for a task that is handed over.
-    fn has_room_for_handover(&self, id: SetupId) -> bool {
-        let is_full = self.tasks.len() >= self.limits.max_tasks
-            || self.tasks.unconfirmed_count() >= self.limits.max_unconfirmed_tasks;
-        if is_full {
-            tracing::debug!(%id, "running task ignored: the task table is full");
-        }
-        !is_full
-    }
-
     fn insert_running_task(
         &mut self,
         now: Micros,
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod early_results;
 mod ended_owners;
 mod failure_detection;
+mod fair_share;
 mod handover;
 mod host_messages;
 mod host_table;
@@ -30,6 +31,7 @@
 #[cfg(test)]
 mod tests;
 mod timer;
+mod unconfirmed_tasks;
 
 use std::collections::HashMap;
 
@@ -50,7 +52,7 @@
 pub use output::{ConnectionId, DisconnectReason, Output, OwnerConnectionEnd, OwnerId};
 use owners::Owner;
 use recent_table::RecentTable;
-use release_table::{OrphanedRelease, ReleaseTable, ReleasedTask, SentRelease};
+use release_table::{OrphanedRelease, ReleaseTable, SentRelease};
 use task_table::TaskTable;
 use timer::Timer;
 
@@ -64,7 +66,8 @@
     pub max_tasks: usize,
     /// The maximum number of requests that have not been answered.
     pub max_pending_requests: usize,
-    /// The maximum number of tasks that were handed over and that no host has confirmed. Further ones are ignored.
+    /// The maximum number of tasks that were handed over and that no host has confirmed. Beyond it they displace those of
+    /// clients that hand over more, or are released at once.
     pub max_unconfirmed_tasks: usize,
     /// The maximum of the total bytes of the texts of unanswered requests.
     pub max_setup_bytes: usize,
@@ -128,8 +131,8 @@
     orphaned_releases: ReleaseTable<OrphanedRelease>,
     /// Releases that were sent on the connections of their tasks and not acknowledged.
     sent_releases: ReleaseTable<SentRelease>,
-    /// Tasks that were released recently, for owners that hand them over afterwards.
-    released_tasks: RecentTable<ReleasedTask>,
+    /// The causes of the recent releases of tasks that hosts had confirmed, for owners that hand them over afterwards.
+    released_tasks: RecentTable<Cause>,
     timers: Timers<Timer>,
     policy_events: Vec<Event>,
     policy_actions: Vec<Action>,
--- a/crates/platform/src/engine/owner_evidence.rs
+++ b/crates/platform/src/engine/owner_evidence.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 
 /// How much a connection may be taken for one of a task's owner, in ascending order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) enum OwnerLikelihood {
     /// It gets no releases of tasks that were requested on other connections.
     Unlikely,
@@ -17,6 +17,16 @@
     Verified,
 }
 
+impl OwnerLikelihood {
+    /// All degrees, in ascending order.
+    pub(super) const ALL: [OwnerLikelihood; 4] = [
+        OwnerLikelihood::Unlikely,
+        OwnerLikelihood::Possible,
+        OwnerLikelihood::Probable,
+        OwnerLikelihood::Verified,
+    ];
+}
+
 /// What was received on an owner's connection, as far as it shows who is on it.
 #[derive(Debug)]
 pub(super) struct OwnerEvidence {
@@ -113,6 +123,18 @@
         self.has_running_task || self.has_handed_over_task
     }
 
+    /// How much the connection may be taken for an owner's, whatever the address.
+    pub(super) fn own_likelihood(&self) -> OwnerLikelihood {
+        let is_faulty = self.has_sent_invalid_message || self.has_cancelled_request;
+        if self.has_running_task {
+            OwnerLikelihood::Verified
+        } else if !is_faulty && (self.has_probed || self.has_awaited_answer) {
+            OwnerLikelihood::Probable
+        } else {
+            OwnerLikelihood::Unlikely
+        }
+    }
+
     /// How much the connection may be taken for one of the owner with the address `owner_address`.
     pub(super) fn likelihood(&self, owner_address: IpAddr) -> OwnerLikelihood {
         if self.has_running_task {
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -28,6 +28,8 @@
     pub(super) acknowledges_releases: bool,
     /// Requests that have not been answered.
     pub(super) pending: BTreeSet<TaskId>,
+    /// The total bytes of the texts of `pending`.
+    pub(super) pending_bytes: usize,
     /// The timer of [`Engine::check_owner`].
     check_timer: TimerId,
     /// When the last message was received.
@@ -54,6 +56,7 @@
             evidence: OwnerEvidence::new(address),
             acknowledges_releases: false,
             pending: BTreeSet::new(),
+            pending_bytes: 0,
             check_timer,
             last_received: now,
             is_half_closed: false,
@@ -62,14 +65,19 @@
     }
 
     /// The owner's connection to close first when descriptors run out: one that has sent no valid message, else one that has
-    /// neither placed nor handed over a task, else any other. Of several such connections it is the one whose last message is the oldest.
+    /// neither placed nor handed over a task, else one of whose tasks no host has confirmed any, else any other. Of several such
+    /// connections it is the one whose last message is the oldest.
     /// Connections with a pending request are never closed.
     pub fn lowest_priority_owner(&self) -> Option<OwnerId> {
         self.owners
             .iter()
             .filter(|(_, owner)| owner.pending.is_empty())
             .min_by_key(|(id, owner)| {
-                let priority = (owner.has_sent_valid_message, owner.evidence.is_in_use());
+                let priority = (
+                    owner.has_sent_valid_message,
+                    owner.evidence.is_in_use(),
+                    owner.evidence.own_likelihood(),
+                );
                 (priority, owner.last_received, **id)
             })
             .map(|(&id, _)| id)
@@ -84,6 +92,7 @@
             return;
         }
         let pending = std::mem::take(&mut owner.pending);
+        owner.pending_bytes = 0;
         for task in pending {
             self.cancel_request(task);
         }
@@ -99,6 +108,8 @@
             }
             self.timers.cancel(owner.check_timer);
             self.admission_queue.remove_owner(id);
+            self.tasks
+                .end_connection(id, owner.evidence.own_likelihood());
         }
     }
 
--- a/crates/platform/src/engine/release_table.rs
+++ b/crates/platform/src/engine/release_table.rs
@@ -25,14 +25,7 @@
     pub(super) cause: Cause,
     /// The address from which the task was requested or handed over.
     pub(super) owner_address: IpAddr,
-}
-
-/// A task that was running and was released.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ReleasedTask {
-    /// Why the task has ended.
-    pub(super) cause: Cause,
-    /// A host had confirmed the task.
+    /// Whether a host had confirmed the task. Any client can hand over tasks that do not exist.
     pub(super) was_confirmed: bool,
 }
 
@@ -95,11 +88,25 @@
 }
 
 impl<T> ReleaseTable<T> {
-    /// Adds an entry, which replaces an earlier one with the same id. Returns the entry that is dropped if the table is full.
-    pub(super) fn insert(&mut self, id: SetupId, entry: T) -> Option<T> {
+    /// Adds an entry, which replaces an earlier one with the same id. Returns the entry that is dropped if the table is full: the
+    /// oldest that is expendable, else the oldest.
+    pub(super) fn insert(
+        &mut self,
+        id: SetupId,
+        entry: T,
+        is_expendable: impl Fn(&T) -> bool,
+    ) -> Option<T> {
         self.remove(id);
         let dropped = if self.entries.len() >= MAX_RELEASES {
-            self.pop_oldest()
+            let expendable = self
+                .entries
+                .values()
+                .find(|(_, entry)| is_expendable(entry))
+                .map(|&(id, _)| id);
+            match expendable {
+                Some(id) => self.remove(id),
+                None => self.pop_oldest(),
+            }
         } else {
             None
         };
--- a/crates/platform/src/engine/releases.rs
+++ b/crates/platform/src/engine/releases.rs
@@ -44,7 +44,9 @@
             owner: requested_on,
             sent_at: now,
         };
-        self.sent_releases.insert(release.id, sent);
+        if release.was_confirmed {
+            self.sent_releases.insert(release.id, sent, |_| false);
+        }
         self.push_release(requested_on, release);
     }
 
@@ -58,12 +60,11 @@
     /// Sends the release of a task that was handed over after its end to the connection of the handover, unless it has got
     /// it already. Returns false if the task was not released recently.
     pub(super) fn repeat_release(&mut self, now: Micros, owner: OwnerId, id: SetupId) -> bool {
-        let Some(released) = self.released_tasks.get(now, id) else {
+        let Some(cause) = self.released_tasks.get(now, id) else {
             return false;
         };
-        if released.was_confirmed {
-            self.record_verified_owner(now, owner);
-        }
+        // A host had confirmed the task, so the connection is its owner's.
+        self.record_verified_owner(now, owner);
         let has_got = self
             .orphaned_releases
             .get(id)
@@ -71,8 +72,9 @@
         if !has_got && let Some(entry) = self.owners.get(&owner) {
             let release = Release {
                 id,
-                cause: released.cause,
+                cause,
                 owner_address: entry.evidence.address(),
+                was_confirmed: true,
             };
             self.notify_release(now, owner, release);
         }
@@ -91,9 +93,11 @@
         for id in expired {
             self.orphaned_releases.remove(id);
         }
-        let dropped = self
-            .orphaned_releases
-            .insert(release.id, OrphanedRelease::new(release));
+        let dropped =
+            self.orphaned_releases
+                .insert(release.id, OrphanedRelease::new(release), |orphan| {
+                    !orphan.release.was_confirmed
+                });
         if let Some(dropped) = dropped.filter(|orphan| !orphan.is_verified()) {
             tracing::warn!(id = %dropped.release.id, "release dropped: too many have no verified owner");
         }
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -9,7 +9,7 @@
 use super::Engine;
 use super::early_results::EarlyResult;
 use super::output::OwnerId;
-use super::task_table::{TaskEntry, setup_bytes};
+use super::task_table::TaskEntry;
 use super::timer::Timer;
 
 /// The maximum number of requests admitted to the policy in one turn. It bounds the length of a turn under a burst, as
@@ -51,7 +51,7 @@
         else {
             return;
         };
-        if self.is_rejecting_requests || !self.has_capacity(&setup) {
+        if self.is_rejecting_requests || !self.make_room_for_request(now, owner, &setup) {
             return self.reject_setup(now, owner, id, Cause::NO_CAPACITY);
         }
         let deadline = now + micros_from_ms(setup.answer_timeout_ms.unwrap_or(0.0));
@@ -87,18 +87,13 @@
         }
     }
 
-    fn has_capacity(&self, setup: &Setup) -> bool {
-        self.tasks.len() < self.limits.max_tasks
-            && self.tasks.pending_count() < self.limits.max_pending_requests
-            && self.tasks.setup_bytes() + setup_bytes(setup) <= self.limits.max_setup_bytes
-    }
-
     fn record_pending_request(&mut self, id: OwnerId, task: TaskId) {
         let Some(owner) = self.owners.get_mut(&id) else {
             return;
         };
         owner.has_sent_valid_message = true;
         owner.pending.insert(task);
+        owner.pending_bytes += self.tasks.get(task).map_or(0, TaskEntry::setup_bytes);
     }
 
     /// Admits queued requests to the policy, up to the limit for one turn.
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -8,7 +8,7 @@
 use super::Engine;
 use super::output::ConnectionId;
 use super::process_interval::ProcessInterval;
-use super::release_table::{Release, ReleasedTask};
+use super::release_table::Release;
 
 impl<D: Decide> Engine<D> {
     /// Records a task that runs on a host, and opens a connection on which the host can release it if there is none.
@@ -48,6 +48,7 @@
             id: entry.setup_id,
             cause,
             owner_address: entry.owner_address,
+            was_confirmed: placement.is_confirmed,
         };
         if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
             host.running.remove(&task);
@@ -55,11 +56,9 @@
         self.host_table.remove_unlisted_host(placement.machine);
         self.push_attempt_finished(placement.attempt(task), outcome, reason, true);
         if placement.close_cause.is_none() && outcome != AttemptOutcome::Cancelled {
-            let released = ReleasedTask {
-                cause,
-                was_confirmed: placement.is_confirmed,
-            };
-            self.released_tasks.insert(now, release.id, released);
+            if release.was_confirmed {
+                self.released_tasks.insert(now, release.id, cause);
+            }
             self.notify_release(now, owner, release);
             if let Some(earlier_owner) = earlier_owner {
                 self.send_release(earlier_owner, release);
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -9,6 +9,8 @@
 use maplethread_platform_wire::{Cause, SetupId};
 
 use super::output::{ConnectionId, OwnerId};
+use super::owner_evidence::OwnerLikelihood;
+use super::unconfirmed_tasks::UnconfirmedTasks;
 
 /// How long task names are kept. This is longer than owners take to resubmit a task.
 const NAME_RETENTION: Micros = 60_000_000;
@@ -151,7 +153,7 @@
     }
 
     /// The bytes of the texts of the set-up, which its owner chooses.
-    fn setup_bytes(&self) -> usize {
+    pub(super) fn setup_bytes(&self) -> usize {
         self.setup.as_deref().map_or(0, setup_bytes)
     }
 
@@ -180,7 +182,7 @@
     by_setup_id: HashMap<SetupId, TaskId>,
     last_id: u64,
     pending_count: usize,
-    unconfirmed_count: usize,
+    unconfirmed: UnconfirmedTasks,
     setup_bytes: usize,
     recent_names: RecentNames,
 }
@@ -191,7 +193,9 @@
         let id = TaskId(self.last_id);
         self.by_setup_id.insert(entry.setup_id, id);
         self.pending_count += usize::from(entry.is_pending);
-        self.unconfirmed_count += usize::from(entry.is_unconfirmed());
+        if entry.is_unconfirmed() {
+            self.unconfirmed.insert(entry.owner, id);
+        }
         self.setup_bytes += entry.setup_bytes();
         self.entries.insert(id, entry);
         id
@@ -226,25 +230,55 @@
 
     /// Records that a host has confirmed a running task. Returns whether it had not before.
     pub(super) fn confirm(&mut self, id: TaskId) -> bool {
-        let is_first = self
-            .entries
-            .get_mut(&id)
-            .and_then(|entry| entry.placement.as_mut())
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return false;
+        };
+        let owner = entry.owner;
+        let is_first = entry
+            .placement
+            .as_mut()
             .is_some_and(|placement| !std::mem::replace(&mut placement.is_confirmed, true));
-        self.unconfirmed_count -= usize::from(is_first);
+        if is_first {
+            self.unconfirmed.remove(owner, id);
+        }
         is_first
     }
 
     /// Removes and returns the placement of a task.
     pub(super) fn take_placement(&mut self, id: TaskId) -> Option<Placement> {
-        let placement = self.entries.get_mut(&id)?.placement.take()?;
-        self.unconfirmed_count -= usize::from(!placement.is_confirmed);
+        let entry = self.entries.get_mut(&id)?;
+        let placement = entry.placement.take()?;
+        if !placement.is_confirmed {
+            self.unconfirmed.remove(entry.owner, id);
+        }
         Some(placement)
     }
 
-    /// The number of running tasks that no host has confirmed.
-    pub(super) fn unconfirmed_count(&self) -> usize {
-        self.unconfirmed_count
+    /// The running tasks that no host has confirmed.
+    pub(super) fn unconfirmed(&self) -> &UnconfirmedTasks {
+        &self.unconfirmed
+    }
+
+    /// Records that a connection has ended. Its running tasks stay.
+    pub(super) fn end_connection(&mut self, owner: OwnerId, likelihood: OwnerLikelihood) {
+        self.unconfirmed.end_connection(owner, likelihood);
+    }
+
+    /// Changes the connection of a running task. The one of before may still be its owner's.
+    pub(super) fn change_owner(&mut self, id: TaskId, owner: OwnerId, address: IpAddr) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let earlier_owner = std::mem::replace(&mut entry.owner, owner);
+        if earlier_owner == owner {
+            return;
+        }
+        entry.earlier_owner = Some(earlier_owner);
+        entry.owner_address = address;
+        if entry.is_unconfirmed() {
+            self.unconfirmed.remove(earlier_owner, id);
+            self.unconfirmed.insert(owner, id);
+        }
     }
 
     /// Removes a task that is neither pending nor in flight nor running.
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the engine with a policy whose actions are scripted by each test.
 
 mod draining;
+mod fair_share;
 mod host_lists;
 mod hosts;
 mod owners;
