Platform: a handed-over task is not taken for one of a new process

Callers saw: tasks on hosts that were replaced at their addresses were released late or never, with hosts replaced in one event of the list and placers restarted.

Cause: `Placement::since` of a handed-over task is the time of the hand-over. A placer that was restarted between the replacement and its report connected to the new process first and took the tasks for its own.

Evidence: of 18 tasks of one host those handed over before the connection was established were released with the list's event, the 13 that came some milliseconds later 9.3 s after it, with the end of the next process.

Change: a handed-over task counts as from before any process until a host confirms it; so it is released when its host is removed, replaced, or reported to have restarted.

--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -313,8 +313,9 @@
         let last_alive = host.last_alive;
         let timeout = self.failure_timeout(host);
         let process_start = self.earliest_process_start(machine).unwrap_or(Micros::MAX);
-        self.fail_running_tasks(now, machine, |since| {
-            since < process_start && (since <= last_alive || since + timeout <= now)
+        self.fail_running_tasks(now, machine, |placement| {
+            let is_overdue = placement.since <= last_alive || placement.since + timeout <= now;
+            is_overdue && !placement.is_of_process_since(process_start)
         });
     }
 
--- a/crates/platform/src/engine/host_table.rs
+++ b/crates/platform/src/engine/host_table.rs
@@ -84,12 +84,30 @@
     kind: usize,
 }
 
+/// A change of a host that concerns its tasks: it has a new process, no longer accepts tasks, or was replaced by another host at
+/// its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct HostChange {
+    pub(super) machine: MachineId,
+    /// A host that was listed before has a new process.
+    pub(super) is_restarted: bool,
+}
+
+impl HostChange {
+    fn of(machine: MachineId) -> HostChange {
+        HostChange {
+            machine,
+            is_restarted: false,
+        }
+    }
+}
+
 /// The effects of an update of the host list.
 pub(super) struct AppliedUpdate {
     /// The event for the policy.
     pub(super) event: Event,
-    /// The hosts that have a new process, no longer accept tasks or were replaced by another host at their address.
-    pub(super) changed: Vec<MachineId>,
+    /// The changes that concern tasks.
+    pub(super) changes: Vec<HostChange>,
 }
 
 /// All hosts that are listed, or that run a task.
@@ -138,19 +156,20 @@
         now: Micros,
         number: u64,
     ) -> AppliedUpdate {
-        let mut changed = Vec::new();
+        let mut changes = Vec::new();
         let mut machines = Vec::new();
         for entry in &update.entries {
-            machines.extend(self.apply_entry(entry, now, number, &mut changed));
+            machines.extend(self.apply_entry(entry, now, number, &mut changes));
         }
         if update.is_full {
             let listed: BTreeSet<MachineId> = machines.iter().map(|entry| entry.machine).collect();
-            self.remove_unlisted(&listed, &mut changed);
+            self.remove_unlisted(&listed, &mut changes);
         }
-        let gone = changed
+        let gone = changes
             .iter()
+            .map(|change| change.machine)
             .filter(|id| self.hosts.get(id).is_some_and(Host::is_gone));
-        self.removed.extend(gone.map(|&id| (now, id)));
+        self.removed.extend(gone.map(|id| (now, id)));
         self.remove_expired(now);
         let scope = if update.is_full {
             UpdateScope::Full
@@ -159,16 +178,16 @@
         };
         AppliedUpdate {
             event: Event::EndpointsUpdated { scope, machines },
-            changed,
+            changes,
         }
     }
 
     /// Marks hosts as gone that are absent from a full list.
-    fn remove_unlisted(&mut self, listed: &BTreeSet<MachineId>, changed: &mut Vec<MachineId>) {
+    fn remove_unlisted(&mut self, listed: &BTreeSet<MachineId>, changes: &mut Vec<HostChange>) {
         for (&id, host) in &mut self.hosts {
             if !listed.contains(&id) && host.address.is_some() && !host.is_gone() {
                 host.state = MachineState::Gone;
-                changed.push(id);
+                changes.push(HostChange::of(id));
             }
         }
     }
@@ -179,7 +198,7 @@
         entry: &HostEntry,
         now: Micros,
         number: u64,
-        changed: &mut Vec<MachineId>,
+        changes: &mut Vec<HostChange>,
     ) -> Option<MachineEntry> {
         let resolved = self.resolve(entry)?;
         let state = match entry.status {
@@ -193,7 +212,10 @@
         let stops_accepting_tasks = host.state != state && state != MachineState::Ready;
         let has_new_process = host.started_at != started_at;
         if stops_accepting_tasks || has_new_process {
-            changed.push(machine);
+            changes.push(HostChange {
+                machine,
+                is_restarted: has_new_process && host.address.is_some(),
+            });
         }
         let claims_address = state != MachineState::Gone
             && (has_new_process || host.is_gone() || host.address != Some(resolved.address));
@@ -204,7 +226,8 @@
         if claims_address {
             host.claimed_address_in = number;
             let holder = self.by_address.insert(resolved.address, machine);
-            changed.extend(holder.filter(|&holder| holder != machine));
+            let replaced = holder.filter(|&holder| holder != machine);
+            changes.extend(replaced.map(HostChange::of));
         }
         Some(MachineEntry {
             machine,
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -201,8 +201,8 @@
             };
             let update = self.host_table.apply_update(hosts, now, command.cursor);
             self.policy_events.push(update.event);
-            for machine in update.changed {
-                self.apply_host_change(now, machine);
+            for change in update.changes {
+                self.apply_host_change(now, change);
             }
         }
         self.cursor = self.cursor.max(batch.cursor);
--- a/crates/platform/src/engine/process_identity.rs
+++ b/crates/platform/src/engine/process_identity.rs
@@ -9,6 +9,7 @@
 
 use super::Engine;
 use super::output::ConnectionId;
+use super::task_table::Placement;
 
 impl<D: Decide> Engine<D> {
     /// Records a message on a connection: its process still runs. If that is the process that runs the tasks of the host, so
@@ -30,7 +31,7 @@
         let is_same_process = process.overlaps(&host.process);
         if is_same_process {
             process.merge(&host.process);
-        } else if self.has_tasks_from_before(machine, process.since) {
+        } else if self.has_tasks_of_earlier_process(machine, process.since) {
             return;
         }
         if let Some(host) = self.host_table.hosts.get_mut(&machine) {
@@ -55,22 +56,22 @@
         }
     }
 
-    fn has_tasks_from_before(&self, machine: MachineId, time: Micros) -> bool {
+    fn has_tasks_of_earlier_process(&self, machine: MachineId, process_start: Micros) -> bool {
         self.running_tasks_of(machine)
-            .any(|(_, since)| since < time)
+            .any(|(_, placement)| !placement.is_of_process_since(process_start))
     }
 
-    /// The tasks that run on a host, with their start times.
+    /// The tasks that run on a host.
     pub(super) fn running_tasks_of(
         &self,
         machine: MachineId,
-    ) -> impl Iterator<Item = (TaskId, Micros)> + '_ {
+    ) -> impl Iterator<Item = (TaskId, Placement)> + '_ {
         let host = self.host_table.hosts.get(&machine);
         host.into_iter()
             .flat_map(|host| host.running.iter().copied())
             .filter_map(|task| {
                 let placement = self.tasks.get(task)?.placement?;
-                Some((task, placement.since))
+                Some((task, placement))
             })
     }
 
@@ -89,8 +90,8 @@
     /// still run.
     pub(super) fn fail_tasks_of_earlier_process(&mut self, now: Micros, machine: MachineId) {
         let process_start = self.earliest_process_start(machine);
-        self.fail_running_tasks(now, machine, |since| {
-            process_start.is_none_or(|process_start| since < process_start)
+        self.fail_running_tasks(now, machine, |placement| {
+            process_start.is_none_or(|start| !placement.is_of_process_since(start))
         });
     }
 
@@ -112,7 +113,7 @@
         let process = connection.process;
         let moved: Vec<TaskId> = self
             .running_tasks_of(machine)
-            .filter(|&(_, since)| since >= process.since)
+            .filter(|(_, placement)| placement.is_of_process_since(process.since))
             .map(|(task, _)| task)
             .collect();
         tracing::debug!(
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -6,9 +6,11 @@
 use maplethread_platform_wire::{Cause, SetupId};
 
 use super::Engine;
+use super::host_table::HostChange;
 use super::output::ConnectionId;
 use super::process_interval::ProcessInterval;
 use super::release_table::Release;
+use super::task_table::Placement;
 
 impl<D: Decide> Engine<D> {
     /// Records a task that runs on a host, and opens a connection on which the host can release it if there is none.
@@ -67,16 +69,16 @@
         self.tasks.remove_if_finished(task);
     }
 
-    /// Fails those tasks of a host for whose start time `is_lost` returns true.
+    /// Fails those tasks of a host for which `is_lost` returns true.
     pub(super) fn fail_running_tasks(
         &mut self,
         now: Micros,
         machine: MachineId,
-        is_lost: impl Fn(Micros) -> bool,
+        is_lost: impl Fn(&Placement) -> bool,
     ) {
         let lost: Vec<TaskId> = self
             .running_tasks_of(machine)
-            .filter(|&(_, since)| is_lost(since))
+            .filter(|(_, placement)| is_lost(placement))
             .map(|(task, _)| task)
             .collect();
         if !lost.is_empty() {
@@ -140,7 +142,8 @@
 
     /// Applies a change of a host's list entry: attempts that were to be sent to an earlier process are cancelled, and the
     /// tasks of an earlier process are failed.
-    pub(super) fn apply_host_change(&mut self, now: Micros, machine: MachineId) {
+    pub(super) fn apply_host_change(&mut self, now: Micros, change: HostChange) {
+        let machine = change.machine;
         let Some(host) = self.host_table.hosts.get(&machine) else {
             return;
         };
@@ -148,7 +151,9 @@
         let connections: Vec<ConnectionId> = host.connections.iter().copied().collect();
         self.cancel_unsent_attempts(&connections);
         if let Some(started_at) = started_at {
-            self.fail_running_tasks(now, machine, |since| since < started_at);
+            self.fail_running_tasks(now, machine, |placement| {
+                placement.since < started_at || change.is_restarted && !placement.is_confirmed
+            });
         }
         if state == MachineState::Gone {
             self.mark_reachable(machine);
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Whether the task runs in the process that has run since `process_start`. A task that was handed over was started before
+    /// that, maybe in an earlier process, until the host confirms it.
+    pub(super) fn is_of_process_since(&self, process_start: Micros) -> bool {
+        self.is_confirmed && self.since >= process_start
+    }
+
     /// The id of the attempt that placed this task.
     pub(super) fn attempt(&self, task: TaskId) -> AttemptId {
         AttemptId {
--- a/crates/platform/src/engine/tests/process_identity.rs
+++ b/crates/platform/src/engine/tests/process_identity.rs
@@ -181,6 +181,57 @@
     assert_eq!(harness.engine.table_sizes().tasks, 0);
 }
 
+/// Guards against tasks that are taken for those of the new process because they were handed over after it had started, as after
+/// a restart of the placer.
+#[test]
+fn releases_tasks_that_were_handed_over_after_their_process_had_been_replaced() {
+    for lists_successor_first in [false, true] {
+        let mut harness = Harness::new();
+        // A new process is at the address already; the list does not report it yet.
+        let outputs = harness.owner_sends(OWNER_A, request(running_setup(1, "a")));
+        let connection = first_connect(&outputs);
+        harness.establish(connection);
+        harness.advance(10 * MS);
+        harness.owner_sends(OWNER_A, request(running_setup(2, "a")));
+        harness.answer_probes(connection, 2);
+        let entries = [("a", "left"), ("b", "active")];
+        let order = if lists_successor_first {
+            [1, 0]
+        } else {
+            [0, 1]
+        };
+        let mut outputs = Vec::new();
+        for index in order {
+            let (name, status) = entries[index];
+            harness.list_host(name, ADDRESS, status, 0.0);
+            outputs.extend(harness.turn());
+        }
+        harness.answer_probes(connection, 1);
+        let expected = [1, 2].map(|id| (OWNER_A, close(id, Cause::RESET)));
+        assert_eq!(messages_to_owners(&outputs), expected);
+        assert_eq!(harness.engine.table_sizes().tasks, 0);
+    }
+}
+
+/// Guards against the same if the host has restarted under its name.
+#[test]
+fn releases_tasks_that_were_handed_over_after_an_unreported_restart() {
+    let mut harness = Harness::new();
+    let restarted_ms = (harness.now / MS) as f64;
+    harness.now += 100 * MS;
+    let outputs = harness.owner_sends(OWNER_A, request(running_setup(1, "a")));
+    let connection = first_connect(&outputs);
+    harness.establish(connection);
+    harness.owner_sends(OWNER_A, request(running_setup(2, "a")));
+    harness.host_sends(connection, host_report(2, ReportCode::ServiceShare, 0.9));
+    harness.list_host("a", ADDRESS, "active", restarted_ms);
+    assert_eq!(
+        messages_to_owners(&harness.turn()),
+        [(OWNER_A, close(1, Cause::RESET))],
+        "not the one that the new process has reported on"
+    );
+}
+
 /// Guards against a policy that is told of a connection to a host whose address another one has taken over.
 #[test]
 fn reports_a_replaced_host_as_disconnected() {
