Platform: hosts that are not listed neither delay others nor hide a partition

Callers saw: while one client sent hand-overs under ever new host names at full speed, others waited 2.0 s for an answer.

Cause: `schedule_host_check` and `check_host` look through all hosts for a partition, for each host that is named and not listed; such hosts also counted in the partition's share.

Evidence: nineteen kinds of floods with one client each under 32 MB and 256 descriptors; only this one delayed others. Hand-overs on listed hosts at the same rate did not.

Change: hosts without an address are left out of both, and checked once a second.

The new test fails on the code of before.

--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -223,7 +223,7 @@
     fn is_partitioned(&self) -> bool {
         let (mut with_tasks, mut unreachable) = (0, 0);
         for host in self.host_table.hosts.values() {
-            if !host.running.is_empty() {
+            if !host.running.is_empty() && host.address.is_some() {
                 with_tasks += 1;
                 unreachable += usize::from(host.is_unreachable);
             }
@@ -257,8 +257,9 @@
             return;
         }
         // A host without tasks is checked less often, as no owner depends on it. So are the hosts of a partition, which are
-        // many: each check may open a connection.
-        let uses_long_interval = host.running.is_empty() || self.is_partitioned();
+        // many: each check may open a connection. No connection can be opened to a host that is not listed.
+        let uses_long_interval =
+            host.running.is_empty() || host.address.is_none() || self.is_partitioned();
         let interval = if uses_long_interval {
             IDLE_PROBE_INTERVAL
         } else {
@@ -321,7 +322,9 @@
 
     /// How long a host may be inactive before its tasks count as failed.
     fn failure_timeout(&self, host: &Host) -> Micros {
-        if host.is_identity_unverified || self.is_partitioned() {
+        // Owners choose the names of hosts that are not listed, and there may be thousands of them.
+        let may_be_partitioned = || host.address.is_some() && self.is_partitioned();
+        if host.is_identity_unverified || may_be_partitioned() {
             PARTITION_TIMEOUT
         } else {
             UNREACHABLE_TIMEOUT
--- a/crates/platform/src/engine/tests/hosts.rs
+++ b/crates/platform/src/engine/tests/hosts.rs
@@ -419,3 +419,29 @@
         [(0, AttemptOutcome::Disconnected, true)]
     );
 }
+
+/// Guards against clients that hand over tasks on thousands of hosts that are not listed: they hid a partition, and each such
+/// hand-over took longer.
+#[test]
+fn hosts_that_are_not_listed_do_not_hide_a_partition() {
+    let mut harness = Harness::new();
+    for (n, name) in ["a", "b", "c"].into_iter().enumerate() {
+        harness.list_host(name, &format!("127.0.0.1:{}", n + 1), "active", 0.0);
+        let task = harness.request(OWNER_A, 30 + n as u64);
+        let connection = harness.offer_and_send(task, n as u32);
+        harness.host_sends(connection, host_ready(30 + n as u64, "t"));
+    }
+    let mut outputs = Vec::new();
+    for second in 0..6 {
+        for n in 0..40 {
+            let setup = running_setup(1_000 + 100 * second + n, &format!("unlisted-{n}"));
+            harness.owner_sends(OWNER_B, request(setup));
+        }
+        outputs.extend(harness.advance(1_000 * MS));
+    }
+    let messages = messages_to_owners(&outputs);
+    assert!(
+        messages.iter().all(|&(owner, _)| owner != OWNER_A),
+        "partitioned hosts keep their tasks for 7 s: {messages:?}"
+    );
+}
