Platform: an id that may have run is not accepted again

Callers saw: a request that came again under its id after its client had left was offered again, although the first attempt may have run: the id ran twice.

Cause: ids were in use only until their request ended; the protocol gives each request a new one.

Evidence: in the engine a set-up in flight, one with a broken connection, one that timed out and one that ran to its end were each offered again under the same id from another connection.

Change: ids of set-ups that were sent to a host are kept for a minute from then or from the end of the task, unless every attempt provably never ran. A request under one of them is answered 'error', which promises nothing.

Measured: id_that_may_have_run_is_not_accepted_again fails on the code of before; ids that never ran are accepted as before.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -92,6 +92,7 @@
         let Some(setup) = &entry.setup else {
             return;
         };
+        self.possibly_run.insert(now, setup.id, ());
         let mut bytes = Vec::with_capacity(setup.description.len() + SETUP_HEAD_BYTES);
         let message = ToHost::Setup {
             id: setup.id,
@@ -173,6 +174,16 @@
         reason: Option<FailureReason>,
         closes_task: bool,
     ) {
+        let never_ran = matches!(
+            outcome,
+            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NeverSent
+        );
+        if let Some(entry) = self.tasks.get_mut(attempt.task) {
+            entry.may_have_run |= !never_ran;
+            if never_ran && !entry.may_have_run {
+                self.possibly_run.remove(entry.setup_id);
+            }
+        }
         let result = AttemptResult {
             outcome,
             reason,
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -134,6 +134,8 @@
     sent_releases: ReleaseTable<SentRelease>,
     /// The causes of the recent releases of tasks that hosts had confirmed, for owners that hand them over afterwards.
     released_tasks: RecentTable<Cause>,
+    /// Set-ups that were sent to a host recently, or whose tasks have ended recently.
+    possibly_run: RecentTable<()>,
     timers: Timers<Timer>,
     policy_events: Vec<Event>,
     policy_actions: Vec<Action>,
@@ -173,6 +175,7 @@
             orphaned_releases: ReleaseTable::default(),
             sent_releases: ReleaseTable::default(),
             released_tasks: RecentTable::new(releases::RELEASE_RETENTION),
+            possibly_run: RecentTable::new(requests::USED_ID_RETENTION),
             timers: Timers::default(),
             policy_events: Vec::new(),
             policy_actions: Vec::new(),
--- a/crates/platform/src/engine/requests.rs
+++ b/crates/platform/src/engine/requests.rs
@@ -18,6 +18,8 @@
 pub(super) const MAX_ADMISSIONS_PER_TURN: usize = 64;
 /// How long before its deadline a request that has not been admitted is rejected.
 const ANSWER_MARGIN: Micros = 12_000;
+/// How long the id of a set-up that may have run is not accepted again.
+pub(super) const USED_ID_RETENTION: Micros = 60_000_000;
 
 impl<D: Decide> Engine<D> {
     /// The index of the set-up's class, or none if the class is unknown or its required idempotency key is missing.
@@ -43,6 +45,10 @@
             tracing::debug!(%id, "request rejected: set-up id already in use");
             return self.reject_setup(now, owner, id, Cause::NEVER_SENT);
         }
+        if self.possibly_run.get(now, id).is_some() {
+            tracing::debug!(%id, "request failed: an earlier one with the same id may have run");
+            return self.reject_setup(now, owner, id, Cause::ERROR);
+        }
         let Some(owner_address) = self
             .owners
             .get(&owner)
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -56,6 +56,9 @@
             host.running.remove(&task);
         }
         self.host_table.remove_unlisted_host(placement.machine);
+        if placement.is_confirmed {
+            self.possibly_run.insert(now, release.id, ());
+        }
         self.push_attempt_finished(placement.attempt(task), outcome, reason, true);
         if placement.close_cause.is_none() && outcome != AttemptOutcome::Cancelled {
             if release.was_confirmed {
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -101,6 +101,8 @@
     /// While the task is pending: the timer by which it is answered at the latest.
     pub(super) deadline_timer: Option<TimerId>,
     pub(super) attempt_count: u32,
+    /// An attempt has ended without showing that the task did not run.
+    pub(super) may_have_run: bool,
     pub(super) in_flight: Option<Attempt>,
     pub(super) placement: Option<Placement>,
     /// The connections on which the owner was asked to request another placement.
@@ -151,6 +153,7 @@
             is_pending: false,
             deadline_timer: None,
             attempt_count: 0,
+            may_have_run: false,
             in_flight: None,
             placement: None,
             relocation_recipients: Vec::new(),
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -10,6 +10,7 @@
 mod race_conditions;
 mod release_delivery;
 mod repeated_handovers;
+mod repeated_ids;
 mod requests;
 mod resource_use;
 mod support;
