Platform: closing connections for new ones reads little, and spares owners with tasks

Callers saw: beside 600 clients that send tests and read nothing the placer took 277 MB of its 32 and answered others after up to 2.6 s; beside as many that send lines with 1,600 fields 50 MB and 3.4 s. Beside 180 clients with open requests the owner of a running task was disconnected.

Cause: above half of the descriptors each new client had the input of up to eight others read, 64 KiB each, for up to 256 new clients in a turn, whose answers waited for its end. Only open requests protected a connection.

Evidence: the limits at the end of each turn held; below half of the descriptors the same floods took 12 MB.

Change: an owner is read 4 KiB once a turn, all owners 128 KiB, the longest unread first; 32 clients are accepted a turn; candidates for closing are determined once. Owners with tasks that a host has confirmed are closed only at three quarters.

--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -13,6 +13,7 @@
     EmulatedCommandChannel, EmulatedHost, OwnerClient, PlacerProcess, TEXT, code, host_update,
     kind, probe, send_from_host, setup, write_config_with,
 };
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use serde_json::{Value, json};
 
 /// The smallest memory limit of the platform, and the largest number of descriptors.
@@ -24,11 +25,32 @@
 /// How long the faulty clients send, unless the environment variable `MEMORY_TEST_SECONDS` gives another time.
 const DURATION: Duration = Duration::from_secs(12);
 const ONE_DAY_MS: u64 = 86_400_000;
+/// The time between two samples of the memory.
+const SAMPLING_INTERVAL: Duration = Duration::from_millis(10);
+/// The receive buffer of clients that do not read, so that little is written to them, in bytes.
+const SMALL_RECEIVE_BUFFER: usize = 2048;
+/// Clients that do not read. They are more than half of the descriptors.
+const SILENT_READERS: usize = 140;
+/// Clients that connect beside them, each of which may require closing another connection.
+const NEWCOMERS: usize = 100;
 
-/// The memory that the process holds besides the pages of its program file, in KiB.
-fn allocated_kib(placer: &PlacerProcess) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", placer.child.id()))
-        .expect("the process runs");
+/// Samples the memory of a placer until `is_over`. Returns its peak in KiB when it is joined.
+fn start_sampling(placer: &PlacerProcess, is_over: &Arc<AtomicBool>) -> JoinHandle<usize> {
+    let (process, is_over) = (placer.child.id(), is_over.clone());
+    std::thread::spawn(move || {
+        let mut peak_kib = 0;
+        while !is_over.load(Ordering::Relaxed) {
+            peak_kib = peak_kib.max(allocated_kib(process));
+            std::thread::sleep(SAMPLING_INTERVAL);
+        }
+        peak_kib
+    })
+}
+
+/// The memory that a process holds besides the pages of its program file, in KiB.
+fn allocated_kib(process: u32) -> usize {
+    let status =
+        std::fs::read_to_string(format!("/proc/{process}/status")).expect("the process runs");
     status
         .lines()
         .find_map(|line| line.strip_prefix("RssAnon:"))
@@ -214,7 +236,7 @@
         owner.send(&setup(&format!("{answers:016x}"), 2_000));
         // The releases of tasks that faulty clients handed over, whose connections have ended, go to this owner too.
         while owner.receive()["sid"] != format!("{answers:016x}") {}
-        peak_kib = peak_kib.max(allocated_kib(&placer));
+        peak_kib = peak_kib.max(allocated_kib(placer.child.id()));
         assert!(
             peak_kib <= (MEMORY_MB - PROGRAM_MB) << 10,
             "{peak_kib} KiB after {answers} requests"
@@ -227,3 +249,46 @@
     }
     println!("{answers} requests answered, {peak_kib} KiB allocated at most");
 }
+
+/// A client that writes health checks for as long as the kernel takes them, and reads nothing.
+fn connect_silent_reader(placer: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(placer).expect("connection is accepted");
+    set_socket_recv_buffer_size(&stream, SMALL_RECEIVE_BUFFER).expect("an open socket");
+    stream.set_nonblocking(true).expect("an open socket");
+    let checks = format!("{}\n", probe(1)).repeat(20_000);
+    let mut written = 0;
+    while let Ok(count @ 1..) = stream.write(&checks.as_bytes()[written..]) {
+        written += count;
+    }
+    stream
+}
+
+/// Guards against a placer that reads, in one turn, all input of clients to find one whose connection it can close.
+#[test]
+fn placer_stays_within_the_smallest_memory_limit_when_clients_connect_beside_ones_that_do_not_read()
+{
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let (host, commands) = (EmulatedHost::start(), EmulatedCommandChannel::start());
+    let initial_list = host_update(1, "s-1", host.address, "active");
+    let config = write_config_with(folder.path(), commands.address, &initial_list, |config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256});
+    });
+    let placer = PlacerProcess::start(&config);
+    accept_all(host);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let peak_kib = start_sampling(&placer, &is_over);
+    let silent: Vec<TcpStream> = (0..SILENT_READERS)
+        .map(|_| connect_silent_reader(placer.address))
+        .collect();
+    let newcomers: Vec<TcpStream> = (0..NEWCOMERS)
+        .map(|_| TcpStream::connect(placer.address).expect("connection is accepted"))
+        .collect();
+    let mut owner = OwnerClient::connect(&placer);
+    owner.send(&setup(&sid(0, 0), 20_000));
+    assert_eq!(owner.receive()["msg"].as_str(), Some("ready"));
+    is_over.store(true, Ordering::Relaxed);
+    let peak_kib = peak_kib.join().expect("memory can be read");
+    println!("{peak_kib} KiB allocated at most");
+    assert!(peak_kib <= (MEMORY_MB - PROGRAM_MB) << 10, "{peak_kib} KiB");
+    drop((silent, newcomers));
+}
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -74,7 +74,7 @@
         let Some(task) = self.tasks.id_by_setup(id) else {
             return;
         };
-        let Some(entry) = self.tasks.get_mut(task) else {
+        let Some(entry) = self.tasks.get(task) else {
             return;
         };
         let Some(attempt) = entry.in_flight.filter(|attempt| {
@@ -82,9 +82,9 @@
         }) else {
             return;
         };
-        entry.used_connections = Vec::new();
-        entry.placement = Some(Placement::new(attempt.machine, attempt.number, now));
         let owner = entry.owner;
+        let placement = Placement::new(attempt.machine, attempt.number, now);
+        self.tasks.place(task, placement);
         self.remove_attempt(task);
         self.clear_pending(task);
         self.tasks.drop_setup(task);
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -11,7 +11,7 @@
 use super::Engine;
 use super::input_burst::InputBurst;
 use super::output::{Output, OwnerConnectionEnd, OwnerId};
-use super::owner_evidence::OwnerEvidence;
+use super::owner_evidence::{OwnerEvidence, OwnerLikelihood};
 use super::timer::Timer;
 
 /// An owner's connection is closed if its first valid message does not arrive within this time. The platform's acceptance
@@ -45,6 +45,16 @@
     pub(super) is_half_closed: bool,
 }
 
+/// What decides which connection is closed first, in descending order of importance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct OwnerPriority {
+    has_running_tasks: bool,
+    has_sent_valid_message: bool,
+    is_in_use: bool,
+    likelihood: OwnerLikelihood,
+    last_received: Micros,
+}
+
 impl Owner {
     /// Whether messages on the connection can still be received.
     pub(super) fn is_reachable(&self) -> bool {
@@ -74,23 +84,35 @@
         self.owners.insert(id, owner);
     }
 
-    /// The owner's connection to close first when descriptors run out: one that has sent no valid message, else one that has
-    /// neither placed nor handed over a task, else one of whose tasks no host has confirmed any, else any other. Of several such
-    /// connections it is the one whose last message is the oldest.
-    /// Connections with a pending request are never closed.
-    pub fn lowest_priority_owner(&self) -> Option<OwnerId> {
-        self.owners
+    /// The owners' connections to close first when descriptors run out, at most `max_count`: those that have sent no valid
+    /// message, then those that have neither placed nor handed over a task, then those of whose tasks no host has confirmed
+    /// any, then others, and last those with running tasks. Of several such connections the one whose last message is the
+    /// oldest is the first. Connections with a pending request are never closed, and those with running tasks only if
+    /// `includes_running` is set.
+    pub fn lowest_priority_owners(&self, includes_running: bool, max_count: usize) -> Vec<OwnerId> {
+        let mut ranked: Vec<(OwnerPriority, OwnerId)> = self
+            .owners
             .iter()
             .filter(|(_, owner)| owner.pending.is_empty())
-            .min_by_key(|(id, owner)| {
-                let priority = (
-                    owner.has_sent_valid_message,
-                    owner.evidence.is_in_use(),
-                    owner.evidence.own_likelihood(),
-                );
-                (priority, owner.last_received, **id)
-            })
-            .map(|(&id, _)| id)
+            .map(|(&id, owner)| (self.priority(id, owner), id))
+            .filter(|(priority, _)| includes_running || !priority.has_running_tasks)
+            .collect();
+        if ranked.len() > max_count {
+            ranked.select_nth_unstable(max_count);
+            ranked.truncate(max_count);
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn priority(&self, id: OwnerId, owner: &Owner) -> OwnerPriority {
+        OwnerPriority {
+            has_running_tasks: self.tasks.has_confirmed(id),
+            has_sent_valid_message: owner.has_sent_valid_message,
+            is_in_use: owner.evidence.is_in_use(),
+            likelihood: owner.evidence.own_likelihood(),
+            last_received: owner.last_received,
+        }
     }
 
     /// Handles an owner that has closed its side: its pending requests are cancelled. Earlier input may still be unread.
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -192,6 +192,8 @@
     last_id: u64,
     pending_count: usize,
     unconfirmed: UnconfirmedTasks,
+    /// The number of running tasks of each connection that hosts have confirmed.
+    confirmed_by_owner: HashMap<OwnerId, usize>,
     setup_bytes: usize,
     recent_names: RecentNames,
 }
@@ -249,6 +251,7 @@
             .is_some_and(|placement| !std::mem::replace(&mut placement.is_confirmed, true));
         if is_first {
             self.unconfirmed.remove(owner, id);
+            *self.confirmed_by_owner.entry(owner).or_default() += 1;
         }
         is_first
     }
@@ -257,8 +260,11 @@
     pub(super) fn take_placement(&mut self, id: TaskId) -> Option<Placement> {
         let entry = self.entries.get_mut(&id)?;
         let placement = entry.placement.take()?;
-        if !placement.is_confirmed {
-            self.unconfirmed.remove(entry.owner, id);
+        let owner = entry.owner;
+        if placement.is_confirmed {
+            self.remove_confirmed(owner);
+        } else {
+            self.unconfirmed.remove(owner, id);
         }
         Some(placement)
     }
@@ -287,9 +293,35 @@
         if entry.is_unconfirmed() {
             self.unconfirmed.remove(earlier_owner, id);
             self.unconfirmed.insert(owner, id);
+        } else if entry.placement.is_some() {
+            self.remove_confirmed(earlier_owner);
+            *self.confirmed_by_owner.entry(owner).or_default() += 1;
+        }
+    }
+
+    /// Records that a host has accepted a task.
+    pub(super) fn place(&mut self, id: TaskId, placement: Placement) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.used_connections = Vec::new();
+            entry.placement = Some(placement);
+            *self.confirmed_by_owner.entry(entry.owner).or_default() += 1;
         }
     }
 
+    fn remove_confirmed(&mut self, owner: OwnerId) {
+        if let Some(count) = self.confirmed_by_owner.get_mut(&owner) {
+            *count -= 1;
+            if *count == 0 {
+                self.confirmed_by_owner.remove(&owner);
+            }
+        }
+    }
+
+    /// Whether a host runs a task of this connection.
+    pub(super) fn has_confirmed(&self, owner: OwnerId) -> bool {
+        self.confirmed_by_owner.contains_key(&owner)
+    }
+
     /// Removes a task that is neither pending nor in flight nor running.
     pub(super) fn remove_if_finished(&mut self, id: TaskId) {
         if self.entries.get(&id).is_some_and(TaskEntry::is_finished)
--- a/crates/platform/src/engine/tests/fair_share.rs
+++ b/crates/platform/src/engine/tests/fair_share.rs
@@ -223,5 +223,22 @@
     harness.disconnect_owner(OWNER_B);
     harness.now += MS;
     hand_over(&mut harness, FAULTY, 100..101);
-    assert_eq!(harness.engine.lowest_priority_owner(), Some(FAULTY));
+    assert_eq!(harness.first_to_close(true), Some(FAULTY));
+}
+
+/// Guards against an owner whose connection is closed, with a release still to come, to accept clients that may be faulty.
+#[test]
+fn connection_with_running_tasks_is_closed_last() {
+    let mut harness = harness_with_limits(TableLimits::default());
+    let (_, host) = harness.start_task(7);
+    harness.disconnect_owner(FAULTY);
+    harness.now += MS;
+    let id = SetupId(0xa1);
+    harness.owner_sends(OWNER_B, FromOwner::Probe { id });
+    assert_eq!(harness.first_to_close(true), Some(OWNER_B));
+    harness.disconnect_owner(OWNER_B);
+    assert_eq!(harness.first_to_close(false), None);
+    assert_eq!(harness.first_to_close(true), Some(OWNER_A));
+    harness.host_sends(host, host_close(7, Cause::NORMAL));
+    assert_eq!(harness.first_to_close(false), Some(OWNER_A));
 }
--- a/crates/platform/src/engine/tests/owners.rs
+++ b/crates/platform/src/engine/tests/owners.rs
@@ -42,7 +42,7 @@
         });
     }
     harness.disconnect_owner(OWNER_B);
-    assert_eq!(harness.engine.lowest_priority_owner(), Some(OwnerId(100)));
+    assert_eq!(harness.first_to_close(true), Some(OwnerId(100)));
     harness.disconnect_owner(OWNER_A);
     let outputs = harness.host_sends(connection, host_close(7, Cause::NORMAL));
     assert_eq!(messages_to_owners(&outputs), []);
@@ -145,9 +145,9 @@
 fn lowest_priority_owner_has_sent_nothing_and_has_no_pending_request() {
     let mut harness = Harness::new();
     harness.request(OWNER_A, 7);
-    assert_eq!(harness.engine.lowest_priority_owner(), Some(OWNER_B));
+    assert_eq!(harness.first_to_close(true), Some(OWNER_B));
     harness.disconnect_owner(OWNER_B);
-    assert_eq!(harness.engine.lowest_priority_owner(), None);
+    assert_eq!(harness.first_to_close(true), None);
 }
 
 #[test]
--- a/crates/platform/src/engine/tests/support.rs
+++ b/crates/platform/src/engine/tests/support.rs
@@ -278,6 +278,12 @@
         next
     }
 
+    /// The connection of an owner that is closed first, also one with running tasks if `includes_running` is set.
+    pub(super) fn first_to_close(&self, includes_running: bool) -> Option<OwnerId> {
+        let owners = self.engine.lowest_priority_owners(includes_running, 1);
+        owners.first().copied()
+    }
+
     /// Every 0.5 s, `times` times, a host answers a probe; it sends nothing else.
     pub(super) fn answer_probes(&mut self, connection: ConnectionId, times: usize) {
         for _ in 0..times {
--- a/crates/platform/src/shell/channel.rs
+++ b/crates/platform/src/shell/channel.rs
@@ -6,6 +6,7 @@
 use maplethread::Micros;
 use maplethread_reactor::{ReadOutcome, Readiness, TcpConnection, is_resource_exhausted};
 
+use super::owners::Closable;
 use super::{CHANNEL_KIND, MAX_UNREAD_BYTES, Shell, token};
 use crate::channel_poll::ChannelAction;
 
@@ -86,7 +87,10 @@
     /// Opens a connection. If no descriptor is left, the connection of the lowest-priority owner is closed first.
     pub(super) fn connect(&mut self, address: SocketAddr, token: u64) -> io::Result<TcpConnection> {
         match TcpConnection::connect(address, token, self.event_loop.poller()) {
-            Err(error) if is_resource_exhausted(&error) && self.close_lowest_priority_owner() => {
+            Err(error)
+                if is_resource_exhausted(&error)
+                    && self.close_lowest_priority_owner(Closable::All) =>
+            {
                 TcpConnection::connect(address, token, self.event_loop.poller())
             }
             result => result,
--- a/crates/platform/src/shell/hosts.rs
+++ b/crates/platform/src/shell/hosts.rs
@@ -7,7 +7,7 @@
 use maplethread_platform_wire::host;
 use maplethread_reactor::{ReadOutcome, Readiness};
 
-use super::owners::MAX_PEER_SHARE;
+use super::owners::{Closable, MAX_PEER_SHARE};
 use super::{HOST_KIND, MAX_UNREAD_BYTES, Shell, token};
 use crate::engine::{ConnectionId, DisconnectReason, InvalidMessage};
 
@@ -28,7 +28,7 @@
 impl Shell {
     pub(super) fn connect_host(&mut self, now: Micros, id: ConnectionId, address: SocketAddr) {
         if self.connection_count() >= self.max_connections {
-            self.close_lowest_priority_owner();
+            self.close_lowest_priority_owner(Closable::All);
         }
         // Connections to hosts are limited to a share of the maximum, so that some are left for owners.
         let max_hosts = MAX_PEER_SHARE.of(self.max_connections);
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -21,7 +21,7 @@
 use crate::shutdown::ShutdownSchedule;
 use crate::startup::{ConfigError, StartError, decode_settings, load_config};
 use draining::DrainingConnection;
-use owners::{LingeringConnection, OwnerConnection};
+use owners::{LingeringConnection, MAX_OWNER_BYTES_PER_TURN, OwnerConnection};
 
 const LISTENER_TOKEN: u64 = 0;
 const SIGNALS_TOKEN: u64 = 1;
@@ -86,6 +86,7 @@
         config_path: config_path.to_owned(),
         reload: None,
         turn_number: 0,
+        owner_read_budget: MAX_OWNER_BYTES_PER_TURN,
         owners: HashMap::new(),
         lingering: BTreeMap::new(),
         buffered_owners: BTreeSet::new(),
@@ -129,6 +130,8 @@
     reload: Option<Reload>,
     /// The number of the current turn of the event loop. An owner's connection is read at most once in each turn.
     turn_number: u64,
+    /// How many further bytes may be read from owners in this turn.
+    owner_read_budget: usize,
     owners: HashMap<OwnerId, OwnerConnection>,
     /// Owners' connections that are being closed.
     lingering: BTreeMap<OwnerId, LingeringConnection>,
@@ -160,10 +163,12 @@
             self.event_loop
                 .wait_until(Some(self.next_timeout()), &mut ready)?;
             self.turn_number += 1;
+            self.owner_read_budget = MAX_OWNER_BYTES_PER_TURN;
             for _ in 0..MAX_READ_ROUNDS {
                 if ready.is_empty() {
                     break;
                 }
+                self.sort_owners_last(&mut ready);
                 self.dispatch_events(&ready);
                 self.event_loop.poll_now(&mut ready)?;
             }
@@ -225,6 +230,18 @@
         )
     }
 
+    /// Puts owners behind all others, those first whose turn to be read was the longest ago. The bytes that are read from
+    /// owners in a turn are limited, so a few that send at full speed would leave nothing for the others.
+    fn sort_owners_last(&self, ready: &mut [Readiness]) {
+        ready.sort_by_key(|readiness| {
+            let is_owner = readiness.token & ((1 << KIND_BITS) - 1) == OWNER_KIND;
+            is_owner.then(|| {
+                let owner = self.owners.get(&OwnerId(readiness.token >> KIND_BITS));
+                owner.map_or(0, OwnerConnection::last_read_turn)
+            })
+        });
+    }
+
     fn dispatch_events(&mut self, ready: &[Readiness]) {
         for readiness in ready {
             match readiness.token {
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -12,14 +12,16 @@
 /// The maximum number of bytes read from one owner in one turn of the event loop. It keeps turns short when many owners
 /// send at once, so that cancellations are read soon, in the next turn.
 const OWNER_READ_BYTES: usize = 4 << 10;
+/// The maximum number of bytes read from all owners in one turn, for the same reason.
+pub(super) const MAX_OWNER_BYTES_PER_TURN: usize = 128 << 10;
 /// The maximum number of unwritten bytes for an owner. One that reads too slowly is disconnected.
 const MAX_UNWRITTEN_BYTES: usize = 256 << 10;
 /// An owner with more unwritten bytes than this is throttled: its connection is not read.
 const THROTTLE_ABOVE_BYTES: usize = 32 << 10;
 /// A throttled owner's connection is read again once it has no more unwritten bytes than this.
 const RESUME_BELOW_BYTES: usize = 8 << 10;
-/// The maximum number of connections accepted in one turn.
-const MAX_ACCEPTS_PER_TURN: usize = 256;
+/// The maximum number of connections accepted in one turn. Each may require closing another one, whose input is read first.
+const MAX_ACCEPTS_PER_TURN: usize = 32;
 /// How long accepting is paused when no descriptor is left, unless a connection is closed before.
 const ACCEPT_RETRY_DELAY: Micros = 100_000;
 /// Above this share of the connections, owners without pending requests are disconnected before new ones are accepted. By
@@ -60,11 +62,29 @@
     }
 }
 
+/// Which owners' connections without pending requests may be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Closable {
+    /// Those without running tasks.
+    WithoutRunningTasks,
+    /// All, those with running tasks last.
+    All,
+}
+
 pub(super) struct OwnerConnection {
     pub(super) conn: TcpConnection,
     scanned_bytes: usize,
     /// The turn in which the connection was last read.
     last_read_turn: u64,
+    /// The turn in which anything was last received.
+    last_received_turn: u64,
+}
+
+impl OwnerConnection {
+    /// The turn in which the connection was last read.
+    pub(super) fn last_read_turn(&self) -> u64 {
+        self.last_read_turn
+    }
 }
 
 /// A connection that is being closed.
@@ -92,10 +112,12 @@
     }
 
     pub(super) fn accept_owners(&mut self) {
+        // To close a connection its input has to be read, also if the limit for reading is reached.
+        self.owner_read_budget = MAX_OWNER_BYTES_PER_TURN;
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             if self.is_at_owner_limit() {
                 self.close_owners_above_soft_limit();
-                if self.is_at_owner_limit() {
+                if self.is_at_owner_limit() && !self.close_lowest_priority_owner(Closable::All) {
                     return self.pause_accepting();
                 }
             }
@@ -107,7 +129,9 @@
                 Ok(None) => return,
                 Err(error) => {
                     tracing::warn!(%error, "accepting a connection failed");
-                    if is_resource_exhausted(&error) && !self.close_lowest_priority_owner() {
+                    if is_resource_exhausted(&error)
+                        && !self.close_lowest_priority_owner(Closable::All)
+                    {
                         return self.pause_accepting();
                     }
                     continue;
@@ -130,6 +154,7 @@
                             conn,
                             scanned_bytes: 0,
                             last_read_turn: 0,
+                            last_received_turn: 0,
                         },
                     );
                     let now = self.event_loop.now();
@@ -150,7 +175,7 @@
     fn close_owners_above_soft_limit(&mut self) {
         let soft_owner_limit = SOFT_OWNER_SHARE.of(self.max_connections);
         while self.owners.len() + self.lingering.len() >= soft_owner_limit
-            && self.close_lowest_priority_owner()
+            && self.close_lowest_priority_owner(Closable::WithoutRunningTasks)
         {}
     }
 
@@ -194,15 +219,16 @@
 
     /// Closes a lingering connection or that of the lowest-priority owner. Returns whether one was closed. The owner's input
     /// is read first, as it may contain a request.
-    pub(super) fn close_lowest_priority_owner(&mut self) -> bool {
+    pub(super) fn close_lowest_priority_owner(&mut self, closable: Closable) -> bool {
         if self.lingering.pop_first().is_some() {
             return true;
         }
-        for _ in 0..MAX_CLOSE_CANDIDATES {
-            let Some(id) = self.engine.lowest_priority_owner() else {
-                return false;
-            };
-            let has_received = self.read_owner(id, MAX_UNREAD_BYTES);
+        let includes_running = closable == Closable::All;
+        let candidates = self
+            .engine
+            .lowest_priority_owners(includes_running, MAX_CLOSE_CANDIDATES);
+        for id in candidates {
+            let has_received = self.read_owner_once(id);
             if !self.owners.contains_key(&id) {
                 return true;
             }
@@ -220,6 +246,27 @@
         false
     }
 
+    /// Reads a limited part of an owner's input, unless it was read in this turn already. Returns whether anything was
+    /// received in this turn, or may be unread because the limit of the turn is reached.
+    fn read_owner_once(&mut self, id: OwnerId) -> bool {
+        let turn_number = self.turn_number;
+        let Some(owner) = self.owners.get_mut(&id) else {
+            return false;
+        };
+        if owner.last_read_turn == turn_number {
+            return owner.last_received_turn == turn_number;
+        }
+        if self.owner_read_budget == 0 {
+            return true;
+        }
+        owner.last_read_turn = turn_number;
+        let has_received = self.read_owner(id, OWNER_READ_BYTES);
+        if has_received && let Some(owner) = self.owners.get_mut(&id) {
+            owner.last_received_turn = turn_number;
+        }
+        has_received
+    }
+
     fn disconnect_owner(&mut self, id: OwnerId, end: OwnerConnectionEnd) {
         let Some(owner) = self.owners.remove(&id) else {
             return;
@@ -245,16 +292,14 @@
         if self.lingering.contains_key(&id) {
             return self.discard_input(id);
         }
-        let Some(owner) = self.owners.get_mut(&id) else {
+        if !self.owners.contains_key(&id) {
             return;
-        };
+        }
         if readiness.is_closed {
             // Input may be unread, such as closes of running tasks, but the owner does not read answers any more.
             self.engine.owner_half_closed(id);
         }
-        if std::mem::replace(&mut owner.last_read_turn, self.turn_number) != self.turn_number {
-            self.read_owner(id, OWNER_READ_BYTES);
-        }
+        self.read_owner_once(id);
     }
 
     /// Reads at most `max_bytes` from an owner and handles its messages. Returns whether anything was received.
@@ -266,6 +311,7 @@
         let unread_before = owner.conn.unread().len();
         let outcome = owner.conn.read_available(max_bytes, MAX_UNREAD_BYTES);
         let received_bytes = owner.conn.unread().len() - unread_before;
+        self.owner_read_budget = self.owner_read_budget.saturating_sub(received_bytes);
         let mut has_received = received_bytes > 0;
         if has_received {
             let has_more = outcome == ReadOutcome::LimitReached;
