Platform: clients that cancel all, or name hosts that do not exist, hear of it in time

Cause: a cancelled request counts as a valid message, after which `check_owner` leaves a connection alone; tasks of an unlisted host failed after the timeout of an unreachable one.

Tasks on unlisted hosts are released 2.5 s after their hand-over.

--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -14,6 +14,11 @@
 
 /// The tasks of a host that has been unreachable for this time have failed.
 const UNREACHABLE_TIMEOUT: Micros = 3_000_000;
+/// The tasks that were handed over on a host that is not listed have failed after this time: the host list would have to
+/// be later than that. The platform's acceptance test wants faulty clients to hear of it within 3 s.
+const UNLISTED_TIMEOUT: Micros = 2_500_000;
+/// The interval of the checks of a host that is not listed.
+const UNLISTED_CHECK_INTERVAL: Micros = 250_000;
 /// The tasks of an unreachable host have also failed after this many consecutive connects that did not complete within the
 /// connect timeout of the settings. A paused process still accepts connections, so such connects mean that the machine is
 /// down and its tasks do not run, and their owners should be notified early.
@@ -257,10 +262,10 @@
             return;
         }
         // A host without tasks is checked less often, as no owner depends on it. So are the hosts of a partition, which are
-        // many: each check may open a connection. No connection can be opened to a host that is not listed.
-        let uses_long_interval =
-            host.running.is_empty() || host.address.is_none() || self.is_partitioned();
-        let interval = if uses_long_interval {
+        // many: each check may open a connection.
+        let interval = if host.address.is_none() {
+            UNLISTED_CHECK_INTERVAL
+        } else if host.running.is_empty() || self.is_partitioned() {
             IDLE_PROBE_INTERVAL
         } else {
             self.settings.connect_timeout
@@ -322,9 +327,11 @@
 
     /// How long a host may be inactive before its tasks count as failed.
     fn failure_timeout(&self, host: &Host) -> Micros {
-        // Owners choose the names of hosts that are not listed, and there may be thousands of them.
-        let may_be_partitioned = || host.address.is_some() && self.is_partitioned();
-        if host.is_identity_unverified || may_be_partitioned() {
+        // Owners choose the names of hosts that are not listed. There may be thousands, too many to look for a partition each
+        // time.
+        if host.address.is_none() {
+            UNLISTED_TIMEOUT
+        } else if host.is_identity_unverified || self.is_partitioned() {
             PARTITION_TIMEOUT
         } else {
             UNREACHABLE_TIMEOUT
--- a/crates/platform/src/engine/owner_evidence.rs
+++ b/crates/platform/src/engine/owner_evidence.rs
@@ -118,6 +118,12 @@
         self.has_running_task
     }
 
+    /// Whether the owner has only cancelled its requests, so that nothing was sent to it.
+    pub(super) fn has_only_cancelled(&self) -> bool {
+        let has_other_evidence = self.has_probed || self.has_awaited_answer || self.is_in_use();
+        self.has_cancelled_request && !has_other_evidence
+    }
+
     /// Whether the connection is that of a usual client: a task of it runs, or it has handed one over.
     pub(super) fn is_in_use(&self) -> bool {
         self.has_running_task || self.has_handed_over_task
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -262,17 +262,14 @@
         }
     }
 
-    /// Disconnects an owner that has sent no valid message.
+    /// Disconnects an owner that has sent no valid message, or that has cancelled all that it requested.
     pub(super) fn check_owner(&mut self, now: Micros, id: OwnerId) {
-        if self
-            .owners
-            .get(&id)
-            .is_some_and(|owner| !owner.has_sent_valid_message)
-        {
-            tracing::debug!(
-                owner = id.0,
-                "disconnecting owner: no valid message received in time"
-            );
+        let is_idle = |owner: &Owner| {
+            let has_cancelled_all = owner.pending.is_empty() && owner.evidence.has_only_cancelled();
+            !owner.has_sent_valid_message || has_cancelled_all
+        };
+        if self.owners.get(&id).is_some_and(is_idle) {
+            tracing::debug!(owner = id.0, "disconnecting owner: nothing to wait for");
             self.disconnect_owner(now, id);
         }
     }
--- a/crates/platform/src/engine/tests/owners.rs
+++ b/crates/platform/src/engine/tests/owners.rs
@@ -296,3 +296,43 @@
     assert!(sends(&outputs, connection, kind::CLOSE));
     assert_eq!(harness.engine.pending_request_count(), 0);
 }
+
+/// Guards against a faulty client that cancels all that it requests and waits for good.
+#[test]
+fn client_that_has_only_cancelled_its_requests_is_disconnected_in_time() {
+    let mut harness = Harness::new();
+    harness.advance(3_000 * MS);
+    let (cancels, waits, owner) = (OwnerId(21), OwnerId(22), OwnerId(23));
+    for id in [cancels, waits, owner] {
+        harness.connect_owner(id, ADDRESS_A);
+    }
+    harness.request(cancels, 100);
+    harness.owner_sends(cancels, owner_close(100, Cause::NORMAL));
+    harness.request(waits, 101);
+    harness.owner_sends(waits, owner_close(101, Cause::NORMAL));
+    harness.request(waits, 102);
+    // An owner with a running task may cancel a request.
+    let task = harness.request(owner, 103);
+    let host = harness.offer_and_send(task, 0);
+    harness.host_sends(host, host_ready(103, "t"));
+    harness.request(owner, 104);
+    harness.owner_sends(owner, owner_close(104, Cause::NORMAL));
+    let outputs = harness.advance(2_900 * MS);
+    let closed: Vec<&Output> = outputs
+        .iter()
+        .filter(|output| matches!(output, Output::CloseOwner(_)))
+        .collect();
+    assert_eq!(closed, [&Output::CloseOwner(cancels)]);
+}
+
+/// Guards against a faulty client that hears nothing of a task on a host that does not exist.
+#[test]
+fn task_on_an_unlisted_host_is_released_within_three_seconds() {
+    let mut harness = Harness::new();
+    harness.owner_sends(OWNER_A, request(running_setup(7, "unlisted")));
+    let outputs = harness.advance(2_900 * MS);
+    assert_eq!(
+        messages_to_owners(&outputs),
+        [(OWNER_A, close(7, Cause::RESET))]
+    );
+}
