--- a/crates/platform/src/engine/fair_share.rs
+++ b/crates/platform/src/engine/fair_share.rs
@@ -147,15 +147,13 @@
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let (owner, release) = (
-            entry.owner,
-            Release {
-                id: entry.setup_id,
-                cause: Cause::RESET,
-                owner_address: entry.owner_address,
-                was_confirmed: false,
-            },
-        );
+        let owner = entry.owner;
+        let release = Release {
+            id: entry.setup_id,
+            cause: Cause::RESET,
+            owner_address: entry.owner_address,
+            was_confirmed: false,
+        };
         tracing::debug!(id = %release.id, "running task displaced: too many are unconfirmed");
         if let Some(connection) = self.responsive_connection(placement.machine) {
             let close = ToHost::Close {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -4,7 +4,8 @@
 //! The methods of `Engine` are split by subject: `requests` and `attempts` handle a task from its request to its answer,
 //! `running_tasks` and `releases` from its placement to its end, and `handover` a task that already runs; `owners` and
 //! `connections` manage the connections of both sides, `host_messages` handles messages from hosts, `draining` connections
-//! with invalid messages, and `failure_detection` determines when an unreachable host has failed.
+//! with invalid messages, `failure_detection` determines when an unreachable host has failed, `process_identity` whether a
+//! process is still the one that runs a host's tasks, and `fair_share` what a full table takes back.
 
 mod admission_queue;
 mod attempts;
--- a/crates/platform/src/engine/tests/fair_share.rs
+++ b/crates/platform/src/engine/tests/fair_share.rs
@@ -5,7 +5,7 @@
 use maplethread_platform_wire::{Cause, SetupId};
 
 use super::support::*;
-use crate::engine::{Output, OwnerId, TableLimits};
+use crate::engine::{ConnectionId, Output, OwnerId, TableLimits};
 
 /// A client that hands over tasks which no host knows.
 const FAULTY: OwnerId = OwnerId(3);
@@ -41,6 +41,12 @@
     released
 }
 
+/// The connection to host `a`.
+fn host_connection(harness: &Harness) -> ConnectionId {
+    let mut connections = harness.engine.connections.keys();
+    *connections.next().expect("a connection to the host")
+}
+
 fn releases(outputs: &[Output]) -> Vec<(OwnerId, SetupId)> {
     messages_to_owners(outputs)
         .into_iter()
@@ -68,12 +74,7 @@
     let released = hand_over(&mut harness, FAULTY, 200..210);
     let refused: Vec<_> = (200..210).map(|id| (FAULTY, SetupId(id))).collect();
     assert_eq!(released, refused);
-    let host = *harness
-        .engine
-        .connections
-        .keys()
-        .next()
-        .expect("a connection to the host");
+    let host = host_connection(&harness);
     for id in 1..20 {
         let outputs = harness.host_sends(host, host_close(id, Cause::NORMAL));
         assert_eq!(
@@ -104,12 +105,7 @@
 fn displaced_task_is_closed_at_its_host_and_finished_in_the_policy() {
     let mut harness = harness_with_limits(max_unconfirmed(1));
     hand_over(&mut harness, FAULTY, 100..101);
-    let host = *harness
-        .engine
-        .connections
-        .keys()
-        .next()
-        .expect("a connection to the host");
+    let host = host_connection(&harness);
     let id = SetupId(0xa1);
     harness.owner_sends(OWNER_A, FromOwner::Probe { id });
     harness.take_events();
--- a/crates/platform/src/engine/tests/repeated_ids.rs
+++ b/crates/platform/src/engine/tests/repeated_ids.rs
@@ -9,6 +9,17 @@
 /// What becomes of the first request with an id before the client leaves.
 type FirstRequest = fn(&mut Harness, TaskId);
 
+/// A harness in which the client of request 7 has left.
+fn harness_after(first_request: FirstRequest) -> Harness {
+    let mut harness = Harness::new();
+    let task = harness.request(OWNER_A, 7);
+    first_request(&mut harness, task);
+    harness.disconnect_owner(OWNER_A);
+    harness.advance(10 * MS);
+    harness.take_events();
+    harness
+}
+
 /// Guards against a task that runs twice because its request comes again with the same id after its client has left.
 #[test]
 fn id_that_may_have_run_is_not_accepted_again() {
@@ -37,12 +48,7 @@
         },
     ];
     for first_request in may_have_run {
-        let mut harness = Harness::new();
-        let task = harness.request(OWNER_A, 7);
-        first_request(&mut harness, task);
-        harness.disconnect_owner(OWNER_A);
-        harness.advance(10 * MS);
-        harness.take_events();
+        let mut harness = harness_after(first_request);
         let outputs = harness.owner_sends(OWNER_B, request(setup(7)));
         assert!(messages_to_owners(&outputs).contains(&(OWNER_B, close(7, Cause::ERROR))));
         let is_request = |event: &Event| matches!(event, Event::PlacementRequested(_));
@@ -63,12 +69,6 @@
         },
     ];
     for first_request in has_not_run {
-        let mut harness = Harness::new();
-        let task = harness.request(OWNER_A, 7);
-        first_request(&mut harness, task);
-        harness.disconnect_owner(OWNER_A);
-        harness.advance(10 * MS);
-        harness.take_events();
-        harness.request(OWNER_B, 7);
+        harness_after(first_request).request(OWNER_B, 7);
     }
 }
--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod channel;
 mod draining;
 mod hosts;
+mod lingering;
 mod outputs;
 mod owners;
 
@@ -21,7 +22,8 @@
 use crate::shutdown::ShutdownSchedule;
 use crate::startup::{ConfigError, StartError, decode_settings, load_config};
 use draining::DrainingConnection;
-use owners::{LingeringConnection, MAX_OWNER_BYTES_PER_TURN, OwnerConnection};
+use lingering::LingeringConnection;
+use owners::{MAX_OWNER_BYTES_PER_TURN, OwnerConnection};
 
 const LISTENER_TOKEN: u64 = 0;
 const SIGNALS_TOKEN: u64 = 1;
--- a/crates/platform/src/shell/owners.rs
+++ b/crates/platform/src/shell/owners.rs
@@ -5,9 +5,8 @@
 use maplethread_platform_wire::owner::{self, ToOwner};
 use maplethread_reactor::{ReadOutcome, Readiness, TcpConnection, is_resource_exhausted};
 
-use super::{KIND_BITS, MAX_UNREAD_BYTES, OWNER_KIND, Shell, token};
+use super::{MAX_UNREAD_BYTES, OWNER_KIND, Shell, token};
 use crate::engine::{OwnerConnectionEnd, OwnerId};
-use crate::startup::StartError;
 
 /// The maximum number of bytes read from one owner in one turn of the event loop. It keeps turns short when many owners
 /// send at once, so that cancellations are read soon, in the next turn.
@@ -36,16 +35,6 @@
     numerator: 3,
     denominator: 4,
 };
-/// How long a connection that is being closed is kept, so that its owner can read what was written to it.
-const LINGER_TIMEOUT: Micros = 5_000_000;
-/// How many bytes are read and discarded on a connection that is being closed. Closing a socket with unread bytes sends a
-/// reset, which may discard data that the owner has not read. After this many bytes reading stops, and TCP flow control
-/// blocks an owner that sends more.
-const MAX_LINGER_BYTES: usize = 1 << 20;
-/// The maximum number of connections that are being closed.
-const MAX_LINGERING_CONNECTIONS: usize = 64;
-/// How long the shutdown waits for owners to read what was written to them. `ShutdownSchedule` reserves time for it.
-const SHUTDOWN_LINGER_TIMEOUT: Micros = 250_000;
 /// The maximum number of connections examined to find one that can be closed.
 const MAX_CLOSE_CANDIDATES: usize = 8;
 
@@ -87,16 +76,6 @@
     }
 }
 
-/// A connection that is being closed.
-pub(super) struct LingeringConnection {
-    conn: TcpConnection,
-    pub(super) until: Micros,
-    /// How many further bytes may be read and discarded.
-    remaining_bytes: usize,
-    /// The placer's side of the connection is closed: all bytes are written.
-    is_write_closed: bool,
-}
-
 /// The number of bytes that were read and not decoded, or not written.
 fn buffered_bytes(connection: &TcpConnection) -> usize {
     connection.unread().len() + connection.unwritten_bytes()
@@ -303,7 +282,7 @@
     }
 
     /// Reads at most `max_bytes` from an owner and handles its messages. Returns whether anything was received.
-    fn read_owner(&mut self, id: OwnerId, max_bytes: usize) -> bool {
+    pub(super) fn read_owner(&mut self, id: OwnerId, max_bytes: usize) -> bool {
         let now = self.event_loop.now();
         let Some(owner) = self.owners.get_mut(&id) else {
             return false;
@@ -344,14 +323,7 @@
     }
 
     pub(super) fn flush_owner(&mut self, id: OwnerId) {
-        if let Some(lingering) = self.lingering.get_mut(&id) {
-            if lingering.conn.flush(self.event_loop.poller()).is_err() {
-                self.lingering.remove(&id);
-            } else if lingering.conn.unwritten_bytes() == 0
-                && !std::mem::replace(&mut lingering.is_write_closed, true)
-            {
-                lingering.conn.shutdown_write();
-            }
+        if self.flush_lingering(id) {
             return;
         }
         let Some(owner) = self.owners.get_mut(&id) else {
@@ -430,107 +402,4 @@
             }
         }
     }
-
-    /// Closes an owner's connection, which the engine has removed, after giving the owner time to read what was written to
-    /// it.
-    pub(super) fn start_lingering(&mut self, now: Micros, id: OwnerId) {
-        let Some(OwnerConnection { conn, .. }) = self.owners.remove(&id) else {
-            return;
-        };
-        self.buffered_owners.remove(&id);
-        self.resume_accepting();
-        if conn.written_bytes() == 0 && conn.unwritten_bytes() == 0 {
-            return;
-        }
-        if self.lingering.len() >= MAX_LINGERING_CONNECTIONS {
-            self.lingering.pop_first();
-        }
-        self.keep_lingering(id, conn, now + LINGER_TIMEOUT);
-    }
-
-    fn keep_lingering(&mut self, id: OwnerId, mut conn: TcpConnection, until: Micros) {
-        // Further input is read and discarded.
-        if conn.set_reading(true, self.event_loop.poller()).is_ok() {
-            let unread_bytes = conn.unread().len();
-            conn.consume(unread_bytes);
-            self.lingering.insert(
-                id,
-                LingeringConnection {
-                    conn,
-                    until,
-                    remaining_bytes: MAX_LINGER_BYTES,
-                    is_write_closed: false,
-                },
-            );
-            self.pending_writes.insert(token(OWNER_KIND, id.0));
-        }
-    }
-
-    /// Reads and discards the input of a connection that is being closed.
-    fn discard_input(&mut self, id: OwnerId) {
-        let Some(lingering) = self.lingering.get_mut(&id) else {
-            return;
-        };
-        let outcome = lingering
-            .conn
-            .read_available(MAX_UNREAD_BYTES, MAX_UNREAD_BYTES);
-        let unread_bytes = lingering.conn.unread().len();
-        lingering.conn.consume(unread_bytes);
-        lingering.remaining_bytes = lingering.remaining_bytes.saturating_sub(unread_bytes);
-        let is_within_limit_or_paused = lingering.remaining_bytes > 0
-            || lingering
-                .conn
-                .set_reading(false, self.event_loop.poller())
-                .is_ok();
-        if !is_within_limit_or_paused
-            || matches!(outcome, ReadOutcome::Closed | ReadOutcome::Failed)
-        {
-            self.lingering.remove(&id);
-            self.resume_accepting();
-        }
-    }
-
-    /// Shuts down. Input that has arrived is handled, with new requests rejected; then each owner's connection is half-closed
-    /// and read until its owner has closed it too, or until `SHUTDOWN_LINGER_TIMEOUT` is over.
-    pub(super) fn shut_down(&mut self) -> Result<(), StartError> {
-        self.engine.reject_new_requests();
-        let ids: Vec<OwnerId> = self.owners.keys().copied().collect();
-        for &id in &ids {
-            self.read_owner(id, MAX_UNREAD_BYTES);
-        }
-        let now = self.event_loop.now();
-        self.engine.turn(now);
-        self.perform_outputs(now);
-        self.flush_pending_writes(now);
-        self.host_connections.clear();
-        self.draining_hosts.clear();
-        self.channel_connection = None;
-        for (id, owner) in std::mem::take(&mut self.owners) {
-            self.keep_lingering(id, owner.conn, now + SHUTDOWN_LINGER_TIMEOUT);
-        }
-        self.flush_pending_writes(now);
-        // New connections are refused at once from now on, so that owners can use another placer.
-        self.listener = None;
-        let mut ready = Vec::new();
-        while !self.lingering.is_empty() {
-            let now = self.event_loop.now();
-            self.lingering
-                .retain(|_, connection| connection.until > now);
-            let until = self
-                .lingering
-                .values()
-                .map(|connection| connection.until)
-                .max()
-                .unwrap_or(now);
-            self.event_loop.wait_until(Some(until), &mut ready)?;
-            for readiness in ready
-                .iter()
-                .filter(|readiness| readiness.token & ((1 << KIND_BITS) - 1) == OWNER_KIND)
-            {
-                self.handle_owner_ready(OwnerId(readiness.token >> KIND_BITS), readiness);
-            }
-            self.flush_pending_writes(now);
-        }
-        Ok(())
-    }
 }
