Platform: a task accepted after its host has left the list runs on the successor

A set-up that was sent to the new process under the old host's name, and accepted after the list had replaced the host, was never released if the connection broke afterwards.

Cause: `handle_ready` placed the task on the machine of the offer, which may have been removed by then, and a connection that had moved to the successor did not count as one to its process, so a refused connect proved nothing.

Change: the task is placed on the machine of the connection; the moved connection counts.

Measured: the new test fails on the code of before, in two places one after the other, and passes now with all others of the crate.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -66,7 +66,6 @@
         if let Some(entry) = self.tasks.get_mut(task) {
             entry.in_flight = Some(Attempt {
                 number: id.number,
-                machine,
                 connection,
                 offered_at: now,
                 deadline,
--- a/crates/platform/src/engine/host_messages.rs
+++ b/crates/platform/src/engine/host_messages.rs
@@ -50,7 +50,7 @@
         );
         match message {
             FromHost::Ready { id, description } => {
-                self.handle_ready(now, connection, id, description)
+                self.handle_ready(now, connection, machine, id, description)
             }
             FromHost::Close { id, cause, code } => {
                 let reason = code.and_then(failure_reason);
@@ -68,6 +68,7 @@
         &mut self,
         now: Micros,
         connection: ConnectionId,
+        machine: MachineId,
         id: SetupId,
         description: String,
     ) {
@@ -83,7 +84,8 @@
             return;
         };
         let owner = entry.owner;
-        let placement = Placement::new(attempt.machine, attempt.number, now);
+        // The connection may have moved to another host since the offer.
+        let placement = Placement::new(machine, attempt.number, now);
         self.tasks.place(task, placement);
         self.remove_attempt(task);
         self.clear_pending(task);
@@ -97,7 +99,7 @@
             attempt: attempt.id(task),
             elapsed: Some(now.saturating_sub(attempt.offered_at)),
         });
-        self.record_running_task(now, task, attempt.machine);
+        self.record_running_task(now, task, machine);
     }
 
     /// Handles the rejection of a set-up or the release of a task.
--- a/crates/platform/src/engine/process_identity.rs
+++ b/crates/platform/src/engine/process_identity.rs
@@ -132,6 +132,7 @@
             } else {
                 host.process.merge(&process);
             }
+            host.was_connected = true;
             host.connections.insert(id);
             host.running.extend(&moved);
         }
--- a/crates/platform/src/engine/task_table.rs
+++ b/crates/platform/src/engine/task_table.rs
@@ -22,7 +22,6 @@
 pub(super) struct Attempt {
     /// The number of the attempt, from 0 for each task.
     pub(super) number: u32,
-    pub(super) machine: MachineId,
     pub(super) connection: ConnectionId,
     pub(super) offered_at: Micros,
     /// When the attempt times out.
--- a/crates/platform/src/engine/tests/process_identity.rs
+++ b/crates/platform/src/engine/tests/process_identity.rs
@@ -103,6 +103,40 @@
     assert_eq!(harness.engine.table_sizes().tasks, 0);
 }
 
+/// Guards against a task that stays for good because its host had left the list when the new process accepted it.
+#[test]
+fn releases_a_task_that_the_new_process_accepts_after_the_old_host_has_left() {
+    let mut harness = Harness::new();
+    let connection = reconnect_without_tasks(&mut harness);
+    let task = harness.request(OWNER_A, 8);
+    assert!(sends(&harness.offer(task, 0), connection, kind::OPEN));
+    harness.list_host("a", ADDRESS, "left", 0.0);
+    harness.list_host("b", ADDRESS, "active", 0.0);
+    harness.turn();
+    harness.host_sends(connection, FromHost::Probed { is_healthy: true });
+    // Another update removes hosts that are gone and not in use.
+    harness.list_host("c", "127.0.0.1:3", "active", 0.0);
+    let outputs = harness.host_sends(connection, host_ready(8, "t"));
+    assert_eq!(messages_to_owners(&outputs), [(OWNER_A, ready(8, "t"))]);
+    harness.lose_connection(connection, DisconnectReason::Broken);
+    let next = first_connect(&harness.advance(25 * MS));
+    harness.lose_connection(next, DisconnectReason::Refused);
+    assert_eq!(
+        messages_to_owners(&harness.turn()),
+        [(OWNER_A, close(8, Cause::RESET))]
+    );
+    assert_eq!(harness.engine.table_sizes().tasks, 0);
+}
+
+/// A connection to host `a`, on which no task was placed.
+fn reconnect_without_tasks(harness: &mut Harness) -> ConnectionId {
+    let task = harness.request(OWNER_B, 99);
+    let connection = harness.offer_and_send(task, 0);
+    harness.host_sends(connection, host_close(99, Cause::NO_CAPACITY));
+    harness.owner_sends(OWNER_B, owner_close(99, Cause::NORMAL));
+    connection
+}
+
 /// Guards against tasks that are reported as over because only their connection was reset.
 #[test]
 fn keeps_tasks_over_a_reset_if_the_host_reports_one_of_them() {
