--- a/crates/platform/tests/many_placers.rs
+++ b/crates/platform/tests/many_placers.rs
@@ -5,7 +5,9 @@
 mod support;
 
 use maplethread::Micros;
-use support::{ConnectTiming, Fault, HostSet, MS, SECOND, Simulation, WARM_UP_OFFERS};
+use support::{
+    ConnectTiming, Fault, HostSet, MS, ReplacementOrder, SECOND, Simulation, WARM_UP_OFFERS,
+};
 
 #[test]
 fn partitioned_zone_keeps_its_tasks_and_no_request_has_two_attempts_in_flight() {
@@ -62,6 +64,34 @@
     }
 }
 
+/// Guards against tasks that are never released because a new host at the address of theirs is taken for it (review/7).
+#[test]
+fn tasks_of_hosts_that_are_replaced_at_their_addresses_are_released_in_time() {
+    let orders = [
+        ReplacementOrder::Together,
+        ReplacementOrder::OldHostFirst,
+        ReplacementOrder::NewHostFirst,
+    ];
+    for (seed, order) in (0..).zip(orders.into_iter().cycle()).take(6) {
+        let mut simulation = Simulation::new(seed, 6, 24);
+        simulation.schedule_requests(SECOND, 14 * SECOND, 100);
+        for n in 0..8 {
+            let host = HostSet::One(3 * n);
+            let at = 3 * SECOND + n as Micros * 900 * MS;
+            simulation.schedule_fault(at, Fault::ReplaceHosts(host, order));
+        }
+        simulation.schedule_fault(6 * SECOND, Fault::KillPlacer(1));
+        simulation.set_list_delay(2 * SECOND);
+        simulation.run(22 * SECOND);
+        let summary = simulation.check();
+        assert!(summary.lost > 50, "seed {seed}: {summary:?}");
+        assert_eq!(
+            summary.released_running, 0,
+            "seed {seed}, {order:?}: running tasks were released: {summary:?}"
+        );
+    }
+}
+
 #[test]
 fn placers_that_restart_together_without_state_serve_requests_and_follow_the_protocol() {
     for seed in 0..4 {
--- a/crates/platform/tests/support/faults.rs
+++ b/crates/platform/tests/support/faults.rs
@@ -44,6 +44,7 @@
                 }
                 self.publish_list_change(host_set, "active");
             }
+            Fault::ReplaceHosts(host_set, order) => self.replace_hosts(host_set, order),
             Fault::KillPlacer(placer) => {
                 let process = &mut self.placers[placer];
                 process.incarnation += 1;
@@ -107,15 +108,45 @@
         }
     }
 
+    fn replace_hosts(&mut self, host_set: HostSet, order: ReplacementOrder) {
+        let old_hosts = self.list_entries(host_set, "left");
+        // The old connections are reset once something arrives on them.
+        self.end_hosts(host_set, false);
+        for index in self.hosts_in(host_set) {
+            let host = &mut self.hosts[index];
+            (host.is_alive, host.started) = (true, self.now);
+            host.incarnation += 1;
+            host.name = format!("r-{index}-{}", host.incarnation);
+        }
+        let new_hosts = self.list_entries(host_set, "active");
+        match order {
+            ReplacementOrder::Together => self.publish(&[old_hosts, new_hosts].concat(), 0),
+            ReplacementOrder::OldHostFirst => {
+                self.publish(&old_hosts, 0);
+                self.publish(&new_hosts, SECOND / 2);
+            }
+            ReplacementOrder::NewHostFirst => {
+                self.publish(&new_hosts, 0);
+                self.publish(&old_hosts, SECOND / 2);
+            }
+        }
+    }
+
+    fn list_entries(&self, host_set: HostSet, status: &str) -> Vec<Value> {
+        let hosts = self.hosts_in(host_set).into_iter();
+        hosts.map(|host| self.list_entry(host, status)).collect()
+    }
+
     /// Changes the status of hosts in the host list. Placers receive the update after `list_delay`.
     pub(super) fn publish_list_change(&mut self, host_set: HostSet, status: &str) {
-        let entries: Vec<Value> = self
-            .hosts_in(host_set)
-            .into_iter()
-            .map(|h| self.list_entry(h, status))
-            .collect();
+        let entries = self.list_entries(host_set, status);
+        self.publish(&entries, 0);
+    }
+
+    /// Publishes an event of the host list, which placers receive after `list_delay` and this delay.
+    fn publish(&mut self, entries: &[Value], delay: Micros) {
         self.cursor += 1;
-        let list = list_update(self.cursor, false, &entries);
-        self.schedule(self.now + self.list_delay, Event::ListUpdate(list));
+        let list = list_update(self.cursor, false, entries);
+        self.schedule(self.now + self.list_delay + delay, Event::ListUpdate(list));
     }
 }
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -60,6 +60,17 @@
     One(usize),
 }
 
+/// The order in which the host list reports that a host was replaced by another one at its address.
+#[derive(Clone, Copy, Debug)]
+pub enum ReplacementOrder {
+    /// Both in one event, the old host first.
+    Together,
+    /// The old host has left 0.5 s before the new one is listed.
+    OldHostFirst,
+    /// The new host is listed 0.5 s before the old one has left.
+    NewHostFirst,
+}
+
 /// A fault that a test injects.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -77,6 +88,8 @@
     RemoveFromList(HostSet),
     /// These hosts start again, with new processes.
     RestartHosts(HostSet),
+    /// The machines of these hosts vanish without a word, and other hosts under new names answer at their addresses at once.
+    ReplaceHosts(HostSet, ReplacementOrder),
     /// A placer is killed, and restarts without state 0.5 s later.
     KillPlacer(usize),
 }
@@ -151,6 +164,7 @@
 }
 
 struct Host {
+    name: String,
     zone: usize,
     incarnation: u32,
     is_alive: bool,
@@ -228,6 +242,7 @@
         connect_timing: ConnectTiming,
     ) -> Simulation {
         let host = |n| Host {
+            name: format!("s-{n}"),
             zone: n % ZONES.len(),
             incarnation: 0,
             is_alive: true,
@@ -367,7 +382,7 @@
 
     fn list_entry(&self, host: usize, status: &str) -> Value {
         let h = &self.hosts[host];
-        json!({"name": format!("s-{host}"), "address": format!("127.0.0.1:{}", 1000 + host), "zone": ZONES[h.zone],
+        json!({"name": h.name, "address": format!("127.0.0.1:{}", 1000 + host), "zone": ZONES[h.zone],
             "type": "std", "group": host / 4, "status": status, "since_ms": h.started / MS})
     }
 
--- a/crates/platform/tests/support/placers.rs
+++ b/crates/platform/tests/support/placers.rs
@@ -39,7 +39,7 @@
             self.hosts[host].running.insert(sid, (placer, incarnation));
             let request = self.requests.get_mut(&sid).expect("a recorded request");
             (request.incarnation, request.answered, request.in_flight) = (incarnation, true, None);
-            let host_name = Some(format!("s-{host}"));
+            let host_name = Some(self.hosts[host].name.clone());
             let handover = Setup {
                 running_on: host_name,
                 answer_timeout_ms: None,
