--- a/crates/platform/src/shell/mod.rs
+++ b/crates/platform/src/shell/mod.rs
@@ -235,7 +235,7 @@
     /// Puts owners behind all others, those first whose turn to be read was the longest ago. The bytes that are read from
     /// owners in a turn are limited, so a few that send at full speed would leave nothing for the others.
     fn sort_owners_last(&self, ready: &mut [Readiness]) {
-        ready.sort_by_key(|readiness| {
+        ready.sort_by_cached_key(|readiness| {
             let is_owner = readiness.token & ((1 << KIND_BITS) - 1) == OWNER_KIND;
             is_owner.then(|| {
                 let owner = self.owners.get(&OwnerId(readiness.token >> KIND_BITS));
