Platform: usual input after a burst does not extend it

Callers would have seen: after an owner handed over more than 64 KiB of tasks at once, requests on that connection waited for a pause of 0.25 s, which never comes at the usual rates, and were refused before their time was over.

Cause: any input moved the end of a burst, not only input that is part of one.

Change: only input that a read does not exhaust, or over 8 KiB in 0.1 s, extends a burst; the longer wait begins at 128 KiB.

--- a/crates/platform/src/engine/input_burst.rs
+++ b/crates/platform/src/engine/input_burst.rs
@@ -7,11 +7,11 @@
 const WINDOW: Micros = 100_000;
 /// More bytes than this in a window are a burst. Usual owners send a few requests in that time.
 const MAX_WINDOW_BYTES: usize = 8 << 10;
-/// How long nothing may be received until a burst is over. The end of a connection follows its last bytes sooner.
+/// How long the input may be no burst until one is over. The end of a connection follows its last bytes sooner.
 const PAUSE: Micros = 5_000;
 /// A burst of more bytes than this may not fit the receive window. Its sender then waits for window updates.
-const MAX_WINDOWED_BYTES: usize = 64 << 10;
-/// How long nothing may be received until such a burst is over. It is longer than the retransmission timeout that a sender
+const MAX_WINDOWED_BYTES: usize = 128 << 10;
+/// How long the input may be no burst until such a burst is over. It is longer than the retransmission timeout that a sender
 /// may have to wait for.
 const LONG_PAUSE: Micros = 250_000;
 
@@ -23,11 +23,12 @@
     is_burst: bool,
     /// The bytes of the current burst and its first window.
     burst_bytes: usize,
-    last_input: Micros,
+    /// When the last input of a burst was received.
+    last_burst_input: Micros,
 }
 
 impl InputBurst {
-    /// Records received bytes, and whether more can be read. Returns whether they belong to a burst.
+    /// Records received bytes, and whether more can be read. Returns whether the connection is in a burst.
     pub(super) fn record(&mut self, now: Micros, bytes: usize, has_more: bool) -> bool {
         if self.window_started_at + WINDOW <= now {
             self.window_started_at = now;
@@ -38,15 +39,17 @@
         }
         self.window_bytes += bytes;
         self.burst_bytes += bytes;
-        self.last_input = now;
-        self.is_burst |= has_more || self.window_bytes > MAX_WINDOW_BYTES;
+        if has_more || self.window_bytes > MAX_WINDOW_BYTES {
+            self.is_burst = true;
+            self.last_burst_input = now;
+        }
         self.is_burst
     }
 
-    /// When the burst is over if nothing more is received.
+    /// When the burst is over, unless more input of it is received. Usual input does not extend it.
     pub(super) fn ends_at(&self) -> Micros {
         let is_windowed = self.burst_bytes > MAX_WINDOWED_BYTES;
-        self.last_input + if is_windowed { LONG_PAUSE } else { PAUSE }
+        self.last_burst_input + if is_windowed { LONG_PAUSE } else { PAUSE }
     }
 
     /// Records the end of a burst.
--- a/crates/platform/src/engine/tests/leaving_clients.rs
+++ b/crates/platform/src/engine/tests/leaving_clients.rs
@@ -41,7 +41,7 @@
         harness.advance((PAUSE_MS - 1) * MS);
         assert_eq!(requested(&harness), 0);
     }
-    // The last read finds the end of the input, and more than a few requests have come in a short time.
+    // The last read finds the end of the input.
     receive(&mut harness, 500..501, 300, false);
     assert!(
         harness.engine.next_timeout() > Some(harness.now),
@@ -53,7 +53,7 @@
     }
     assert_eq!(requested(&harness), 101);
     // Of a long burst the sender may have to wait for a window update.
-    for n in 100..120 {
+    for n in 100..140 {
         receive(&mut harness, 10 * n..10 * n + 10, 4096, true);
     }
     harness.advance((LONG_PAUSE_MS - 1) * MS);
@@ -62,7 +62,7 @@
     while harness.engine.next_timeout() == Some(0) {
         harness.turn();
     }
-    assert_eq!(requested(&harness), 200);
+    assert_eq!(requested(&harness), 400);
 }
 
 #[test]
@@ -111,6 +111,22 @@
     assert_eq!(requested(&harness), 10);
 }
 
+/// Guards against an owner that hands over many tasks at once and whose requests after that wait for a pause that never comes.
+#[test]
+fn usual_input_after_a_burst_does_not_extend_it() {
+    let mut harness = Harness::new();
+    for n in 1..=40 {
+        receive(&mut harness, 100 * n..100 * n + 1, 4096, true);
+    }
+    let mut admitted = 0;
+    for n in 0..40 {
+        receive(&mut harness, 10_000 + n..10_001 + n, 400, false);
+        harness.advance(10 * MS);
+        admitted += requested(&harness);
+    }
+    assert_eq!(admitted, 80, "within 0.4 s");
+}
+
 /// Guards against requests that get no answer because their client never pauses.
 #[test]
 fn requests_of_a_client_that_never_pauses_are_refused_in_time() {
