--- a/crates/cli/tests/platform_leaving_clients.rs
+++ b/crates/cli/tests/platform_leaving_clients.rs
@@ -2,13 +2,12 @@
 
 mod platform_support;
 
-use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 use platform_support::{
     EmulatedCommandChannel, EmulatedHost, OwnerClient, PlacerProcess, accept_all, host_update,
-    setup_of_service, write_config_with,
+    setup_of_service, write_config_with, write_while_possible,
 };
 use serde_json::{Value, json};
 
@@ -34,7 +33,11 @@
         .flat_map(|n| format!("{}\n", small_request(n)).into_bytes())
         .collect();
     let mut stream = TcpStream::connect(placer.address).expect("connection is accepted");
-    let left_at = write_while_possible(&mut stream, &bytes);
+    write_while_possible(&mut stream, &bytes);
+    stream
+        .shutdown(Shutdown::Write)
+        .expect("an open connection");
+    let left_at = Instant::now();
     // Another client's request is answered; by then, the other input has been read.
     let mut owner = OwnerClient::connect(&placer);
     owner.send(&setup_of_service(REQUESTS + 1, OTHER_SERVICE));
@@ -56,18 +59,3 @@
     ));
     request
 }
-
-/// Writes as much as the kernel takes at once, and closes this side. Returns the time of the close.
-fn write_while_possible(stream: &mut TcpStream, bytes: &[u8]) -> Instant {
-    stream
-        .set_nonblocking(true)
-        .expect("the mode can be changed");
-    let mut written = 0;
-    while let Ok(count @ 1..) = stream.write(&bytes[written..]) {
-        written += count;
-    }
-    stream
-        .shutdown(Shutdown::Write)
-        .expect("an open connection");
-    Instant::now()
-}
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -11,7 +11,7 @@
 
 use platform_support::{
     EmulatedCommandChannel, EmulatedHost, OwnerClient, PlacerProcess, TEXT, code, host_update,
-    kind, probe, send_from_host, setup, write_config_with,
+    kind, probe, send_from_host, setup, write_config_with, write_while_possible,
 };
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use serde_json::{Value, json};
@@ -254,12 +254,8 @@
 fn connect_silent_reader(placer: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(placer).expect("connection is accepted");
     set_socket_recv_buffer_size(&stream, SMALL_RECEIVE_BUFFER).expect("an open socket");
-    stream.set_nonblocking(true).expect("an open socket");
     let checks = format!("{}\n", probe(1)).repeat(20_000);
-    let mut written = 0;
-    while let Ok(count @ 1..) = stream.write(&checks.as_bytes()[written..]) {
-        written += count;
-    }
+    write_while_possible(&mut stream, checks.as_bytes());
     stream
 }
 
--- a/crates/cli/tests/platform_support/mod.rs
+++ b/crates/cli/tests/platform_support/mod.rs
@@ -441,6 +441,17 @@
     message
 }
 
+/// Writes as much as the kernel takes at once. The stream is non-blocking afterwards.
+pub fn write_while_possible(stream: &mut TcpStream, bytes: &[u8]) {
+    stream
+        .set_nonblocking(true)
+        .expect("the mode can be changed");
+    let mut written = 0;
+    while let Ok(count @ 1..) = stream.write(&bytes[written..]) {
+        written += count;
+    }
+}
+
 /// An address without a listener.
 pub fn unused_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0")
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -53,13 +53,6 @@
     connect_timer: Option<TimerId>,
 }
 
-impl HostConnection {
-    /// Whether the connection is established and no probe on it has failed.
-    pub(super) fn is_responsive(&self) -> bool {
-        self.is_established && !self.is_unresponsive
-    }
-}
-
 impl<D: Decide> Engine<D> {
     /// Selects a connection to a host that is not in `excluded`: one that is established and not being probed, else one
     /// that is being opened, else a new one.
@@ -86,6 +79,18 @@
         best.or_else(|| self.open_connection(now, machine))
     }
 
+    /// The established connections to a host on which no probe has failed.
+    pub(super) fn responsive_connections(
+        &self,
+        machine: MachineId,
+    ) -> impl Iterator<Item = (ConnectionId, &HostConnection)> + '_ {
+        let host = self.host_table.hosts.get(&machine);
+        host.into_iter()
+            .flat_map(|host| &host.connections)
+            .filter_map(|id| Some((*id, self.connections.get(id)?)))
+            .filter(|(_, connection)| connection.is_established && !connection.is_unresponsive)
+    }
+
     /// Opens a connection to a host. Returns none if the host's address is unknown or now belongs to another host.
     pub(super) fn open_connection(
         &mut self,
--- a/crates/platform/src/engine/failure_detection.rs
+++ b/crates/platform/src/engine/failure_detection.rs
@@ -7,7 +7,7 @@
 use maplethread_engine::Decide;
 
 use super::Engine;
-use super::connections::{HostConnection, IDLE_PROBE_INTERVAL};
+use super::connections::IDLE_PROBE_INTERVAL;
 use super::host_table::Host;
 use super::output::ConnectionId;
 use super::timer::Timer;
@@ -99,15 +99,8 @@
 
     /// Counts an unanswered probe on an unresponsive connection if the host has answered on another one meanwhile.
     fn count_missed_probe(&mut self, now: Micros, id: ConnectionId, machine: MachineId) {
-        let Some(host) = self.host_table.hosts.get(&machine) else {
-            return;
-        };
-        let answers_elsewhere = host.connections.iter().any(|other| {
-            self.connections.get(other).is_some_and(|connection| {
-                connection.is_responsive()
-                    && connection.has_received
-                    && connection.last_received + IDLE_PROBE_INTERVAL > now
-            })
+        let answers_elsewhere = self.responsive_connections(machine).any(|(_, connection)| {
+            connection.has_received && connection.last_received + IDLE_PROBE_INTERVAL > now
         });
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.missed_probes += u32::from(answers_elsewhere);
@@ -136,6 +129,13 @@
         }
     }
 
+    /// Marks a host as reachable that a connection has reached, unless the process there is that of its successor.
+    fn mark_reachable_unless_replaced(&mut self, machine: MachineId) {
+        if self.host_table.successor(machine).is_none() {
+            self.mark_reachable(machine);
+        }
+    }
+
     /// Updates a host to which a new connection was established.
     pub(super) fn record_host_connected(&mut self, now: Micros, machine: MachineId) {
         let Some(host) = self.host_table.hosts.get_mut(&machine) else {
@@ -150,9 +150,7 @@
             // known yet.
             host.record_alive(now);
         }
-        if self.host_table.successor(machine).is_none() {
-            self.mark_reachable(machine);
-        }
+        self.mark_reachable_unless_replaced(machine);
     }
 
     /// Updates a host that sent a message on a connection.
@@ -187,9 +185,7 @@
             );
         }
         self.record_process_alive(now, id, machine);
-        if self.host_table.successor(machine).is_none() {
-            self.mark_reachable(machine);
-        }
+        self.mark_reachable_unless_replaced(machine);
     }
 
     /// Handles a report on a task that has been running since `since`. If the task started before the host became
@@ -280,15 +276,11 @@
             return;
         };
         host.is_check_scheduled = false;
-        let has_working_connection = host.connections.iter().any(|id| {
-            self.connections
-                .get(id)
-                .is_some_and(HostConnection::is_responsive)
-        });
         let has_running_tasks = !host.running.is_empty();
-        let is_connected_and_verified =
-            has_working_connection && !(has_running_tasks && host.is_identity_unverified);
+        let is_verified = !(has_running_tasks && host.is_identity_unverified);
         let needs_no_check = !has_running_tasks && !host.is_unreachable;
+        let is_connected_and_verified =
+            is_verified && self.responsive_connections(machine).next().is_some();
         if is_connected_and_verified || needs_no_check {
             return;
         }
--- a/crates/platform/src/engine/fair_share.rs
+++ b/crates/platform/src/engine/fair_share.rs
@@ -3,18 +3,17 @@
 
 use std::cmp::Reverse;
 
-use maplethread::{AttemptOutcome, Event, MachineId, Micros, TaskId};
+use maplethread::{AttemptOutcome, Event, Micros, TaskId};
 use maplethread_engine::Decide;
 use maplethread_platform_wire::Cause;
 use maplethread_platform_wire::host::ToHost;
 use maplethread_platform_wire::owner::Setup;
 
 use super::Engine;
-use super::connections::HostConnection;
-use super::output::{ConnectionId, OwnerId};
+use super::output::OwnerId;
 use super::owner_evidence::OwnerLikelihood;
 use super::owners::Owner;
-use super::release_table::Release;
+use super::running_tasks::EndedTask;
 use super::task_table::setup_bytes;
 use super::unconfirmed_tasks::Holder;
 
@@ -141,31 +140,24 @@
 
     /// Ends a task that no host has confirmed: it is closed at its host, in case it exists, and released.
     fn displace_unconfirmed_task(&mut self, task: TaskId) {
-        let Some(placement) = self.tasks.take_placement(task) else {
+        let Some(ended) = self.take_running_task(task, Cause::RESET) else {
             return;
         };
-        let Some(entry) = self.tasks.get(task) else {
-            return;
-        };
-        let owner = entry.owner;
-        let release = Release {
-            id: entry.setup_id,
-            cause: Cause::RESET,
-            owner_address: entry.owner_address,
-            was_confirmed: false,
-        };
+        let EndedTask {
+            placement,
+            owner,
+            release,
+            ..
+        } = ended;
         tracing::debug!(id = %release.id, "running task displaced: too many are unconfirmed");
-        if let Some(connection) = self.responsive_connection(placement.machine) {
+        let connection = self.responsive_connections(placement.machine).next();
+        if let Some(connection) = connection.map(|(id, _)| id) {
             let close = ToHost::Close {
                 id: release.id,
                 cause: Cause::NORMAL,
             };
             self.send_to_host(connection, &close);
         }
-        if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
-            host.running.remove(&task);
-        }
-        self.host_table.remove_unlisted_host(placement.machine);
         self.push_attempt_finished(
             placement.attempt(task),
             AttemptOutcome::Cancelled,
@@ -175,13 +167,4 @@
         self.send_release(owner, release);
         self.tasks.remove_if_finished(task);
     }
-
-    fn responsive_connection(&self, machine: MachineId) -> Option<ConnectionId> {
-        let host = self.host_table.hosts.get(&machine)?;
-        host.connections.iter().copied().find(|id| {
-            self.connections
-                .get(id)
-                .is_some_and(HostConnection::is_responsive)
-        })
-    }
 }
--- a/crates/platform/src/engine/owners.rs
+++ b/crates/platform/src/engine/owners.rs
@@ -154,8 +154,7 @@
         };
         let is_burst = owner.input_burst.record(now, bytes, has_more);
         if is_burst && self.admission_queue.hold(id) && !owner.is_input_stopped {
-            let timer = Timer::BurstEnd(id);
-            owner.burst_timer = Some(self.timers.schedule(owner.input_burst.ends_at(), timer));
+            self.schedule_burst_end(id);
         }
     }
 
@@ -169,8 +168,14 @@
         self.timers.cancel(owner.burst_timer.take());
         if !is_stopped {
             owner.input_burst.record(now, 0, true);
-            let timer = Timer::BurstEnd(id);
-            owner.burst_timer = Some(self.timers.schedule(owner.input_burst.ends_at(), timer));
+            self.schedule_burst_end(id);
+        }
+    }
+
+    fn schedule_burst_end(&mut self, id: OwnerId) {
+        if let Some(owner) = self.owners.get_mut(&id) {
+            let ends_at = owner.input_burst.ends_at();
+            owner.burst_timer = Some(self.timers.schedule(ends_at, Timer::BurstEnd(id)));
         }
     }
 
@@ -179,14 +184,13 @@
         let Some(owner) = self.owners.get_mut(&id) else {
             return;
         };
-        let ends_at = owner.input_burst.ends_at();
-        owner.burst_timer = if ends_at > now {
-            Some(self.timers.schedule(ends_at, Timer::BurstEnd(id)))
+        owner.burst_timer = None;
+        if owner.input_burst.ends_at() > now {
+            self.schedule_burst_end(id);
         } else {
             owner.input_burst.end();
             self.admission_queue.stop_holding(id);
-            None
-        };
+        }
     }
 
     /// Handles a message from an owner, or the error of decoding it.
--- a/crates/platform/src/engine/process_identity.rs
+++ b/crates/platform/src/engine/process_identity.rs
@@ -77,12 +77,8 @@
 
     /// Since when the processes on the responsive connections of a host have run, at the earliest. None without any.
     pub(super) fn earliest_process_start(&self, machine: MachineId) -> Option<Micros> {
-        let host = self.host_table.hosts.get(&machine)?;
-        host.connections
-            .iter()
-            .filter_map(|id| self.connections.get(id))
-            .filter(|connection| connection.is_responsive())
-            .map(|connection| connection.process.since)
+        self.responsive_connections(machine)
+            .map(|(_, connection)| connection.process.since)
             .min()
     }
 
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -7,11 +7,21 @@
 
 use super::Engine;
 use super::host_table::HostChange;
-use super::output::ConnectionId;
+use super::output::{ConnectionId, OwnerId};
 use super::process_interval::ProcessInterval;
 use super::release_table::Release;
 use super::task_table::Placement;
 
+/// A task that was running, with what its end has to be reported with.
+pub(super) struct EndedTask {
+    pub(super) placement: Placement,
+    /// The connection on which the task was requested, or last handed over.
+    pub(super) owner: OwnerId,
+    /// Another connection, on which it was requested or handed over before.
+    pub(super) earlier_owner: Option<OwnerId>,
+    pub(super) release: Release,
+}
+
 impl<D: Decide> Engine<D> {
     /// Records a task that runs on a host, and opens a connection on which the host can release it if there is none.
     pub(super) fn record_running_task(&mut self, now: Micros, task: TaskId, machine: MachineId) {
@@ -39,23 +49,15 @@
         reason: Option<FailureReason>,
         cause: Cause,
     ) {
-        let Some(placement) = self.tasks.take_placement(task) else {
-            return;
-        };
-        let Some(entry) = self.tasks.get(task) else {
+        let Some(ended) = self.take_running_task(task, cause) else {
             return;
         };
-        let (owner, earlier_owner) = (entry.owner, entry.earlier_owner);
-        let release = Release {
-            id: entry.setup_id,
-            cause,
-            owner_address: entry.owner_address,
-            was_confirmed: placement.is_confirmed,
-        };
-        if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
-            host.running.remove(&task);
-        }
-        self.host_table.remove_unlisted_host(placement.machine);
+        let EndedTask {
+            placement,
+            owner,
+            earlier_owner,
+            release,
+        } = ended;
         if placement.is_confirmed {
             self.possibly_run.insert(now, release.id, ());
         }
@@ -72,6 +74,28 @@
         self.tasks.remove_if_finished(task);
     }
 
+    /// Takes a running task from its host. The caller reports its end, and removes it from the table.
+    pub(super) fn take_running_task(&mut self, task: TaskId, cause: Cause) -> Option<EndedTask> {
+        let placement = self.tasks.take_placement(task)?;
+        let entry = self.tasks.get(task)?;
+        let ended = EndedTask {
+            placement,
+            owner: entry.owner,
+            earlier_owner: entry.earlier_owner,
+            release: Release {
+                id: entry.setup_id,
+                cause,
+                owner_address: entry.owner_address,
+                was_confirmed: placement.is_confirmed,
+            },
+        };
+        if let Some(host) = self.host_table.hosts.get_mut(&placement.machine) {
+            host.running.remove(&task);
+        }
+        self.host_table.remove_unlisted_host(placement.machine);
+        Some(ended)
+    }
+
     /// Fails those tasks of a host for which `is_lost` returns true.
     pub(super) fn fail_running_tasks(
         &mut self,
--- a/crates/platform/src/shell/lingering.rs
+++ b/crates/platform/src/shell/lingering.rs
@@ -19,6 +19,7 @@
 const MAX_LINGERING_CONNECTIONS: usize = 64;
 /// How long the shutdown waits for owners to read what was written to them. `ShutdownSchedule` reserves time for it.
 const SHUTDOWN_LINGER_TIMEOUT: Micros = 250_000;
+
 /// A connection that is being closed.
 pub(super) struct LingeringConnection {
     pub(super) conn: TcpConnection,
