Platform: a replaced host that has its address back gets offers again

A host whose address another one had taken, and that the list then reports anew at it without having removed it, got no offers for good: the policy was never told that it is connected.

Cause: `apply_host_change` marked a replaced host as unreachable without scheduling the check that every other unreachable host gets.

Change: it schedules the check, which connects as soon as the address is the host's own.

--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -186,6 +186,7 @@
             self.mark_reachable(machine);
         } else if self.host_table.successor(machine).is_some() {
             self.mark_unreachable(machine);
+            self.schedule_host_check(now, machine);
         }
         if self.is_removed_or_replaced(machine) {
             self.fail_tasks_of_earlier_process(now, machine);
--- a/crates/platform/src/engine/tests/process_identity.rs
+++ b/crates/platform/src/engine/tests/process_identity.rs
@@ -284,3 +284,23 @@
         .collect();
     assert_eq!(changes, [false]);
 }
+
+/// Guards against a host that gets no offers for good after it has taken its address back.
+#[test]
+fn reports_a_replaced_host_as_connected_once_it_has_its_address_back() {
+    let mut harness = Harness::new();
+    harness.list_host("b", ADDRESS, "active", 0.0);
+    harness.turn();
+    let since_ms = (harness.now / MS) as f64;
+    harness.list_host("a", ADDRESS, "active", since_ms);
+    harness.turn();
+    harness.take_events();
+    let next = first_connect(&harness.advance(1_100 * MS));
+    harness.establish(next);
+    harness.turn();
+    let connected = Event::ConnectionChanged {
+        machine: maplethread::MachineId(0),
+        is_connected: true,
+    };
+    assert!(harness.take_events().contains(&connected));
+}
